--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: env lint test demo bench thrift clean
+
+env: .venv/ready
+
+.venv/ready: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: env
+	$(BIN)/python -m pytest $$($(BIN)/python tests/known_red.py KNOWN-RED.txt)
+
+demo: env
+	$(BIN)/python -m standins.demo
+
+bench: env
+	$(BIN)/python -m bench
+
+thrift:
+	thrift --gen py:slots -out dotterelspread/gen thrift/peer.thrift
+
+clean:
+	rm -rf .venv .pytest_cache .hypothesis .ruff_cache results
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: one module each, run with ``python -m bench NAME``."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests and the demo."""
