--- /dev/null
+++ b/dotterelspread/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from ``thrift/peer.thrift``."""
--- /dev/null
+++ b/dotterelspread/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Peer']
--- /dev/null
+++ b/dotterelspread/record.py
@@ -0,0 +1,273 @@
+"""The records that processes append to the platform's log, and their encoding.
+
+A log record is a MessagePack array of `Envelope`; one append carries all that is due.
+"""
+
+import msgspec
+
+from .resources import Resources
+
+__all__ = [
+    "CellSnapshot",
+    "CellSummary",
+    "ConfigurationPublished",
+    "Envelope",
+    "InstanceAnnounced",
+    "InstanceDraining",
+    "InstanceLeft",
+    "JobCancelled",
+    "JobSubmitted",
+    "MembershipSnapshot",
+    "OwnerRenewed",
+    "Record",
+    "RecordError",
+    "RequestClaimed",
+    "RequestSettled",
+    "TaskClaimed",
+    "TaskEnded",
+    "TaskLapsed",
+    "TaskReleased",
+    "TaskSpec",
+    "TeamUse",
+    "decode_record",
+    "encode_record",
+]
+
+
+class RecordError(Exception):
+    """A log record cannot be read."""
+
+
+class Struct(msgspec.Struct, frozen=True, array_like=True):
+    """Base of what records are made of: an array without field names."""
+
+
+class ConfigurationPublished(Struct, tag=1):
+    """An operator's whole configuration, based on the one at ``base_offset``."""
+
+    #: Offset of the configuration that the operator had read; -1 for none.
+    base_offset: int
+    author: str
+    #: The configuration as YAML text.
+    text: str
+
+
+class InstanceAnnounced(Struct, tag=2):
+    """A process of the system says that it is there."""
+
+    instance_id: str
+    #: Larger for each start of the process.
+    incarnation: int
+    role: str
+    #: ``host:port`` of the process for its peers.
+    peer_address: str
+    data_centre: str
+    region: str
+    rack: str = ""
+    services: tuple[str, ...] = ()
+    slots: int = 0
+    capacity: Resources = Resources()
+    labels: dict[str, str] = {}
+
+
+class InstanceDraining(Struct, tag=3):
+    """An instance is leaving and takes no new work."""
+
+    instance_id: str
+    incarnation: int
+
+
+class InstanceLeft(Struct, tag=4):
+    """An instance has left; its running work has ended."""
+
+    instance_id: str
+    incarnation: int
+
+
+class MembershipSnapshot(Struct, tag=5):
+    """All members as of an offset, appended before their records expire."""
+
+    as_of: int
+    announced: tuple[InstanceAnnounced, ...]
+    draining_ids: tuple[str, ...]
+
+
+class RequestClaimed(Struct, tag=6):
+    """An entry will send the request with this key to one instance, once."""
+
+    service: str
+    key: str
+    request_id: str
+    #: Instance that the request may be sent to, and the incarnation it must have.
+    instance_id: str
+    incarnation: int
+    #: Digest of method, path and body, to tell a reused key.
+    fingerprint: bytes
+    #: 0 for the first claim of a key; one more after a proof that it was not run.
+    attempt: int = 0
+
+
+class RequestSettled(Struct, tag=7):
+    """How a key's request ended; ``outcome`` is completed, failed or refused."""
+
+    service: str
+    key: str
+    request_id: str
+    outcome: str
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    detail: str = ""
+
+
+class TaskSpec(Struct):
+    """One task of a job as its submitter declared it."""
+
+    task_id: str
+    #: Name of the program that the platform's worker runs.
+    program: str
+    declared: Resources
+    #: Expected run time in seconds; 0 for a service replica, which has no end.
+    run_time_s: float
+    arguments: tuple[str, ...] = ()
+
+
+class JobSubmitted(Struct, tag=8):
+    """A job's tasks, accepted once this record is read back."""
+
+    job_id: str
+    team: str
+    urgency: int
+    labels: dict[str, str]
+    tasks: tuple[TaskSpec, ...]
+    is_service: bool = False
+
+
+class JobCancelled(Struct, tag=9):
+    """A job's tasks that have not ended shall end as cancelled."""
+
+    job_id: str
+
+
+class TaskClaimed(Struct, tag=10):
+    """A member takes a task; the record's offset is the task's epoch."""
+
+    task_id: str
+    owner_id: str
+    incarnation: int
+    #: Amount reserved on the owner's instance.
+    reserved: Resources
+
+
+class TaskEnded(Struct, tag=11):
+    """A task ended; ``outcome`` is completed, failed, cancelled or refused."""
+
+    task_id: str
+    epoch: int
+    outcome: str
+    detail: str = ""
+
+
+class TaskReleased(Struct, tag=12):
+    """The owner stopped a task, keeping a checkpoint, so that another may resume it."""
+
+    task_id: str
+    epoch: int
+    checkpoint: str = ""
+    #: Why: eviction, drain, preemption, decline.
+    reason: str = ""
+
+
+class TaskLapsed(Struct, tag=13):
+    """A task's owner has been silent for longer than its lease."""
+
+    task_id: str
+    epoch: int
+    #: Offset of the owner's renewal that was judged; void if a newer one precedes.
+    renewal_offset: int
+
+
+class OwnerRenewed(Struct, tag=14):
+    """A member renews its leases on all tasks it owns in the cell."""
+
+    owner_id: str
+    incarnation: int
+    #: Amounts learned from usage for running tasks that exceed their declared size.
+    learned: dict[str, Resources] = {}
+
+
+class CellSnapshot(Struct, tag=15):
+    """State of a cell as of an offset, encoded by the cell module."""
+
+    as_of: int
+    state: bytes
+
+
+class TeamUse(Struct):
+    """What one team uses and waits for in a cell."""
+
+    team: str
+    used: Resources
+    waiting: Resources
+
+
+class CellSummary(Struct, tag=16):
+    """Use and backlog of one cell by team, for quotas."""
+
+    cell: str
+    as_of: int
+    capacity: Resources
+    teams: tuple[TeamUse, ...]
+
+
+Record = (
+    ConfigurationPublished
+    | InstanceAnnounced
+    | InstanceDraining
+    | InstanceLeft
+    | MembershipSnapshot
+    | RequestClaimed
+    | RequestSettled
+    | JobSubmitted
+    | JobCancelled
+    | TaskClaimed
+    | TaskEnded
+    | TaskReleased
+    | TaskLapsed
+    | OwnerRenewed
+    | CellSnapshot
+    | CellSummary
+)
+
+
+class Envelope(Struct):
+    """A record with its writer, so that a repeated append is told apart."""
+
+    #: Incarnation of the writing process.
+    writer: int
+    #: Larger for each record of the writer.
+    sequence: int
+    record: Record
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[Envelope, ...])
+
+
+def encode_record(envelopes):
+    """Return the bytes of one log record that carries ``envelopes``."""
+    return _encoder.encode(tuple(envelopes))
+
+
+def decode_record(data):
+    """Return the envelopes in one log record.
+
+    Raises
+    ------
+    RecordError
+        When the bytes are not such a record.
+    """
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise RecordError(f"log record: {error}") from error
--- /dev/null
+++ b/dotterelspread/resources.py
@@ -0,0 +1,49 @@
+"""Amounts of an instance's processors, memory and accelerators."""
+
+import msgspec
+
+__all__ = ["Resources"]
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """An amount of each resource that tasks hold on an instance.
+
+    Use it for declared sizes, capacities, reservations and quotas alike.
+    """
+
+    #: Processor time in thousandths of a core.
+    millicores: int = 0
+    #: Memory in mebibytes.
+    memory_mb: int = 0
+    #: Whole accelerators.
+    accelerators: int = 0
+
+    def __add__(self, other):
+        return Resources(
+            self.millicores + other.millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other):
+        return Resources(
+            self.millicores - other.millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room):
+        """Tell whether this amount is within ``room`` for every resource."""
+        return (
+            self.millicores <= room.millicores
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def at_least(self, other):
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.millicores, other.millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
