Read and check the daemon's settings

Cause: a daemon needs its settings before anything else, and people who write them need every fault at once. Ruled out: anchors, aliases and tags in YAML (expansion and object construction), host names (the loop must not resolve names in threads).

--- /dev/null
+++ b/dotterelspread/document.py
@@ -0,0 +1,167 @@
+"""Read YAML text safely into plain Python data.
+
+Only mappings, lists and scalars come out of it: tags, anchors and aliases are refused,
+and so are repeated keys and documents that are too large or too deep.
+"""
+
+from dataclasses import dataclass
+
+import yaml
+
+__all__ = ["DocumentError", "Fault", "FaultsError", "load_document"]
+
+MAX_DOCUMENT_BYTES = 1 << 20
+MAX_DEPTH = 16
+MAX_NODES = 50_000
+MAX_SHOWN_CHARACTERS = 60
+
+_TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One thing that is wrong in a file that people write."""
+
+    file_name: str
+    #: Path of the field, such as ``services.dispatch.kinds.fault.share``.
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self):
+        place = f"{self.file_name}: {self.path}" if self.path else self.file_name
+        return f"{place}: found {self.found}; allowed: {self.allowed}"
+
+
+class FaultsError(Exception):
+    """Something that people wrote has faults; base of the errors that list them.
+
+    Parameters
+    ----------
+    faults : iterable of Fault
+        Every fault that was found.
+    """
+
+    def __init__(self, faults):
+        self.faults = tuple(faults)
+        super().__init__("\n".join(str(fault) for fault in self.faults))
+
+
+class DocumentError(FaultsError):
+    """A text is not a YAML document of the plain form that is read here."""
+
+
+class _PlainLoader(yaml.CSafeLoader):
+    """Loader that leaves dates as text."""
+
+
+_PlainLoader.add_constructor(
+    _TIMESTAMP_TAG, lambda loader, node: loader.construct_scalar(node)
+)
+
+
+def load_document(text, file_name):
+    """Return the data in a YAML document.
+
+    Parameters
+    ----------
+    text : str
+        The document.
+    file_name : str
+        Name of the file, for the faults.
+
+    Returns
+    -------
+    dict, list, str, int, float, bool or None
+
+    Raises
+    ------
+    DocumentError
+        When the text is not YAML, or is refused for its form or size.
+    """
+    size = len(text.encode(errors="surrogatepass"))
+    if size > MAX_DOCUMENT_BYTES:
+        _refuse(file_name, f"{size} bytes", f"up to {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        _check_events(text, file_name)
+        node = yaml.compose(text, _PlainLoader)
+        _check_keys(node, file_name)
+        return yaml.load(text, _PlainLoader)
+    except yaml.YAMLError as error:
+        _refuse(file_name, _one_line(error), "one YAML document")
+    except (ValueError, TypeError, OverflowError) as error:
+        _refuse(file_name, f"a value that can't be read: {error}", "plain values")
+
+
+def shorten(value):
+    """Return ``value`` as text for a fault, cut to a bounded length."""
+    text = value if isinstance(value, str) else repr(value)
+    shown = repr(text) if isinstance(value, str) else text
+    if len(shown) <= MAX_SHOWN_CHARACTERS:
+        return shown
+    return shown[: MAX_SHOWN_CHARACTERS - 3] + "..."
+
+
+def _refuse(file_name, found, allowed):
+    raise DocumentError([Fault(file_name, "", found, allowed)]) from None
+
+
+def _one_line(error):
+    return " ".join(str(error).split())
+
+
+def _check_events(text, file_name):
+    """Refuse, before anything is built, what could make the result large or odd."""
+    depth = 0
+    for count, event in enumerate(yaml.parse(text, _PlainLoader)):
+        if count > MAX_NODES:
+            _refuse(file_name, f"over {MAX_NODES} nodes", f"up to {MAX_NODES} nodes")
+        if isinstance(event, yaml.AliasEvent) or getattr(event, "anchor", None):
+            line = event.start_mark.line + 1
+            _refuse(file_name, f"an anchor or alias in line {line}", "plain values")
+        if getattr(event, "tag", None):
+            line = event.start_mark.line + 1
+            _refuse(file_name, f"a tag in line {line}", "plain values")
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            _refuse(file_name, f"over {MAX_DEPTH} levels", f"up to {MAX_DEPTH} levels")
+
+
+def _check_keys(root, file_name):
+    """Refuse repeated keys and keys that are not text."""
+    faults = []
+    pending = [(root, "")]
+    while pending:
+        node, path = pending.pop()
+        if isinstance(node, yaml.SequenceNode):
+            pending += ((n, f"{path}[{i}]") for i, n in enumerate(node.value))
+        elif isinstance(node, yaml.MappingNode):
+            seen = set()
+            for key, value in node.value:
+                inner = _join(path, key.value)
+                problem = _key_problem(key, seen)
+                if problem:
+                    faults.append(Fault(file_name, inner, *problem))
+                else:
+                    seen.add(key.value)
+                pending.append((value, inner))
+    if faults:
+        raise DocumentError(faults)
+
+
+def _key_problem(key, seen):
+    if not isinstance(key, yaml.ScalarNode):
+        return "a key that is not text", "text keys"
+    if key.tag != "tag:yaml.org,2002:str":
+        return f"the key {shorten(key.value)}, which YAML reads as no text", "quote it"
+    if key.value in seen:
+        return "the field twice", "each field once"
+    return None
+
+
+def _join(path, key):
+    name = key if isinstance(key, str) else "?"
+    return f"{path}.{name}" if path else name
--- /dev/null
+++ b/dotterelspread/options.py
@@ -0,0 +1,289 @@
+"""Read options out of YAML mappings, collecting every fault.
+
+This is the one place where values that people write are checked::
+
+    with open_options(text, "agent.yaml", SettingsError) as options:
+        slots = options.integer("slots", 1, 1000)
+        timeout_s = options.duration("timeout", 0.1, 60.0, default=5.0)
+
+A faulty value is noted and a value of the right type is returned in its place, so that
+reading goes on; the error with all faults is raised when the block ends. Fields that
+were not read are refused.
+"""
+
+import re
+from contextlib import contextmanager
+
+from .document import DocumentError, Fault, FaultsError, load_document, shorten
+from .quantities import (
+    Address,
+    parse_address,
+    parse_duration,
+    parse_size,
+    parse_url,
+)
+from .resources import Resources
+
+__all__ = ["Options", "OptionsError", "open_options"]
+
+MAX_TEXT_CHARACTERS = 1024
+MAX_ITEMS = 5000
+MAX_LABELS = 64
+MAX_CORES = 1024
+MAX_MEMORY_BYTES = 64 << 40
+MAX_ACCELERATORS = 256
+MEBIBYTE = 1 << 20
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+LABEL_KEY_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,62}")
+LABEL_VALUE_PATTERN = re.compile(r"[A-Za-z0-9._-]{0,63}")
+NAME_FORM = "text of up to 63 letters, digits, '.', '_' and '-', no sign first"
+LABEL_KEY_FORM = "text of up to 63 letters, digits, '.', '_', '/' and '-'"
+LABEL_VALUE_FORM = "text of up to 63 letters, digits, '.', '_' and '-'"
+
+NO_ADDRESS = Address("127.0.0.1", 1)
+
+_REQUIRED = object()
+
+
+class OptionsError(FaultsError):
+    """A mapping of options has faults."""
+
+
+@contextmanager
+def open_options(text, file_name, error_type=OptionsError):
+    """Yield the `Options` of a YAML document and check it when the block ends.
+
+    Parameters
+    ----------
+    text : str
+        The document.
+    file_name : str
+        Name of the file, for the faults.
+    error_type : type
+        Subclass of `FaultsError` to raise.
+    """
+    try:
+        values = load_document(text, file_name)
+    except DocumentError as error:
+        raise error_type(error.faults) from None
+    if not isinstance(values, dict):
+        fault = Fault(file_name, "", shorten(values), "a mapping of fields")
+        raise error_type([fault])
+    faults_by_path = {}
+    options = Options(values, file_name, "", faults_by_path)
+    yield options
+    options.refuse_unread()
+    if faults_by_path:
+        raise error_type(faults_by_path.values())
+
+
+class Options:
+    """The fields of one mapping; use it to read each field with its check.
+
+    Every reading method takes the field's name and a ``default`` that stands for a
+    field that isn't there; without a default the field must be there.
+    """
+
+    __slots__ = ("_faults_by_path", "_file_name", "_sections", "_unread", "path")
+
+    def __init__(self, values, file_name, path, faults_by_path):
+        self._file_name = file_name
+        self._faults_by_path = faults_by_path
+        self._sections = []
+        #: Path of the mapping in its document; empty for the whole document.
+        self.path = path
+        if not isinstance(values, dict):
+            self.fault("", shorten(values), "a mapping of fields")
+            values = {}
+        self._unread = dict(values)
+
+    def fault(self, name, found, allowed):
+        """Note a fault of a field, unless one is noted for it already."""
+        path = self._path_of(name)
+        fault = Fault(self._file_name, path, str(found), str(allowed))
+        self._faults_by_path.setdefault(path, fault)
+
+    def refuse_unread(self):
+        """Note a fault for each field that was not read, here and in all sections."""
+        for name in self._unread:
+            self.fault(name, "an unknown field", "only documented fields")
+        for section in self._sections:
+            section.refuse_unread()
+
+    def has(self, name):
+        """Tell whether the field is there and was not read yet."""
+        return self._unread.get(name) is not None
+
+    def text(self, name, default=_REQUIRED, pattern=None, form="text"):
+        """Return a text, which must match ``pattern`` in full if there is one."""
+
+        def is_valid(value):
+            if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
+                return False
+            return bool(value) if pattern is None else bool(pattern.fullmatch(value))
+
+        return self._checked(name, default, is_valid, form, "")
+
+    def name(self, name, default=_REQUIRED):
+        """Return the name of something: letters, digits and some signs."""
+        return self.text(name, default, NAME_PATTERN, NAME_FORM)
+
+    def integer(self, name, low, high, default=_REQUIRED):
+        """Return a whole number from ``low`` to ``high``."""
+
+        def is_valid(value):
+            return type(value) is int and low <= value <= high
+
+        form = f"a whole number from {low} to {high}"
+        return self._checked(name, default, is_valid, form, low)
+
+    def number(self, name, low, high, default=_REQUIRED):
+        """Return a number from ``low`` to ``high`` as a float."""
+
+        def is_valid(value):
+            return type(value) in (int, float) and low <= value <= high
+
+        form = f"a number from {low} to {high}"
+        return float(self._checked(name, default, is_valid, form, low))
+
+    def boolean(self, name, default=_REQUIRED):
+        """Return true or false."""
+        return self._checked(
+            name, default, lambda value: type(value) is bool, "true or false", False
+        )
+
+    def choice(self, name, values, default=_REQUIRED):
+        """Return one of ``values``, a list of texts."""
+        values = list(values)
+        form = "one of " + ", ".join(values)
+        return self._checked(name, default, values.__contains__, form, values[0])
+
+    def duration(self, name, low_s, high_s, default=_REQUIRED):
+        """Return seconds from a duration such as ``250ms``, ``5s`` or ``2m``."""
+        form = f"a duration from {low_s:g}s to {high_s:g}s, such as 250ms, 5s or 2m"
+        parse = _within(parse_duration, low_s, high_s)
+        return self._parsed(name, parse, default, form, low_s)
+
+    def size(self, name, low, high, default=_REQUIRED):
+        """Return bytes from a size such as ``64KiB`` or ``125GB``."""
+        form = f"a size from {low} to {high} bytes, such as 64KiB or 125GB"
+        return self._parsed(name, _within(parse_size, low, high), default, form, low)
+
+    def address(self, name, default=_REQUIRED):
+        """Return an `Address` from ``host:port`` with an IP number."""
+        form = "an IP number and port, such as 10.1.0.4:7001"
+        return self._parsed(name, parse_address, default, form, NO_ADDRESS)
+
+    def url(self, name, default=_REQUIRED):
+        """Return an HTTP URL with an IP number, without a closing slash."""
+        form = "an HTTP URL with an IP number, such as http://10.1.0.9:8300"
+        return self._parsed(name, parse_url, default, form, "")
+
+    def resources(self, name, default=_REQUIRED):
+        """Return `Resources` from a mapping of cores, memory and accelerators."""
+        if not self.has(name):
+            return self._checked(name, default, None, "a mapping", Resources())
+        section = self.section(name)
+        cores = section.number("cores", 0, MAX_CORES, 0)
+        memory = section.size("memory", 0, MAX_MEMORY_BYTES, 0)
+        accelerators = section.integer("accelerators", 0, MAX_ACCELERATORS, 0)
+        return Resources(round(cores * 1000), memory // MEBIBYTE, accelerators)
+
+    def labels(self, name):
+        """Return labels: a mapping of texts, empty when it isn't there."""
+        values = self._collection(name, dict, MAX_LABELS, {})
+        section = self._section(values, name)
+        return {
+            key: section.text(key, "", LABEL_VALUE_PATTERN, LABEL_VALUE_FORM)
+            for key in values
+            if section._accepts_key(key, LABEL_KEY_PATTERN, LABEL_KEY_FORM)
+        }
+
+    def section(self, name):
+        """Return the `Options` of the mapping in a field, empty when it isn't there."""
+        values = self._unread.pop(name, None)
+        return self._section({} if values is None else values, name)
+
+    def sections(self, name, default=_REQUIRED):
+        """Return `Options` by name from a mapping of named mappings."""
+        values = self._collection(name, dict, MAX_ITEMS, default)
+        parent = self._section(values, name)
+        return {
+            key: parent.section(key)
+            for key in values
+            if parent._accepts_key(key, NAME_PATTERN, NAME_FORM)
+        }
+
+    def items(self, name, default=_REQUIRED):
+        """Return a list of `Options`, one for each mapping in a list."""
+        values = self._collection(name, list, MAX_ITEMS, default)
+        return [self._section(v, f"{name}[{i}]") for i, v in enumerate(values)]
+
+    def names(self, name, default=_REQUIRED, pattern=NAME_PATTERN, form=NAME_FORM):
+        """Return a tuple of different texts that match ``pattern``."""
+        values = self._collection(name, list, MAX_ITEMS, default)
+        for index, value in enumerate(values):
+            if not isinstance(value, str) or not pattern.fullmatch(value):
+                self.fault(f"{name}[{index}]", shorten(value), form)
+            elif value in values[:index]:
+                self.fault(f"{name}[{index}]", shorten(value), "each value once")
+        return tuple(values)
+
+    def _path_of(self, name):
+        return f"{self.path}.{name}" if self.path and name else self.path or name
+
+    def _section(self, values, name):
+        section = Options(
+            values, self._file_name, self._path_of(name), self._faults_by_path
+        )
+        self._sections.append(section)
+        return section
+
+    def _accepts_key(self, key, pattern, form):
+        if pattern.fullmatch(key):
+            return True
+        self._unread.pop(key, None)
+        self.fault(shorten(key), "a name of another form", form)
+        return False
+
+    def _checked(self, name, default, is_valid, form, fallback):
+        value = self._unread.pop(name, None)
+        if value is None and default is not _REQUIRED:
+            return default
+        if value is not None and is_valid(value):
+            return value
+        self.fault(name, "nothing" if value is None else shorten(value), form)
+        return fallback
+
+    def _parsed(self, name, parse, default, form, fallback):
+        value = self._unread.pop(name, None)
+        if value is None and default is not _REQUIRED:
+            return default
+        try:
+            if isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS:
+                return parse(value)
+        except ValueError:
+            pass
+        self.fault(name, "nothing" if value is None else shorten(value), form)
+        return fallback
+
+    def _collection(self, name, type_, limit, default):
+        def is_valid(value):
+            return isinstance(value, type_) and len(value) <= limit
+
+        kind = "mapping" if type_ is dict else "list"
+        form = f"a {kind} of up to {limit} entries"
+        return self._checked(name, default, is_valid, form, type_())
+
+
+def _within(parse, low, high):
+    """Return ``parse`` with a check of its result's range."""
+
+    def parse_within(text):
+        value = parse(text)
+        if not low <= value <= high:
+            raise ValueError(f"{text} is out of range")
+        return value
+
+    return parse_within
--- /dev/null
+++ b/dotterelspread/settings.py
@@ -0,0 +1,233 @@
+"""The settings of one daemon process, read from a YAML file when it starts."""
+
+import enum
+from dataclasses import dataclass
+
+from .document import MAX_DOCUMENT_BYTES, Fault, FaultsError
+from .options import open_options
+from .quantities import Address
+from .resources import Resources
+
+__all__ = [
+    "AgentSettings",
+    "DaemonSettings",
+    "EntrySettings",
+    "LimitSettings",
+    "MetricsExport",
+    "Role",
+    "SettingsError",
+    "TelemetrySettings",
+]
+
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MIN_BODY_BYTES = 1 << 10
+MAX_BODY_BYTES = 64 << 20
+MAX_TIMEOUT_S = 3600.0
+
+
+class SettingsError(FaultsError):
+    """A settings file has faults, or can't be read."""
+
+
+class Role(enum.StrEnum):
+    """What a daemon process does."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class MetricsExport(enum.StrEnum):
+    """Where a daemon's metrics can be read."""
+
+    PROMETHEUS = "prometheus"
+    NONE = "none"
+
+
+@dataclass(slots=True, frozen=True)
+class EntrySettings:
+    """Settings that only an entry has."""
+
+    #: Cells of its region to which it submits jobs.
+    cells: tuple[str, ...]
+
+    @classmethod
+    def from_options(cls, options):
+        """Read the section ``entry``."""
+        return cls(cells=options.names("cells"))
+
+
+@dataclass(slots=True, frozen=True)
+class AgentSettings:
+    """Settings that only an agent has: its instance and what runs there."""
+
+    service: str
+    #: URL of the backend server beside the agent.
+    backend_url: str
+    #: URL of the platform's worker on the instance.
+    worker_url: str
+    #: Requests that the backend server runs at a time.
+    slots: int
+    #: Connections that the backend server takes.
+    connections: int
+    capacity: Resources
+    #: Name of the cell that the agent takes part in.
+    cell: str
+    labels: dict[str, str]
+
+    @classmethod
+    def from_options(cls, options):
+        """Read the section ``agent``."""
+        return cls(
+            service=options.name("service"),
+            backend_url=options.url("backend_url"),
+            worker_url=options.url("worker_url"),
+            slots=options.integer("slots", 1, MAX_SLOTS),
+            connections=options.integer("connections", 1, MAX_CONNECTIONS),
+            capacity=options.resources("capacity"),
+            cell=options.name("cell"),
+            labels=options.labels("labels"),
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class LimitSettings:
+    """Bounds on what callers may send."""
+
+    max_body: int = 1 << 20
+    #: Open connections of callers, beyond which new ones are closed.
+    max_connections: int = 2000
+    #: Requests in progress, beyond which new ones are refused.
+    max_requests: int = 1000
+    #: Seconds in which the headers of a request must have come.
+    header_timeout_s: float = 5.0
+    #: Seconds in which the body of a request must have come.
+    body_timeout_s: float = 10.0
+    #: Seconds after which an unused connection is closed.
+    idle_timeout_s: float = 60.0
+
+    @classmethod
+    def from_options(cls, options):
+        """Read the section ``limits``."""
+        default = cls()
+
+        def timeout(name, default_s):
+            return options.duration(name, 0.1, MAX_TIMEOUT_S, default_s)
+
+        return cls(
+            max_body=options.size(
+                "max_body", MIN_BODY_BYTES, MAX_BODY_BYTES, default.max_body
+            ),
+            max_connections=options.integer(
+                "max_connections", 1, MAX_CONNECTIONS, default.max_connections
+            ),
+            max_requests=options.integer(
+                "max_requests", 1, MAX_CONNECTIONS, default.max_requests
+            ),
+            header_timeout_s=timeout("header_timeout", default.header_timeout_s),
+            body_timeout_s=timeout("body_timeout", default.body_timeout_s),
+            idle_timeout_s=timeout("idle_timeout", default.idle_timeout_s),
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class TelemetrySettings:
+    """What a daemon reports of itself."""
+
+    metrics: MetricsExport = MetricsExport.PROMETHEUS
+    #: ``none``, ``stderr`` or the path of a file that gets a JSON line for each span.
+    spans: str = "none"
+    #: Part of the traces started here that are recorded, 0 to 1.
+    sample_ratio: float = 1.0
+
+    @classmethod
+    def from_options(cls, options):
+        """Read the section ``telemetry``."""
+        metrics = options.choice("metrics", MetricsExport, MetricsExport.PROMETHEUS)
+        return cls(
+            metrics=MetricsExport(metrics),
+            spans=options.text("spans", "none"),
+            sample_ratio=options.number("sample_ratio", 0, 1, 1),
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonSettings:
+    """All settings of a daemon process."""
+
+    role: Role
+    instance_id: str
+    data_centre: str
+    region: str
+    rack: str
+    #: Where the process listens for its peers, and what it announces.
+    peer_address: Address
+    #: Where the process listens for HTTP; only for health and metrics on an agent.
+    http_address: Address
+    #: URL of the platform's log service.
+    log_url: str
+    #: Peer address behind the balancer, by which entries are found without the log.
+    balancer_address: Address | None
+    #: Seconds that a stop waits for work in progress.
+    drain_timeout_s: float
+    entry: EntrySettings | None
+    agent: AgentSettings | None
+    limits: LimitSettings = LimitSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    @classmethod
+    def from_file(cls, path):
+        """Read the settings in a file.
+
+        Raises
+        ------
+        SettingsError
+            With every fault that was found.
+        """
+        try:
+            with open(path, encoding="utf-8") as file:
+                text = file.read(MAX_DOCUMENT_BYTES + 1)
+        except (OSError, UnicodeDecodeError) as error:
+            fault = Fault(str(path), "", str(error), "a readable UTF-8 file")
+            raise SettingsError([fault]) from error
+        return cls.from_text(text, str(path))
+
+    @classmethod
+    def from_text(cls, text, file_name):
+        """Read the settings in a YAML text; raises as `from_file` does."""
+        with open_options(text, file_name, SettingsError) as options:
+            return cls.from_options(options)
+
+    @classmethod
+    def from_options(cls, options):
+        """Read the settings from a whole document's `Options`."""
+        role = Role(options.choice("role", Role))
+        is_agent = role is Role.AGENT
+        peer_address = options.address("peer_address")
+        http_address = options.address("http_address")
+        if peer_address == http_address:
+            options.fault("http_address", http_address, "not that of the peers")
+        return cls(
+            role=role,
+            instance_id=options.name("instance_id"),
+            data_centre=options.name("data_centre"),
+            region=options.name("region"),
+            rack=options.name("rack", ""),
+            peer_address=peer_address,
+            http_address=http_address,
+            log_url=options.url("log_url"),
+            balancer_address=options.address("balancer_address", None),
+            drain_timeout_s=options.duration("drain_timeout", 0, MAX_TIMEOUT_S, 30.0),
+            entry=None if is_agent else _entry(options),
+            agent=_agent(options) if is_agent else None,
+            limits=LimitSettings.from_options(options.section("limits")),
+            telemetry=TelemetrySettings.from_options(options.section("telemetry")),
+        )
+
+
+def _entry(options):
+    return EntrySettings.from_options(options.section("entry"))
+
+
+def _agent(options):
+    return AgentSettings.from_options(options.section("agent"))
--- /dev/null
+++ b/tests/test_document.py
@@ -0,0 +1,37 @@
+"""YAML that could harm or mislead is refused with one error."""
+
+import pytest
+
+from dotterelspread.document import MAX_DOCUMENT_BYTES, DocumentError, load_document
+
+REFUSED = {
+    "alias": "a: &x [1, 2]\nb: *x",
+    "repeated key": "a: 1\nb: {c: 1, c: 2}",
+    "key of another type": "on: 1",
+    "tag": "a: !!python/object:os.system {}",
+    "depth": "[" * 50_000,
+    "nodes": "[" + "a," * 60_000 + "]",
+    "size": "a" * (MAX_DOCUMENT_BYTES + 1),
+    "long number": "a: " + "9" * 10_000,
+    "two documents": "a: 1\n---\nb: 2",
+    "control character": "a: \x00",
+    "surrogate": "a: \ud800",
+    "open bracket": "a: [1",
+}
+
+
+@pytest.mark.parametrize("text", REFUSED.values(), ids=REFUSED.keys())
+def test_refused(text):
+    with pytest.raises(DocumentError) as caught:
+        load_document(text, "f.yaml")
+    assert str(caught.value).startswith("f.yaml: ")
+    assert len(str(caught.value)) < 500
+
+
+def test_repeated_key_is_named_by_its_path():
+    with pytest.raises(DocumentError, match=r"b\.c: found the field twice"):
+        load_document("a: 1\nb: {c: 1, c: 2}", "f.yaml")
+
+
+def test_dates_stay_text():
+    assert load_document("a: 2026-99-99", "f.yaml") == {"a": "2026-99-99"}
