Let processes call each other over Thrift frames

Cause: requests, heartbeats and queries need one connection a peer with many calls at once, and a caller must know whether any byte left. Ruled out: the library's own servers, which want threads. Change: frames, a pool of connections and a server on asyncio, with an error for each kind of loss.

--- /dev/null
+++ b/dotterelspread/peer.py
@@ -0,0 +1,283 @@
+"""Calls between the processes of the system, many at once over one TCP connection."""
+
+import asyncio
+import itertools
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from .frame import (
+    FrameError,
+    FrameReader,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_error,
+    encode_reply,
+)
+
+__all__ = [
+    "PeerError",
+    "PeerFailedError",
+    "PeerLostError",
+    "PeerPool",
+    "PeerTimeoutError",
+    "PeerUnsentError",
+    "TrafficCount",
+    "serve_peers",
+]
+
+#: Seconds that opening a connection may take.
+CONNECT_TIMEOUT_S = 1.0
+
+
+class PeerError(Exception):
+    """A call to a peer gave no answer."""
+
+
+class PeerUnsentError(PeerError):
+    """No byte of the call left this process."""
+
+
+class PeerLostError(PeerError):
+    """The connection ended after the call was sent."""
+
+
+class PeerTimeoutError(PeerError):
+    """No answer came in time; the call may still be running."""
+
+
+class PeerFailedError(PeerError):
+    """The peer answered that the call failed."""
+
+
+@dataclass(slots=True)
+class TrafficCount:
+    """Bytes and messages that passed between this process and its peers."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_messages: int = 0
+    received_messages: int = 0
+
+
+class _Protocol(asyncio.Protocol):
+    """Frames of one connection; subclasses take each frame."""
+
+    def __init__(self, traffic):
+        self.transport = None
+        self._reader = FrameReader()
+        self._traffic = traffic
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self._traffic.received_bytes += len(data)
+        try:
+            for frame in self._reader.feed(data):
+                self._traffic.received_messages += 1
+                self.frame_received(frame)
+        except FrameError:
+            self.transport.abort()
+
+    def frame_received(self, frame):
+        raise NotImplementedError
+
+    def send(self, frame):
+        self._traffic.sent_bytes += len(frame)
+        self._traffic.sent_messages += 1
+        self.transport.write(frame)
+
+
+class _ClientProtocol(_Protocol):
+    """The calling side: hands each reply to the call that waits for it."""
+
+    def __init__(self, traffic):
+        super().__init__(traffic)
+        self.waiting_by_id = {}
+        self.is_open = True
+
+    def frame_received(self, frame):
+        reply = decode_reply(frame)
+        future = self.waiting_by_id.pop(reply.call_id, None)
+        if future is None or future.done():
+            return
+        if reply.error:
+            future.set_exception(PeerFailedError(reply.error))
+        else:
+            future.set_result(reply.value)
+
+    def connection_lost(self, exc):
+        self.is_open = False
+        for future in self.waiting_by_id.values():
+            if not future.done():
+                future.set_exception(PeerLostError("connection lost"))
+        self.waiting_by_id.clear()
+
+
+class _ServerProtocol(_Protocol):
+    """The answering side: runs a handler for each call."""
+
+    def __init__(self, traffic, handlers_by_method, protocols):
+        super().__init__(traffic)
+        self._handlers_by_method = handlers_by_method
+        self._protocols = protocols
+        self._tasks = set()
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self._protocols.add(self)
+
+    def connection_lost(self, exc):
+        self._protocols.discard(self)
+
+    def frame_received(self, frame):
+        task = asyncio.ensure_future(self._answer(decode_call(frame)))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, call):
+        handler = self._handlers_by_method.get(call.method)
+        if handler is None:
+            frame = encode_error(call.method, call.call_id, "method not served here")
+        else:
+            frame = await self._run(handler, call)
+        if not self.transport.is_closing():
+            self.send(frame)
+
+    async def _run(self, handler, call):
+        # A failing handler must not end the connection that other calls use.
+        try:
+            value = await handler(call.argument)
+            return encode_reply(call.method, call.call_id, value)
+        except Exception as error:
+            detail = f"{type(error).__name__}: {error}"
+            return encode_error(call.method, call.call_id, detail)
+
+
+class PeerPool:
+    """Connections to peers, one for each address, opened when first needed.
+
+    Use one in each process. A call names an address; calls to one address share a
+    connection and may be answered in any order.
+    """
+
+    def __init__(self, traffic=None):
+        self.traffic = traffic or TrafficCount()
+        self._connections_by_address = {}
+        self._locks_by_address = {}
+        self._call_ids = itertools.count(1)
+
+    @classmethod
+    @asynccontextmanager
+    async def open(cls, traffic=None):
+        """Yield a pool and close its connections at the end."""
+        pool = cls(traffic)
+        try:
+            yield pool
+        finally:
+            for address in list(pool._connections_by_address):
+                pool.renew(address, abort=True)
+
+    async def call(self, address, method, argument, timeout_s):
+        """Call a method of the peer at ``address`` and return its value.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the peer.
+        method : str
+            Name of a method of the Thrift service.
+        argument : object
+            The method's only argument, a generated Thrift class.
+        timeout_s : float
+            Seconds to wait for the answer.
+
+        Raises
+        ------
+        PeerUnsentError
+            No byte of the call left this process.
+        PeerLostError, PeerTimeoutError
+            The call was sent and may have been run.
+        PeerFailedError
+            The peer says that the call failed.
+        """
+        connection = await self._connection(address)
+        call_id = next(self._call_ids) & 0x7FFFFFFF
+        frame = encode_call(method, call_id, argument)
+        future = asyncio.get_running_loop().create_future()
+        connection.waiting_by_id[call_id] = future
+        connection.send(frame)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError as error:
+            detail = f"{address} {method}: no answer in {timeout_s:.3f} s"
+            raise PeerTimeoutError(detail) from error
+        finally:
+            connection.waiting_by_id.pop(call_id, None)
+
+    def renew(self, address, abort=False):
+        """Let later calls to ``address`` use a new connection.
+
+        Calls that still wait on the old connection keep it, unless ``abort`` is set.
+        """
+        connection = self._connections_by_address.pop(address, None)
+        if connection is None:
+            return
+        if abort or not connection.waiting_by_id:
+            connection.transport.abort()
+
+    async def _connection(self, address):
+        connection = self._connections_by_address.get(address)
+        if connection is not None and connection.is_open:
+            return connection
+        lock = self._locks_by_address.setdefault(address, asyncio.Lock())
+        async with lock:
+            connection = self._connections_by_address.get(address)
+            if connection is None or not connection.is_open:
+                connection = await self._connect(address)
+                self._connections_by_address[address] = connection
+            return connection
+
+    async def _connect(self, address):
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, protocol = await loop.create_connection(
+                    lambda: _ClientProtocol(self.traffic), host, int(port)
+                )
+        except (OSError, ValueError, TimeoutError) as error:
+            raise PeerUnsentError(f"{address}: {error or 'no connection'}") from error
+        return protocol
+
+
+@asynccontextmanager
+async def serve_peers(address, handlers_by_method, traffic=None):
+    """Serve calls at ``address`` while the context is open.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` to listen on.
+    handlers_by_method : dict of str to coroutine function
+        What runs each method: takes its argument, returns its value.
+    traffic : TrafficCount, optional
+        Where bytes and messages are counted.
+    """
+    host, _, port = address.rpartition(":")
+    traffic = traffic or TrafficCount()
+    protocols = set()
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: _ServerProtocol(traffic, handlers_by_method, protocols),
+        host,
+        int(port),
+    )
+    try:
+        yield server
+    finally:
+        server.close()
+        for protocol in list(protocols):
+            protocol.transport.close()
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,81 @@
+import asyncio
+
+import pytest
+
+from dotterelspread.gen.peer.ttypes import (
+    Answer,
+    AnswerQuery,
+    DrainRequest,
+    Result,
+    RunRequest,
+)
+from dotterelspread.peer import (
+    PeerFailedError,
+    PeerLostError,
+    PeerPool,
+    PeerTimeoutError,
+    PeerUnsentError,
+    serve_peers,
+)
+
+
+class FakeAgent:
+    def __init__(self):
+        self.release = asyncio.Event()
+
+    async def run(self, request):
+        if request.request_id == "late":
+            await self.release.wait()
+        if request.request_id == "fails":
+            raise ValueError("no such service")
+        return Answer(result=Result.COMPLETED, body=request.body)
+
+    async def answer(self, query):
+        self.release.set()
+        return Answer(result=Result.PENDING)
+
+
+def run_with_agent(scenario):
+    async def main():
+        agent = FakeAgent()
+        handlers = {"run": agent.run, "answer": agent.answer}
+        async with serve_peers("127.0.0.1:0", handlers) as server, PeerPool.open() as p:
+            port = server.sockets[0].getsockname()[1]
+            await asyncio.wait_for(scenario(p, f"127.0.0.1:{port}"), 20)
+
+    asyncio.run(main())
+
+
+def test_answers_out_of_order_reach_their_own_callers():
+    async def scenario(pool, address):
+        late = RunRequest(request_id="late", body=b"1" * 300_000)
+        first = asyncio.ensure_future(pool.call(address, "run", late, 10))
+        soon = RunRequest(request_id="soon", body=b"2")
+        assert (await pool.call(address, "run", soon, 10)).body == b"2"
+        assert not first.done()
+        await pool.call(address, "answer", AnswerQuery(request_id="late"), 10)
+        assert (await first).body == b"1" * 300_000
+
+    run_with_agent(scenario)
+
+
+def test_each_kind_of_loss_has_its_own_error():
+    async def scenario(pool, address):
+        with pytest.raises(PeerFailedError, match="no such service"):
+            await pool.call(address, "run", RunRequest(request_id="fails"), 10)
+        with pytest.raises(PeerFailedError, match="not served"):
+            await pool.call(address, "drain", DrainRequest("x"), 10)
+        with pytest.raises(PeerUnsentError):
+            await pool.call("127.0.0.1:1", "run", RunRequest(request_id="a"), 10)
+        late = RunRequest(request_id="late")
+        with pytest.raises(PeerTimeoutError):
+            await pool.call(address, "run", late, 0.01)
+        waiting = asyncio.ensure_future(pool.call(address, "run", late, 10))
+        await asyncio.sleep(0)
+        pool.renew(address, abort=True)
+        with pytest.raises(PeerLostError):
+            await waiting
+        soon = RunRequest(request_id="soon", body=b"3")
+        assert (await pool.call(address, "run", soon, 10)).body == b"3"
+
+    run_with_agent(scenario)
