--- a/dotterelspread/options.py
+++ b/dotterelspread/options.py
@@ -11,7 +11,6 @@
 were not read are refused.
 """
 
-import re
 from contextlib import contextmanager
 
 from .document import DocumentError, Fault, FaultsError, load_document, shorten
@@ -23,24 +22,18 @@
     parse_url,
 )
 from .resources import Resources
+from .textform import LABEL_KEY, LABEL_VALUE, NAME, NON_EMPTY
 
-__all__ = ["Options", "OptionsError", "open_options"]
+__all__ = ["Options", "OptionsError", "check_options", "open_options"]
 
-MAX_TEXT_CHARACTERS = 1024
+MAX_AMOUNT_CHARACTERS = 256
 MAX_ITEMS = 5000
 MAX_LABELS = 64
-MAX_CORES = 1024
+MAX_CORES = 100_000
 MAX_MEMORY_BYTES = 64 << 40
 MAX_ACCELERATORS = 256
 MEBIBYTE = 1 << 20
 
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-LABEL_KEY_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,62}")
-LABEL_VALUE_PATTERN = re.compile(r"[A-Za-z0-9._-]{0,63}")
-NAME_FORM = "text of up to 63 letters, digits, '.', '_' and '-', no sign first"
-LABEL_KEY_FORM = "text of up to 63 letters, digits, '.', '_', '/' and '-'"
-LABEL_VALUE_FORM = "text of up to 63 letters, digits, '.', '_' and '-'"
-
 NO_ADDRESS = Address("127.0.0.1", 1)
 
 _REQUIRED = object()
@@ -67,6 +60,13 @@
         values = load_document(text, file_name)
     except DocumentError as error:
         raise error_type(error.faults) from None
+    with check_options(values, file_name, error_type) as options:
+        yield options
+
+
+@contextmanager
+def check_options(values, file_name, error_type=OptionsError):
+    """Yield the `Options` of data that was read already; see `open_options`."""
     if not isinstance(values, dict):
         fault = Fault(file_name, "", shorten(values), "a mapping of fields")
         raise error_type([fault])
@@ -115,19 +115,13 @@
         """Tell whether the field is there and was not read yet."""
         return self._unread.get(name) is not None
 
-    def text(self, name, default=_REQUIRED, pattern=None, form="text"):
-        """Return a text, which must match ``pattern`` in full if there is one."""
-
-        def is_valid(value):
-            if not isinstance(value, str) or len(value) > MAX_TEXT_CHARACTERS:
-                return False
-            return bool(value) if pattern is None else bool(pattern.fullmatch(value))
-
-        return self._checked(name, default, is_valid, form, "")
+    def text(self, name, default=_REQUIRED, form=NON_EMPTY):
+        """Return a text of the `TextForm` ``form``."""
+        return self._checked(name, default, form.accepts, form.words, "")
 
     def name(self, name, default=_REQUIRED):
-        """Return the name of something: letters, digits and some signs."""
-        return self.text(name, default, NAME_PATTERN, NAME_FORM)
+        """Return the name of something."""
+        return self.text(name, default, NAME)
 
     def integer(self, name, low, high, default=_REQUIRED):
         """Return a whole number from ``low`` to ``high``."""
@@ -195,9 +189,9 @@
         values = self._collection(name, dict, MAX_LABELS, {})
         section = self._section(values, name)
         return {
-            key: section.text(key, "", LABEL_VALUE_PATTERN, LABEL_VALUE_FORM)
+            key: section.text(key, "", LABEL_VALUE)
             for key in values
-            if section._accepts_key(key, LABEL_KEY_PATTERN, LABEL_KEY_FORM)
+            if section._accepts_key(key, LABEL_KEY)
         }
 
     def section(self, name):
@@ -210,25 +204,29 @@
         values = self._collection(name, dict, MAX_ITEMS, default)
         parent = self._section(values, name)
         return {
-            key: parent.section(key)
-            for key in values
-            if parent._accepts_key(key, NAME_PATTERN, NAME_FORM)
+            key: parent.section(key) for key in values if parent._accepts_key(key, NAME)
         }
 
-    def items(self, name, default=_REQUIRED):
+    def items(self, name, limit=MAX_ITEMS):
         """Return a list of `Options`, one for each mapping in a list."""
-        values = self._collection(name, list, MAX_ITEMS, default)
+        values = self._collection(name, list, limit, _REQUIRED)
         return [self._section(v, f"{name}[{i}]") for i, v in enumerate(values)]
 
-    def names(self, name, default=_REQUIRED, pattern=NAME_PATTERN, form=NAME_FORM):
-        """Return a tuple of different texts that match ``pattern``."""
-        values = self._collection(name, list, MAX_ITEMS, default)
+    def texts(self, name, default=_REQUIRED, form=NON_EMPTY, limit=MAX_ITEMS):
+        """Return a tuple of texts of the `TextForm` ``form``."""
+        values = self._collection(name, list, limit, default)
+        for index, value in enumerate(values):
+            if not form.accepts(value):
+                self.fault(f"{name}[{index}]", shorten(value), form.words)
+        return tuple(value for value in values if form.accepts(value))
+
+    def names(self, name, default=_REQUIRED):
+        """Return a tuple of different names."""
+        values = self.texts(name, default, NAME)
         for index, value in enumerate(values):
-            if not isinstance(value, str) or not pattern.fullmatch(value):
-                self.fault(f"{name}[{index}]", shorten(value), form)
-            elif value in values[:index]:
-                self.fault(f"{name}[{index}]", shorten(value), "each value once")
-        return tuple(values)
+            if value in values[:index]:
+                self.fault(f"{name}[{index}]", shorten(value), "each name once")
+        return values
 
     def _path_of(self, name):
         return f"{self.path}.{name}" if self.path and name else self.path or name
@@ -240,11 +238,11 @@
         self._sections.append(section)
         return section
 
-    def _accepts_key(self, key, pattern, form):
-        if pattern.fullmatch(key):
+    def _accepts_key(self, key, form):
+        if form.accepts(key):
             return True
         self._unread.pop(key, None)
-        self.fault(shorten(key), "a name of another form", form)
+        self.fault(shorten(key), "a key of another form", form.words)
         return False
 
     def _checked(self, name, default, is_valid, form, fallback):
@@ -261,7 +259,7 @@
         if value is None and default is not _REQUIRED:
             return default
         try:
-            if isinstance(value, str) and len(value) <= MAX_TEXT_CHARACTERS:
+            if isinstance(value, str) and len(value) <= MAX_AMOUNT_CHARACTERS:
                 return parse(value)
         except ValueError:
             pass
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -2,14 +2,20 @@
 
 import pytest
 
-from dotterelspread.document import MAX_DOCUMENT_BYTES, DocumentError, load_document
+from dotterelspread.document import (
+    MAX_DEPTH,
+    MAX_DOCUMENT_BYTES,
+    DocumentError,
+    load_document,
+)
 
 REFUSED = {
     "alias": "a: &x [1, 2]\nb: *x",
     "repeated key": "a: 1\nb: {c: 1, c: 2}",
     "key of another type": "on: 1",
     "tag": "a: !!python/object:os.system {}",
-    "depth": "[" * 50_000,
+    "depth": "[" * (MAX_DEPTH + 1) + "]" * (MAX_DEPTH + 1),
+    "extreme depth": "[" * 50_000,
     "nodes": "[" + "a," * 60_000 + "]",
     "size": "a" * (MAX_DOCUMENT_BYTES + 1),
     "long number": "a: " + "9" * 10_000,
--- /dev/null
+++ b/tests/test_labels.py
@@ -0,0 +1,62 @@
+"""Selectors decide where work may run; the properties hold for any configuration."""
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+
+from dotterelspread.configuration import Configuration, SelectorConfig, Urgency
+from dotterelspread.labels import instance_labels, match_work
+from dotterelspread.record import InstanceAnnounced
+
+from .builders_tools import configurations, labels
+
+PLANT = SelectorConfig("plant", {"plant": "recife"}, {"region": "pernambuco"})
+FAST = SelectorConfig(
+    "fast", {"job": "check"}, {"gpu": "yes"}, Urgency.URGENT, refusable=False
+)
+CONFIGURATION = Configuration(selectors_by_name={"plant": PLANT, "fast": FAST})
+
+
+def test_each_applying_selector_must_be_satisfied():
+    work = {"plant": "recife", "job": "check", "other": "x"}
+    match = match_work(CONFIGURATION, work, {"region": "pernambuco"}, Urgency.LOW)
+    assert not match.allowed
+    assert match.explanation == "selector fast wants gpu=yes; the instance has no gpu"
+    there = {"region": "bahia", "gpu": "yes"}
+    match = match_work(CONFIGURATION, work, there, Urgency.LOW)
+    assert "wants region=pernambuco; the instance has region=bahia" in match.explanation
+    match = match_work(CONFIGURATION, work, {**there, "region": "pernambuco"})
+    assert (match.allowed, match.urgency) == (True, Urgency.URGENT)
+    assert not match.refusable
+
+
+def test_work_without_selectors_runs_anywhere_as_asked():
+    match = match_work(CONFIGURATION, {"plant": "salvador"}, {}, Urgency.HIGH)
+    assert (match.allowed, match.urgency, match.refusable) == (True, Urgency.HIGH, True)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(configuration=configurations, work=labels, instance=labels)
+def test_more_selectors_never_allow_more(configuration, work, instance):
+    allowed = match_work(configuration, work, instance).allowed
+    for name, selector in configuration.selectors_by_name.items():
+        one = replace(configuration, selectors_by_name={name: selector})
+        assert match_work(one, work, instance).allowed or not allowed
+
+
+def test_operators_labels_replace_announced_ones_but_not_the_place():
+    announced = InstanceAnnounced(
+        *("i1", 1, "agent", "10.0.0.1:1", "kumasi", "ashanti", "rack-1"),
+        services=("dispatch",),
+        labels={"disk": "none", "gpu": "no"},
+    )
+    given_labels = instance_labels(announced, {"gpu": "yes", "region": "western"})
+    assert given_labels == {
+        "data-centre": "kumasi",
+        "disk": "none",
+        "gpu": "yes",
+        "rack": "rack-1",
+        "region": "ashanti",
+        "role": "agent",
+        "service": "dispatch",
+    }
