Announce the cell of an agent

Cause: an entry must find an agent of a job's cell to ask it for the job. Change: a field in the announcement and in the peers' member message. Measured: nothing runs on it yet.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -724,6 +724,7 @@
      - services
      - slots
      - draining
+     - cell
 
     """
 
@@ -738,10 +739,11 @@
         'services',
         'slots',
         'draining',
+        'cell',
     )
 
 
-    def __init__(self, instance_id=None, incarnation=None, role=None, peer_address=None, data_centre=None, region=None, rack=None, services=None, slots=None, draining=None,):
+    def __init__(self, instance_id=None, incarnation=None, role=None, peer_address=None, data_centre=None, region=None, rack=None, services=None, slots=None, draining=None, cell=None,):
         self.instance_id = instance_id
         self.incarnation = incarnation
         self.role = role
@@ -752,6 +754,7 @@
         self.services = services
         self.slots = slots
         self.draining = draining
+        self.cell = cell
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -817,6 +820,11 @@
                     self.draining = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -870,6 +878,10 @@
             oprot.writeFieldBegin('draining', TType.BOOL, 10)
             oprot.writeBool(self.draining)
             oprot.writeFieldEnd()
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 11)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1966,6 +1978,7 @@
     (8, TType.LIST, 'services', (TType.STRING, 'UTF8', False), None, ),  # 8
     (9, TType.I32, 'slots', None, None, ),  # 9
     (10, TType.BOOL, 'draining', None, None, ),  # 10
+    (11, TType.STRING, 'cell', 'UTF8', None, ),  # 11
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -68,6 +68,8 @@
     slots: int = 0
     capacity: Resources = Resources()
     labels: dict[str, str] = {}
+    #: Name of the cell that an agent takes part in.
+    cell: str = ""
 
 
 class InstanceDraining(Struct, tag=3):
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -69,6 +69,7 @@
   8: list<string> services,
   9: i32 slots,
   10: bool draining,
+  11: string cell,
 }
 
 struct Heartbeat {
