--- a/dotterelspread/outcome.py
+++ b/dotterelspread/outcome.py
@@ -30,6 +30,7 @@
     NEVER_FITS = "never-fits"
     CANCELLED = "cancelled"
     FAILS_EVERYWHERE = "fails-everywhere"
+    NOT_FOUND = "not-found"
 
 
 @dataclass(slots=True, frozen=True)
