Add the daemon's parts for requests and jobs, and the HTTP edges (not yet wired)

Cause: the reducers need a shell that performs their effects. Ruled out: one class per role, because agents and entries share membership and configuration.

--- /dev/null
+++ b/dotterelspread/callerhttp.py
@@ -0,0 +1,256 @@
+"""The HTTP edge towards callers: requests to services, and jobs."""
+
+import asyncio
+import hashlib
+import itertools
+from dataclasses import dataclass
+
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .callerrequest import CallerRequestError, read_headers
+from .jobrequest import read_job
+from .outcome import Completed, Outcome, RefusalReason, Refused
+from .problem import describe_outcome
+from .telemetry import EXPOSITION_TYPE
+
+__all__ = [
+    "BodyError",
+    "CallerHttp",
+    "CallerRequest",
+    "error_response",
+    "problem_response",
+    "read_body",
+]
+
+#: Methods that a service may take.
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
+#: Headers of a caller that are not passed on to the backend server.
+OWN_HEADERS = frozenset(
+    {b"connection", b"content-length", b"host", b"keep-alive", b"te", b"trailer"}
+    | {b"traceparent", b"transfer-encoding", b"upgrade"}
+)
+FINGERPRINT_BYTES = 16
+
+
+class BodyError(Exception):
+    """A request's body is too large or comes too slowly; nothing of it was run.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        What the caller is told.
+    """
+
+    def __init__(self, reason, detail):
+        super().__init__(detail)
+        self.refused = Refused(reason, detail)
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A caller's request to a service, read in full."""
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    kind: str
+    key: str | None
+    #: Seconds within which the caller wants the answer; None leaves it to the kind.
+    deadline_s: float | None
+    traceparent: str
+
+    @property
+    def fingerprint(self):
+        """Digest that differs when a key is used again for another request."""
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for part in (self.method.encode(), self.path.encode(), self.body):
+            digest.update(len(part).to_bytes(8) + part)
+        return digest.digest()
+
+
+async def read_body(request, limits):
+    """Return the whole body of a Starlette request.
+
+    Raises
+    ------
+    BodyError
+        When it exceeds ``limits.max_body`` bytes or ``limits.body_timeout_s`` seconds.
+    """
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout(limits.body_timeout_s):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > limits.max_body:
+                    detail = f"body: over {limits.max_body} bytes"
+                    raise BodyError(RefusalReason.TOO_LARGE, detail)
+                chunks.append(chunk)
+    except TimeoutError as error:
+        detail = f"body: not received within {limits.body_timeout_s} s"
+        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
+    return b"".join(chunks)
+
+
+class CallerHttp:
+    """Serves callers at one entry.
+
+    Parameters
+    ----------
+    node : Node
+    entry : EntryPart
+    jobs : JobPart
+    """
+
+    def __init__(self, node, entry, jobs):
+        self._node = node
+        self._entry = entry
+        self._jobs = jobs
+        self._limits = node.settings.limits
+        # Ids must differ between entries and between starts of one entry.
+        self._id_prefix = f"{node.settings.instance_id}-{node.incarnation:x}-"
+        self._numbers = itertools.count()
+        self.is_draining = False
+
+    def routes(self):
+        """Return the Starlette routes."""
+        service = "/v1/services/{service}"
+        return [
+            Route(service + "/{path:path}", self.run_request, methods=METHODS),
+            Route("/v1/jobs", self.submit_job, methods=["POST"]),
+            Route("/v1/jobs/{job_id}", self.show_job, methods=["GET"]),
+            Route("/v1/jobs/{job_id}", self.cancel_job, methods=["DELETE"]),
+            Route("/healthz", self.health),
+            Route("/readyz", self.readiness),
+            Route("/metrics", self.metrics),
+        ]
+
+    async def run_request(self, request):
+        """Carry one request to an instance and return the whole answer."""
+        started_s = self._node.now_s()
+        if self._entry.in_progress >= self._limits.max_requests:
+            refused = Refused(RefusalReason.SHED, "too many requests in progress", 1.0)
+            return self._answer(refused, None, started_s)
+        try:
+            read = await self._read(request)
+        except (BodyError, CallerRequestError) as error:
+            return error_response(error)
+        span = self._node.telemetry.tracing.span("entry.request", read.traceparent)
+        with span as hop:
+            read.traceparent = hop.traceparent
+            outcome = await self._entry.handle(read)
+            hop.set("outcome", type(outcome).__name__)
+        return self._answer(outcome, read, started_s)
+
+    async def _read(self, request):
+        headers = read_headers(request.headers.raw)
+        return CallerRequest(
+            f"{self._id_prefix}{next(self._numbers):x}",
+            request.path_params["service"],
+            request.method,
+            _path(request),
+            tuple(_headers_to_pass(request.headers.raw)),
+            await read_body(request, self._limits),
+            headers.kind,
+            headers.key or None,
+            headers.deadline_s,
+            headers.traceparent,
+        )
+
+    def _answer(self, outcome, read, started_s):
+        service = read.service if read else ""
+        kind = read.kind if read else ""
+        request_id = read.request_id if read else ""
+        configuration = self._entry.state.configuration
+        known = configuration and configuration.services_by_name.get(service)
+        if not known:
+            service = kind = ""
+        elif kind not in known.kinds_by_name:
+            kind = known.default_kind if not kind else ""
+        duration_s = self._node.now_s() - started_s
+        self._node.telemetry.count_request(service, kind, outcome, duration_s)
+        if not isinstance(outcome, Completed):
+            self._jobs.note_refusal(service, kind, outcome)
+            return problem_response(outcome, request_id)
+        response = Response(outcome.body, outcome.status)
+        response.raw_headers.extend(
+            (name.lower().encode("latin-1"), value.encode("latin-1"))
+            for name, value in outcome.headers
+        )
+        return response
+
+    async def submit_job(self, request):
+        """Accept a job once it stands in the platform's log."""
+        try:
+            body = await read_body(request, self._limits)
+            key = read_headers(request.headers.raw).key
+            job = read_job(body)
+        except (BodyError, CallerRequestError) as error:
+            return error_response(error)
+        outcome, job_id = await self._jobs.submit(job, key)
+        if outcome is not None:
+            return problem_response(outcome)
+        return JSONResponse(
+            {"job_id": job_id}, 202, headers={"Location": f"/v1/jobs/{job_id}"}
+        )
+
+    async def show_job(self, request):
+        """Tell how a job's tasks stand."""
+        reply = await self._jobs.show(request.path_params["job_id"])
+        if isinstance(reply, Outcome):
+            return problem_response(reply)
+        return JSONResponse(reply)
+
+    async def cancel_job(self, request):
+        """Cancel what has not ended of a job."""
+        job_id = request.path_params["job_id"]
+        outcome = await self._jobs.cancel(job_id)
+        if outcome is not None:
+            return problem_response(outcome)
+        return JSONResponse({"job_id": job_id, "cancelled": True}, 202)
+
+    async def health(self, request):
+        """Tell that the process works."""
+        return JSONResponse({"status": "ok"})
+
+    async def readiness(self, request):
+        """Tell whether the balancer may send callers here."""
+        is_ready = self._entry.is_ready and not self.is_draining
+        body = {"ready": is_ready, "draining": self.is_draining}
+        return JSONResponse(body, 200 if is_ready else 503)
+
+    async def metrics(self, request):
+        """Return the process's metrics."""
+        return Response(
+            self._node.telemetry.exposition(), media_type=EXPOSITION_TYPE
+        )
+
+
+def _path(request):
+    path = request.path_params["path"]
+    query = request.url.query
+    return f"{path}?{query}" if query else path
+
+
+def _headers_to_pass(raw_headers):
+    for name, value in raw_headers:
+        if name not in OWN_HEADERS:
+            yield name.decode("latin-1"), value.decode("latin-1")
+
+
+def problem_response(outcome, request_id="", faults=()):
+    """Return the response that tells a caller of an outcome without an answer."""
+    problem = describe_outcome(outcome, request_id, faults)
+    return Response(problem.body, problem.status, headers=dict(problem.headers))
+
+
+def error_response(error):
+    """Return the response that tells a caller what is wrong with its request."""
+    if isinstance(error, BodyError):
+        return problem_response(error.refused)
+    refused = Refused(RefusalReason.BAD_REQUEST, str(error))
+    return problem_response(refused, faults=error.faults)
--- /dev/null
+++ b/dotterelspread/entrypart.py
@@ -0,0 +1,270 @@
+"""The part of an entry that carries callers' requests to instances."""
+
+import asyncio
+import time
+from functools import singledispatchmethod
+
+from .entrycore import EntryState
+from .entryevents import (
+    AnswerReceived,
+    Append,
+    AppendFailed,
+    AskAnswer,
+    AskAnswered,
+    AskLost,
+    AskPending,
+    AttemptLost,
+    ClaimRead,
+    ClaimsTruncated,
+    EntryConfigured,
+    EntryTick,
+    OpenNewConnection,
+    RequestArrived,
+    Respond,
+    SendRun,
+)
+from .entrystate import Place
+from .gen.peer.ttypes import AnswerQuery, RunRequest
+from .log import TruncatedError
+from .logclient import AppendError
+from .node import Part
+from .outcome import Failed
+from .peer import PeerError, PeerFailedError, PeerUnsentError
+from .requestclaim import CLAIM_STREAMS
+from .routing import Load
+from .wire import MS_PER_S, outcome_from_message, to_headers
+
+__all__ = ["EntryPart"]
+
+#: Seconds between two looks at deadlines.
+TICK_S = 0.05
+#: Seconds after its deadline for which an attempt's answer is still awaited.
+LATE_ANSWER_S = 30.0
+#: Seconds that an instance may hold back its reply to a question for an answer.
+ASK_WAIT_S = 0.5
+#: Seconds that such a question may take in all.
+ASK_TIMEOUT_S = 1.0
+
+
+class EntryPart(Part):
+    """Routes callers' requests, and answers each exactly once.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node):
+        super().__init__(node)
+        settings = node.settings
+        place = Place(settings.instance_id, settings.data_centre, settings.region)
+        unix_offset_s = time.time() - node.now_s()
+        self.state = EntryState.from_config(
+            place, node.incarnation, node.incarnation, unix_offset_s
+        )
+        self._futures_by_id = {}
+        self._streams_read = set()
+
+    @property
+    def is_ready(self):
+        """Whether a configuration and all claims are known."""
+        return self.state.configuration is not None
+
+    @property
+    def in_progress(self):
+        """Requests that have not been answered."""
+        return len(self._futures_by_id)
+
+    async def run(self):
+        """Follow the streams of claims and look at deadlines until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(CLAIM_STREAMS):
+                group.create_task(self._follow_claims(f"claims.{number}"))
+            while True:
+                await asyncio.sleep(TICK_S)
+                self.dispatch(EntryTick(self.node.now_s()))
+
+    def configure(self, configuration):
+        """Put a new configuration in force."""
+        self.dispatch(EntryConfigured(self.node.now_s(), configuration))
+
+    async def handle(self, request):
+        """Return the `Outcome` of a caller's request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        """
+        now_s = self.node.now_s()
+        future = asyncio.get_running_loop().create_future()
+        self._futures_by_id[request.request_id] = future
+        deadline_s = None if request.deadline_s is None else now_s + request.deadline_s
+        event = RequestArrived(
+            now_s,
+            request.request_id,
+            request.service,
+            request.kind,
+            deadline_s,
+            request.key,
+            request.fingerprint,
+            len(request.body),
+            request,
+        )
+        self.dispatch(event)
+        return await future
+
+    @singledispatchmethod
+    def perform(self, effect):
+        """Do what ``effect`` says."""
+        raise TypeError(f"no such effect: {type(effect).__name__}")
+
+    @perform.register
+    def _(self, effect: Respond):
+        future = self._futures_by_id.pop(effect.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(effect.outcome)
+
+    @perform.register
+    def _(self, effect: SendRun):
+        self.node.spawn(self._send(effect))
+
+    @perform.register
+    def _(self, effect: AskAnswer):
+        self.node.spawn(self._ask(effect))
+
+    @perform.register
+    def _(self, effect: OpenNewConnection):
+        self.node.telemetry.count("connections_replaced")
+        instance = self.state.instances_by_id.get(effect.instance_id)
+        if instance is not None:
+            self.node.pool.renew(instance.address)
+
+    @perform.register
+    def _(self, effect: Append):
+        self.node.spawn(self._append(effect))
+
+    async def _send(self, effect):
+        instance = self.state.instances_by_id.get(effect.instance_id)
+        if instance is None:
+            self.dispatch(self._lost(effect, sent=False))
+            return
+        if effect.attempt > 0:
+            self.node.telemetry.count("retries")
+        tracing = self.node.telemetry.tracing
+        traceparent = effect.request.traceparent
+        with tracing.span("entry.attempt", traceparent, to=effect.instance_id) as span:
+            run = _run_request(effect, span.traceparent)
+            timeout_s = effect.remaining_s + LATE_ANSWER_S
+            try:
+                answer = await self.node.pool.call(
+                    instance.address, "run", run, timeout_s
+                )
+            except PeerUnsentError:
+                event = self._lost(effect, sent=False)
+            except PeerFailedError as error:
+                event = self._answered(effect, Failed(str(error)), None)
+            except PeerError:
+                event = self._lost(effect, sent=True)
+            else:
+                outcome = outcome_from_message(answer, effect.instance_id)
+                event = self._answered(effect, outcome, _load(answer.load))
+        self.dispatch(event)
+
+    def _answered(self, effect, outcome, load):
+        return AnswerReceived(
+            self.node.now_s(),
+            effect.request_id,
+            effect.attempt,
+            effect.instance_id,
+            outcome,
+            load,
+        )
+
+    def _lost(self, effect, sent):
+        return AttemptLost(
+            self.node.now_s(),
+            effect.request_id,
+            effect.attempt,
+            effect.instance_id,
+            sent,
+        )
+
+    async def _ask(self, effect):
+        ids = (effect.request_id, effect.asked_id, effect.attempt, effect.instance_id)
+        query = AnswerQuery(
+            effect.asked_id,
+            effect.incarnation,
+            effect.fence,
+            round(ASK_WAIT_S * MS_PER_S),
+        )
+        instance = self.state.instances_by_id.get(effect.instance_id)
+        if instance is None:
+            self.dispatch(AskLost(self.node.now_s(), *ids))
+            return
+        try:
+            answer = await self.node.pool.call(
+                instance.address, "answer", query, ASK_TIMEOUT_S
+            )
+        except PeerError:
+            self.dispatch(AskLost(self.node.now_s(), *ids))
+            return
+        outcome = outcome_from_message(answer, effect.instance_id)
+        load = _load(answer.load)
+        if outcome is None:
+            self.dispatch(AskPending(self.node.now_s(), *ids, load))
+        else:
+            self.dispatch(AskAnswered(self.node.now_s(), *ids, outcome, load))
+
+    async def _append(self, effect):
+        try:
+            await self.node.log_client.append(effect.stream, effect.record)
+        except AppendError as error:
+            failed = AppendFailed(
+                self.node.now_s(), effect.request_id, error.is_absent
+            )
+            self.dispatch(failed)
+
+    async def _follow_claims(self, stream):
+        position = 0
+        while True:
+            try:
+                async for batch in self.node.log_client.follow(stream, position):
+                    self._take_claims(stream, batch)
+                    position = batch.next_offset
+            except TruncatedError as error:
+                position = error.oldest
+                truncated = ClaimsTruncated(self.node.now_s(), stream, position)
+                self.dispatch(truncated)
+
+    def _take_claims(self, stream, batch):
+        if batch.caught_up_s is not None:
+            self._streams_read.add(stream)
+        for entry in batch.entries:
+            self.dispatch(
+                ClaimRead(
+                    self.node.now_s(), stream, entry.offset, entry.envelope.record
+                )
+            )
+
+
+def _load(load):
+    if load is None:
+        return None
+    return Load(load.running, load.queued, load.slots, bool(load.draining))
+
+
+def _run_request(effect, traceparent):
+    request = effect.request
+    return RunRequest(
+        request_id=effect.request_id,
+        incarnation=effect.incarnation,
+        service_name=effect.service_name,
+        kind=effect.kind,
+        method=request.method,
+        path=request.path,
+        headers=to_headers(request.headers),
+        body=request.body,
+        remaining_ms=max(0, round(effect.remaining_s * MS_PER_S)),
+        idempotent=effect.idempotent,
+        traceparent=traceparent,
+    )
--- /dev/null
+++ b/dotterelspread/requestpart.py
@@ -0,0 +1,169 @@
+"""The part of an agent that runs requests at its backend server."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from .agentcore import (
+    AgentConfigured,
+    AgentState,
+    AgentTick,
+    AnswerRequested,
+    DrainCompleted,
+    DrainRequested,
+    RunFinished,
+    RunRequested,
+    SendAnswer,
+    SendPending,
+    StartRun,
+)
+from .backend import BackendRequest
+from .configuration import ServiceConfig
+from .gen.peer.ttypes import Load
+from .node import Part
+from .outcome import Refused, RefusalReason
+from .wire import MS_PER_S, from_headers, message_from_outcome, pending_message
+
+__all__ = ["RequestPart"]
+
+#: Seconds between two looks at deadlines.
+TICK_S = 0.05
+#: Seconds after its deadline for which a running request may still end.
+LATE_ANSWER_S = 30.0
+
+
+class RequestPart(Part):
+    """Takes requests from entries, runs them in slots and answers.
+
+    Parameters
+    ----------
+    node : Node
+    backend : Backend
+    """
+
+    def __init__(self, node, backend):
+        super().__init__(node)
+        agent = node.settings.agent
+        self._backend = backend
+        self._is_configured = False
+        self.drained = asyncio.Event()
+        service = ServiceConfig(agent.service, {}, "")
+        self.state = AgentState.from_config(service, agent.slots, node.incarnation)
+
+    def handlers_by_method(self):
+        """Return the handlers of calls on requests."""
+        return {"run": self._run, "answer": self._answer}
+
+    async def run(self):
+        """Look at deadlines until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.dispatch(AgentTick(self.node.now_s()))
+
+    def configure(self, configuration):
+        """Put a new configuration in force."""
+        service = configuration.services_by_name.get(self.state.service.name)
+        if service is not None:
+            self._is_configured = True
+            self.dispatch(AgentConfigured(self.node.now_s(), service))
+
+    def drain(self):
+        """Take no new requests and finish those that are here."""
+        self.dispatch(DrainRequested(self.node.now_s()))
+
+    def load(self):
+        """Return what entries need to know of the instance's use."""
+        state = self.state
+        return Load(
+            running=state.running,
+            queued=state.queued,
+            slots=state.slots,
+            draining=state.draining,
+            incarnation=state.incarnation,
+        )
+
+    @singledispatchmethod
+    def perform(self, effect):
+        """Do what ``effect`` says."""
+        raise TypeError(f"no such effect: {type(effect).__name__}")
+
+    @perform.register
+    def _(self, effect: StartRun):
+        self.node.spawn(self._run_at_backend(effect))
+
+    @perform.register
+    def _(self, effect: SendAnswer):
+        for waiter in effect.waiters:
+            if not waiter.done():
+                waiter.set_result(effect.outcome)
+
+    @perform.register
+    def _(self, effect: SendPending):
+        if not effect.is_known and not effect.waiter.done():
+            effect.waiter.set_result(None)
+
+    @perform.register
+    def _(self, effect: DrainCompleted):
+        self.drained.set()
+
+    async def _run_at_backend(self, effect):
+        run = effect.request
+        span = self.node.telemetry.tracing.span(
+            "agent.backend", run.traceparent or "", request_id=run.request_id
+        )
+        with span as hop:
+            headers = from_headers(run.headers)
+            if hop.traceparent:
+                headers = (*headers, ("traceparent", hop.traceparent))
+            request = BackendRequest(
+                run.request_id,
+                run.method,
+                run.path,
+                headers,
+                run.body or b"",
+                bool(run.idempotent),
+            )
+            timeout_s = effect.deadline_s - self.node.now_s() + LATE_ANSWER_S
+            outcome = await self._backend.run(request, timeout_s)
+        finished = RunFinished(self.node.now_s(), effect.request_id, outcome)
+        self.dispatch(finished)
+
+    async def _run(self, run):
+        if not self._is_configured:
+            refused = Refused(RefusalReason.NOT_READY, "no configuration is known")
+            return message_from_outcome(refused, self.load())
+        kind = self.state.service.kinds_by_name.get(run.kind)
+        now_s = self.node.now_s()
+        waiter = asyncio.get_running_loop().create_future()
+        event = RunRequested(
+            now_s,
+            run.request_id,
+            run.incarnation,
+            run.service_name,
+            run.kind,
+            kind.urgency if kind else 0,
+            now_s + run.remaining_ms / MS_PER_S,
+            run,
+            bool(run.idempotent),
+            waiter,
+        )
+        self.dispatch(event)
+        return message_from_outcome(await waiter, self.load())
+
+    async def _answer(self, query):
+        waiter = asyncio.get_running_loop().create_future()
+        event = AnswerRequested(
+            self.node.now_s(),
+            query.request_id,
+            query.incarnation,
+            bool(query.fence),
+            waiter,
+        )
+        self.dispatch(event)
+        try:
+            async with asyncio.timeout((query.wait_ms or 0) / MS_PER_S):
+                outcome = await waiter
+        except TimeoutError:
+            outcome = None
+        if outcome is None:
+            return pending_message(self.load())
+        return message_from_outcome(outcome, self.load())
--- /dev/null
+++ b/dotterelspread/server.py
@@ -0,0 +1,67 @@
+"""Serves HTTP on the process's own loop."""
+
+import asyncio
+from contextlib import asynccontextmanager, nullcontext
+
+import uvicorn
+from starlette.applications import Starlette
+
+__all__ = ["ServerError", "serve_http"]
+
+#: Seconds between looks at whether the server has started.
+START_POLL_S = 0.01
+
+
+class ServerError(Exception):
+    """The server could not listen on its address."""
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    def capture_signals(self):
+        return nullcontext()
+
+
+@asynccontextmanager
+async def serve_http(address, routes, limits, drain_timeout_s):
+    """Serve ``routes`` at ``address`` while the context is open.
+
+    Requests in progress at the end are finished, for as long as ``drain_timeout_s``.
+
+    Raises
+    ------
+    ServerError
+        When nothing can listen on the address.
+    """
+    config = uvicorn.Config(
+        Starlette(routes=list(routes)),
+        host=address.host,
+        port=address.port,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        server_header=False,
+        limit_concurrency=limits.max_connections,
+        timeout_keep_alive=round(limits.idle_timeout_s),
+        timeout_graceful_shutdown=round(drain_timeout_s),
+    )
+    server = _Server(config)
+    task = asyncio.ensure_future(_serve(server))
+    while not server.started and not task.done():
+        await asyncio.sleep(START_POLL_S)
+    if task.done():
+        raise ServerError(f"cannot listen on {address}") from task.exception()
+    try:
+        yield server
+    finally:
+        server.should_exit = True
+        await task
+
+
+async def _serve(server):
+    # The library ends the whole process when it can't listen.
+    try:
+        await server.serve()
+    except SystemExit as error:
+        raise ServerError("no listening socket") from error
--- /dev/null
+++ b/dotterelspread/wire.py
@@ -0,0 +1,143 @@
+"""Turns outcomes and members into the Thrift messages of peers, and back."""
+
+from functools import singledispatch
+
+from .gen.peer.ttypes import Answer, Header, Member, Result
+from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
+from .record import InstanceAnnounced
+
+__all__ = [
+    "from_headers",
+    "message_from_announcement",
+    "message_from_outcome",
+    "outcome_from_message",
+    "pending_message",
+    "to_headers",
+]
+
+MS_PER_S = 1000
+
+
+def to_headers(pairs):
+    """Return Thrift headers from pairs of name and value."""
+    return [Header(name, value) for name, value in pairs]
+
+
+def from_headers(headers):
+    """Return pairs of name and value from Thrift headers."""
+    return tuple((header.name, header.value) for header in headers or ())
+
+
+@singledispatch
+def message_from_outcome(outcome, load=None):
+    """Return the Thrift `Answer` that carries an outcome.
+
+    Raises
+    ------
+    TypeError
+        When ``outcome`` is no outcome.
+    """
+    raise TypeError(f"no outcome: {type(outcome).__name__}")
+
+
+@message_from_outcome.register
+def _(outcome: Completed, load=None):
+    return Answer(
+        result=Result.COMPLETED,
+        status=outcome.status,
+        headers=to_headers(outcome.headers),
+        body=outcome.body,
+        load=load,
+    )
+
+
+@message_from_outcome.register
+def _(outcome: Failed, load=None):
+    return Answer(result=Result.FAILED, detail=outcome.detail, load=load)
+
+
+@message_from_outcome.register
+def _(outcome: Refused, load=None):
+    retry_after_ms = None
+    if outcome.retry_after_s is not None:
+        retry_after_ms = round(outcome.retry_after_s * MS_PER_S)
+    return Answer(
+        result=Result.REFUSED,
+        reason=outcome.reason.value,
+        detail=outcome.detail,
+        retry_after_ms=retry_after_ms,
+        load=load,
+    )
+
+
+@message_from_outcome.register
+def _(outcome: Unknown, load=None):
+    return Answer(result=Result.UNKNOWN, detail=outcome.detail, load=load)
+
+
+def pending_message(load=None):
+    """Return the `Answer` that says that there is none yet."""
+    return Answer(result=Result.PENDING, load=load)
+
+
+def outcome_from_message(answer, instance_id):
+    """Return the outcome that an instance's `Answer` carries; None while pending.
+
+    An answer that can't be understood is `Unknown`, because the request may have run.
+    """
+    match answer.result:
+        case Result.COMPLETED:
+            headers = from_headers(answer.headers)
+            return Completed(answer.status, headers, answer.body or b"")
+        case Result.FAILED:
+            return Failed(answer.detail or "")
+        case Result.REFUSED:
+            return _refused(answer)
+        case Result.PENDING:
+            return None
+        case _:
+            return Unknown(answer.detail or "", (instance_id,))
+
+
+def _refused(answer):
+    retry_after_s = None
+    if answer.retry_after_ms is not None:
+        retry_after_s = answer.retry_after_ms / MS_PER_S
+    try:
+        reason = RefusalReason(answer.reason)
+    except ValueError:
+        reason = RefusalReason.NO_CAPACITY
+    return Refused(reason, answer.detail or "", retry_after_s)
+
+
+def message_from_announcement(announced, is_draining=False):
+    """Return the Thrift `Member` for an `InstanceAnnounced`."""
+    return Member(
+        instance_id=announced.instance_id,
+        incarnation=announced.incarnation,
+        role=announced.role,
+        peer_address=announced.peer_address,
+        data_centre=announced.data_centre,
+        region=announced.region,
+        rack=announced.rack,
+        services=list(announced.services),
+        slots=announced.slots,
+        draining=is_draining,
+        cell=announced.cell,
+    )
+
+
+def announcement_from_message(member):
+    """Return the `InstanceAnnounced` for a Thrift `Member`."""
+    return InstanceAnnounced(
+        member.instance_id,
+        member.incarnation,
+        member.role,
+        member.peer_address,
+        member.data_centre,
+        member.region,
+        member.rack or "",
+        tuple(member.services or ()),
+        member.slots or 0,
+        cell=member.cell or "",
+    )
