--- /dev/null
+++ b/dotterelspread/taskpart.py
@@ -0,0 +1,196 @@
+"""The part of an agent that takes part in its cell and drives the platform's worker."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from .gen.peer.ttypes import JobReply, TaskStatus
+from .log import TruncatedError
+from .logclient import AppendError
+from .node import Part
+from .record import TaskEnded
+from .reducer import Tick
+from .taskcore import TaskState
+from .taskevent import (
+    Append,
+    AppendSettled,
+    CellCaughtUp,
+    CellRecordRead,
+    CellTruncated,
+    CheckpointTask,
+    ConfigurationChanged,
+    DrainRequested,
+    MembersChanged,
+    RenewTask,
+    StartTask,
+    StopTask,
+    ThrottleTask,
+    WorkerReported,
+)
+from .worker import WorkerError
+
+__all__ = ["TaskPart"]
+
+#: Seconds between two looks at what is due.
+TICK_S = 0.25
+#: Seconds between two reports of the worker.
+REPORT_S = 1.0
+#: Seconds that an append may take before it is given up.
+APPEND_TIMEOUT_S = 5.0
+#: Seconds between looks at whether a drain has ended.
+DRAIN_POLL_S = 0.1
+
+
+class TaskPart(Part):
+    """Claims, runs and ends tasks of one cell.
+
+    Parameters
+    ----------
+    node : Node
+    worker : Worker
+    announcement : InstanceAnnounced
+        The agent's own.
+    """
+
+    def __init__(self, node, worker, announcement):
+        super().__init__(node)
+        self._worker = worker
+        self._is_configured = False
+        self._last_by_task = {}
+        self.state = TaskState.from_announcement(
+            announcement, node.settings.agent.cell
+        )
+
+    def handlers_by_method(self):
+        """Return the handlers of calls on jobs."""
+        return {"job": self._job}
+
+    async def run(self):
+        """Take part in the cell until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow_cell())
+            group.create_task(self._read_reports())
+            while True:
+                await asyncio.sleep(TICK_S)
+                if self._is_configured:
+                    self.dispatch(Tick(self.node.now_s()))
+
+    def configure(self, configuration):
+        """Put a new configuration in force."""
+        self._is_configured = True
+        self.dispatch(ConfigurationChanged(self.node.now_s(), configuration))
+
+    def set_live_ids(self, live_ids):
+        """Take over which instances are believed to be alive."""
+        self.dispatch(MembersChanged(self.node.now_s(), frozenset(live_ids)))
+
+    async def drain(self):
+        """Checkpoint and release all tasks and leave the cell."""
+        self.dispatch(DrainRequested(self.node.now_s()))
+        while self.state.locals_by_id or self.state.member is not None:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    @singledispatchmethod
+    def perform(self, effect):
+        """Do what ``effect`` says."""
+        raise TypeError(f"no such effect: {type(effect).__name__}")
+
+    @perform.register
+    def _(self, effect: Append):
+        self.node.spawn(self._append(effect))
+
+    @perform.register(StartTask)
+    @perform.register(RenewTask)
+    @perform.register(CheckpointTask)
+    @perform.register(ThrottleTask)
+    @perform.register(StopTask)
+    def _(self, effect):
+        before = self._last_by_task.get(effect.task_id)
+        task = self.node.spawn(self._perform_at_worker(effect, before))
+        self._last_by_task[effect.task_id] = task
+
+    async def _perform_at_worker(self, effect, before):
+        # Effects on one task reach the worker in their order.
+        if before is not None:
+            await asyncio.wait((before,))
+        tracing = self.node.telemetry.tracing
+        name = f"agent.worker.{type(effect).__name__}"
+        with tracing.span(name, task_id=effect.task_id):
+            try:
+                events = await self._worker.perform(effect)
+            except WorkerError:
+                self.node.telemetry.count("worker_errors")
+                events = ()
+        if self._last_by_task.get(effect.task_id) is asyncio.current_task():
+            del self._last_by_task[effect.task_id]
+        for event in events:
+            self.dispatch(event)
+
+    async def _append(self, effect):
+        try:
+            offset = await self.node.log_client.append(
+                effect.stream, effect.record, APPEND_TIMEOUT_S
+            )
+        except AppendError:
+            offset = None
+        if isinstance(effect.record, TaskEnded) and offset is not None:
+            self._count_end(effect.record)
+        settled = AppendSettled(self.node.now_s(), effect.record, offset)
+        self.dispatch(settled)
+
+    def _count_end(self, record):
+        task = self.state.cell.tasks_by_id.get(record.task_id)
+        job = task and self.state.cell.jobs_by_id.get(task.job_id)
+        self.node.telemetry.count_task(job.team if job else "", record.outcome)
+
+    async def _follow_cell(self):
+        position = 0
+        while True:
+            try:
+                stream = self.state.stream
+                async for batch in self.node.log_client.follow(stream, position):
+                    self._take(batch)
+                    position = batch.next_offset
+            except TruncatedError as error:
+                position = error.oldest
+                self.dispatch(CellTruncated(self.node.now_s(), position))
+
+    def _take(self, batch):
+        now_s = self.node.now_s()
+        for entry in batch.entries:
+            self.dispatch(CellRecordRead(now_s, entry.offset, entry.envelope))
+        if batch.caught_up_s is not None:
+            self.dispatch(CellCaughtUp(batch.caught_up_s, batch.next_offset))
+
+    async def _read_reports(self):
+        while True:
+            try:
+                report = await self._worker.report()
+            except WorkerError:
+                self.node.telemetry.count("worker_errors")
+            else:
+                now_s = self.node.now_s()
+                for event in report.stopped:
+                    self.dispatch(event)
+                self.dispatch(WorkerReported(now_s, report.usages))
+            await asyncio.sleep(REPORT_S)
+
+    async def _job(self, query):
+        cell = self.state.cell
+        job = cell.jobs_by_id.get(query.job_id)
+        if job is None:
+            return JobReply(found=False, job_id=query.job_id)
+        tasks = [
+            self._status(task)
+            for task in cell.tasks_by_id.values()
+            if task.job_id == query.job_id
+        ]
+        return JobReply(found=True, job_id=query.job_id, team=job.team, tasks=tasks)
+
+    def _status(self, task):
+        return TaskStatus(
+            task_id=task.task_id,
+            state=task.outcome or task.phase.name.lower(),
+            owner_id=task.owner_id,
+            epoch=task.epoch,
+            explanation=task.detail,
+        )
