--- /dev/null
+++ b/dotterelspread/agentcore.py
@@ -0,0 +1,346 @@
+"""The agent's decisions on requests: what its instance runs, queues and refuses.
+
+The agent alone decides on the slots of its instance. A request id is run at most once;
+a repeat joins the pending request or gets the answer that was kept.
+"""
+
+from dataclasses import dataclass, field
+
+from .admission import Admission
+from .answers import AnswerCache, IdSet
+from .configuration import ServiceConfig
+from .outcome import Outcome, RefusalReason, Refused, Unknown
+from .queue import Waiting, find_queue
+from .reducer import Effect, Event, Tick, reduce
+
+__all__ = [
+    "AgentConfigured",
+    "AgentState",
+    "AgentTick",
+    "AnswerRequested",
+    "DrainCompleted",
+    "DrainRequested",
+    "Pending",
+    "RunFinished",
+    "RunRequested",
+    "SendAnswer",
+    "SendPending",
+    "StartRun",
+]
+
+#: Seconds for which the id of a non-idempotent request is remembered.
+CLAIM_HORIZON_S = 24 * 3600.0
+#: Seconds for which the id of any other request is remembered.
+ID_HORIZON_S = 300.0
+#: Ids of non-idempotent requests remembered at eight bytes each.
+MAX_CLAIMED_IDS = 2_000_000
+#: Ids of other requests remembered at eight bytes each.
+MAX_IDS = 4_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class RunRequested(Event):
+    """An entry sends a request to be run."""
+
+    request_id: str
+    #: Incarnation of the agent that the entry means.
+    incarnation: int
+    service_name: str
+    kind: str
+    urgency: int
+    #: Seconds on this process's monotonic clock when the answer is due.
+    deadline_s: float
+    #: What the daemon hands to the backend server.
+    request: object = None
+    idempotent: bool = True
+    #: Where the daemon sends the answer.
+    waiter: object = None
+
+
+@dataclass(slots=True, frozen=True)
+class RunFinished(Event):
+    """The backend server has ended a request, and its slot is free."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerRequested(Event):
+    """An entry asks how a request ended, without having it run."""
+
+    request_id: str
+    incarnation: int
+    #: Whether a request not seen so far shall be refused from now on.
+    fence: bool
+    waiter: object = None
+
+
+@dataclass(slots=True, frozen=True)
+class DrainRequested(Event):
+    """The instance shall take no new work and finish what it has."""
+
+
+@dataclass(slots=True, frozen=True)
+class AgentConfigured(Event):
+    """A new configuration of the instance's service is in force."""
+
+    service: ServiceConfig
+
+
+@dataclass(slots=True, frozen=True)
+class AgentTick(Tick):
+    """Time has passed for the agent."""
+
+
+@dataclass(slots=True, frozen=True)
+class StartRun(Effect):
+    """Hand a request to the backend server; a slot is taken until it ends."""
+
+    request_id: str
+    request: object
+    deadline_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class SendAnswer(Effect):
+    """Send the outcome of a request to all who wait for it."""
+
+    request_id: str
+    outcome: Outcome
+    waiters: tuple
+
+
+@dataclass(slots=True, frozen=True)
+class SendPending(Effect):
+    """Tell who asked that there is no answer yet.
+
+    When ``is_known`` holds, the waiter also stays noted for the answer, so the daemon
+    may hold the reply back for as long as the asker allows.
+    """
+
+    request_id: str
+    waiter: object
+    is_known: bool
+
+
+@dataclass(slots=True, frozen=True)
+class DrainCompleted(Effect):
+    """A draining instance has no requests left."""
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that waits for a slot or runs."""
+
+    event: RunRequested
+    waiters: list
+    #: When it started; None while it waits.
+    started_s: float | None = None
+
+
+@dataclass(slots=True)
+class AgentState:
+    """What the agent knows of the requests at its instance."""
+
+    slots: int
+    service: ServiceConfig
+    incarnation: int
+    queue: object
+    admission: Admission
+    pending_by_id: dict = field(default_factory=dict)
+    #: Ids that hold a slot.
+    running_ids: set = field(default_factory=set)
+    answers: AnswerCache = field(default_factory=AnswerCache)
+    #: Ids that were started.
+    run_ids: IdSet = field(default_factory=lambda: IdSet(ID_HORIZON_S, MAX_IDS))
+    #: Ids of non-idempotent requests that were started.
+    claimed_ids: IdSet = field(
+        default_factory=lambda: IdSet(CLAIM_HORIZON_S, MAX_CLAIMED_IDS)
+    )
+    #: Ids refused, which must not run later.
+    refused_ids: IdSet = field(default_factory=lambda: IdSet(ID_HORIZON_S, MAX_IDS))
+    #: Ids refused because their answer was asked for before they came.
+    fenced_ids: IdSet = field(
+        default_factory=lambda: IdSet(CLAIM_HORIZON_S, MAX_CLAIMED_IDS)
+    )
+    draining: bool = False
+    drained: bool = False
+
+    @classmethod
+    def from_config(cls, service, slots, incarnation, queue="fair"):
+        """Return the state of an agent that starts."""
+        waiting = find_queue(queue)(slots, service.kinds_by_name)
+        return cls(slots, service, incarnation, waiting, Admission(waiting))
+
+    @property
+    def running(self):
+        """Slots in use."""
+        return len(self.running_ids)
+
+    @property
+    def queued(self):
+        """Requests that wait for a slot."""
+        return len(self.queue)
+
+
+@reduce.register
+def _(event: RunRequested, state):
+    if event.incarnation != state.incarnation:
+        refused = Refused(RefusalReason.FENCED, "the instance has restarted")
+        return [SendAnswer(event.request_id, refused, (event.waiter,))]
+    pending = state.pending_by_id.get(event.request_id)
+    if pending:
+        pending.waiters.append(event.waiter)
+        return []
+    known = known_outcome(state, event.request_id)
+    if known:
+        return [SendAnswer(event.request_id, known, (event.waiter,))]
+    state.admission.note_arrival(event.kind, event.now_s)
+    refused = refusal(state, event)
+    if refused:
+        state.refused_ids.add(event.request_id, event.now_s)
+        return [SendAnswer(event.request_id, refused, (event.waiter,))]
+    return admit(state, event)
+
+
+@reduce.register
+def _(event: RunFinished, state):
+    if event.request_id not in state.running_ids:
+        return []
+    pending = state.pending_by_id.pop(event.request_id)
+    state.running_ids.remove(event.request_id)
+    kind = pending.event.kind
+    service_s = event.now_s - pending.started_s
+    charged_s = state.admission.service_s(kind)
+    state.queue.charge(kind, service_s - charged_s, event.now_s)
+    state.admission.note_service(kind, service_s)
+    state.answers.put(event.request_id, event.outcome)
+    answer = SendAnswer(event.request_id, event.outcome, tuple(pending.waiters))
+    return [answer, *start_waiting(state, event.now_s), *finish_drain(state)]
+
+
+@reduce.register
+def _(event: AnswerRequested, state):
+    request_id = event.request_id
+    if event.incarnation != state.incarnation:
+        unknown = Unknown("the instance has restarted")
+        return [SendAnswer(request_id, unknown, (event.waiter,))]
+    pending = state.pending_by_id.get(request_id)
+    if pending:
+        pending.waiters.append(event.waiter)
+        return [SendPending(request_id, event.waiter, is_known=True)]
+    outcome = known_outcome(state, request_id)
+    if outcome is None and not event.fence:
+        return [SendPending(request_id, event.waiter, is_known=False)]
+    if outcome is None and state.fenced_ids.is_full():
+        outcome = Unknown("too many ids are remembered")
+    elif outcome is None:
+        state.fenced_ids.add(request_id, event.now_s)
+        outcome = fenced()
+    return [SendAnswer(request_id, outcome, (event.waiter,))]
+
+
+@reduce.register
+def _(event: DrainRequested, state):
+    state.draining = True
+    return finish_drain(state)
+
+
+@reduce.register
+def _(event: AgentConfigured, state):
+    state.service = event.service
+    state.queue.configure(event.service.kinds_by_name)
+    return []
+
+
+@reduce.register
+def _(event: AgentTick, state):
+    for ids in (state.run_ids, state.claimed_ids, state.refused_ids, state.fenced_ids):
+        ids.expire(event.now_s)
+    effects = refuse_expired(state, event.now_s)
+    return [*effects, *start_waiting(state, event.now_s), *finish_drain(state)]
+
+
+def known_outcome(state, request_id):
+    """Return what is remembered of a request that is not pending; None if nothing."""
+    answer = state.answers.get(request_id)
+    if answer:
+        return answer
+    if request_id in state.claimed_ids or request_id in state.run_ids:
+        return Unknown("the answer is no longer kept")
+    if request_id in state.fenced_ids or request_id in state.refused_ids:
+        return fenced()
+    return None
+
+
+def fenced():
+    """Return the refusal of a request that must not run any more."""
+    return Refused(RefusalReason.FENCED, "the request was not run and will not be")
+
+
+def refusal(state, event):
+    """Return why a new request cannot be taken; None when it can."""
+    if state.draining:
+        return Refused(RefusalReason.DRAINING, "the instance is leaving")
+    if event.service_name != state.service.name:
+        detail = f"the instance does not serve {event.service_name}"
+        return Refused(RefusalReason.UNKNOWN_SERVICE, detail)
+    if state.claimed_ids.is_full() and not event.idempotent:
+        return Refused(RefusalReason.NO_CAPACITY, "too many ids are remembered")
+    return state.admission.refusal(
+        event.kind, event.deadline_s, state.running, event.now_s
+    )
+
+
+def admit(state, event):
+    """Queue a request and start what can start."""
+    state.pending_by_id[event.request_id] = Pending(event, [event.waiter])
+    state.queue.push(
+        Waiting(
+            event.request_id, event.kind, event.urgency, event.deadline_s, event.now_s
+        )
+    )
+    return start_waiting(state, event.now_s)
+
+
+def start_waiting(state, now_s):
+    """Start waiting requests while slots are free."""
+    effects = refuse_expired(state, now_s)
+    while state.running < state.slots:
+        waiting = state.queue.pop(now_s)
+        if waiting is None:
+            break
+        effects.append(start(state, waiting, now_s))
+    return effects
+
+
+def start(state, waiting, now_s):
+    """Take a slot for a request."""
+    pending = state.pending_by_id[waiting.request_id]
+    pending.started_s = now_s
+    state.running_ids.add(waiting.request_id)
+    ids = state.run_ids if pending.event.idempotent else state.claimed_ids
+    ids.add(waiting.request_id, now_s)
+    state.queue.charge(waiting.kind, state.admission.service_s(waiting.kind), now_s)
+    return StartRun(waiting.request_id, pending.event.request, waiting.deadline_s)
+
+
+def refuse_expired(state, now_s):
+    """Refuse the waiting requests whose deadline has passed."""
+    effects = []
+    for waiting in state.queue.remove_expired(now_s):
+        pending = state.pending_by_id.pop(waiting.request_id)
+        state.refused_ids.add(waiting.request_id, now_s)
+        refused = Refused(RefusalReason.DEADLINE, "the deadline passed in the queue")
+        waiters = tuple(pending.waiters)
+        effects.append(SendAnswer(waiting.request_id, refused, waiters))
+    return effects
+
+
+def finish_drain(state):
+    """Return the end of a drain once nothing is left; only once."""
+    if not state.draining or state.drained or state.pending_by_id:
+        return []
+    state.drained = True
+    return [DrainCompleted()]
--- /dev/null
+++ b/dotterelspread/queues/__init__.py
@@ -0,0 +1,1 @@
+"""Variants of the queue of admitted requests."""
--- /dev/null
+++ b/dotterelspread/queues/fair.py
@@ -0,0 +1,72 @@
+"""Guaranteed shares for each kind, with spare capacity lent by urgency."""
+
+from ..queue import Queue
+
+__all__ = ["FairQueue"]
+
+#: Seconds of its guaranteed rate that a kind may save up while it has no work.
+CREDIT_S = 0.5
+
+
+class FairQueue(Queue):
+    """Hierarchical token buckets: a guaranteed rate, then borrowing by urgency.
+
+    Each kind earns credit in slot seconds at its share of the slots, and pays with the
+    slot time that it uses. Kinds with credit go first; what is left goes to the most
+    urgent kind. Use it wherever several kinds share an instance.
+    """
+
+    __slots__ = ("credit_by_kind", "earned_s")
+
+    has_shares = True
+
+    def __init__(self, slots, kinds_by_name):
+        self.credit_by_kind = {}
+        self.earned_s = None
+        super().__init__(slots, kinds_by_name)
+
+    def rate(self, kind):
+        """Return the slots guaranteed to a kind."""
+        config = self.kinds_by_name.get(kind)
+        return config.share * self.slots if config else 0.0
+
+    def credit(self, kind, now_s):
+        """Return the slot seconds that a kind may use before all others."""
+        self._earn(now_s)
+        return self.credit_by_kind.get(kind, 0.0)
+
+    def charge(self, kind, slot_s, now_s):
+        """Count slot seconds against a kind; negative gives back."""
+        self._earn(now_s)
+        rate = self.rate(kind)
+        credit = self.credit_by_kind.get(kind, 0.0) - slot_s
+        # Debt is bounded too, so that borrowed time is not held against a kind later.
+        bound = CREDIT_S * rate
+        self.credit_by_kind[kind] = max(-bound, min(bound, credit))
+
+    def pop(self, now_s):
+        """Remove and return the request that starts next; None when empty."""
+        self._earn(now_s)
+        heads = self.heads()
+        if not heads:
+            return None
+        entitled = [head for head in heads if self._is_entitled(head.kind)]
+        if entitled:
+            first = max(entitled, key=self._saved_s)
+        else:
+            first = min(heads, key=lambda head: (-head.urgency, head.arrived_s))
+        return self.waiting_by_kind[first.kind].popleft()
+
+    def _is_entitled(self, kind):
+        return self.credit_by_kind.get(kind, 0.0) > 0
+
+    def _saved_s(self, head):
+        return self.credit_by_kind[head.kind] / self.rate(head.kind)
+
+    def _earn(self, now_s):
+        elapsed_s = 0.0 if self.earned_s is None else max(0.0, now_s - self.earned_s)
+        self.earned_s = now_s
+        for kind in self.kinds_by_name:
+            rate = self.rate(kind)
+            credit = self.credit_by_kind.get(kind, CREDIT_S * rate)
+            self.credit_by_kind[kind] = min(CREDIT_S * rate, credit + rate * elapsed_s)
--- /dev/null
+++ b/dotterelspread/queues/strict.py
@@ -0,0 +1,19 @@
+"""Strict priority by urgency."""
+
+from ..queue import Queue
+
+__all__ = ["StrictQueue"]
+
+
+class StrictQueue(Queue):
+    """Starts the most urgent request, the oldest among equals; a baseline."""
+
+    __slots__ = ()
+
+    def pop(self, now_s):
+        """Remove and return the most urgent request; None when empty."""
+        heads = self.heads()
+        if not heads:
+            return None
+        first = min(heads, key=lambda head: (-head.urgency, head.arrived_s))
+        return self.waiting_by_kind[first.kind].popleft()
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -10,6 +10,8 @@
 __all__ = [
     "CellSnapshot",
     "CellSummary",
+    "ClaimState",
+    "ClaimsSnapshot",
     "ConfigurationPublished",
     "Envelope",
     "InstanceAnnounced",
@@ -105,6 +107,8 @@
     fingerprint: bytes
     #: 0 for the first claim of a key; one more after a proof that it was not run.
     attempt: int = 0
+    #: Unix time of the claim in seconds.
+    claimed_at: int = 0
 
 
 class RequestSettled(Struct, tag=7):
@@ -118,6 +122,26 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     detail: str = ""
+    #: Attempt of the claim that is settled.
+    attempt: int = 0
+    #: Whether the body is too large for the log and is kept by the instance.
+    body_at_instance: bool = False
+
+
+class ClaimState(Struct):
+    """The claim that stands for a key, and how it was settled if it was."""
+
+    claim: RequestClaimed
+    settled: RequestSettled | None = None
+
+
+class ClaimsSnapshot(Struct, tag=17):
+    """All claims of a stream as of an offset, appended before their records expire."""
+
+    as_of: int
+    #: Unix time of the stream's claims in seconds.
+    clock_s: int
+    claims: tuple[ClaimState, ...]
 
 
 class TaskSpec(Struct):
@@ -237,6 +261,7 @@
     | OwnerRenewed
     | CellSnapshot
     | CellSummary
+    | ClaimsSnapshot
 )
 
 
--- /dev/null
+++ b/dotterelspread/requestclaim.py
@@ -0,0 +1,209 @@
+"""Claims on non-idempotent requests, as the log's order decides them.
+
+An entry claims a request's key for one instance before it sends the request there. For
+each key and attempt the claim with the lowest offset stands, so that every reader of
+the stream names the same one.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from hashlib import blake2b
+from statistics import median_low
+
+from .outcome import Completed, Failed, Refused, Unknown
+from .record import ClaimsSnapshot, ClaimState, RequestClaimed, RequestSettled
+
+__all__ = ["Claim", "ClaimTable", "claim_stream", "settled_record"]
+
+#: Streams over which the keys are spread.
+CLAIM_STREAMS = 8
+#: Seconds for which a claim is remembered.
+CLAIM_HORIZON_S = 24 * 3600
+#: Claims whose times the stream's clock is the median of.
+CLOCK_CLAIMS = 9
+#: Largest body that is settled in the log, in bytes.
+SETTLED_BODY_BYTES = 16 * 2**10
+
+COMPLETED = "completed"
+FAILED = "failed"
+REFUSED = "refused"
+
+
+def claim_stream(service, key):
+    """Return the name of the stream that holds the claims of a key."""
+    digest = blake2b(f"{service}\0{key}".encode(), digest_size=8).digest()
+    return f"claims.{int.from_bytes(digest) % CLAIM_STREAMS}"
+
+
+def settled_record(claim, outcome):
+    """Return the record that settles a claim; None when the outcome is unknown."""
+    ids = (claim.service, claim.key, claim.request_id)
+    if isinstance(outcome, Completed):
+        is_large = len(outcome.body) > SETTLED_BODY_BYTES
+        return RequestSettled(
+            *ids,
+            COMPLETED,
+            status=outcome.status,
+            headers=tuple(outcome.headers),
+            body=b"" if is_large else outcome.body,
+            attempt=claim.attempt,
+            body_at_instance=is_large,
+        )
+    if isinstance(outcome, Failed):
+        return RequestSettled(
+            *ids, FAILED, detail=outcome.detail, attempt=claim.attempt
+        )
+    if isinstance(outcome, Refused):
+        return RequestSettled(
+            *ids, REFUSED, detail=outcome.detail, attempt=claim.attempt
+        )
+    return None
+
+
+@dataclass(slots=True)
+class Claim:
+    """The claim that stands for a key, and how its request ended."""
+
+    record: RequestClaimed
+    settled: RequestSettled | None = None
+
+    @property
+    def was_not_run(self):
+        """Whether it is settled that the claimed request was not run."""
+        return self.settled is not None and self.settled.outcome == REFUSED
+
+    @property
+    def outcome(self):
+        """The settled outcome; None when it is not in the log."""
+        settled = self.settled
+        if settled is None or self.was_not_run or settled.body_at_instance:
+            return None
+        if settled.outcome == COMPLETED:
+            return Completed(settled.status, settled.headers, settled.body)
+        if settled.outcome == FAILED:
+            return Failed(settled.detail)
+        return Unknown(f"settled as {settled.outcome!r}")
+
+
+class ClaimTable:
+    """The claims of one stream, in the state that the log's records give.
+
+    Parameters
+    ----------
+    first_offset : int
+        Offset of the first record that the log still has. Above zero the table is
+        incomplete until a snapshot comes.
+    """
+
+    __slots__ = (
+        "claims_by_key",
+        "clock_s",
+        "first_offset",
+        "is_complete",
+        "offset",
+        "pending",
+        "times",
+    )
+
+    def __init__(self, first_offset=0):
+        self.claims_by_key = OrderedDict()
+        self.clock_s = 0
+        self.times = deque(maxlen=CLOCK_CLAIMS)
+        self.offset = -1
+        self.first_offset = first_offset
+        self.is_complete = first_offset <= 0
+        #: Records read while the table is incomplete, with their offsets.
+        self.pending = []
+
+    def find(self, service, key):
+        """Return the claim that stands for a key; None when there is none."""
+        return self.claims_by_key.get((service, key))
+
+    def truncate(self, first_offset):
+        """Note that records up to ``first_offset`` expired before they were read."""
+        if first_offset > self.offset + 1:
+            self.first_offset = first_offset
+            self.is_complete = False
+            self.pending = []
+
+    def apply(self, offset, record):
+        """Take over a record of the stream.
+
+        Records of one append share an offset and are given in their order.
+        """
+        if offset < self.offset:
+            return
+        self.offset = offset
+        if not self.is_complete and not isinstance(record, ClaimsSnapshot):
+            self.pending.append((offset, record))
+            return
+        self._apply(record)
+
+    def snapshot(self):
+        """Return the record of the table's state."""
+        claims = (
+            ClaimState(claim.record, claim.settled)
+            for claim in self.claims_by_key.values()
+        )
+        return ClaimsSnapshot(self.offset, self.clock_s, tuple(claims))
+
+    @singledispatchmethod
+    def _apply(self, record):
+        """Skip records of other kinds."""
+
+    @_apply.register
+    def _(self, record: RequestClaimed):
+        key = (record.service, record.key)
+        standing = self.claims_by_key.get(key)
+        if standing is None or follows(record, standing):
+            self.claims_by_key[key] = Claim(record)
+            self.claims_by_key.move_to_end(key)
+        self.times.append(record.claimed_at)
+        self.clock_s = max(self.clock_s, median_low(self.times))
+        self._expire()
+
+    @_apply.register
+    def _(self, record: RequestSettled):
+        claim = self.claims_by_key.get((record.service, record.key))
+        if claim is None or claim.settled is not None:
+            return
+        settled = (record.request_id, record.attempt)
+        if settled == (claim.record.request_id, claim.record.attempt):
+            claim.settled = record
+
+    @_apply.register
+    def _(self, record: ClaimsSnapshot):
+        if self.is_complete or record.as_of < self.first_offset - 1:
+            return
+        self.claims_by_key = OrderedDict(
+            ((state.claim.service, state.claim.key), Claim(state.claim, state.settled))
+            for state in record.claims
+        )
+        self.clock_s = record.clock_s
+        self.is_complete = True
+        later, self.pending = self.pending, []
+        for offset, waiting in later:
+            if offset > record.as_of:
+                self._apply(waiting)
+
+    def _expire(self):
+        oldest_s = self.clock_s - CLAIM_HORIZON_S
+        while self.claims_by_key:
+            key, claim = next(iter(self.claims_by_key.items()))
+            if claim.record.claimed_at >= oldest_s:
+                break
+            del self.claims_by_key[key]
+
+
+def follows(record, standing):
+    """Tell whether a claim takes the place of the one that stands.
+
+    Its writer has the proof that the request of the standing claim was not run.
+    """
+    is_open = standing.settled is None or standing.was_not_run
+    return (
+        is_open
+        and record.attempt == standing.record.attempt + 1
+        and record.fingerprint == standing.record.fingerprint
+    )
--- /dev/null
+++ b/dotterelspread/routing.py
@@ -0,0 +1,144 @@
+"""Which instance a request is sent to.
+
+Of two instances taken at random the less loaded one gets the request. The entry's own
+data centre goes first, then its region; other regions only take overflow.
+"""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+
+__all__ = ["Instance", "Load", "choose_instance", "subset_ids"]
+
+#: Instances of one service and data centre that an entry sends to.
+SUBSET_SIZE = 16
+#: Load per slot from which on an instance counts as full.
+FULL_LOAD = 1.25
+#: Seconds for which a reported load is believed.
+LOAD_AGE_S = 2.0
+#: Seconds for which an instance is avoided after a failed connection.
+SUSPECT_S = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """What an instance says of itself with every answer."""
+
+    running: int
+    queued: int
+    slots: int
+    draining: bool = False
+    incarnation: int = 0
+    configuration_version: int = -1
+
+
+@dataclass(slots=True)
+class Instance:
+    """An instance as an entry knows it."""
+
+    instance_id: str
+    incarnation: int
+    address: str
+    data_centre: str
+    region: str
+    services: tuple
+    slots: int
+    draining: bool = False
+    #: Requests there when it last reported.
+    reported: int = 0
+    reported_s: float = float("-inf")
+    #: Requests sent since that report.
+    sent: int = 0
+    #: Requests of this entry that have not ended.
+    outstanding: int = 0
+    suspect_until_s: float = float("-inf")
+
+    def note_load(self, load, now_s):
+        """Take over a reported load."""
+        if load is None or load.incarnation not in (0, self.incarnation):
+            return
+        self.reported = load.running + load.queued
+        self.reported_s = now_s
+        self.sent = 0
+        self.slots = load.slots or self.slots
+        self.draining = self.draining or load.draining
+
+    def note_sent(self):
+        """Count a request that is sent there."""
+        self.sent += 1
+        self.outstanding += 1
+
+    def load_per_slot(self, now_s):
+        """Return the estimated requests there for each slot."""
+        is_fresh = now_s - self.reported_s <= LOAD_AGE_S
+        reported = self.reported + self.sent if is_fresh else 0
+        return max(reported, self.outstanding) / max(1, self.slots)
+
+    def can_serve(self, service_name, now_s):
+        """Tell whether a request of a service may be sent there."""
+        return (
+            not self.draining
+            and self.slots > 0
+            and service_name in self.services
+            and now_s >= self.suspect_until_s
+        )
+
+
+def subset_ids(entry_id, instance_ids, size=SUBSET_SIZE):
+    """Return the instances that an entry sends to, by rendezvous hashing."""
+    return sorted(instance_ids, key=lambda other: rendezvous(entry_id, other))[:size]
+
+
+def choose_instance(instances, place, may_cross, rng, now_s):
+    """Return the instance that a request is sent to; None when there is none.
+
+    Parameters
+    ----------
+    instances : list of Instance
+        Those that can serve the request and have not been tried.
+    place : Place
+        The entry's id, data centre and region.
+    may_cross : callable
+        Tells whether the request may use the link between regions.
+    rng : random.Random
+        Source of the two choices.
+    now_s : float
+        The time.
+    """
+    own_region = [i for i in instances if i.region == place.region]
+    tiers = [
+        [i for i in own_region if i.data_centre == place.data_centre],
+        [i for i in own_region if i.data_centre != place.data_centre],
+        [i for i in instances if i.region != place.region],
+    ]
+    if not may_cross():
+        tiers.pop()
+    fallback = None
+    for tier in tiers:
+        candidate = choose_of_two(subset(place.entry_id, tier), rng, now_s)
+        if candidate is None:
+            continue
+        if candidate.load_per_slot(now_s) < FULL_LOAD:
+            return candidate
+        fallback = fallback or candidate
+    return fallback
+
+
+def choose_of_two(instances, rng, now_s):
+    """Return the less loaded of two random instances; None when there are none."""
+    if not instances:
+        return None
+    pair = rng.sample(instances, min(2, len(instances)))
+    return min(pair, key=lambda instance: instance.load_per_slot(now_s))
+
+
+def subset(entry_id, instances):
+    """Return the entry's subset of some instances."""
+    if len(instances) <= SUBSET_SIZE:
+        return instances
+    instances_by_id = {instance.instance_id: instance for instance in instances}
+    return [instances_by_id[i] for i in subset_ids(entry_id, instances_by_id)]
+
+
+def rendezvous(entry_id, instance_id):
+    """Return the weight of a pair in rendezvous hashing."""
+    return blake2b(f"{entry_id}\0{instance_id}".encode(), digest_size=8).digest()
