--- /dev/null
+++ b/dotterelspread/entryadmit.py
@@ -0,0 +1,50 @@
+"""Whether an entry can take a caller's request at all."""
+
+from .entrystate import Request
+from .outcome import RefusalReason, Refused
+
+__all__ = ["add_request", "check_request"]
+
+
+def check_request(state, event):
+    """Return why a request cannot be taken at all; None when it can."""
+    if state.configuration is None:
+        return Refused(RefusalReason.NOT_READY, "no configuration is known", 1.0)
+    service = state.configuration.services_by_name.get(event.service_name)
+    if service is None:
+        detail = f"no service is called {event.service_name!r}"
+        return Refused(RefusalReason.UNKNOWN_SERVICE, detail)
+    kind = service.kinds_by_name.get(event.kind or service.default_kind)
+    if kind is None:
+        detail = f"{event.service_name} has no kind {event.kind!r}"
+        return Refused(RefusalReason.BAD_REQUEST, detail)
+    if not kind.idempotent and not event.key:
+        detail = f"requests of kind {kind.name} need an idempotency key"
+        return Refused(RefusalReason.KEY_REQUIRED, detail)
+    if event.deadline_s is not None and event.deadline_s <= event.now_s:
+        return Refused(RefusalReason.DEADLINE, "the deadline has passed")
+    return None
+
+
+def add_request(state, event):
+    """Note a request that is taken."""
+    service = state.configuration.services_by_name[event.service_name]
+    kind = service.kinds_by_name[event.kind or service.default_kind]
+    deadline_s = event.deadline_s
+    if deadline_s is None:
+        deadline_s = event.now_s + kind.deadline_s
+    request = Request(
+        event.request_id,
+        event.service_name,
+        kind,
+        deadline_s,
+        None if kind.idempotent else event.key,
+        event.fingerprint,
+        event.size_bytes,
+        event.request,
+    )
+    state.requests_by_id[request.request_id] = request
+    if request.key is not None:
+        key = (request.service_name, request.key)
+        state.ids_by_key.setdefault(key, set()).add(request.request_id)
+    return request
--- /dev/null
+++ b/dotterelspread/entryclaims.py
@@ -0,0 +1,288 @@
+"""The entry's decisions on non-idempotent requests, by the claims in the log.
+
+A request is sent only after its own claim was read back as the one that stands. An
+entry that has answered its caller never acts on a claim that surfaces later.
+"""
+
+from .entryevents import (
+    Append,
+    AppendFailed,
+    AskAnswer,
+    ClaimRead,
+    ClaimsTruncated,
+)
+from .entrysend import (
+    ASK_TIMEOUT_S,
+    choose,
+    final_outcome,
+    open_attempt,
+    respond,
+)
+from .entrystate import Attempt, AttemptState
+from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
+from .record import RequestClaimed, RequestSettled
+from .reducer import reduce
+from .requestclaim import claim_stream, settled_record
+from .retry import MAX_ATTEMPTS
+
+__all__ = [
+    "expire_claim",
+    "follow_outcome",
+    "is_claimed_by_other",
+    "pursue_claim",
+    "settle",
+    "tick_claim",
+]
+
+#: Seconds that a caller's repeat waits for the claim's own entry before it asks.
+FOLLOW_WAIT_S = 1.0
+#: Seconds until a claim is appended again whose append is proved to have failed.
+APPEND_BACKOFF_S = 0.25
+
+
+@reduce.register
+def _(event: ClaimRead, state):
+    table = state.tables_by_stream[event.stream]
+    table.apply(event.offset, event.record)
+    if not table.is_complete:
+        return []
+    effects = settle_abandoned(state, table, event.record)
+    for request in affected_requests(state, event):
+        effects += pursue_claim(state, request, event.now_s)
+    return effects
+
+
+@reduce.register
+def _(event: ClaimsTruncated, state):
+    state.tables_by_stream[event.stream].truncate(event.first_offset)
+    return []
+
+
+@reduce.register
+def _(event: AppendFailed, state):
+    request = state.requests_by_id.get(event.request_id)
+    if request and event.proved_absent and request.claiming is not None:
+        request.append_s = event.now_s + APPEND_BACKOFF_S
+    return []
+
+
+def affected_requests(state, event):
+    """Return the requests that a record in a stream of claims may concern."""
+    record = event.record
+    if isinstance(record, RequestClaimed | RequestSettled):
+        ids = state.ids_by_key.get((record.service, record.key), ())
+        return [state.requests_by_id[i] for i in sorted(ids)]
+    keyed = [r for r in state.requests_by_id.values() if r.key is not None]
+    return [r for r in keyed if claim_stream(r.service_name, r.key) == event.stream]
+
+
+def pursue_claim(state, request, now_s):
+    """Take the next step of a keyed request, given the claim that stands."""
+    table = state.table(request)
+    if not table.is_complete:
+        return []
+    claim = table.find(request.service_name, request.key)
+    if claim is None:
+        return append_claim(state, request, 0, now_s)
+    if claim.record.fingerprint != request.fingerprint:
+        detail = "the key was used for another request"
+        return respond(state, request, Refused(RefusalReason.KEY_REUSED, detail))
+    if claim.was_not_run:
+        return append_claim(state, request, claim.record.attempt + 1, now_s)
+    if claim.outcome is not None:
+        return respond(state, request, claim.outcome)
+    if claim.record.request_id == request.request_id:
+        return pursue_own_claim(state, request, claim, now_s)
+    return follow(request, claim, now_s)
+
+
+def append_claim(state, request, number, now_s):
+    """Return the effects that claim the request's key for an instance."""
+    if request.claiming == number:
+        return []
+    instance = choose(state, request, now_s)
+    if instance is None:
+        return give_up(state, request)
+    request.claim = RequestClaimed(
+        request.service_name,
+        request.key,
+        request.request_id,
+        instance.instance_id,
+        instance.incarnation,
+        request.fingerprint,
+        number,
+        int(now_s + state.unix_offset_s),
+    )
+    request.claiming = number
+    request.append_s = None
+    request.follow_s = None
+    return [append(request.claim, request.request_id)]
+
+
+def append(record, request_id):
+    """Return the effect that appends a record to its key's stream."""
+    return Append(claim_stream(record.service, record.key), record, request_id)
+
+
+def pursue_own_claim(state, request, claim, now_s):
+    """Send the request whose claim stands, or claim again if it was not run."""
+    record = claim.record
+    attempt = request.find_attempt(record.attempt)
+    if attempt is None:
+        request.claiming = None
+        instance = state.instances_by_id.get(record.instance_id)
+        if now_s < request.deadline_s and is_claimed_instance(instance, record):
+            return [open_attempt(state, request, instance, record.attempt, now_s)]
+        attempt = note_unsent(request, record)
+        may_claim_again = len(request.attempts) < MAX_ATTEMPTS and state.retries.take()
+        if not may_claim_again:
+            return give_up(state, request)
+    if attempt.state is AttemptState.NOT_RUN:
+        return append_claim(state, request, record.attempt + 1, now_s)
+    return []
+
+
+def is_claimed_instance(instance, record):
+    """Tell whether an instance is the one that a claim names, and takes work."""
+    return (
+        instance is not None
+        and instance.incarnation == record.incarnation
+        and not instance.draining
+    )
+
+
+def note_unsent(request, record):
+    """Note that the attempt of a claim was not sent and never will be."""
+    attempt = Attempt(
+        record.attempt,
+        record.instance_id,
+        record.incarnation,
+        ask_s=request.deadline_s,
+        state=AttemptState.NOT_RUN,
+    )
+    request.attempts.append(attempt)
+    detail = f"{record.instance_id} has left"
+    request.refused = Refused(RefusalReason.NO_INSTANCE, detail, 1.0)
+    return attempt
+
+
+def give_up(state, request):
+    """Answer the caller with what is proved, and settle the claim."""
+    outcome = final_outcome(request)
+    effects = respond(state, request, outcome)
+    return [*effects, *settle(state, request, outcome)]
+
+
+def settle(state, request, outcome):
+    """Return the effects that settle the request's own claim if it stands."""
+    if request.key is None:
+        return []
+    claim = state.table(request).find(request.service_name, request.key)
+    if claim is None or claim.settled is not None:
+        return []
+    if claim.record.request_id != request.request_id:
+        return []
+    return settle_claim(claim.record, outcome)
+
+
+def settle_claim(claim_record, outcome):
+    """Return the effects that settle a claim; none when the outcome is unknown."""
+    record = settled_record(claim_record, outcome)
+    return [append(record, claim_record.request_id)] if record else []
+
+
+def settle_abandoned(state, table, record):
+    """Settle a claim as not run that surfaced after its request was given up."""
+    if not isinstance(record, RequestClaimed):
+        return []
+    if state.abandoned_ids.get(record.request_id) != record.attempt:
+        return []
+    claim = table.find(record.service, record.key)
+    if claim is None or claim.record is not record:
+        return []
+    outcome = Refused(RefusalReason.STORE_UNAVAILABLE, "given up before it was sent")
+    return settle_claim(record, outcome)
+
+
+def follow(request, claim, now_s):
+    """Wait for the claim of another request with the same key."""
+    if request.claiming is not None and request.claiming <= claim.record.attempt:
+        request.claiming = None
+        request.append_s = None
+    if request.follow_s is None:
+        request.follow_s = now_s + (0.0 if claim.settled else FOLLOW_WAIT_S)
+    return []
+
+
+def tick_claim(state, request, now_s):
+    """Append a claim again, or ask for the outcome of the one that is followed."""
+    if request.append_s is not None and request.append_s <= now_s:
+        request.append_s = None
+        return [append(request.claim, request.request_id)]
+    if request.follow_s is None or request.follow_s > now_s:
+        return []
+    request.follow_s = now_s + ASK_TIMEOUT_S
+    claim = state.table(request).find(request.service_name, request.key)
+    if claim is None:
+        request.follow_s = None
+        return pursue_claim(state, request, now_s)
+    record = claim.record
+    instance = state.instances_by_id.get(record.instance_id)
+    if instance is None:
+        return []
+    return [
+        AskAnswer(
+            request.request_id,
+            record.request_id,
+            record.attempt,
+            record.instance_id,
+            record.incarnation,
+            fence=claim.settled is None,
+        )
+    ]
+
+
+def follow_outcome(state, request, event):
+    """Go on after the instance of another request's claim told its outcome."""
+    claim = state.table(request).find(request.service_name, request.key)
+    if claim is None:
+        return []
+    asked = (event.asked_id, event.attempt, event.instance_id)
+    record = claim.record
+    if asked != (record.request_id, record.attempt, record.instance_id):
+        return []
+    outcome = event.outcome
+    if isinstance(outcome, Refused):
+        return append_claim(state, request, record.attempt + 1, event.now_s)
+    if isinstance(outcome, Unknown):
+        outcome = Unknown(outcome.detail, (record.instance_id,))
+    effects = respond(state, request, outcome)
+    if isinstance(outcome, Completed | Failed) and claim.settled is None:
+        effects += settle_claim(record, outcome)
+    return effects
+
+
+def is_claimed_by_other(state, request):
+    """Tell whether another request's claim stands that may have been run."""
+    claim = state.table(request).find(request.service_name, request.key)
+    if claim is None or claim.was_not_run:
+        return False
+    return (
+        claim.record.request_id != request.request_id
+        and claim.record.fingerprint == request.fingerprint
+    )
+
+
+def expire_claim(state, request):
+    """Answer the caller of a keyed request whose deadline has passed."""
+    outcome = final_outcome(request)
+    if isinstance(outcome, Unknown):
+        return respond(state, request, outcome)
+    claim = state.table(request).find(request.service_name, request.key)
+    if is_claimed_by_other(state, request):
+        unknown = Unknown("an earlier request has the key", (claim.record.instance_id,))
+        return respond(state, request, unknown)
+    if request.refused is None:
+        detail = "the request was not run; the store did not take its claim in time"
+        outcome = Refused(RefusalReason.STORE_UNAVAILABLE, detail, 1.0)
+    return [*respond(state, request, outcome), *settle(state, request, outcome)]
--- /dev/null
+++ b/dotterelspread/entrycore.py
@@ -0,0 +1,300 @@
+"""The entry's decisions on callers' requests: routing, retries and outcomes.
+
+Each request gets exactly one `Respond`. It is refused only when no attempt can have
+been run. Requests with a key go through the claims of ``entryclaims``.
+"""
+
+from .entryadmit import add_request, check_request
+from .entryclaims import (
+    expire_claim,
+    follow_outcome,
+    is_claimed_by_other,
+    pursue_claim,
+    settle,
+    tick_claim,
+)
+from .entryevents import (
+    AnswerReceived,
+    AskAnswered,
+    AskLost,
+    AskPending,
+    AttemptLost,
+    EntryConfigured,
+    EntryTick,
+    LoadReported,
+    MemberGone,
+    MemberSeen,
+    RequestArrived,
+    Respond,
+)
+from .entrysend import (
+    PROGRESS_TIMEOUT_S,
+    ask,
+    charge_answer,
+    choose,
+    close_attempt,
+    final_outcome,
+    note_load,
+    open_attempt,
+    respond,
+    suspect,
+)
+from .entrystate import AttemptState, EntryState
+from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
+from .reducer import reduce
+from .retry import MAX_ATTEMPTS, is_retryable
+from .routing import Instance
+
+__all__ = ["EntryState"]
+
+
+@reduce.register
+def _(event: RequestArrived, state):
+    if event.request_id in state.requests_by_id:
+        return []
+    refused = check_request(state, event)
+    if refused:
+        return [Respond(event.request_id, refused)]
+    request = add_request(state, event)
+    state.retries.note_first_attempt()
+    if request.key is not None:
+        return pursue_claim(state, request, event.now_s)
+    return send_next(state, request, event.now_s)
+
+
+@reduce.register
+def _(event: AnswerReceived, state):
+    note_load(state, event)
+    request = state.requests_by_id.get(event.request_id)
+    attempt = request and request.find_attempt(event.attempt)
+    if not attempt or attempt.instance_id != event.instance_id:
+        return []
+    charge_answer(state, event)
+    return take_outcome(state, request, attempt, event.outcome, event.now_s)
+
+
+@reduce.register
+def _(event: AttemptLost, state):
+    request = state.requests_by_id.get(event.request_id)
+    attempt = request and request.find_attempt(event.attempt)
+    if not attempt or attempt.state is not AttemptState.SENT:
+        return []
+    if event.sent:
+        return ask(state, request, attempt, event.now_s)
+    suspect(state, event.instance_id, event.now_s)
+    refused = Refused(
+        RefusalReason.NO_INSTANCE, f"no connection to {event.instance_id}"
+    )
+    return take_outcome(state, request, attempt, refused, event.now_s)
+
+
+@reduce.register
+def _(event: AskAnswered, state):
+    note_load(state, event)
+    request = state.requests_by_id.get(event.request_id)
+    if request is None:
+        return []
+    charge_answer(state, event)
+    if event.asked_id != event.request_id:
+        return follow_outcome(state, request, event)
+    attempt = request.find_attempt(event.attempt)
+    if not attempt or attempt.instance_id != event.instance_id:
+        return []
+    return take_outcome(state, request, attempt, event.outcome, event.now_s)
+
+
+@reduce.register
+def _(event: AskPending, state):
+    note_load(state, event)
+    request = state.requests_by_id.get(event.request_id)
+    if request is None:
+        return []
+    if event.asked_id != event.request_id:
+        request.follow_s = event.now_s + PROGRESS_TIMEOUT_S
+        return []
+    attempt = request.find_attempt(event.attempt)
+    if attempt and attempt.is_open:
+        attempt.state = AttemptState.ASKING
+        attempt.ask_s = event.now_s + PROGRESS_TIMEOUT_S
+    return []
+
+
+@reduce.register
+def _(event: AskLost, state):
+    request = state.requests_by_id.get(event.request_id)
+    if request is None or event.asked_id != event.request_id:
+        return []
+    attempt = request.find_attempt(event.attempt)
+    if not attempt or attempt.state is not AttemptState.ASKING:
+        return []
+    suspect(state, event.instance_id, event.now_s)
+    return give_up_attempt(state, request, attempt, event.now_s)
+
+
+@reduce.register
+def _(event: MemberSeen, state):
+    known = state.instances_by_id.get(event.instance_id)
+    if known and known.incarnation > event.incarnation:
+        return []
+    if known and known.incarnation == event.incarnation:
+        known.draining = known.draining or event.draining
+        known.services, known.slots = event.services, event.slots
+        return []
+    state.instances_by_id[event.instance_id] = Instance(
+        event.instance_id,
+        event.incarnation,
+        event.address,
+        event.data_centre,
+        event.region,
+        event.services,
+        event.slots,
+        event.draining,
+    )
+    effects = []
+    for request, attempt in open_attempts(state, event.instance_id, event.incarnation):
+        close_attempt(state, attempt, AttemptState.UNKNOWN)
+        effects += next_attempt(state, request, event.now_s)
+    return effects
+
+
+@reduce.register
+def _(event: MemberGone, state):
+    known = state.instances_by_id.get(event.instance_id)
+    if known is None or known.incarnation > event.incarnation:
+        return []
+    del state.instances_by_id[event.instance_id]
+    effects = []
+    gone = open_attempts(state, event.instance_id, event.incarnation + 1)
+    for request, attempt in gone:
+        effects += give_up_attempt(state, request, attempt, event.now_s)
+    return effects
+
+
+@reduce.register
+def _(event: LoadReported, state):
+    note_load(state, event)
+    return []
+
+
+@reduce.register
+def _(event: EntryConfigured, state):
+    state.configuration = event.configuration
+    return []
+
+
+@reduce.register
+def _(event: EntryTick, state):
+    effects = []
+    for request in list(state.requests_by_id.values()):
+        if request.deadline_s <= event.now_s:
+            effects += expire(state, request)
+            continue
+        effects += tick_attempts(state, request, event.now_s)
+        if request.request_id in state.requests_by_id and request.key is not None:
+            effects += tick_claim(state, request, event.now_s)
+    return effects
+
+
+def send_next(state, request, now_s):
+    """Send a request without a key to the next instance, or answer the caller."""
+    instance = choose(state, request, now_s)
+    if instance is None:
+        return finish(state, request)
+    number = len(request.attempts)
+    return [open_attempt(state, request, instance, number, now_s)]
+
+
+def take_outcome(state, request, attempt, outcome, now_s):
+    """Go on after an attempt's outcome became known."""
+    if isinstance(outcome, Completed | Failed):
+        effects = respond(state, request, outcome)
+        return [*effects, *settle(state, request, outcome)]
+    if not attempt.is_open:
+        return []
+    if isinstance(outcome, Unknown):
+        close_attempt(state, attempt, AttemptState.UNKNOWN)
+        return next_attempt(state, request, now_s)
+    close_attempt(state, attempt, AttemptState.NOT_RUN)
+    request.refused = outcome
+    if not is_retryable(outcome.reason):
+        return finish(state, request)
+    return next_attempt(state, request, now_s)
+
+
+def next_attempt(state, request, now_s):
+    """Retry a request if it is safe and the budget allows it, or answer the caller."""
+    if any(attempt.is_open for attempt in request.attempts):
+        return []
+    is_elsewhere = request.key is not None and is_claimed_by_other(state, request)
+    if not is_elsewhere and not take_retry(state, request, now_s):
+        return finish(state, request)
+    if request.key is not None:
+        return pursue_claim(state, request, now_s)
+    return send_next(state, request, now_s)
+
+
+def take_retry(state, request, now_s):
+    """Tell whether a request may be sent again, and take that from the budget."""
+    may_have_run = any(a.state is not AttemptState.NOT_RUN for a in request.attempts)
+    return (
+        (request.kind.idempotent or not may_have_run)
+        and len(request.attempts) < MAX_ATTEMPTS
+        and choose(state, request, now_s) is not None
+        and state.retries.take()
+    )
+
+
+def finish(state, request):
+    """Answer the caller with what is proved; wait if an answer may still come."""
+    if any(attempt.is_open for attempt in request.attempts):
+        return []
+    outcome = final_outcome(request)
+    return [*respond(state, request, outcome), *settle(state, request, outcome)]
+
+
+def tick_attempts(state, request, now_s):
+    """Ask about attempts without progress, and go on if that got no reply."""
+    effects = []
+    for attempt in list(request.attempts):
+        if not attempt.is_open or attempt.ask_s > now_s:
+            continue
+        if attempt.state is AttemptState.SENT:
+            effects += ask(state, request, attempt, now_s)
+        else:
+            effects += give_up_attempt(state, request, attempt, now_s)
+    return effects
+
+
+def give_up_attempt(state, request, attempt, now_s):
+    """Send an idempotent request elsewhere, or ask about the attempt once more."""
+    if request.kind.idempotent and take_retry(state, request, now_s):
+        close_attempt(state, attempt, AttemptState.UNKNOWN)
+        return send_next(state, request, now_s)
+    if attempt.ask_s <= now_s:
+        return ask(state, request, attempt, now_s)
+    return []
+
+
+def open_attempts(state, instance_id, incarnation):
+    """Return the requests and attempts open at an instance before an incarnation.
+
+    No request has two open attempts at one instance.
+    """
+    return [
+        (request, attempt)
+        for request in state.requests_by_id.values()
+        for attempt in request.attempts
+        if attempt.is_open
+        and attempt.instance_id == instance_id
+        and attempt.incarnation < incarnation
+    ]
+
+
+def expire(state, request):
+    """Answer the caller of a request whose deadline has passed."""
+    if request.key is not None:
+        return expire_claim(state, request)
+    outcome = final_outcome(request)
+    if isinstance(outcome, Refused) and request.refused is None:
+        outcome = Refused(RefusalReason.DEADLINE, "the deadline has passed")
+    return respond(state, request, outcome)
