Run tasks of a cell by claims in its stream

Cause: the tasks part had no code; the daemon needs a thin path to wire. Additive to the shared contract: TaskClaimed.lease_s (owner and takers must count the same lease, which two versions of the configuration would not give), Resources.at_most. Ruled out: judging a claim by capacities from the membership stream, since readers at one offset would differ; members announce themselves in the cell's stream instead.

--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -157,6 +157,8 @@
     incarnation: int
     #: Amount reserved on the owner's instance.
     reserved: Resources
+    #: Seconds of the lease on the task, so that owner and takers count alike.
+    lease_s: int = 120
 
 
 class TaskEnded(Struct, tag=11):
--- a/dotterelspread/resources.py
+++ b/dotterelspread/resources.py
@@ -47,3 +47,11 @@
             max(self.memory_mb, other.memory_mb),
             max(self.accelerators, other.accelerators),
         )
+
+    def at_most(self, other):
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.millicores, other.millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
--- /dev/null
+++ b/dotterelspread/taskcore.py
@@ -0,0 +1,182 @@
+"""The agent's reducer for tasks: from the cell's records to work on its own worker.
+
+Every handler updates the state and then works out afresh what is due, so that the
+effects depend on what is known and not on the order in which it was learned.
+"""
+
+from .cell import CellError, CellState
+from .claiming import claim_tasks, keep_membership, record_lapses
+from .ownership import follow_cell, report_results
+from .record import CellSnapshot, InstanceAnnounced, OwnerRenewed, TaskClaimed
+from .reducer import Tick, reduce
+from .taskevent import (
+    AppendSettled,
+    CellCaughtUp,
+    CellRecordRead,
+    CellTruncated,
+    ConfigurationChanged,
+    DrainRequested,
+    MembersChanged,
+    TaskStarted,
+    TaskStopped,
+    WorkerReported,
+)
+from .taskstate import LocalPhase, LocalTask, StopReason, TaskState
+
+__all__ = ["TaskState"]
+
+
+def settle_tasks(state, now_s):
+    """Return all effects that are due."""
+    if state.unplaced is not None:
+        return []
+    state.take_read_back(now_s)
+    effects = follow_cell(state, now_s)
+    if state.may_append(now_s):
+        effects += report_results(state, now_s)
+        effects += keep_membership(state, now_s)
+        effects += record_lapses(state, now_s)
+        effects += claim_tasks(state, now_s)
+    return effects
+
+
+@reduce.register
+def _(event: Tick, state: TaskState):
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: CellRecordRead, state: TaskState):
+    if state.unplaced is not None:
+        state.unplaced.append(event)
+        _resume_from_snapshot(state, event)
+        return []
+    _apply(state, event)
+    return []
+
+
+def _apply(state, event):
+    record = event.envelope.record
+    is_valid = state.cell.apply(event.offset, event.envelope)
+    if not is_valid:
+        return
+    if isinstance(record, OwnerRenewed | TaskClaimed):
+        owner = (record.owner_id, record.incarnation)
+        state.watch.record_renewal(event.now_s, owner, event.offset)
+    elif isinstance(record, InstanceAnnounced):
+        owner = (record.instance_id, record.incarnation)
+        state.watch.record_renewal(event.now_s, owner, event.offset)
+
+
+def _resume_from_snapshot(state, event):
+    """Take the state from a snapshot when the records after it are at hand."""
+    record = event.envelope.record
+    if not isinstance(record, CellSnapshot):
+        return
+    if record.as_of + 1 < state.unplaced[0].offset:
+        return
+    try:
+        state.cell = CellState.from_snapshot(record)
+    except CellError:
+        return
+    unplaced, state.unplaced = state.unplaced, None
+    for late in unplaced:
+        if late.offset > record.as_of:
+            _apply(state, late)
+
+
+@reduce.register
+def _(event: CellTruncated, state: TaskState):
+    if event.first_offset > state.cell.next_offset:
+        state.unplaced = []
+    return []
+
+
+@reduce.register
+def _(event: CellCaughtUp, state: TaskState):
+    state.cell.next_offset = max(state.cell.next_offset, event.next_offset)
+    state.watch.record_caught_up(event.now_s)
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: AppendSettled, state: TaskState):
+    state.settle(event.now_s, event.record, event.offset)
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: TaskStarted, state: TaskState):
+    local = state.locals_by_id.get(event.task_id)
+    if local is not None and local.epoch == event.epoch:
+        local.is_confirmed = True
+    return []
+
+
+@reduce.register
+def _(event: TaskStopped, state: TaskState):
+    local = state.locals_by_id.get(event.task_id)
+    if local is None or local.epoch != event.epoch:
+        return []
+    if local.phase is not LocalPhase.STOPPED:
+        local.phase = LocalPhase.STOPPED
+        local.outcome = event.outcome
+        local.detail = event.detail
+        local.checkpoint = event.checkpoint or local.checkpoint
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: WorkerReported, state: TaskState):
+    state.worker_reported_s = event.now_s
+    for usage in event.usages:
+        _note_usage(state, event.now_s, usage)
+    return settle_tasks(state, event.now_s)
+
+
+def _note_usage(state, now_s, usage):
+    task = state.cell.tasks_by_id.get(usage.task_id)
+    if task is None or task.owner_id != state.instance_id:
+        return
+    if task.epoch != usage.epoch:
+        return
+    if task.owner_incarnation < state.incarnation:
+        _adopt_to_stop(state, now_s, task)
+    elif not usage.used.fits_in(task.reserved.at_least(task.learned)):
+        state.learned_by_id[task.task_id] = usage.used
+
+
+def _adopt_to_stop(state, now_s, task):
+    """Stop a task that the agent's previous incarnation left running."""
+    if task.task_id in state.locals_by_id:
+        return
+    state.locals_by_id[task.task_id] = LocalTask(
+        task.task_id,
+        task.epoch,
+        task.spec,
+        task.lease_s,
+        now_s,
+        checkpoint=task.checkpoint,
+        phase=LocalPhase.STOPPING,
+        slice_deadline_s=float("inf"),
+        reason=StopReason.RESTARTED,
+        asked_s=float("-inf"),
+    )
+
+
+@reduce.register
+def _(event: MembersChanged, state: TaskState):
+    state.live_ids = event.live_ids
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: ConfigurationChanged, state: TaskState):
+    state.configuration = event.configuration
+    return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: DrainRequested, state: TaskState):
+    state.is_draining = True
+    return settle_tasks(state, event.now_s)
--- /dev/null
+++ b/dotterelspread/taskstate.py
@@ -0,0 +1,263 @@
+"""What an agent's task reducer remembers between events."""
+
+import enum
+from dataclasses import dataclass, field
+
+from .cell import CellState
+from .celltask import TaskPhase
+from .configuration import Configuration
+from .lease import LeaseWatch, owner_deadline_s
+from .record import (
+    InstanceAnnounced,
+    OwnerRenewed,
+    Record,
+    TaskClaimed,
+    TaskEnded,
+    TaskReleased,
+    TaskSpec,
+)
+from .resources import Resources
+from .taskevent import Append
+
+__all__ = ["InFlight", "LocalPhase", "LocalTask", "StopReason", "TaskState"]
+
+#: Seconds between attempts to append while the store fails.
+APPEND_RETRY_S = 0.5
+#: Seconds without a report after which the worker counts as unreachable.
+WORKER_SILENT_S = 10.0
+#: Assumed seconds from an append until it is read back, before one is measured.
+ROUND_TRIP_S = 0.1
+#: Weight of a new measurement of the round trip.
+ROUND_TRIP_GAIN = 0.2
+
+
+class LocalPhase(enum.Enum):
+    """Where a task stands on the agent's own worker."""
+
+    RUNNING = "running"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+
+
+class StopReason(enum.StrEnum):
+    """Why the agent stops a task."""
+
+    NONE = ""
+    CANCELLED = "cancelled"
+    DECLINED = "decline"
+    DRAIN = "drain"
+    EVICTED = "eviction"
+    FENCED = "fenced"
+    LEASE = "lease"
+    PREEMPTED = "preemption"
+    REPLACED = "replaced"
+    RESTARTED = "restart"
+
+
+@dataclass(slots=True)
+class LocalTask:
+    """A task that this agent owns and its worker runs or ran."""
+
+    task_id: str
+    epoch: int
+    spec: TaskSpec
+    lease_s: float
+    #: When the claim was sent; the lease counts from here or a later renewal.
+    sent_s: float
+    checkpoint: str = ""
+    phase: LocalPhase = LocalPhase.RUNNING
+    #: When the worker stops the task unless renewed.
+    slice_deadline_s: float = 0.0
+    started_s: float = 0.0
+    #: Whether the worker has reported the task.
+    is_confirmed: bool = False
+    #: When the latest start or stop was sent.
+    asked_s: float = 0.0
+    reason: StopReason = StopReason.NONE
+    outcome: str = ""
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class InFlight:
+    """An append whose record has not been read back yet."""
+
+    record: Record
+    sent_s: float
+    #: Where the record stands; None until that is known.
+    offset: int | None = None
+
+
+@dataclass(slots=True)
+class TaskState:
+    """State of the task reducer of one agent in one cell."""
+
+    announcement: InstanceAnnounced
+    #: Name of the cell's stream.
+    stream: str
+    cell: CellState = field(default_factory=CellState)
+    configuration: Configuration = field(default_factory=Configuration)
+    live_ids: frozenset | None = None
+    locals_by_id: dict[str, LocalTask] = field(default_factory=dict)
+    in_flight: list[InFlight] = field(default_factory=list)
+    watch: LeaseWatch = field(default_factory=LeaseWatch)
+    #: When the latest renewal that was read back had been sent.
+    renewed_s: float = float("-inf")
+    #: Appends wait until then after one failed.
+    retry_s: float = float("-inf")
+    worker_reported_s: float = float("-inf")
+    round_trip_s: float = ROUND_TRIP_S
+    is_draining: bool = False
+    #: When this agent sent the claim, by (task, epoch).
+    claims_sent_s: dict = field(default_factory=dict)
+    #: Amounts to learn with the next renewal, by task.
+    learned_by_id: dict[str, Resources] = field(default_factory=dict)
+    #: (first member of the ranking, since when) by pending task.
+    waits_by_id: dict = field(default_factory=dict)
+    #: Records read while the state before them is unknown; None when it is known.
+    unplaced: list | None = None
+
+    @classmethod
+    def from_announcement(cls, announcement, cell_name):
+        """Return the state of an agent that joins the cell with this name.
+
+        Parameters
+        ----------
+        announcement : InstanceAnnounced
+            The agent's own announcement; its capacity is what tasks may hold.
+        cell_name : str
+            Name of the cell's stream, such as ``cell.0``.
+        """
+        return cls(announcement, cell_name)
+
+    @property
+    def instance_id(self):
+        """Id of the agent's instance."""
+        return self.announcement.instance_id
+
+    @property
+    def incarnation(self):
+        """Incarnation of the agent."""
+        return self.announcement.incarnation
+
+    @property
+    def member(self):
+        """The agent's own entry in the cell, or None while it has none."""
+        member = self.cell.members_by_id.get(self.instance_id)
+        if member is None or member.incarnation != self.incarnation:
+            return None
+        return member if member.is_present else None
+
+    def is_alive(self, instance_id):
+        """Tell whether an instance is believed to be alive."""
+        return self.live_ids is None or instance_id in self.live_ids
+
+    @property
+    def tick_s(self):
+        """Seconds between the fallbacks of a ranking: two round trips."""
+        return 2 * self.round_trip_s
+
+    def owns(self, local):
+        """Tell whether the cell says that this agent owns ``local``'s epoch."""
+        task = self.cell.tasks_by_id.get(local.task_id)
+        return (
+            task is not None
+            and task.phase is TaskPhase.OWNED
+            and task.owner_id == self.instance_id
+            and task.epoch == local.epoch
+        )
+
+    def deadline_s(self, local):
+        """Return when a task must have stopped by the lease of its owner."""
+        return owner_deadline_s(max(local.sent_s, self.renewed_s), local.lease_s)
+
+    def is_in_flight(self, record_type, task_id=None):
+        """Tell whether such a record (of this task) is being appended."""
+        return any(
+            isinstance(item.record, record_type)
+            and (task_id is None or item.record.task_id == task_id)
+            for item in self.in_flight
+        )
+
+    def append(self, now_s, record):
+        """Return the effect that appends ``record``, and note it as in flight."""
+        self.in_flight.append(InFlight(record, now_s))
+        return Append(self.stream, record)
+
+    def may_append(self, now_s):
+        """Tell whether appends are sent now."""
+        return now_s >= self.retry_s
+
+    def has_worker(self, now_s):
+        """Tell whether the worker has reported lately."""
+        return now_s - self.worker_reported_s <= WORKER_SILENT_S
+
+    def settle(self, now_s, record, offset):
+        """Note what became of an append."""
+        for item in self.in_flight:
+            if item.offset is None and item.record == record:
+                item.offset = offset
+                break
+        else:
+            return
+        if offset is None:
+            self.in_flight.remove(item)
+            self.retry_s = now_s + APPEND_RETRY_S
+
+    def take_read_back(self, now_s):
+        """Settle the appends that have been read back, and what they renew."""
+        done = [
+            item
+            for item in self.in_flight
+            if item.offset is not None and item.offset < self.cell.next_offset
+        ]
+        for item in done:
+            self.in_flight.remove(item)
+            measured_s = now_s - item.sent_s
+            self.round_trip_s += ROUND_TRIP_GAIN * (measured_s - self.round_trip_s)
+            if isinstance(item.record, TaskClaimed):
+                self._count_claim(item)
+            self._count_renewal(item)
+
+    def _count_claim(self, item):
+        task = self.cell.tasks_by_id.get(item.record.task_id)
+        if task is not None and task.epoch == item.offset:
+            self.claims_sent_s[task.task_id, task.epoch] = item.sent_s
+
+    def _count_renewal(self, item):
+        """Extend the leases when a renewal at or after ``item`` was valid.
+
+        Such a renewal was appended, and so read by any taker, after ``item`` was sent.
+        """
+        is_renewal = isinstance(
+            item.record, OwnerRenewed | TaskClaimed | InstanceAnnounced
+        )
+        member = self.member
+        if is_renewal and member is not None and member.renewal_offset >= item.offset:
+            self.renewed_s = max(self.renewed_s, item.sent_s)
+
+    def take_learned(self):
+        """Return the amounts to learn that the cell does not know, and forget them."""
+        learned_by_id, self.learned_by_id = self.learned_by_id, {}
+        return {
+            task_id: amount
+            for task_id, amount in sorted(learned_by_id.items())
+            if task_id in self.locals_by_id
+        }
+
+    def own_room(self):
+        """Return what the instance has left once all that is in flight stands."""
+        member = self.member
+        room = member.room
+        for item in self.in_flight:
+            record = item.record
+            if isinstance(record, TaskClaimed):
+                room = room - record.reserved
+            elif isinstance(record, TaskEnded | TaskReleased):
+                room = room + self._held(record)
+        return room
+
+    def _held(self, record):
+        task = self.cell.tasks_by_id.get(record.task_id)
+        is_held = task is not None and task.owner_id == self.instance_id
+        return task.reserved if is_held else Resources()
--- /dev/null
+++ b/dotterelspread/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Variants of `dotterelspread.worker.Worker`."""
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,108 @@
+"""Stand-in for the platform's worker over HTTP.
+
+    python -m standins.worker --port 7070
+
+The wire form is in docs/PLATFORM.md.
+"""
+
+import time
+
+import msgspec
+import uvicorn
+from absl import app, flags
+from starlette.applications import Starlette
+from starlette.responses import Response
+from starlette.routing import Route
+
+from .workercore import TaskStart, WorkerCore
+
+__all__ = ["WorkerApp", "build_app"]
+
+
+class WorkerApp:
+    """Turns requests into calls of a `WorkerCore` on the machine's clock."""
+
+    def __init__(self, core, clock):
+        self.core = core
+        self.clock = clock
+
+    async def act(self, request):
+        """Answer a request that names a task and what to do with it."""
+        self.core.advance(self.clock())
+        task_id, action = request.path_params["task_id"], request.path_params["action"]
+        handlers = {
+            "start": self.start,
+            "renew": self.renew,
+            "checkpoint": self.checkpoint,
+            "throttle": self.throttle,
+            "stop": self.stop,
+        }
+        if action not in handlers:
+            return Response(status_code=404)
+        ended = handlers[action](task_id, await request.body())
+        if ended is None:
+            return Response(b'{"outcome":"running"}')
+        return Response(msgspec.json.encode(ended), 200 if action == "stop" else 409)
+
+    def start(self, task_id, data):
+        """Start a task."""
+        return self.core.start(task_id, msgspec.json.decode(data, type=TaskStart))
+
+    def renew(self, task_id, data):
+        """Move a task's deadline."""
+        body = msgspec.json.decode(data)
+        return self.core.renew(task_id, body["epoch"], body["deadline_s"])
+
+    def checkpoint(self, task_id, data):
+        """Make a checkpoint."""
+        return self.core.checkpoint(task_id, msgspec.json.decode(data)["epoch"])
+
+    def throttle(self, task_id, data):
+        """Slow a task down."""
+        return self.core.throttle(task_id, msgspec.json.decode(data)["share"])
+
+    def stop(self, task_id, data):
+        """Checkpoint and stop a task."""
+        return self.core.stop(task_id, msgspec.json.decode(data)["epoch"])
+
+    async def report(self, request):
+        """Answer what runs, and what ended since an earlier report."""
+        self.core.advance(self.clock())
+        since = int(request.query_params.get("since", 0))
+        body = {
+            "clock_s": self.core.now_s,
+            "running": self.core.usages(),
+            "ended": self.core.ended[since:],
+            "next": len(self.core.ended),
+        }
+        return Response(msgspec.json.encode(body))
+
+    async def history(self, request):
+        """Answer every stretch in which a task ran."""
+        self.core.advance(self.clock())
+        return Response(msgspec.json.encode(self.core.history))
+
+
+def build_app(core, clock=time.monotonic):
+    """Return the HTTP application around ``core``."""
+    worker = WorkerApp(core, clock)
+    routes = [
+        Route("/v1/tasks/{task_id:path}/{action}", worker.act, methods=["POST"]),
+        Route("/v1/report", worker.report),
+        Route("/v1/history", worker.history),
+    ]
+    return Starlette(routes=routes)
+
+
+def main(argv):
+    """Serve one worker until stopped."""
+    values = flags.FLAGS
+    core = WorkerCore(lag_s=values.lag_s, now_s=time.monotonic())
+    uvicorn.run(build_app(core), host=values.host, port=values.port, log_level="error")
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("host", "127.0.0.1", "Address to listen on.")
+    flags.DEFINE_integer("port", 7070, "Port to listen on.")
+    flags.DEFINE_float("lag_s", 5.0, "Seconds by which reports of usage lag.")
+    app.run(main)
--- /dev/null
+++ b/tests/builders_tasks.py
@@ -0,0 +1,365 @@
+"""Agents, workers and a log on virtual time, for tests and benches of the tasks.
+
+Only an event queue and fakes at the interfaces: the reducers are those of the product.
+"""
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from itertools import count
+
+from dotterelspread.record import (
+    Envelope,
+    InstanceAnnounced,
+    JobSubmitted,
+    TaskSpec,
+    encode_record,
+)
+from dotterelspread.reducer import Tick, reduce
+from dotterelspread.resources import Resources
+from dotterelspread.taskcore import TaskState
+from dotterelspread.taskevent import (
+    Append,
+    AppendSettled,
+    CellCaughtUp,
+    CellRecordRead,
+    CheckpointTask,
+    RenewTask,
+    StartTask,
+    StopTask,
+    TaskStarted,
+    TaskStopped,
+    TaskUsage,
+    ThrottleTask,
+    WorkerReported,
+)
+from standins.workercore import TaskStart, WorkerCore
+
+CELL = "cell.0"
+GROUP_S = 0.02
+POLL_S = 1.0
+TICK_S = 0.1
+CAPACITY = Resources(32_000, 128_000, 2)
+
+
+def announcement(number, incarnation=1, capacity=CAPACITY, racks=3, **fields):
+    return InstanceAnnounced(
+        f"i{number:02d}",
+        incarnation,
+        "agent",
+        f"10.0.0.{number}:7000",
+        "dc-a",
+        "region-a",
+        rack=f"r{number // racks}",
+        capacity=capacity,
+        **fields,
+    )
+
+
+def spec(task_id, millicores=1000, memory_mb=1000, run_time_s=60.0, **fields):
+    fields.setdefault("program", "sleep")
+    accelerators = fields.pop("accelerators", 0)
+    return TaskSpec(
+        task_id=task_id,
+        declared=Resources(millicores, memory_mb, accelerators),
+        run_time_s=run_time_s,
+        **fields,
+    )
+
+
+def job(job_id, *specs, urgency=1, is_service=False, team="team-a", labels=None):
+    tasks = specs or (spec(f"{job_id}/0"),)
+    return JobSubmitted(job_id, team, urgency, labels or {}, tasks, is_service)
+
+
+class FakeLog:
+    """One stream: it can be down, lose replies, and grows by whole appends."""
+
+    def __init__(self):
+        self.entries = []
+        self.is_up = True
+        self.bytes_appended = 0
+
+    def append(self, envelopes):
+        self.entries.append(tuple(envelopes))
+        self.bytes_appended += len(encode_record(envelopes))
+        return len(self.entries) - 1
+
+
+@dataclass
+class FakeAgent:
+    """An agent's reducer with its append queue, its reader and its worker."""
+
+    state: TaskState
+    worker: WorkerCore
+    rate: float = 1.0
+    is_alive: bool = True
+    is_frozen: bool = False
+    has_worker_link: bool = True
+    loses_replies: bool = False
+    lag_s: float = 0.05
+    read_offset: int = 0
+    sequence: int = 0
+    ended_seen: int = 0
+    queue: list = field(default_factory=list)
+    held: list = field(default_factory=list)
+    sending: list = field(default_factory=list)
+    reducer_s: float = 0.0
+
+    @property
+    def instance_id(self):
+        return self.state.instance_id
+
+
+class Fleet:
+    """Agents of one cell, driven by a queue of events in virtual time."""
+
+    def __init__(self, size, seed=0, capacity=CAPACITY, append_s=0.02, lag_s=0.05):
+        self.random = random.Random(seed)
+        self.capacity = capacity
+        self.append_s = append_s
+        self.lag_s = lag_s
+        self.now_s = 0.0
+        self.events = []
+        self.tie = count()
+        self.log = FakeLog()
+        self.agents = []
+        self.lost = []
+        self.entry_sequence = count(1)
+        self.on_effect = lambda agent, effect: None
+        for number in range(size):
+            self.add_agent(number)
+
+    def add_agent(self, number, incarnation=1, worker=None, rate=1.0, lag_s=0.0):
+        record = announcement(number, incarnation, self.capacity)
+        state = TaskState.from_announcement(record, CELL)
+        worker = worker or WorkerCore(lag_s=lag_s)
+        agent = FakeAgent(state, worker, rate=rate, lag_s=self.lag_s)
+        self.agents.append(agent)
+        self.after(self.random.uniform(0, POLL_S), self.poll, agent)
+        self.after(self.random.uniform(0, TICK_S), self.tick, agent)
+        return agent
+
+    def after(self, delay_s, action, *arguments):
+        entry = (self.now_s + delay_s, next(self.tie), action, arguments)
+        heapq.heappush(self.events, entry)
+
+    def run(self, duration_s):
+        end_s = self.now_s + duration_s
+        while self.events and self.events[0][0] <= end_s:
+            self.now_s, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments)
+        self.now_s = end_s
+        for agent in self.agents:
+            self.clock_worker(agent)
+
+    def submit(self, record):
+        """Append a record as an entry does, at once."""
+        self.commit([Envelope(0, next(self.entry_sequence), record)])
+
+    def commit(self, envelopes):
+        offset = self.log.append(envelopes)
+        for agent in self.agents:
+            self.after(agent.lag_s * self.random.uniform(0.5, 1.5), self.read, agent)
+        return offset
+
+    def clock_s(self, agent):
+        return self.now_s * agent.rate
+
+    def clock_worker(self, agent):
+        agent.worker.advance(self.clock_s(agent))
+
+    def send(self, agent, event_type, *fields):
+        """Give an agent one event and perform the effects."""
+        if not agent.is_alive or agent.is_frozen:
+            return
+        for effect in reduce(event_type(self.clock_s(agent), *fields), agent.state):
+            self.on_effect(agent, effect)
+            if isinstance(effect, Append):
+                agent.queue.append(effect.record)
+                if len(agent.queue) == 1 and not agent.sending:
+                    self.after(GROUP_S, self.send_append, agent)
+            else:
+                self.after(0.005, self.perform, agent, effect)
+
+    def send_append(self, agent):
+        if not agent.is_alive or agent.sending or not agent.queue:
+            return
+        agent.sending, agent.queue = agent.queue, []
+        self.after(self.append_s / 2, self.arrive, agent)
+
+    def arrive(self, agent):
+        """Let the store take an append, or refuse it while down."""
+        records, offset = agent.sending, None
+        if self.log.is_up:
+            first = agent.sequence
+            agent.sequence += len(records)
+            offset = self.commit(
+                [
+                    Envelope(agent.state.incarnation, first + place, record)
+                    for place, record in enumerate(records)
+                ]
+            )
+        if offset is None or not agent.loses_replies:
+            self.after(self.append_s / 2, self.settle, agent, offset)
+        else:
+            self.lost.append((agent, offset))
+
+    def settle(self, agent, offset):
+        if not agent.is_alive:
+            return
+        if agent.is_frozen:
+            agent.held.append((self.settle, agent, offset))
+            return
+        records, agent.sending = agent.sending, []
+        for record in records:
+            self.send(agent, AppendSettled, record, offset)
+        if agent.queue:
+            self.after(GROUP_S, self.send_append, agent)
+
+    def read(self, agent):
+        """Deliver what the agent's reader finds at the end of the stream."""
+        if not agent.is_alive or agent.is_frozen or not self.log.is_up:
+            return
+        while agent.read_offset < len(self.log.entries):
+            offset = agent.read_offset
+            agent.read_offset += 1
+            for envelope in self.log.entries[offset]:
+                self.send(agent, CellRecordRead, offset, envelope)
+            if (agent, offset) in self.lost:
+                self.lost.remove((agent, offset))
+                self.settle(agent, offset)
+        self.send(agent, CellCaughtUp, agent.read_offset)
+
+    def poll(self, agent):
+        if agent.is_alive:
+            self.read(agent)
+            self.after(POLL_S, self.poll, agent)
+
+    def tick(self, agent):
+        if not agent.is_alive:
+            return
+        self.report(agent)
+        self.send(agent, Tick)
+        self.after(TICK_S, self.tick, agent)
+
+    def report(self, agent):
+        """Tell the agent what its worker runs and what ended there."""
+        self.clock_worker(agent)
+        if agent.is_frozen or not agent.has_worker_link:
+            return
+        for ended in agent.worker.ended[agent.ended_seen :]:
+            agent.ended_seen += 1
+            self.tell_stop(agent, ended)
+        usages = tuple(
+            TaskUsage(task_id, epoch, Resources(*used))
+            for task_id, epoch, used in agent.worker.usages()
+        )
+        self.send(agent, WorkerReported, usages)
+
+    def tell_stop(self, agent, ended):
+        self.send(
+            agent,
+            TaskStopped,
+            ended.task_id,
+            ended.epoch,
+            ended.outcome,
+            ended.detail,
+            ended.checkpoint,
+        )
+
+    def perform(self, agent, effect):
+        if not agent.is_alive or not agent.has_worker_link:
+            return
+        if agent.is_frozen:
+            agent.held.append((self.perform, agent, effect))
+            return
+        self.clock_worker(agent)
+        ended = perform_on(agent.worker, effect)
+        if ended is not None:
+            self.tell_stop(agent, ended)
+        elif isinstance(effect, StartTask):
+            self.send(agent, TaskStarted, effect.task_id, effect.epoch)
+
+    def kill(self, agent):
+        agent.is_alive = False
+
+    def freeze(self, agent):
+        agent.is_frozen = True
+
+    def wake(self, agent):
+        agent.is_frozen = False
+        held, agent.held = agent.held, []
+        for action, *arguments in held:
+            action(*arguments)
+
+    def runs(self):
+        """Return (agent, run, start, stop) of every stretch, in true seconds."""
+        rows = []
+        for agent in self.agents:
+            self.clock_worker(agent)
+        workers = {id(agent.worker): agent for agent in self.agents}
+        for agent in workers.values():
+            for run in agent.worker.history:
+                stopped_s = run.stopped_s
+                stop_s = self.now_s if stopped_s is None else stopped_s / agent.rate
+                rows.append((agent, run, run.started_s / agent.rate, stop_s))
+        return rows
+
+
+def perform_on(worker, effect):
+    """Perform an effect on a worker core and return how its task ended, if it did."""
+    task_id = effect.task_id
+    if isinstance(effect, StartTask):
+        start = TaskStart(
+            effect.epoch,
+            effect.spec.program,
+            tuple(effect.spec.declared.__reduce__()[1]),
+            effect.spec.run_time_s,
+            effect.lease_deadline_s,
+            effect.spec.arguments,
+            effect.checkpoint,
+        )
+        return worker.start(task_id, start)
+    if isinstance(effect, RenewTask):
+        return worker.renew(task_id, effect.epoch, effect.lease_deadline_s)
+    if isinstance(effect, StopTask):
+        return worker.stop(task_id, effect.epoch)
+    if isinstance(effect, CheckpointTask):
+        return worker.checkpoint(task_id, effect.epoch)
+    if isinstance(effect, ThrottleTask):
+        worker.throttle(task_id, effect.share)
+    return None
+
+
+def overlaps(rows):
+    """Return the tasks that ran in two places at one moment."""
+    by_task = {}
+    for agent, run, start_s, stop_s in rows:
+        by_task.setdefault(run.task_id, []).append((start_s, stop_s, agent))
+    found = []
+    for task_id, spans in by_task.items():
+        spans.sort(key=lambda span: span[:2])
+        for (_, stop_s, _), (start_s, _, _) in zip(spans, spans[1:], strict=False):
+            if start_s < stop_s - 1e-6:
+                found.append(task_id)
+    return found
+
+
+def overloads(rows, capacity):
+    """Return the agents whose worker held more than its capacity at some moment."""
+    by_agent = {}
+    for agent, run, start_s, stop_s in rows:
+        size = Resources(*run.declared)
+        changes = by_agent.setdefault(agent.instance_id, [])
+        changes.append((start_s, 1, size))
+        changes.append((stop_s, 0, size))
+    found = []
+    for instance_id, changes in by_agent.items():
+        used = Resources()
+        for _, is_start, size in sorted(changes, key=lambda change: change[:2]):
+            used = used + size if is_start else used - size
+            if not used.fits_in(capacity):
+                found.append(instance_id)
+                break
+    return found
