Share out cells among teams by weighted max-min

Cause: quotas must be computed alike by every reader of the summary stream. Block-coordinate filling of one cell after another over piecewise-linear team levels (quota first, weight above it); ruled out: max-flow per filling step (too slow in Python).

--- /dev/null
+++ b/dotterelspread/quota.py
@@ -0,0 +1,244 @@
+"""Quotas of teams over all cells: who may start, borrow, or take capacity back.
+
+The state is a pure function of the latest summaries in the ``summary`` stream, so
+that every reader computes the same allowances at the same offset. Unused quota is
+lent; a team takes it back by being first in order and by preemption.
+"""
+
+from dataclasses import dataclass
+
+from .configuration import Urgency
+from .record import CellSummary
+from .reducer import Event, reduce
+from .resources import Resources
+from .shareplan import RESOURCE_NAMES, SharePlan, above
+from .summary import STALE_ROUNDS, SummaryTable
+
+__all__ = ["Excess", "QuotaState", "StartDecision", "SummaryRead"]
+
+NOTHING = Resources()
+
+#: Times that the shares are worked out anew for each round of summaries.
+REFRESHES_PER_ROUND = 2
+
+
+@dataclass(slots=True, frozen=True)
+class SummaryRead(Event):
+    """A summary of a cell was read from the ``summary`` stream."""
+
+    offset: int
+    summary: CellSummary
+
+
+@dataclass(slots=True, frozen=True)
+class StartDecision:
+    """Whether a team's task may start now in a cell, and why."""
+
+    allowed: bool
+    #: True when tasks of teams above their allowance may be preempted for it.
+    may_preempt: bool
+    reason: str
+
+
+@dataclass(slots=True, frozen=True)
+class Excess:
+    """What a team holds above its allowance in one cell."""
+
+    team: str
+    amount: Resources
+
+
+class QuotaState:
+    """Shares of all teams as of an offset of the ``summary`` stream.
+
+    Use one in every process that starts work or explains why it waits. The shares
+    are worked out at offsets that depend on the stream alone, twice a round.
+
+    Parameters
+    ----------
+    teams_by_name : dict of str to TeamConfig
+    """
+
+    __slots__ = ("_plan", "_table", "_teams_by_name")
+
+    def __init__(self, teams_by_name):
+        self._teams_by_name = dict(teams_by_name)
+        self._table = SummaryTable()
+        self._plan = SharePlan(self._teams_by_name, {}, set())
+
+    @classmethod
+    def from_config(cls, configuration):
+        """Return a state without summaries for the teams of a configuration."""
+        return cls(configuration.teams_by_name)
+
+    def configure(self, configuration):
+        """Take the teams of a later configuration; the summaries stay."""
+        self._teams_by_name = dict(configuration.teams_by_name)
+        self._refresh()
+
+    @property
+    def offset(self):
+        """Offset of the last summary applied; -1 for none."""
+        return self._table.offset
+
+    def apply(self, offset, summary):
+        """Take the summary at ``offset``; one that was applied before is ignored."""
+        before = self._table.offset
+        if not self._table.apply(offset, summary):
+            return
+        cells = len(self._table.by_cell)
+        due = REFRESHES_PER_ROUND * offset // cells
+        if due != REFRESHES_PER_ROUND * before // cells:
+            self._refresh()
+
+    def _refresh(self):
+        """Have the shares worked out anew from the summaries read so far."""
+        by_cell = dict(self._table.by_cell)
+        silent = {cell for cell in by_cell if self._table.is_stale(cell)}
+        self._plan = SharePlan(self._teams_by_name, by_cell, silent)
+
+    def allowance(self, cell, team):
+        """Return what the team may hold in the cell given all reported demand.
+
+        The allowances of all teams together are within the cell's capacity.
+        """
+        return self._plan.allowance(cell, team)
+
+    def entitlement(self, cell, team):
+        """Return the cell's share of a team that would take all it can get.
+
+        It covers work that came after the last summary.
+        """
+        return self._plan.entitlement(cell, team)
+
+    def may_start(self, cell, team, used, asked, urgency=Urgency.NORMAL):
+        """Decide whether a task may start in a cell.
+
+        Parameters
+        ----------
+        cell, team : str
+        used : Resources
+            What the team holds in the cell now.
+        asked : Resources
+            What the task would add.
+        urgency : Urgency
+            Urgent work within its team's share may preempt at once.
+
+        Returns
+        -------
+        decision : StartDecision
+        """
+        plan = self._plan
+        if cell not in plan.by_cell:
+            return StartDecision(True, False, f"no summary of cell {cell} yet")
+        short = _exhausted(used, plan.entitlement(cell, team), asked)
+        if not short:
+            behind = above(plan.allowance(cell, team), used) != NOTHING
+            preempts = urgency >= Urgency.URGENT or behind
+            return StartDecision(True, preempts, f"{team} is within its share")
+        unowed = plan.by_cell[cell].room() - plan.owed(cell, team)
+        if asked.fits_in(unowed):
+            return StartDecision(True, False, f"{team} borrows idle capacity")
+        return StartDecision(
+            False,
+            False,
+            f"{team} holds its whole share of {short} in {cell}, "
+            "and the rest is in use or due to teams below theirs",
+        )
+
+    def excess(self, cell, used_by_team, team=None, asked=NOTHING):
+        """Return teams above their allowance, the one furthest above it first.
+
+        Only a task that leaves its team at or above its allowance may be preempted,
+        so that a team is never pushed below its share.
+
+        Parameters
+        ----------
+        cell : str
+        used_by_team : dict of str to Resources
+            What the teams hold in the cell now.
+        team : str or None
+            Team for whose task capacity is wanted; it is not among those returned.
+        asked : Resources
+            Amount wanted, counted as demand of ``team``.
+
+        Returns
+        -------
+        excesses : list of Excess
+        """
+        if cell not in self._plan.by_cell:
+            return []
+        shares = self._plan.shares(cell)
+        if team is not None:
+            demand = used_by_team.get(team, NOTHING) + asked
+            shares = self._plan.shares_if(cell, team, demand)
+        excesses = [
+            Excess(name, above(used, shares.get(name, NOTHING)))
+            for name, used in sorted(used_by_team.items())
+            if name != team
+        ]
+        capacity = self._plan.by_cell[cell].capacity
+        found = [excess for excess in excesses if excess.amount != NOTHING]
+        return sorted(found, key=lambda e: -_dominant(e.amount, capacity))
+
+    def explain(self, team):
+        """Return in words what the team holds, its share, and why it waits."""
+        used, waiting, share = NOTHING, NOTHING, NOTHING
+        waits = []
+        for cell, known in sorted(self._plan.by_cell.items()):
+            share += self.allowance(cell, team)
+            use = known.use_by_team.get(team)
+            if use is None:
+                continue
+            used += use.used
+            waiting += use.waiting
+            if use.waiting != NOTHING:
+                waits.append(self._explain_wait(cell, team, use))
+        lines = [
+            f"{team} holds {describe(used)}; its share now is {describe(share)} "
+            f"and its quota {describe(self._plan.config_of(team).quota)}."
+        ]
+        if waits:
+            lines.append(f"It waits for {describe(waiting)}:")
+        return "\n".join(lines + waits)
+
+    def _explain_wait(self, cell, team, use):
+        amount = f"  {cell}: {describe(use.waiting)}"
+        if cell in self._plan.silent:
+            return f"{amount}; the cell has been silent for {STALE_ROUNDS} rounds"
+        short = _exhausted(use.used, self.allowance(cell, team), use.waiting)
+        if short:
+            return f"{amount}; the team's whole share of {short} there is in use"
+        if use.waiting.fits_in(self._plan.by_cell[cell].room()):
+            return f"{amount}; no single worker has room yet"
+        return f"{amount}; work of teams above their share is to be preempted for it"
+
+
+def describe(amount):
+    """Return an amount of resources in words."""
+    parts = [f"{amount.millicores / 1000:g} cores", f"{amount.memory_mb} MB"]
+    if amount.accelerators:
+        parts.append(f"{amount.accelerators} accelerators")
+    return ", ".join(parts)
+
+
+def _exhausted(used, limit, asked):
+    """Return the name of an asked resource of which nothing is left; '' for none."""
+    for name in RESOURCE_NAMES:
+        if getattr(asked, name) > 0 and getattr(used, name) >= getattr(limit, name):
+            return name
+    return ""
+
+
+def _dominant(amount, capacity):
+    """Return the largest part of the capacity that the amount is of any resource."""
+    return max(
+        getattr(amount, name) / max(getattr(capacity, name), 1)
+        for name in RESOURCE_NAMES
+    )
+
+
+@reduce.register
+def _(event: SummaryRead, state):
+    state.quota.apply(event.offset, event.summary)
+    return []
--- /dev/null
+++ b/dotterelspread/shareplan.py
@@ -0,0 +1,137 @@
+"""The shares of all teams in all cells, worked out from one set of summaries."""
+
+from .configuration import TeamConfig
+from .maxmin import Claimant, fill, fill_cells, round_shares
+from .resources import Resources
+
+__all__ = ["RESOURCE_NAMES", "SharePlan", "above"]
+
+RESOURCE_NAMES = Resources.__struct_fields__
+
+NOTHING = Resources()
+
+#: Weight of teams that were given less.
+MIN_WEIGHT = 1e-6
+
+
+def above(amount, limit):
+    """Return by how much ``amount`` exceeds ``limit``, never below nothing."""
+    return (amount - limit).at_least(NOTHING)
+
+
+class SharePlan:
+    """Max-min shares by cell and team; worked out when first asked for.
+
+    Each resource is shared out by itself. A silent cell is not shared out: its teams
+    keep what they last used there, and this counts towards their level elsewhere.
+
+    Parameters
+    ----------
+    teams_by_name : dict of str to TeamConfig
+    by_cell : dict of str to CellUse
+    silent : set of str
+        Cells that have missed several summaries.
+    """
+
+    __slots__ = ("_entitlements", "_shares", "_teams_by_name", "by_cell", "silent")
+
+    def __init__(self, teams_by_name, by_cell, silent):
+        self._teams_by_name = teams_by_name
+        self.by_cell = by_cell
+        self.silent = silent
+        self._shares = None
+        self._entitlements = {}
+
+    def config_of(self, team):
+        """Return the team's configuration; one not configured has no quota."""
+        return self._teams_by_name.get(team) or TeamConfig(team, NOTHING)
+
+    def shares(self, cell):
+        """Return the shares in a cell by team."""
+        if self._shares is None:
+            self._shares = self._share_out()
+        return self._shares[cell]
+
+    def allowance(self, cell, team):
+        """Return the share of a team in a cell; nothing where it has no demand."""
+        if cell not in self.by_cell:
+            return NOTHING
+        return self.shares(cell).get(team, NOTHING)
+
+    def entitlement(self, cell, team):
+        """Return the share that the team would have with unlimited demand there."""
+        if cell not in self.by_cell:
+            return NOTHING
+        if (cell, team) not in self._entitlements:
+            shares = self.shares_if(cell, team, self.by_cell[cell].capacity)
+            self._entitlements[cell, team] = shares.get(team, NOTHING)
+        return self._entitlements[cell, team]
+
+    def shares_if(self, cell, team, demand):
+        """Return the cell's shares by team, were ``team`` to demand ``demand``."""
+        if cell in self.silent:
+            return self.shares(cell)
+        demands = self.by_cell[cell].demand_by_team()
+        demands[team] = demand
+        capacity = self.by_cell[cell].capacity
+        columns = []
+        for name in RESOURCE_NAMES:
+            claimants = self._claimants(name, demands)
+            for claimant in claimants:
+                claimant.elsewhere = self._held_elsewhere(cell, claimant.team, name)
+            room = getattr(capacity, name)
+            columns.append(round_shares(claimants, fill(claimants, room), room))
+        amounts = map(Resources, *columns)
+        return dict(zip(sorted(demands), amounts, strict=True))
+
+    def owed(self, cell, team):
+        """Return what other teams wait for in a cell within their shares."""
+        owed = NOTHING
+        for use in self.by_cell[cell].summary.teams:
+            if use.team != team and use.waiting != NOTHING:
+                owed += above(self.allowance(cell, use.team), use.used)
+        return owed
+
+    def _claimants(self, name, demand_by_team):
+        claimants = []
+        for team, demand in sorted(demand_by_team.items()):
+            config = self.config_of(team)
+            claimant = Claimant(
+                team,
+                demand=getattr(demand, name),
+                quota=getattr(config.quota, name),
+                weight=max(config.weight, MIN_WEIGHT),
+            )
+            claimants.append(claimant)
+        return claimants
+
+    def _held_elsewhere(self, cell, team, name):
+        return sum(
+            getattr(self.shares(other).get(team, NOTHING), name)
+            for other in self.by_cell
+            if other != cell
+        )
+
+    def _share_out(self):
+        live = sorted(cell for cell in self.by_cell if cell not in self.silent)
+        shares = {cell: self.by_cell[cell].used_by_team() for cell in self.silent}
+        columns = [self._share_resource(name, live) for name in RESOURCE_NAMES]
+        for cell in live:
+            shares[cell] = {
+                team: Resources(*(column[cell][team] for column in columns))
+                for team in self.by_cell[cell].demand_by_team()
+            }
+        return shares
+
+    def _share_resource(self, name, live):
+        """Share out one resource of the live cells."""
+        held = {}
+        for cell in sorted(self.silent):
+            for team, used in self.by_cell[cell].used_by_team().items():
+                held[team] = held.get(team, 0) + getattr(used, name)
+        claimants = {
+            cell: self._claimants(name, self.by_cell[cell].demand_by_team())
+            for cell in live
+        }
+        room = {cell: getattr(self.by_cell[cell].capacity, name) for cell in live}
+        return fill_cells(claimants, room, held)
--- /dev/null
+++ b/dotterelspread/summary.py
@@ -0,0 +1,123 @@
+"""Summaries of cells: building them, and the table of the latest one of each cell.
+
+Staleness is counted in rounds, one round being as many summaries as there are cells,
+so that it depends on the stream alone and on no clock.
+"""
+
+from dataclasses import dataclass, field
+
+from .record import CellSummary, TeamUse
+from .resources import Resources
+
+__all__ = ["CellUse", "SummaryTable", "summarize"]
+
+#: Seconds between two summaries of a cell.
+SUMMARY_PERIOD_S = 15.0
+
+#: Rounds of summaries that a cell may miss before its use counts as frozen.
+STALE_ROUNDS = 3
+
+#: Rounds of summaries after which a silent cell is dropped.
+FORGET_ROUNDS = 60
+
+NOTHING = Resources()
+
+
+def summarize(cell, as_of, capacity, used_by_team, waiting_by_team):
+    """Return the summary of a cell, without the teams that neither use nor wait.
+
+    Parameters
+    ----------
+    cell : str
+    as_of : int
+        Offset of the cell's stream that the amounts stand for.
+    capacity : Resources
+    used_by_team, waiting_by_team : dict of str to Resources
+
+    Returns
+    -------
+    summary : CellSummary
+    """
+    teams = sorted(used_by_team.keys() | waiting_by_team.keys())
+    uses = [
+        TeamUse(
+            team, used_by_team.get(team, NOTHING), waiting_by_team.get(team, NOTHING)
+        )
+        for team in teams
+    ]
+    busy = tuple(use for use in uses if use.used != NOTHING or use.waiting != NOTHING)
+    return CellSummary(cell, as_of, capacity, busy)
+
+
+@dataclass(slots=True)
+class CellUse:
+    """The latest summary of one cell, and when it came."""
+
+    summary: CellSummary
+    #: Number of summaries read before this one.
+    position: int
+    use_by_team: dict[str, TeamUse] = field(default_factory=dict)
+
+    @property
+    def capacity(self):
+        """Capacity of the cell."""
+        return self.summary.capacity
+
+    def room(self):
+        """Return what no team used."""
+        room = self.summary.capacity
+        for use in self.summary.teams:
+            room -= use.used
+        return room.at_least(NOTHING)
+
+    def demand_by_team(self):
+        """Return what each team uses and waits for together."""
+        return {use.team: use.used + use.waiting for use in self.summary.teams}
+
+    def used_by_team(self):
+        """Return what each team uses."""
+        return {use.team: use.used for use in self.summary.teams}
+
+
+class SummaryTable:
+    """The latest summary of every cell as of an offset of the ``summary`` stream."""
+
+    __slots__ = ("_position", "by_cell", "offset")
+
+    def __init__(self):
+        #: Latest summaries by name of the cell.
+        self.by_cell = {}
+        #: Offset of the last summary read; -1 for none.
+        self.offset = -1
+        self._position = 0
+
+    def apply(self, offset, summary):
+        """Take the summary at ``offset`` and tell whether it was new."""
+        if offset <= self.offset:
+            return False
+        self.offset = offset
+        known = self.by_cell.get(summary.cell)
+        if known is None or known.summary.as_of <= summary.as_of:
+            uses = {use.team: use for use in summary.teams}
+            self.by_cell[summary.cell] = CellUse(summary, self._position, uses)
+        self._position += 1
+        self._forget_silent()
+        return True
+
+    def is_stale(self, cell):
+        """Tell whether a cell has missed so many summaries that it seems cut off."""
+        known = self.by_cell.get(cell)
+        return known is None or self._silence(known) >= STALE_ROUNDS
+
+    def _silence(self, known):
+        """Return the rounds of summaries since the cell's last one."""
+        return (self._position - 1 - known.position) / max(len(self.by_cell), 1)
+
+    def _forget_silent(self):
+        silent = [
+            name
+            for name, known in self.by_cell.items()
+            if self._silence(known) >= FORGET_ROUNDS
+        ]
+        for name in silent:
+            del self.by_cell[name]
