--- /dev/null
+++ b/dotterelspread/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""The controllers that settings can name."""
--- /dev/null
+++ b/dotterelspread/controllers/feedback.py
@@ -0,0 +1,144 @@
+"""Feedback control of batch work by what was learned of each pairing.
+
+Programs get cores in the order of their slowdown per core, as long as the tail latency
+that the model expects, with a margin for what it doesn't know, stays within target.
+Shares fall at once and rise slowly. Only work that has been throttled almost to nothing
+for long is evicted, one task at a time.
+"""
+
+import math
+
+from ..controller import BatchDecision, Controller, cheapest_victim, cores_by_program
+from ..interference import InterferenceModel
+
+__all__ = ["FeedbackController"]
+
+#: Standard deviations of caution: the least, and what full latency weight adds.
+MIN_CAUTION = 1.0
+LATENCY_CAUTION = 1.0
+
+#: Margin of the log latency below target: the least, and with full latency weight.
+MIN_MARGIN = 0.12
+LATENCY_MARGIN = 0.12
+
+#: Rise of a program's share per second.
+SHARE_RISE_PER_S = 0.02
+
+#: Smallest change of a share that is made.
+SHARE_STEP = 0.02
+
+#: Seconds without rises after a report above target; covers the lag of reports.
+COOL_DOWN_S = 30.0
+
+#: Factor on all shares after a report above target that the model did not expect.
+BACK_OFF = 0.7
+
+#: Share below which a program counts as held back.
+HELD_BACK_SHARE = 0.1
+
+#: Seconds that a program must be held back before eviction, and what full batch
+#: weight adds.
+EVICT_AFTER_S = 300.0
+BATCH_PATIENCE_S = 600.0
+
+
+class FeedbackController(Controller):
+    """Keeps the service's tail latency within target at the least cost to batch work.
+
+    Use it on every instance that runs a service beside batch tasks.
+    """
+
+    name = "feedback"
+
+    def __init__(self, target_s, objectives):
+        super().__init__(target_s, objectives)
+        self.model = InterferenceModel(target_s)
+        latency, batch = objectives.latency_weight, objectives.batch_weight
+        self._caution = MIN_CAUTION + LATENCY_CAUTION * latency
+        self._limit = math.log(target_s) - (MIN_MARGIN + LATENCY_MARGIN * latency)
+        self._patience_s = EVICT_AFTER_S + BATCH_PATIENCE_S * batch
+        self._share_by_program = {}
+        self._held_back_since_s = {}
+        self._decided_s = None
+        self._alarm_s = -math.inf
+        self._evicted_s = -math.inf
+        self._is_above = False
+
+    def report(self, sample):
+        """Learn from a report; one above target also backs off at once."""
+        self.model.observe(sample)
+        if sample.p99_s > self.target_s and sample.end_s > self._alarm_s:
+            self._is_above = True
+
+    def decide(self, now_s, load, tasks):
+        """Return shares by program, and at most one task to evict."""
+        wanted = cores_by_program(tasks)
+        goals = self._goals(load, wanted)
+        self._move_shares(now_s, goals)
+        shares = {program: self._share_by_program[program] for program in wanted}
+        running = {program: shares[program] * wanted[program] for program in wanted}
+        self.model.history.record(now_s, running)
+        total = sum(wanted.values())
+        share = sum(running.values()) / total if total else 1.0
+        victim = self._victim(now_s, tasks)
+        if victim is None:
+            reason = self._reason(shares)
+            return BatchDecision(share, shares, reason=reason)
+        reason = f"{victim.program} held back for {self._patience_s:.0f} s"
+        return BatchDecision(share, shares, (victim.task_id,), reason)
+
+    def _goals(self, load, wanted):
+        """Return the share that each program could have at this load."""
+        mean, deviation = self.model.baseline(load)
+        room = self._limit - mean - self._caution * deviation
+        costs = {}
+        for program in wanted:
+            pairing = self.model.pairing(program, load)
+            cost = pairing.slowdown + self._caution * pairing.uncertainty
+            costs[program] = max(cost, 0.0)
+        goals = {}
+        for program in sorted(wanted, key=lambda name: (costs[name], name)):
+            cost = costs[program] * wanted[program]
+            goals[program] = 1.0 if cost <= room else max(room / cost, 0.0)
+            room -= goals[program] * cost
+        return goals
+
+    def _move_shares(self, now_s, goals):
+        """Move the shares towards their goals: down at once, up slowly."""
+        passed_s = 0.0 if self._decided_s is None else now_s - self._decided_s
+        self._decided_s = now_s
+        if self._is_above:
+            self._is_above = False
+            self._alarm_s = now_s
+            for program in self._share_by_program:
+                self._share_by_program[program] *= BACK_OFF
+        may_rise = now_s >= self._alarm_s + COOL_DOWN_S
+        rise = SHARE_RISE_PER_S * passed_s if may_rise else 0.0
+        moved = {}
+        for program, goal in goals.items():
+            share = self._share_by_program.get(program, min(goal, 0.5))
+            if goal < share - SHARE_STEP or goal > share + SHARE_STEP or goal == 0.0:
+                share = min(goal, share + rise)
+            moved[program] = share
+        self._share_by_program = moved
+
+    def _victim(self, now_s, tasks):
+        """Return the cheapest task of the programs held back for too long."""
+        held = {}
+        for program, share in self._share_by_program.items():
+            if share < HELD_BACK_SHARE:
+                held[program] = self._held_back_since_s.get(program, now_s)
+        self._held_back_since_s = held
+        if now_s < self._evicted_s + COOL_DOWN_S:
+            return None
+        late = {p for p, since_s in held.items() if now_s >= since_s + self._patience_s}
+        victim = cheapest_victim([task for task in tasks if task.program in late])
+        if victim is not None:
+            self._evicted_s = now_s
+        return victim
+
+    def _reason(self, shares):
+        throttled = sorted(p for p, share in shares.items() if share < 1.0)
+        if not throttled:
+            return "service within target"
+        return f"throttled for the service's p99: {', '.join(throttled)}"
--- /dev/null
+++ b/dotterelspread/controllers/fixed.py
@@ -0,0 +1,32 @@
+"""A fixed cap on batch work, and eviction when a report exceeds the target."""
+
+from ..controller import BatchDecision, Controller, cheapest_victim, cores_by_program
+
+__all__ = ["FixedController"]
+
+#: Part of the wanted cores that batch tasks get.
+FIXED_SHARE = 0.6
+
+
+class FixedController(Controller):
+    """Caps batch work and evicts at a threshold, without learning; a baseline."""
+
+    name = "fixed"
+
+    def __init__(self, target_s, objectives):
+        super().__init__(target_s, objectives)
+        self._is_above = False
+
+    def report(self, sample):
+        """Note whether the latest report is above the target."""
+        self._is_above = sample.p99_s > self.target_s
+
+    def decide(self, now_s, load, tasks):
+        """Return the fixed share, evicting one task for each report above target."""
+        shares = dict.fromkeys(cores_by_program(tasks), FIXED_SHARE)
+        victim = cheapest_victim(tasks) if self._is_above else None
+        self._is_above = False
+        if victim is None:
+            return BatchDecision(FIXED_SHARE, shares, reason="fixed cap")
+        evicted = (victim.task_id,)
+        return BatchDecision(FIXED_SHARE, shares, evicted, "p99 above target")
--- /dev/null
+++ b/dotterelspread/evidence.py
@@ -0,0 +1,127 @@
+"""What failed and succeeded where: the evidence that quarantine decides by.
+
+Likelihood ratios are products of plain divisions, without logarithms, so that every
+reader of a cell's stream computes the same numbers on any machine.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["FailureRate", "JobEvidence", "Run", "WorkerEvidence", "chance_of_failures"]
+
+#: Runs of a worker that are looked back at.
+WINDOW_RUNS = 24
+
+#: Part of the starts that a bad worker is taken to fail.
+BAD_WORKER_FAILS = 0.9
+
+#: Weight that an earlier run keeps in a rate with each later one.
+RATE_DECAY = 0.995
+
+#: Bounds of a failure rate, so that neither extreme proves anything by itself.
+MIN_RATE = 0.02
+MAX_RATE = 0.6
+
+
+@dataclass(slots=True)
+class FailureRate:
+    """Part of recent runs that failed, starting from a prior."""
+
+    failed: float
+    total: float
+
+    def add(self, ok):
+        """Count one run."""
+        self.failed = self.failed * RATE_DECAY + (0.0 if ok else 1.0)
+        self.total = self.total * RATE_DECAY + 1.0
+
+    @property
+    def value(self):
+        """The rate, 0 to 1."""
+        return min(max(self.failed / self.total, MIN_RATE), MAX_RATE)
+
+
+@dataclass(slots=True)
+class Run:
+    """One ended run on a worker."""
+
+    job_id: str
+    ok: bool
+
+
+@dataclass(slots=True)
+class JobEvidence:
+    """How a job's tasks have ended so far."""
+
+    starts: int = 0
+    #: Workers on which a task of the job completed.
+    good_worker_ids: set[str] = field(default_factory=set)
+    #: Failures by worker.
+    failures_by_worker: dict[str, int] = field(default_factory=dict)
+
+    def succeeded_elsewhere(self, worker_id):
+        """Tell whether a task of the job completed on another worker."""
+        return any(other != worker_id for other in self.good_worker_ids)
+
+    def failed_elsewhere(self, worker_id, trusted):
+        """Tell whether the job failed on another worker that is trusted."""
+        return any(
+            other != worker_id and trusted(other) for other in self.failures_by_worker
+        )
+
+    def chance_of_noise(self, rate, trusted):
+        """Return how likely its failures are if it is sound; 1 when it succeeded."""
+        if self.good_worker_ids:
+            return 1.0
+        failed = sum(1 for worker in self.failures_by_worker if trusted(worker))
+        starts = max(self.starts, failed)
+        return chance_of_failures(starts, failed, rate)
+
+
+def chance_of_failures(starts, failed, rate):
+    """Return a bound on the chance that ``failed`` of the starts fail by noise."""
+    chance = 1.0
+    for index in range(failed):
+        chance *= rate * (starts - index) / (index + 1)
+    return chance
+
+
+@dataclass(slots=True)
+class WorkerEvidence:
+    """How runs on a worker have ended, and whether it is quarantined."""
+
+    runs: deque[Run] = field(default_factory=lambda: deque(maxlen=WINDOW_RUNS))
+    #: Likelihood of its runs if it is bad over that if it is sound.
+    ratio: float = 1.0
+    #: Offset at which it was quarantined; None when it is not.
+    quarantined_at: int | None = None
+    #: Offset from which the next probe may start.
+    probe_at: int = 0
+    #: Offsets between a failed probe and the next one.
+    probe_gap: int = 0
+    probes_passed: int = 0
+
+    def weigh(self, noise, first_rate, judge):
+        """Return the likelihood ratio of the recent runs (cumulative sum test).
+
+        Parameters
+        ----------
+        noise : float
+            Failure rate of jobs that have succeeded, on trusted workers.
+        first_rate : float
+            Failure rate of jobs that have not succeeded yet.
+        judge : callable
+            Gives ``acquitted``, ``unknown`` or ``blamed`` for a job's id.
+        """
+        ratio, counted = 1.0, set()
+        for run in self.runs:
+            if run.ok:
+                ratio = max(1.0, ratio * (1.0 - BAD_WORKER_FAILS) / (1.0 - noise))
+                continue
+            standing = judge(run.job_id)
+            if standing == "blamed" or run.job_id in counted:
+                continue
+            counted.add(run.job_id)
+            rate = noise if standing == "acquitted" else first_rate
+            ratio = max(1.0, ratio * BAD_WORKER_FAILS / rate)
+        return ratio
--- /dev/null
+++ b/dotterelspread/interference.py
@@ -0,0 +1,245 @@
+"""Learning how batch programs slow a service down, per pairing, from lagging reports.
+
+The logarithm of the service's tail latency is modelled as a baseline plus, for each
+batch program, its running cores times a slowdown per core; both depend on the load of
+the service by linear interpolation between a few knots. The weights are tracked by a
+Kalman filter, whose variances also say how much is still unknown. A report about an
+earlier moment is compared with the batch cores that ran then.
+"""
+
+import math
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+
+__all__ = ["CoreHistory", "InterferenceModel", "Pairing", "UsageSample"]
+
+#: Loads of the service at which weights are kept; 1 is all slots in use.
+LOAD_KNOTS = (0.2, 0.5, 0.8)
+
+#: Batch programs that weights are kept for.
+MAX_PROGRAMS = 10
+
+#: Seconds of running cores that are kept to be compared with late reports.
+HISTORY_S = 90.0
+
+#: Prior of a program's slowdown: log latency per core, and its standard deviation.
+PRIOR_SLOWDOWN = 0.02
+PRIOR_SLOWDOWN_SD = 0.03
+
+#: Standard deviation of the baseline's prior, and of the noise of a sample.
+PRIOR_BASELINE_SD = 1.0
+SAMPLE_SD = 0.12
+
+#: Variances that a second of drift adds to the baseline and to a slowdown.
+BASELINE_DRIFT = 2e-5
+SLOWDOWN_DRIFT = 2e-8
+
+
+@dataclass(slots=True, frozen=True)
+class UsageSample:
+    """What a usage report says about a service on one instance.
+
+    Parameters
+    ----------
+    start_s, end_s : float
+        The seconds that the sample was measured over; they are over when it arrives.
+    load : float
+        Part of the service's slots in use, averaged over these seconds.
+    p99_s : float
+        Tail latency of the service over these seconds.
+    """
+
+    start_s: float
+    end_s: float
+    load: float
+    p99_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Pairing:
+    """What has been learned of one program beside the service, at one load."""
+
+    #: Rise of log latency per running core.
+    slowdown: float
+    #: Standard deviation of the slowdown.
+    uncertainty: float
+
+
+class CoreHistory:
+    """Batch cores that ran of each program in the last seconds, as a step function."""
+
+    __slots__ = ("_steps",)
+
+    def __init__(self):
+        self._steps = deque()
+
+    def record(self, now_s, cores_by_program):
+        """Note the cores that run from now on."""
+        self._steps.append((now_s, dict(cores_by_program)))
+        while len(self._steps) > 2 and self._steps[1][0] < now_s - HISTORY_S:
+            self._steps.popleft()
+
+    def average(self, start_s, end_s):
+        """Return the average running cores by program between two moments."""
+        sums = {}
+        length = max(end_s - start_s, 1e-9)
+        for index, (since_s, cores_by_program) in enumerate(self._steps):
+            following = index + 1
+            until_s = end_s
+            if following < len(self._steps):
+                until_s = min(self._steps[following][0], end_s)
+            part = (until_s - max(since_s, start_s)) / length
+            if part <= 0.0:
+                continue
+            for program, cores in cores_by_program.items():
+                sums[program] = sums.get(program, 0.0) + part * cores
+        return sums
+
+
+class InterferenceModel:
+    """Slowdown of one service on one instance by each batch program.
+
+    Parameters
+    ----------
+    target_s : float
+        Tail latency that the service should keep; half of it is the first guess of
+        the latency without batch work.
+    """
+
+    __slots__ = ("_blocks", "_covariance", "_means", "_updated_s", "history")
+
+    def __init__(self, target_s):
+        self.history = CoreHistory()
+        #: First index of each program's weights.
+        self._blocks = OrderedDict()
+        knots = len(LOAD_KNOTS)
+        self._means = [math.log(target_s / 2.0)] * knots
+        self._covariance = [
+            [PRIOR_BASELINE_SD**2 if row == column else 0.0 for column in range(knots)]
+            for row in range(knots)
+        ]
+        self._updated_s = None
+
+    def observe(self, sample):
+        """Learn from a usage report.
+
+        Parameters
+        ----------
+        sample : UsageSample
+        """
+        cores_by_program = self.history.average(sample.start_s, sample.end_s)
+        for program in sorted(cores_by_program):
+            self._ensure(program)
+        self._drift(sample.end_s)
+        features = self._features(sample.load, cores_by_program)
+        self._correct(features, math.log(max(sample.p99_s, 1e-6)))
+
+    def baseline(self, load):
+        """Return the log latency without batch work, and its standard deviation."""
+        return self._estimate(self._features(load, {}))
+
+    def pairing(self, program, load):
+        """Return what is known of a program beside the service at a load."""
+        if program not in self._blocks:
+            return Pairing(PRIOR_SLOWDOWN, PRIOR_SLOWDOWN_SD)
+        first = self._blocks[program]
+        weights = knot_weights(load)
+        features = [(first + knot, weight) for knot, weight in weights]
+        return Pairing(*self._estimate(features))
+
+    def predict(self, load, cores_by_program):
+        """Return the expected log latency, and its standard deviation."""
+        for program in sorted(cores_by_program):
+            self._ensure(program)
+        return self._estimate(self._features(load, cores_by_program))
+
+    def _features(self, load, cores_by_program):
+        """Return the indices and values of the features that are not zero."""
+        weights = knot_weights(load)
+        features = list(weights)
+        for program, cores in sorted(cores_by_program.items()):
+            first = self._blocks.get(program)
+            if first is not None and cores > 0.0:
+                features += [(first + knot, weight * cores) for knot, weight in weights]
+        return features
+
+    def _estimate(self, features):
+        mean = sum(self._means[index] * value for index, value in features)
+        variance = sum(
+            self._covariance[row][column] * left * right
+            for row, left in features
+            for column, right in features
+        )
+        return mean, math.sqrt(max(variance, 0.0))
+
+    def _ensure(self, program):
+        """Make room for a program's weights, in place of the least recent program's."""
+        if program in self._blocks:
+            self._blocks.move_to_end(program)
+            return
+        if len(self._blocks) >= MAX_PROGRAMS:
+            _, first = self._blocks.popitem(last=False)
+        else:
+            first = len(self._means)
+            self._grow()
+        self._blocks[program] = first
+        self._reset(first)
+
+    def _grow(self):
+        knots = len(LOAD_KNOTS)
+        size = len(self._means) + knots
+        for row in self._covariance:
+            row.extend([0.0] * knots)
+        self._covariance.extend([0.0] * size for _ in range(knots))
+        self._means.extend([0.0] * knots)
+
+    def _reset(self, first):
+        """Give a program's weights their prior; those at all loads go together."""
+        block = range(first, first + len(LOAD_KNOTS))
+        for row in block:
+            self._means[row] = PRIOR_SLOWDOWN
+            for column in range(len(self._means)):
+                self._covariance[row][column] = 0.0
+                self._covariance[column][row] = 0.0
+        for row in block:
+            for column in block:
+                part = 1.0 if row == column else 0.5
+                self._covariance[row][column] = part * PRIOR_SLOWDOWN_SD**2
+
+    def _drift(self, now_s):
+        """Let the variances grow by the seconds since the last sample."""
+        if self._updated_s is not None:
+            passed_s = max(now_s - self._updated_s, 0.0)
+            for index in range(len(self._means)):
+                rate = BASELINE_DRIFT if index < len(LOAD_KNOTS) else SLOWDOWN_DRIFT
+                self._covariance[index][index] += rate * passed_s
+        self._updated_s = now_s
+
+    def _correct(self, features, observed):
+        """Update means and covariance with one observation."""
+        gains = [
+            sum(row[index] * value for index, value in features)
+            for row in self._covariance
+        ]
+        mean = sum(self._means[index] * value for index, value in features)
+        scale = SAMPLE_SD**2 + sum(gains[index] * value for index, value in features)
+        error = observed - mean
+        active = [index for index, gain in enumerate(gains) if gain != 0.0]
+        for row in active:
+            part = gains[row] / scale
+            self._means[row] += part * error
+            covariance = self._covariance[row]
+            for column in active:
+                covariance[column] -= part * gains[column]
+
+
+def knot_weights(load):
+    """Return the knots around a load with their weights, which sum to 1."""
+    if load <= LOAD_KNOTS[0]:
+        return [(0, 1.0)]
+    for knot in range(1, len(LOAD_KNOTS)):
+        low, high = LOAD_KNOTS[knot - 1], LOAD_KNOTS[knot]
+        if load <= high:
+            part = (load - low) / (high - low)
+            return [(knot - 1, 1.0 - part), (knot, part)]
+    return [(len(LOAD_KNOTS) - 1, 1.0)]
