Compose the daemon, and a site of processes on loopback (not yet run)

Cause: the thin path needs processes. Measured: not run yet, it waits for the log client and the settings.

--- /dev/null
+++ b/dotterelspread/agentnode.py
@@ -0,0 +1,122 @@
+"""Puts together the parts of an agent."""
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .backend import open_backend
+from .configurationpart import ConfigurationPart
+from .memberpart import MemberPart
+from .node import boottime_s
+from .peer import serve_peers
+from .record import InstanceAnnounced
+from .requestpart import RequestPart
+from .server import serve_http
+from .taskpart import TaskPart
+from .telemetry import EXPOSITION_TYPE
+from .worker import get_worker_class
+
+__all__ = ["AgentProcess", "open_agent"]
+
+#: Wire form in which the platform's worker is reached.
+WORKER_EDGE = "http"
+#: Seconds between an announced drain and the last look for requests on their way.
+ROUTED_WAIT_S = 0.2
+
+
+class AgentProcess:
+    """An agent whose parts run; drain it before it stops."""
+
+    def __init__(self, node, members, requests, tasks):
+        self.node = node
+        self.members = members
+        self.requests = requests
+        self.tasks = tasks
+
+    async def drain(self):
+        """Leave: tell all entries, finish requests, release tasks."""
+        self.requests.drain()
+        await self.members.drain()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.requests.drained.wait())
+            group.create_task(self.tasks.drain())
+        await asyncio.sleep(ROUTED_WAIT_S)
+
+    def routes(self):
+        """Return the Starlette routes for health and metrics."""
+        return [
+            Route("/healthz", self._health),
+            Route("/readyz", self._readiness),
+            Route("/metrics", self._metrics),
+        ]
+
+    async def _health(self, request):
+        return JSONResponse({"status": "ok"})
+
+    async def _readiness(self, request):
+        is_ready = self.requests.is_configured and not self.requests.state.draining
+        return JSONResponse({"ready": is_ready}, 200 if is_ready else 503)
+
+    async def _metrics(self, request):
+        exposition = self.node.telemetry.exposition()
+        return Response(exposition, media_type=EXPOSITION_TYPE)
+
+
+def announcement(node):
+    """Return the `InstanceAnnounced` of an agent."""
+    settings = node.settings
+    agent = settings.agent
+    return InstanceAnnounced(
+        settings.instance_id,
+        node.incarnation,
+        settings.role.value,
+        str(settings.peer_address),
+        settings.data_centre,
+        settings.region,
+        settings.rack,
+        (agent.service,),
+        agent.slots,
+        agent.capacity,
+        agent.labels,
+        agent.cell,
+    )
+
+
+@asynccontextmanager
+async def open_agent(node):
+    """Yield the `AgentProcess` of a node, with its servers listening."""
+    settings = node.settings
+    agent = settings.agent
+    announced = announcement(node)
+    async with AsyncExitStack() as stack:
+        backend = await stack.enter_async_context(
+            open_backend(agent.backend_url, agent.connections)
+        )
+        worker_class = get_worker_class(WORKER_EDGE)
+        worker = await stack.enter_async_context(
+            worker_class.open(agent.worker_url, boottime_s)
+        )
+        requests = RequestPart(node, backend)
+        tasks = TaskPart(node, worker, announced)
+        members = MemberPart(node, announced)
+        configuration = ConfigurationPart(node)
+        configuration.on_change(requests.configure)
+        configuration.on_change(tasks.configure)
+        node.parts = [members, configuration, requests, tasks]
+        process = AgentProcess(node, members, requests, tasks)
+        await stack.enter_async_context(
+            serve_peers(
+                str(settings.peer_address), node.handlers_by_method(), node.pool.traffic
+            )
+        )
+        await stack.enter_async_context(
+            serve_http(
+                settings.http_address,
+                process.routes(),
+                settings.limits,
+                settings.drain_timeout_s,
+            )
+        )
+        yield process
--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -225,9 +225,7 @@
 
     async def metrics(self, request):
         """Return the process's metrics."""
-        return Response(
-            self._node.telemetry.exposition(), media_type=EXPOSITION_TYPE
-        )
+        return Response(self._node.telemetry.exposition(), media_type=EXPOSITION_TYPE)
 
 
 def _path(request):
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -219,9 +219,7 @@
         try:
             await self.node.log_client.append(effect.stream, effect.record)
         except AppendError as error:
-            failed = AppendFailed(
-                self.node.now_s(), effect.request_id, error.is_absent
-            )
+            failed = AppendFailed(self.node.now_s(), effect.request_id, error.is_absent)
             self.dispatch(failed)
 
     async def _follow_claims(self, stream):
--- a/dotterelspread/node.py
+++ b/dotterelspread/node.py
@@ -9,7 +9,12 @@
 
 from .jsonlog import log_fault
 
-__all__ = ["Node", "Part"]
+__all__ = ["Node", "Part", "boottime_s"]
+
+
+def boottime_s():
+    """Return seconds on the clock of events, which counts on while suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Part:
@@ -65,8 +70,8 @@
         self._tasks = set()
 
     def now_s(self):
-        """Return seconds on the monotonic clock that events carry."""
-        return time.monotonic()
+        """Return seconds on the clock that events carry."""
+        return boottime_s()
 
     def dispatch(self, event, state, perform):
         """Reduce one event and perform its effects in order."""
--- a/dotterelspread/operatorhttp.py
+++ b/dotterelspread/operatorhttp.py
@@ -95,6 +95,5 @@
         return JSONResponse({"instance_id": instance_id, "draining": True}, 202)
 
 
-
 def _bad_request(field, found, allowed):
     return error_response(CallerRequestError([Fault("request", field, found, allowed)]))
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -20,7 +20,7 @@
 from .configuration import ServiceConfig
 from .gen.peer.ttypes import Load
 from .node import Part
-from .outcome import Refused, RefusalReason
+from .outcome import RefusalReason, Refused
 from .wire import MS_PER_S, from_headers, message_from_outcome, pending_message
 
 __all__ = ["RequestPart"]
@@ -44,7 +44,7 @@
         super().__init__(node)
         agent = node.settings.agent
         self._backend = backend
-        self._is_configured = False
+        self.is_configured = False
         self.drained = asyncio.Event()
         service = ServiceConfig(agent.service, {}, "")
         self.state = AgentState.from_config(service, agent.slots, node.incarnation)
@@ -63,7 +63,7 @@
         """Put a new configuration in force."""
         service = configuration.services_by_name.get(self.state.service.name)
         if service is not None:
-            self._is_configured = True
+            self.is_configured = True
             self.dispatch(AgentConfigured(self.node.now_s(), service))
 
     def drain(self):
@@ -128,7 +128,7 @@
         self.dispatch(finished)
 
     async def _run(self, run):
-        if not self._is_configured:
+        if not self.is_configured:
             refused = Refused(RefusalReason.NOT_READY, "no configuration is known")
             return message_from_outcome(refused, self.load())
         kind = self.state.service.kinds_by_name.get(run.kind)
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -1,9 +1,10 @@
 """The part of an agent that takes part in its cell and drives the platform's worker."""
 
 import asyncio
+import json
 from functools import singledispatchmethod
 
-from .gen.peer.ttypes import JobReply, TaskStatus
+from .gen.peer.ttypes import JobReply, StatusReply, TaskStatus
 from .log import TruncatedError
 from .logclient import AppendError
 from .node import Part
@@ -56,13 +57,11 @@
         self._worker = worker
         self._is_configured = False
         self._last_by_task = {}
-        self.state = TaskState.from_announcement(
-            announcement, node.settings.agent.cell
-        )
+        self.state = TaskState.from_announcement(announcement, node.settings.agent.cell)
 
     def handlers_by_method(self):
         """Return the handlers of calls on jobs."""
-        return {"job": self._job}
+        return {"job": self._job, "status": self._status_rows}
 
     async def run(self):
         """Take part in the cell until cancelled."""
@@ -186,6 +185,22 @@
         ]
         return JobReply(found=True, job_id=query.job_id, team=job.team, tasks=tasks)
 
+    async def _status_rows(self, query):
+        rows = []
+        for task in self.state.cell.tasks_by_id.values():
+            status = self._status(task)
+            row = {
+                "task_id": status.task_id,
+                "job_id": task.job_id,
+                "state": status.state,
+                "owner": status.owner_id,
+                "epoch": status.epoch,
+                "releases": task.releases,
+                "explanation": status.explanation,
+            }
+            rows.append(json.dumps(row))
+        return StatusReply(rows)
+
     def _status(self, task):
         return TaskStatus(
             task_id=task.task_id,
--- /dev/null
+++ b/dotterelspread/viewpart.py
@@ -0,0 +1,164 @@
+"""What operators can read at an entry, and the drains that they ask for."""
+
+import asyncio
+import json
+
+from .gen.peer.ttypes import DrainRequest, StatusQuery
+from .jobpart import cell_of_job
+from .node import Part
+from .outcome import Outcome, RefusalReason, Refused
+from .peer import PeerError
+
+__all__ = ["ViewPart"]
+
+#: Seconds that an agent may take to answer.
+QUERY_TIMEOUT_S = 2.0
+
+
+class ViewPart(Part):
+    """Collects rows for operators from this entry and from agents.
+
+    Parameters
+    ----------
+    node : Node
+    members : MemberPart
+    entry : EntryPart
+    jobs : JobPart
+    configuration : ConfigurationPart
+    """
+
+    def __init__(self, node, members, entry, jobs, configuration):
+        super().__init__(node)
+        self._members = members
+        self._entry = entry
+        self._jobs = jobs
+        self._configuration = configuration
+        self._readers_by_subject = {
+            "instances": self._instances,
+            "tasks": self._tasks,
+            "requests": self._requests,
+            "refusals": self._refusals,
+            "status": self._status,
+        }
+
+    async def rows(self, subject):
+        """Return the rows on one subject, each a mapping for JSON."""
+        return await self._readers_by_subject[subject]()
+
+    async def explain(self, subject_id):
+        """Return lines on why a job, a task or a request is as it is."""
+        if cell_of_job(subject_id.partition(".")[0]) or subject_id.startswith("cell."):
+            return await self._explain_job(subject_id)
+        return self._explain_request(subject_id)
+
+    async def drain(self, instance_id):
+        """Ask an instance to leave; return why not, or None."""
+        announced = self._members.announced_by_id.get(instance_id)
+        if announced is None:
+            detail = f"no instance {instance_id!r} is known"
+            return Refused(RefusalReason.NOT_FOUND, detail)
+        request = DrainRequest(instance_id)
+        try:
+            await self.node.pool.call(
+                announced.peer_address, "drain", request, QUERY_TIMEOUT_S
+            )
+        except PeerError as error:
+            detail = f"{instance_id} does not answer: {error}"
+            return Refused(RefusalReason.NO_INSTANCE, detail, 5.0)
+        return None
+
+    async def _instances(self):
+        return [
+            {
+                "instance_id": announced.instance_id,
+                "role": announced.role,
+                "data_centre": announced.data_centre,
+                "region": announced.region,
+                "address": announced.peer_address,
+                "services": list(announced.services),
+                "cell": announced.cell,
+                "draining": announced.instance_id in self._members.draining_ids,
+            }
+            for announced in self._members.announced_by_id.values()
+        ]
+
+    async def _tasks(self):
+        cells = self._members.cells()
+        replies = await asyncio.gather(*(self._ask_cell(cell) for cell in cells))
+        return [json.loads(row) for rows in replies for row in rows]
+
+    async def _ask_cell(self, cell):
+        for announced in self._members.agents_of_cell(cell):
+            try:
+                reply = await self.node.pool.call(
+                    announced.peer_address,
+                    "status",
+                    StatusQuery("tasks"),
+                    QUERY_TIMEOUT_S,
+                )
+            except PeerError:
+                continue
+            return reply.rows
+        return []
+
+    async def _requests(self):
+        now_s = self.node.now_s()
+        return [
+            {
+                "request_id": request.request_id,
+                "service": request.service_name,
+                "kind": request.kind.name,
+                "attempts": len(request.attempts),
+                "instances": sorted(request.tried_ids),
+                "remaining_s": round(request.deadline_s - now_s, 3),
+            }
+            for request in self._entry.state.requests_by_id.values()
+        ]
+
+    async def _refusals(self):
+        return [
+            {
+                "service": refusal.service,
+                "kind": refusal.kind,
+                "reason": refusal.outcome.reason.value,
+                "detail": refusal.outcome.detail,
+            }
+            for refusal in self._jobs.refusals
+        ]
+
+    async def _status(self):
+        settings = self.node.settings
+        return [
+            {
+                "instance_id": settings.instance_id,
+                "role": settings.role.value,
+                "ready": self._entry.is_ready,
+                "configuration_version": self._configuration.version,
+                "instances": len(self._members.announced_by_id),
+                "requests_in_progress": self._entry.in_progress,
+            }
+        ]
+
+    async def _explain_job(self, subject_id):
+        job_id = subject_id
+        if subject_id.count(".") > 1:
+            job_id = subject_id.rpartition(".")[0]
+        reply = await self._jobs.show(job_id)
+        if isinstance(reply, Outcome):
+            return [reply.detail]
+        return [
+            f"{task['task_id']}: {task['state']} {task['owner']} {task['explanation']}"
+            for task in reply["tasks"]
+            if subject_id in (job_id, task["task_id"])
+        ]
+
+    def _explain_request(self, request_id):
+        request = self._entry.state.requests_by_id.get(request_id)
+        if request is None:
+            return [f"no request {request_id!r} is in progress at this entry"]
+        tried = ", ".join(sorted(request.tried_ids)) or "no instance yet"
+        return [
+            f"in progress, kind {request.kind.name}",
+            f"sent to: {tried}",
+            f"answer due in {request.deadline_s - self.node.now_s():.3f} s",
+        ]
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,191 @@
+"""A whole site on loopback: stand-ins and real daemons, each a process of its own."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import yaml
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 40.0
+POLL_S = 0.05
+
+
+class SiteError(Exception):
+    """A process of the site did not do what it should."""
+
+
+@dataclass(slots=True)
+class Place:
+    """Where instances stand."""
+
+    data_centre: str
+    region: str
+    cell: str
+
+
+@dataclass(slots=True)
+class Site:
+    """The processes of one site, by name; make one with `open_site`."""
+
+    folder: Path
+    log_port: int = 0
+    processes_by_name: dict = field(default_factory=dict)
+    #: HTTP port by process name.
+    ports_by_name: dict = field(default_factory=dict)
+    settings_by_name: dict = field(default_factory=dict)
+
+    def start_log(self):
+        self.log_port = free_port()
+        self.ports_by_name["log"] = self.log_port
+        self.start("log", "standins.log", "--port", str(self.log_port))
+        self.wait_for("log", "/control")
+
+    def start_agent(self, name, place, **agent):
+        backend, worker, peer = free_port(), free_port(), free_port()
+        self.ports_by_name |= {f"{name}.backend": backend, f"{name}.worker": worker}
+        seconds = str(agent.pop("service_time_s", 0.005))
+        self.start(
+            f"{name}.backend",
+            "standins.backend",
+            f"--port={backend}",
+            f"--service_time_s={seconds}",
+        )
+        self.start(f"{name}.worker", "standins.worker", f"--port={worker}", "--lag_s=1")
+        section = {
+            "service": "dispatch",
+            "backend_url": f"http://127.0.0.1:{backend}",
+            "worker_url": f"http://127.0.0.1:{worker}",
+            "slots": 8,
+            "connections": 64,
+            "capacity": {"cores": 32, "memory": "125GB", "accelerators": 1},
+            "cell": place.cell,
+        } | agent
+        self._daemon(name, "agent", place, peer, {"agent": section})
+
+    def start_entry(self, name, place, cells):
+        self._daemon(name, "entry", place, free_port(), {"entry": {"cells": cells}})
+
+    def _daemon(self, name, role, place, peer_port, section):
+        http_port = free_port()
+        self.ports_by_name |= {name: http_port, f"{name}.peer": peer_port}
+        settings = {
+            "role": role,
+            "instance_id": name,
+            "data_centre": place.data_centre,
+            "region": place.region,
+            "peer_address": f"127.0.0.1:{peer_port}",
+            "http_address": f"127.0.0.1:{http_port}",
+            "log_url": f"http://127.0.0.1:{self.log_port}",
+            "drain_timeout": "20s",
+        } | section
+        entries = [n for n in self.ports_by_name if n.startswith("entry-")]
+        if entries and entries[0] != name:
+            port = self.ports_by_name[f"{entries[0]}.peer"]
+            settings["balancer_address"] = f"127.0.0.1:{port}"
+        self.settings_by_name[name] = settings
+        self.restart(name)
+
+    def restart(self, name):
+        """Start a daemon with the settings that it had."""
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self.settings_by_name[name]))
+        self.start(name, "dotterelspread.daemon", f"--settings={path}")
+
+    def start(self, name, module, *args):
+        output = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        environment = os.environ | {"PYTHONUNBUFFERED": "1"}
+        self.processes_by_name[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *args],
+            stdout=output,
+            stderr=output,
+            env=environment,
+        )
+        output.close()
+
+    def url(self, name):
+        return f"http://127.0.0.1:{self.ports_by_name[name]}"
+
+    def wait_ready(self, *names):
+        for name in names:
+            self.wait_for(name, "/readyz")
+
+    def wait_for(self, name, path, accept=bool):
+        """Wait until ``accept`` takes what ``name`` answers at ``path``."""
+        until_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until_s:
+            if self.processes_by_name[name].poll() is not None:
+                raise SiteError(f"{name} ended: {self.output(name)}")
+            try:
+                if accept(get(self.url(name) + path)):
+                    return
+            except OSError:
+                pass
+            time.sleep(POLL_S)
+        raise SiteError(f"{name}{path}: not in time: {self.output(name)}")
+
+    def output(self, name):
+        return (self.folder / f"{name}.log").read_text()[-2000:]
+
+    def signal(self, name, number):
+        self.processes_by_name[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.processes_by_name[name].wait()
+
+    def stop(self, *names):
+        """Stop processes gracefully and return their exit codes by name."""
+        for name in names:
+            self.signal(name, signal.SIGTERM)
+        return {
+            name: self.processes_by_name[name].wait(STOP_TIMEOUT_S) for name in names
+        }
+
+    def close(self):
+        for process in self.processes_by_name.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes_by_name.values():
+            process.wait()
+
+
+@contextmanager
+def open_site():
+    """Yield a `Site` with its log running, and end all its processes."""
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(Path(folder))
+        try:
+            site.start_log()
+            yield site
+        finally:
+            site.close()
+
+
+def free_port():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return listener.getsockname()[1]
+
+
+def get(url):
+    with urllib.request.urlopen(url, timeout=10) as response:
+        return json.load(response)
+
+
+def post(url, document):
+    request = urllib.request.Request(
+        url, json.dumps(document).encode(), {"Content-Type": "application/json"}
+    )
+    with urllib.request.urlopen(request, timeout=15) as response:
+        return json.load(response)
