--- /dev/null
+++ b/dotterelspread/appending.py
@@ -0,0 +1,432 @@
+"""Appending to one stream of the log: group commit, and settling lost replies.
+
+The decisions are handlers of `reduce` on a `StreamWriter`; `logclient` performs the
+effects.
+
+One append is in flight at a time. When its reply is lost, the writer reads the stream
+from where its end was before the append. A record found there settles the append. One
+not found is appended again under the same sequences: should the first append land
+later, its sequences are not larger than those already seen, and every reader drops it.
+Since both may have landed, the offset after a second append is always taken from
+reading, where the first occurrence counts.
+
+An append whose caller gave up before it was sent is known to be absent. After that it
+is unknown, until a later record of the same writer stands in the stream: then the
+earlier one can have no effect any more unless it stands before.
+"""
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+
+from .log import Extent, ReadReply
+from .record import Envelope, Record, RecordError, decode_record, encode_record
+from .reducer import Effect, Event, reduce
+from .stream import Backoff
+
+__all__ = [
+    "AppendCancelled",
+    "AppendDropped",
+    "AppendFailed",
+    "AppendFailure",
+    "AppendReplied",
+    "AppendRequested",
+    "AppendSent",
+    "AppendSettled",
+    "BackReadFailed",
+    "BackReadReplied",
+    "BackReadSent",
+    "BackReadTruncated",
+    "CommitDue",
+    "CommitTimerStarted",
+    "StreamWriter",
+    "TailLocated",
+    "TailRequested",
+]
+
+#: Least seconds between two appends to one stream.
+COMMIT_INTERVAL_S = 0.02
+#: Bytes of one append, unless a single record is larger.
+MAX_COMMIT_BYTES = 256 << 10
+#: Bytes of the largest record that is appended.
+MAX_RECORD_BYTES = 1 << 20
+#: Records that may wait for an append.
+MAX_WAITING = 10_000
+#: Seconds after which the end of the stream is looked up again before an append, so
+#: that the records from there on have not expired when a reply is lost.
+TAIL_MAX_AGE_S = 20.0
+
+
+class AppendFailure(enum.Enum):
+    """How an append failed."""
+
+    NOT_WRITTEN = "not written"
+    UNCERTAIN = "uncertain"
+    REJECTED = "rejected"
+
+
+class Phase(enum.Enum):
+    """What a writer waits for."""
+
+    IDLE = "idle"
+    TIMER = "timer"
+    TAIL = "tail"
+    APPEND = "append"
+    BACK_READ = "back read"
+
+
+@dataclass(slots=True, frozen=True)
+class AppendRequested(Event):
+    """A caller wants a record appended; ``token`` names the request."""
+
+    token: int
+    record: Record
+
+
+@dataclass(slots=True, frozen=True)
+class AppendCancelled(Event):
+    """The caller no longer waits."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class CommitDue(Event):
+    """The time set by `CommitTimerStarted` is over."""
+
+
+@dataclass(slots=True, frozen=True)
+class TailLocated(Event):
+    """The stream's extent was answered."""
+
+    attempt: int
+    extent: Extent
+
+
+@dataclass(slots=True, frozen=True)
+class AppendReplied(Event):
+    """The append was answered."""
+
+    attempt: int
+    extent: Extent
+
+
+@dataclass(slots=True, frozen=True)
+class AppendFailed(Event):
+    """The append, or the search for the end before it, failed."""
+
+    attempt: int
+    failure: AppendFailure
+
+
+@dataclass(slots=True, frozen=True)
+class BackReadReplied(Event):
+    """The reading back was answered."""
+
+    attempt: int
+    reply: ReadReply
+
+
+@dataclass(slots=True, frozen=True)
+class BackReadFailed(Event):
+    """The reading back was not answered."""
+
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class BackReadTruncated(Event):
+    """The records that would settle the append have expired."""
+
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class CommitTimerStarted(Effect):
+    """Send `CommitDue` after a delay."""
+
+    delay_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class TailRequested(Effect):
+    """Ask for the stream's extent."""
+
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class AppendSent(Effect):
+    """Append one log record."""
+
+    attempt: int
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class BackReadSent(Effect):
+    """Read the stream from an offset, without waiting."""
+
+    attempt: int
+    from_offset: int
+
+
+@dataclass(slots=True, frozen=True)
+class AppendSettled(Effect):
+    """The record stands in the stream."""
+
+    token: int
+    offset: int
+
+
+@dataclass(slots=True, frozen=True)
+class AppendDropped(Effect):
+    """The record is no longer appended."""
+
+    token: int
+    #: True when the record is not in the stream and never will be.
+    is_absent: bool
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class WaitingRecord:
+    """An envelope that a caller waits for."""
+
+    token: int
+    envelope: Envelope
+    size: int
+
+
+class StreamWriter:
+    """State of appending to one stream.
+
+    Parameters
+    ----------
+    incarnation : int
+        Of the process; no two writers share one.
+    rng : random.Random
+    """
+
+    __slots__ = (
+        "attempt",
+        "backoff",
+        "commit",
+        "incarnation",
+        "is_uncertain",
+        "lookup_from",
+        "phase",
+        "queue",
+        "replied_offset",
+        "sent_s",
+        "sequence",
+        "tail",
+        "tail_s",
+    )
+
+    def __init__(self, incarnation, rng):
+        self.incarnation = incarnation
+        self.backoff = Backoff(rng)
+        self.phase = Phase.IDLE
+        self.sequence = 0
+        self.attempt = 0
+        self.queue = deque()
+        self.sent_s = -COMMIT_INTERVAL_S
+        #: A lower bound of the stream's end, and when it was learned.
+        self.tail = None
+        self.tail_s = 0.0
+        self._clear()
+
+    def _clear(self):
+        self.commit = []
+        #: True once an attempt of this commit may have been written.
+        self.is_uncertain = False
+        self.lookup_from = None
+        self.replied_offset = None
+
+    def fill_commit(self):
+        """Move waiting records into the commit, up to its size limit."""
+        size = 0
+        while self.queue:
+            size += self.queue[0].size
+            if self.commit and size > MAX_COMMIT_BYTES:
+                break
+            self.commit.append(self.queue.popleft())
+
+    def is_commit_unsent(self):
+        """Tell whether no byte of the commit can have reached the log."""
+        return not self.is_uncertain and self.phase is not Phase.APPEND
+
+    def find(self, records):
+        """Return the offset of the first of ``records`` that holds the commit."""
+        sequence = self.commit[0].envelope.sequence
+        for record in records:
+            try:
+                envelopes = decode_record(record.data)
+            except RecordError:
+                continue
+            for envelope in envelopes:
+                if (envelope.writer, envelope.sequence) == (self.incarnation, sequence):
+                    return record.offset
+        return None
+
+    def schedule(self, now_s):
+        """Return the effects that start the next commit, if records wait."""
+        self.phase = Phase.IDLE
+        if not self.queue:
+            return []
+        self.phase = Phase.TIMER
+        return [CommitTimerStarted(max(0.0, self.sent_s + COMMIT_INTERVAL_S - now_s))]
+
+    def retry_later(self):
+        """Return the effects that go on after a jittered delay."""
+        self.phase = Phase.TIMER
+        return [CommitTimerStarted(self.backoff.next_delay_s())]
+
+    def locate_or_send(self, now_s):
+        """Return the effects that send the commit once the stream's end is known."""
+        self.attempt += 1
+        if self.tail is None or now_s - self.tail_s > TAIL_MAX_AGE_S:
+            self.phase = Phase.TAIL
+            return [TailRequested(self.attempt)]
+        return self.send(now_s)
+
+    def send(self, now_s):
+        """Return the effects that send the commit now."""
+        self.phase = Phase.APPEND
+        self.attempt += 1
+        self.sent_s = now_s
+        if not self.is_uncertain:
+            self.lookup_from = self.tail
+        data = encode_record(waiting.envelope for waiting in self.commit)
+        return [AppendSent(self.attempt, data)]
+
+    def read_back(self):
+        """Return the effects that look for the commit in the stream."""
+        self.phase = Phase.BACK_READ
+        self.attempt += 1
+        return [BackReadSent(self.attempt, self.lookup_from)]
+
+    def settle(self, offset, now_s):
+        """Return the effects that end the commit, which stands at ``offset``."""
+        effects = [AppendSettled(waiting.token, offset) for waiting in self.commit]
+        self.backoff.reset()
+        if self.tail is None or offset >= self.tail:
+            self.tail = offset + 1
+            self.tail_s = now_s
+        self._clear()
+        return effects + self.schedule(now_s)
+
+    def drop(self, is_absent, detail, now_s):
+        """Return the effects that give the commit up."""
+        effects = [
+            AppendDropped(waiting.token, is_absent, detail) for waiting in self.commit
+        ]
+        self._clear()
+        self.tail = None
+        return effects + self.schedule(now_s)
+
+
+@reduce.register
+def _(event: AppendRequested, state):
+    if len(state.queue) >= MAX_WAITING:
+        return [AppendDropped(event.token, True, "too many appends wait")]
+    envelope = Envelope(state.incarnation, state.sequence + 1, event.record)
+    size = len(encode_record((envelope,)))
+    if size > MAX_RECORD_BYTES:
+        return [AppendDropped(event.token, True, f"{size} bytes are too many")]
+    state.sequence += 1
+    state.queue.append(WaitingRecord(event.token, envelope, size))
+    return state.schedule(event.now_s) if state.phase is Phase.IDLE else []
+
+
+@reduce.register
+def _(event: AppendCancelled, state):
+    for waiting in state.queue:
+        if waiting.token == event.token:
+            state.queue.remove(waiting)
+            return [AppendDropped(event.token, True, "cancelled before it was sent")]
+    for waiting in state.commit:
+        if waiting.token == event.token:
+            return _cancel_committed(waiting, state, event.now_s)
+    return []
+
+
+def _cancel_committed(waiting, state, now_s):
+    is_absent = state.is_commit_unsent()
+    state.commit.remove(waiting)
+    effects = [AppendDropped(waiting.token, is_absent, "cancelled")]
+    if not state.commit and state.phase is not Phase.TIMER:
+        state.attempt += 1
+        effects += state.drop(is_absent, "cancelled", now_s)
+    return effects
+
+
+@reduce.register
+def _(event: CommitDue, state):
+    if not state.commit:
+        state._clear()
+        state.fill_commit()
+    if not state.commit:
+        return state.schedule(event.now_s)
+    if state.is_uncertain:
+        return state.read_back()
+    return state.locate_or_send(event.now_s)
+
+
+@reduce.register
+def _(event: TailLocated, state):
+    if event.attempt != state.attempt:
+        return []
+    state.tail = event.extent.next
+    state.tail_s = event.now_s
+    return state.send(event.now_s)
+
+
+@reduce.register
+def _(event: AppendReplied, state):
+    if event.attempt != state.attempt:
+        return []
+    if not state.is_uncertain:
+        return state.settle(event.extent.first, event.now_s)
+    state.replied_offset = event.extent.first
+    return state.read_back()
+
+
+@reduce.register
+def _(event: AppendFailed, state):
+    if event.attempt != state.attempt:
+        return []
+    if event.failure is AppendFailure.REJECTED:
+        return state.drop(not state.is_uncertain, "the log rejects it", event.now_s)
+    if event.failure is AppendFailure.UNCERTAIN:
+        state.is_uncertain = True
+    return state.retry_later()
+
+
+@reduce.register
+def _(event: BackReadReplied, state):
+    if event.attempt != state.attempt:
+        return []
+    offset = state.find(event.reply.records)
+    if offset is not None:
+        return state.settle(offset, event.now_s)
+    if event.reply.records:
+        state.lookup_from = event.reply.records[-1].offset + 1
+    if state.lookup_from < event.reply.extent.next:
+        return state.read_back()
+    if state.replied_offset is not None and state.lookup_from <= state.replied_offset:
+        return state.retry_later()
+    return state.send(event.now_s)
+
+
+@reduce.register
+def _(event: BackReadFailed, state):
+    return state.retry_later() if event.attempt == state.attempt else []
+
+
+@reduce.register
+def _(event: BackReadTruncated, state):
+    if event.attempt != state.attempt:
+        return []
+    return state.drop(False, "the records around it have expired", event.now_s)
--- /dev/null
+++ b/dotterelspread/stream.py
@@ -0,0 +1,282 @@
+"""Following one stream of the log: order, duplicates, malformed records, liveness.
+
+The decisions are handlers of `reduce` on a `StreamReader`; `logclient` performs the
+effects. Appending is in `appending`.
+
+A writer's sequences only grow within a stream. A record whose sequence is not larger
+than one seen before from the same writer is dropped, so that a repeated or late append
+has no effect, and every reader decides alike.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from .log import ReadReply
+from .record import Envelope, RecordError, decode_record
+from .reducer import Effect, Event, reduce
+
+__all__ = [
+    "Backoff",
+    "Batch",
+    "Delivered",
+    "Entry",
+    "FollowStarted",
+    "FollowTruncated",
+    "ReadFailed",
+    "ReadReplied",
+    "ReadRetryDue",
+    "ReadSent",
+    "ReadTimerStarted",
+    "ReadTruncated",
+    "StreamReader",
+    "WriterSequences",
+    "make_incarnation",
+]
+
+#: Writers remembered by each reader; those silent for longest are forgotten first.
+MAX_WRITERS = 4096
+#: Seconds that a read waits for the first record.
+READ_WAIT_S = 2.0
+#: Part by which clocks may run at different rates.
+CLOCK_RATE_ERROR = 0.01
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 4.0
+INCARNATION_RANDOM_BITS = 20
+
+
+def make_incarnation(wall_clock_s, rng):
+    """Return a number for one start of a process, larger for a later start.
+
+    Parameters
+    ----------
+    wall_clock_s : float
+        Seconds since the epoch.
+    rng : random.Random
+        Tells apart the processes that start in the same millisecond.
+    """
+    milliseconds = int(wall_clock_s * 1000)
+    return milliseconds << INCARNATION_RANDOM_BITS | rng.getrandbits(
+        INCARNATION_RANDOM_BITS
+    )
+
+
+class Backoff:
+    """Delays between attempts: exponential, bounded, and random to avoid a herd."""
+
+    __slots__ = ("failures", "rng")
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.failures = 0
+
+    def next_delay_s(self):
+        """Count one more failure and return the seconds to wait after it."""
+        limit_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self.failures, 16))
+        self.failures += 1
+        return self.rng.uniform(limit_s / 4, limit_s)
+
+    def reset(self):
+        """Forget the failures after a success."""
+        self.failures = 0
+
+
+class WriterSequences:
+    """The highest sequence seen from each writer, within bounded memory.
+
+    It is a pure function of the stream, so a snapshot of the stream must hold it.
+    """
+
+    __slots__ = ("sequences_by_writer",)
+
+    def __init__(self, items=()):
+        self.sequences_by_writer = OrderedDict(items)
+
+    def accept(self, writer, sequence):
+        """Tell whether the record is new, and remember it."""
+        if sequence <= self.sequences_by_writer.get(writer, -1):
+            return False
+        self.sequences_by_writer[writer] = sequence
+        self.sequences_by_writer.move_to_end(writer)
+        if len(self.sequences_by_writer) > MAX_WRITERS:
+            self.sequences_by_writer.popitem(last=False)
+        return True
+
+    def to_items(self):
+        """Return ``(writer, sequence)`` pairs from which to construct an equal one."""
+        return tuple(self.sequences_by_writer.items())
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One envelope of a stream; all of one append share an offset."""
+
+    offset: int
+    envelope: Envelope
+
+
+@dataclass(slots=True, frozen=True)
+class Batch:
+    """What one read brought; it never splits the envelopes of one offset."""
+
+    stream: str
+    entries: tuple[Entry, ...]
+    #: Offset from which the next read starts; a snapshot here is as of this offset.
+    next_offset: int
+    #: Moment at which nothing lay beyond ``next_offset``; None when more is known.
+    caught_up_s: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class FollowStarted(Event):
+    """The reader shall start."""
+
+
+@dataclass(slots=True, frozen=True)
+class ReadReplied(Event):
+    """A read was answered; ``sent_s`` is when it was sent."""
+
+    sent_s: float
+    reply: ReadReply
+
+
+@dataclass(slots=True, frozen=True)
+class ReadFailed(Event):
+    """A read was not answered."""
+
+
+@dataclass(slots=True, frozen=True)
+class ReadTruncated(Event):
+    """The records from the reader's position on have expired."""
+
+    oldest: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReadRetryDue(Event):
+    """The time set by `ReadTimerStarted` is over."""
+
+
+@dataclass(slots=True, frozen=True)
+class ReadSent(Effect):
+    """Read the stream from an offset."""
+
+    from_offset: int
+    wait_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class ReadTimerStarted(Effect):
+    """Send `ReadRetryDue` after a delay."""
+
+    delay_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Delivered(Effect):
+    """Hand a batch to the follower."""
+
+    batch: Batch
+
+
+@dataclass(slots=True, frozen=True)
+class FollowTruncated(Effect):
+    """Tell the follower that its position has expired; the reader stops."""
+
+    oldest: int
+
+
+class StreamReader:
+    """State of following one stream.
+
+    Parameters
+    ----------
+    stream : str
+    position : int
+        Offset to read next.
+    rng : random.Random
+    sequences : WriterSequences, optional
+        As of ``position``, from a snapshot.
+    """
+
+    __slots__ = (
+        "backoff",
+        "caught_up_s",
+        "duplicates",
+        "malformed",
+        "position",
+        "sequences",
+        "stream",
+        "wait_s",
+    )
+
+    def __init__(self, stream, position, rng, sequences=None, wait_s=READ_WAIT_S):
+        self.stream = stream
+        self.position = position
+        self.sequences = sequences or WriterSequences()
+        self.wait_s = wait_s
+        self.backoff = Backoff(rng)
+        self.caught_up_s = None
+        self.malformed = 0
+        self.duplicates = 0
+
+    def take(self, records):
+        """Move past ``records`` and return the entries among them that are new."""
+        entries = []
+        for record in records:
+            if record.offset < self.position:
+                continue
+            self.position = record.offset + 1
+            entries.extend(self._take_one(record))
+        return tuple(entries)
+
+    def _take_one(self, record):
+        try:
+            envelopes = decode_record(record.data)
+        except RecordError:
+            self.malformed += 1
+            return
+        for envelope in envelopes:
+            if self.sequences.accept(envelope.writer, envelope.sequence):
+                yield Entry(record.offset, envelope)
+            else:
+                self.duplicates += 1
+
+
+@reduce.register
+def _(event: FollowStarted, state):
+    return [ReadSent(state.position, state.wait_s)]
+
+
+@reduce.register
+def _(event: ReadRetryDue, state):
+    return [ReadSent(state.position, state.wait_s)]
+
+
+@reduce.register
+def _(event: ReadReplied, state):
+    state.backoff.reset()
+    entries = state.take(event.reply.records)
+    caught_up_s = None
+    if state.position == event.reply.extent.next:
+        caught_up_s = _caught_up_s(event, state.wait_s)
+        state.caught_up_s = caught_up_s
+    batch = Batch(state.stream, entries, state.position, caught_up_s)
+    return [Delivered(batch), ReadSent(state.position, state.wait_s)]
+
+
+def _caught_up_s(event, wait_s):
+    """Return the last moment at which the reply surely told the end of the stream."""
+    if event.reply.records:
+        return event.sent_s
+    waited_s = event.sent_s + wait_s * (1 - CLOCK_RATE_ERROR)
+    return waited_s if waited_s <= event.now_s else event.sent_s
+
+
+@reduce.register
+def _(event: ReadFailed, state):
+    return [ReadTimerStarted(state.backoff.next_delay_s())]
+
+
+@reduce.register
+def _(event: ReadTruncated, state):
+    return [FollowTruncated(event.oldest)]
