--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -10,6 +10,8 @@
 __all__ = [
     "CellSnapshot",
     "CellSummary",
+    "ClaimState",
+    "ClaimsSnapshot",
     "ConfigurationPublished",
     "Envelope",
     "InstanceAnnounced",
@@ -68,6 +70,8 @@
     slots: int = 0
     capacity: Resources = Resources()
     labels: dict[str, str] = {}
+    #: Name of the cell that an agent takes part in.
+    cell: str = ""
 
 
 class InstanceDraining(Struct, tag=3):
@@ -105,6 +109,8 @@
     fingerprint: bytes
     #: 0 for the first claim of a key; one more after a proof that it was not run.
     attempt: int = 0
+    #: Unix time of the claim in seconds.
+    claimed_at: int = 0
 
 
 class RequestSettled(Struct, tag=7):
@@ -118,6 +124,26 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     detail: str = ""
+    #: Attempt of the claim that is settled.
+    attempt: int = 0
+    #: Whether the body is too large for the log and is kept by the instance.
+    body_at_instance: bool = False
+
+
+class ClaimState(Struct):
+    """The claim that stands for a key, and how it was settled if it was."""
+
+    claim: RequestClaimed
+    settled: RequestSettled | None = None
+
+
+class ClaimsSnapshot(Struct, tag=17):
+    """All claims of a stream as of an offset, appended before their records expire."""
+
+    as_of: int
+    #: Unix time of the stream's claims in seconds.
+    clock_s: int
+    claims: tuple[ClaimState, ...]
 
 
 class TaskSpec(Struct):
@@ -157,6 +183,8 @@
     incarnation: int
     #: Amount reserved on the owner's instance.
     reserved: Resources
+    #: Seconds of the lease on the task, so that owner and takers count alike.
+    lease_s: int = 120
 
 
 class TaskEnded(Struct, tag=11):
@@ -237,6 +265,7 @@
     | OwnerRenewed
     | CellSnapshot
     | CellSummary
+    | ClaimsSnapshot
 )
 
 
