Add the operators' command-line tool

Cause: operators drive the system only by publishing and reading back, from a shell whose exit codes must be truthful. Ruled out: global flag values (main could not be called twice), and reporting a lost answer as unreachable, which says that nothing was sent.

--- /dev/null
+++ b/dotterelspread/verb.py
@@ -0,0 +1,116 @@
+"""The verbs of the command-line tool: their base, results, errors and lookup."""
+
+import enum
+import importlib
+from dataclasses import dataclass
+
+__all__ = [
+    "Command",
+    "ExitCode",
+    "Verb",
+    "VerbError",
+    "VerbResult",
+    "get_verb",
+    "verb_names",
+]
+
+#: Module below ``verbs`` and class of each verb, in the order of the help text.
+_classes_by_name = {
+    "validate": ("validate", "Validate"),
+    "apply": ("apply", "Apply"),
+    "show": ("show", "Show"),
+    "explain": ("explain", "Explain"),
+    "submit": ("submit", "Submit"),
+    "cancel": ("cancel", "Cancel"),
+    "drain": ("drain", "Drain"),
+    "status": ("status", "Status"),
+}
+
+
+class ExitCode(enum.IntEnum):
+    """How the command-line tool ended, as shells see it."""
+
+    OK = 0
+    #: The request was refused, or failed.
+    FAILED = 1
+    #: The command line or a file has faults; nothing was sent or done.
+    INVALID = 2
+    #: No entry could be reached; nothing was sent.
+    UNREACHABLE = 3
+    #: Another configuration came into force first.
+    SUPERSEDED = 4
+    #: It is not known whether the request took effect.
+    UNKNOWN = 5
+
+
+class VerbError(Exception):
+    """A verb can't do what was asked.
+
+    Parameters
+    ----------
+    exit_code : ExitCode
+    message : str
+        What went wrong, and what to do where that is known.
+    """
+
+    def __init__(self, exit_code, message):
+        self.exit_code = exit_code
+        super().__init__(message)
+
+
+@dataclass(slots=True, frozen=True)
+class VerbResult:
+    """What a verb prints on standard output, and its exit code."""
+
+    #: A list of mappings, a mapping, or text.
+    document: object
+    exit_code: ExitCode = ExitCode.OK
+
+
+@dataclass(slots=True, frozen=True)
+class Command:
+    """A parsed command line."""
+
+    arguments: tuple[str, ...]
+    #: ``absl.flags.FlagValues`` with the common flags and those of the verb.
+    flags: object
+    #: `OperatorClient` of the entry.
+    client: object
+
+
+class Verb:
+    """One verb of the tool; base of the variants in ``verbs``."""
+
+    #: Names of the arguments, as the help text shows them.
+    arguments = ()
+    #: One line that says what the verb does.
+    summary = ""
+
+    def define_flags(self, values):
+        """Define the flags that only this verb has on ``values``."""
+
+    def run(self, command):
+        """Do it and return a `VerbResult`; raises `VerbError`."""
+        raise NotImplementedError
+
+
+def verb_names():
+    """Return the names of all verbs."""
+    return tuple(_classes_by_name)
+
+
+def get_verb(name):
+    """Return the verb with this name.
+
+    Raises
+    ------
+    VerbError
+        When there is none.
+    """
+    if name not in _classes_by_name:
+        known = ", ".join(_classes_by_name)
+        message = f"unknown verb {name!r}; the verb comes first, one of {known}"
+        raise VerbError(ExitCode.INVALID, message)
+    module_name, class_name = _classes_by_name[name]
+    module = importlib.import_module(f".verbs.{module_name}", __package__)
+    return getattr(module, class_name)()
--- /dev/null
+++ b/dotterelspread/verbs/__init__.py
@@ -0,0 +1,1 @@
+"""The verbs of the command-line tool, one module each; see `dotterelspread.verb`."""
