--- a/tests/scenarios/cmdline.feature
+++ b/tests/scenarios/cmdline.feature
@@ -19,6 +19,7 @@
   Scenario: A file that was read back is based on the version that it names
     Given version 7 is in force
     And the operator saves what "show configuration" prints
+    And version 8 is in force
     And the entry answers a publication with "superseded" and version 9
     When the operator runs "apply {saved}"
     Then the exit code is 4
--- a/tests/scenarios/test_cmdline.py
+++ b/tests/scenarios/test_cmdline.py
@@ -51,6 +51,7 @@
 
 @given(parsers.parse("version {version:d} is in force"))
 def _(shell, version):
+    shell.entry.replies_by_call.pop(READ, None)
     shell.entry.reply(READ, 200, {"version": version, "text": "teams: {}\n"})
 
 
