--- a/dotterelspread/daemon.py
+++ b/dotterelspread/daemon.py
@@ -1,8 +1,10 @@
 """The daemon: one entry or one agent, as its settings say."""
 
 import asyncio
+import random
 import signal
 import sys
+import time
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import uvloop
@@ -11,11 +13,12 @@
 from .agentnode import open_agent
 from .entrynode import open_entry
 from .jsonlog import log_change, open_log
-from .logclient import LogClient, make_incarnation
+from .logclient import LogClient
 from .node import Node, boottime_s
 from .peer import PeerPool
 from .reducer import reduce
 from .settings import DaemonSettings, Role, SettingsError
+from .stream import make_incarnation
 from .telemetry import open_telemetry
 
 __all__ = ["main", "run", "serve"]
@@ -34,7 +37,7 @@
 @asynccontextmanager
 async def open_node(settings):
     """Yield the `Node` of a process, with what all roles share."""
-    incarnation = make_incarnation()
+    incarnation = make_incarnation(time.time(), random.SystemRandom())
     async with AsyncExitStack() as stack:
         telemetry = stack.enter_context(open_telemetry(settings))
         log_client = await stack.enter_async_context(
