--- a/dotterelspread/logclient.py
+++ b/dotterelspread/logclient.py
@@ -207,9 +207,7 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def from_settings(
-        cls, base_url, incarnation, rng=None, clock=time.monotonic
-    ):
+    async def from_settings(cls, base_url, incarnation, rng=None, clock=time.monotonic):
         """Hold open a client of the log at ``base_url``."""
         async with open_log(base_url) as log:
             client = cls(log, incarnation, rng or random.Random(incarnation), clock)
