Try requests under failures on virtual time, with a checker of its own

A keyed request that finds no instance now claims without one, as only the log tells whether it may be refused.

--- a/dotterelspread/entryclaims.py
+++ b/dotterelspread/entryclaims.py
@@ -100,15 +100,15 @@
     """Return the effects that claim the request's key for an instance."""
     if request.claiming == number:
         return []
+    # Without an instance the claim names none: only the log tells whether an earlier
+    # request with the key was run, and so whether this one may be refused.
     instance = choose(state, request, now_s)
-    if instance is None:
-        return give_up(state, request)
     request.claim = RequestClaimed(
         request.service_name,
         request.key,
         request.request_id,
-        instance.instance_id,
-        instance.incarnation,
+        instance.instance_id if instance else "",
+        instance.incarnation if instance else 0,
         request.fingerprint,
         number,
         int(now_s + state.unix_offset_s),
@@ -151,6 +151,15 @@
     )
 
 
+def may_claim_again(state, request, record):
+    """Tell whether a request may be claimed anew, and take that from the budget."""
+    return (
+        record.instance_id != ""
+        and len(request.attempts) < MAX_ATTEMPTS
+        and state.retries.take()
+    )
+
+
 def note_unsent(request, record):
     """Note that the attempt of a claim was not sent and never will be."""
     attempt = Attempt(
@@ -161,7 +170,7 @@
         state=AttemptState.NOT_RUN,
     )
     request.attempts.append(attempt)
-    detail = f"{record.instance_id} has left"
+    detail = f"instance {record.instance_id!r} cannot take it"
     request.refused = Refused(RefusalReason.NO_INSTANCE, detail, 1.0)
     return attempt
 
--- /dev/null
+++ b/tests/builders_requests.py
@@ -0,0 +1,444 @@
+"""Entries and agents on virtual time, joined by an event queue and small fakes."""
+
+import heapq
+import random
+from dataclasses import dataclass, field, replace
+from functools import singledispatchmethod
+from itertools import count
+
+from dotterelspread import agentevents as agent_events
+from dotterelspread import entryevents as entry_events
+from dotterelspread.agentcore import AgentState
+from dotterelspread.configuration import (
+    Configuration,
+    KindConfig,
+    ServiceConfig,
+    Urgency,
+)
+from dotterelspread.entrycore import EntryState
+from dotterelspread.entrystate import Place
+from dotterelspread.outcome import Completed
+from dotterelspread.reducer import reduce
+from dotterelspread.requestclaim import CLAIM_STREAMS
+from dotterelspread.routing import Load
+from tests.history import History, Run, Seen, Sent
+
+SERVICE = "dispatch"
+TICK_S = 0.05
+READ_S = 0.05
+STREAMS = [f"claims.{number}" for number in range(CLAIM_STREAMS)]
+
+
+def a_service(deadline_s=6.0):
+    kinds = [
+        KindConfig("fault", Urgency.HIGH, share=0.4, deadline_s=deadline_s),
+        KindConfig("price", Urgency.LOW, share=0.2, deadline_s=deadline_s),
+        KindConfig("book", Urgency.NORMAL, 0.4, deadline_s, idempotent=False),
+    ]
+    return ServiceConfig(SERVICE, {kind.name: kind for kind in kinds}, "fault")
+
+
+@dataclass(slots=True)
+class Process:
+    """An entry or an agent: its state, and what waits for it while it is frozen."""
+
+    process_id: str
+    state: object
+    is_alive: bool = True
+    is_frozen: bool = False
+    inbox: list = field(default_factory=list)
+    #: Next offset to read, by stream.
+    offsets: dict = field(default_factory=lambda: dict.fromkeys(STREAMS, 0))
+
+
+@dataclass(slots=True, frozen=True)
+class Waiter:
+    """Whom an agent's answer goes to, and over which connection."""
+
+    entry_id: str
+    connection: int
+    effect: object
+
+
+class Bench:
+    """Runs the reducer for each process and carries their effects over.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the delays.
+    """
+
+    def __init__(self, seed=0, entries=2, agents=3, slots=2, delay_s=0.003):
+        self.rng = random.Random(seed)
+        self.delay_s = delay_s
+        self.now_s = 0.0
+        self.numbers = count(1)
+        self.queue = []
+        self.history = History()
+        self.log = {stream: [] for stream in STREAMS}
+        self.store_is_up = True
+        self.append_delay_s = 0.01
+        #: Directed pairs of processes whose messages are lost.
+        self.cuts = set()
+        #: Connections that carry nothing any more, as (entry, agent, number).
+        self.silent = set()
+        self.connections = {}
+        self.duplicates = 0.0
+        self.service = a_service()
+        self.service_s = {"fault": 0.05, "price": 0.1, "book": 0.08}
+        self.slow = {}
+        self.sends = 0
+        self.sent_ids_by_entry = {}
+        self.entries = {}
+        self.agents = {}
+        for number in range(agents):
+            self.start_agent(f"a{number}", slots)
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+
+    # Time
+
+    def after(self, delay_s, call, *arguments):
+        when_s = self.now_s + delay_s
+        heapq.heappush(self.queue, (when_s, next(self.numbers), call, arguments))
+
+    def delay(self):
+        return self.rng.uniform(0.5, 3.0) * self.delay_s
+
+    def run_for(self, seconds):
+        end_s = self.now_s + seconds
+        while self.queue and self.queue[0][0] <= end_s:
+            self.now_s, _, call, arguments = heapq.heappop(self.queue)
+            call(*arguments)
+        self.now_s = end_s
+
+    # Processes
+
+    def start_entry(self, entry_id):
+        place = Place(entry_id, "kumasi", "ashanti")
+        state = EntryState.from_config(place, 1, seed=len(self.entries))
+        process = Process(entry_id, state)
+        self.entries[entry_id] = process
+        self.sent_ids_by_entry[entry_id] = set()
+        self.dispatch(process, self.entry_configured())
+        for agent in self.agents.values():
+            self.dispatch(process, self.member_seen(agent))
+        self.after(TICK_S, self.tick, process, entry_events.EntryTick)
+        self.after(READ_S, self.read_log, process)
+
+    def entry_configured(self):
+        services = {SERVICE: self.service}
+        return entry_events.EntryConfigured(self.now_s, Configuration(services))
+
+    def start_agent(self, agent_id, slots=2, incarnation=1):
+        state = AgentState.from_config(self.service, slots, incarnation)
+        process = Process(agent_id, state)
+        self.agents[agent_id] = process
+        self.history.slots_by_id[agent_id] = slots
+        self.history.drained_s_by_id.pop(agent_id, None)
+        self.after(TICK_S, self.tick, process, agent_events.AgentTick)
+        self.announce(process)
+
+    def announce(self, agent):
+        for entry in self.entries.values():
+            self.after(self.delay(), self.deliver, entry, self.member_seen(agent))
+
+    def member_seen(self, agent):
+        state = agent.state
+        return entry_events.MemberSeen(
+            self.now_s,
+            agent.process_id,
+            state.incarnation,
+            agent.process_id,
+            "kumasi",
+            "ashanti",
+            (SERVICE,),
+            state.slots,
+            state.draining,
+        )
+
+    def kill_entry(self, entry_id):
+        entry = self.entries.pop(entry_id)
+        entry.is_alive = False
+        seen_ids = {seen.request_id for seen in self.history.seen}
+        self.history.cut_off_ids |= self.sent_ids_by_entry[entry_id] - seen_ids
+
+    def kill_agent(self, agent_id, is_noticed=True):
+        agent = self.agents[agent_id]
+        agent.is_alive = False
+        if is_noticed:
+            gone = entry_events.MemberGone(
+                self.now_s, agent_id, agent.state.incarnation
+            )
+            for entry in self.entries.values():
+                self.after(1.0, self.deliver, entry, gone)
+
+    def restart_agent(self, agent_id):
+        old = self.agents[agent_id]
+        old.is_alive = False
+        self.start_agent(agent_id, old.state.slots, old.state.incarnation + 1)
+
+    def thaw(self, process):
+        process.is_frozen = False
+        inbox, process.inbox = process.inbox, []
+        for event in inbox:
+            self.deliver(process, event)
+
+    def drain(self, agent_id):
+        self.history.drained_s_by_id.setdefault(agent_id, self.now_s)
+        agent = self.agents[agent_id]
+        self.dispatch(agent, agent_events.DrainRequested(self.now_s))
+        self.announce(agent)
+
+    def heal(self):
+        self.cuts.clear()
+        self.silent.clear()
+        self.store_is_up = True
+        self.duplicates = 0.0
+        for process in [*self.entries.values(), *self.agents.values()]:
+            self.thaw(process)
+
+    def tick(self, process, event_type):
+        if process.is_alive:
+            self.after(TICK_S, self.tick, process, event_type)
+            if not process.is_frozen:
+                self.dispatch(process, event_type(self.now_s))
+
+    def deliver(self, process, event):
+        """Hand an event to a process now, or when it thaws."""
+        if not process.is_alive:
+            return
+        if process.is_frozen:
+            process.inbox.append(event)
+            return
+        self.dispatch(process, replace(event, now_s=self.now_s))
+
+    def dispatch(self, process, event):
+        for effect in reduce(event, process.state):
+            # A process may be killed or frozen between deciding and acting.
+            self.after(self.rng.uniform(0, 0.002), self.act, process, effect)
+
+    def act(self, process, effect):
+        if not process.is_alive:
+            return
+        if process.is_frozen:
+            self.after(TICK_S, self.act, process, effect)
+            return
+        self.perform(effect, process)
+
+    # Callers
+
+    def send(self, entry_id, kind="fault", key=None, fingerprint=b"f", deadline_s=None):
+        request_id = f"r{next(self.numbers)}"
+        self.sent_ids_by_entry[entry_id].add(request_id)
+        answer = (key or request_id).encode()
+        is_keyed = not self.service.kinds_by_name[kind].idempotent
+        self.history.sent_by_id[request_id] = Sent(
+            request_id, self.now_s, key if is_keyed else None, answer
+        )
+        due_s = None if deadline_s is None else self.now_s + deadline_s
+        event = entry_events.RequestArrived(
+            self.now_s,
+            request_id,
+            SERVICE,
+            kind,
+            due_s,
+            key,
+            fingerprint,
+            100,
+            (kind, answer),
+        )
+        self.deliver(self.entries[entry_id], event)
+        return request_id
+
+    def outcome(self, request_id):
+        found = [s.outcome for s in self.history.seen if s.request_id == request_id]
+        return found[0] if found else None
+
+    # Effects
+
+    @singledispatchmethod
+    def perform(self, effect, process):
+        raise AssertionError(f"no fake performs {effect}")
+
+    @perform.register
+    def _(self, effect: entry_events.Respond, entry):
+        seen = Seen(effect.request_id, self.now_s, effect.outcome)
+        self.history.seen.append(seen)
+
+    @perform.register
+    def _(self, effect: entry_events.OpenNewConnection, entry):
+        pair = (entry.process_id, effect.instance_id)
+        self.connections[pair] = self.connections.get(pair, 0) + 1
+
+    @perform.register
+    def _(self, effect: entry_events.SendRun, entry):
+        self.sends += 1
+        self.carry(entry, effect)
+        if self.rng.random() < self.duplicates:
+            self.carry(entry, effect, extra_s=self.rng.uniform(0, 4))
+
+    @perform.register
+    def _(self, effect: entry_events.AskAnswer, entry):
+        self.carry(entry, effect)
+
+    @perform.register
+    def _(self, effect: entry_events.Append, entry):
+        delay_s = self.rng.uniform(0.5, 2) * self.append_delay_s
+        self.after(delay_s, self.append, entry, effect)
+
+    @perform.register
+    def _(self, effect: agent_events.StartRun, agent):
+        kind, answer = effect.request
+        run = Run(
+            effect.request_id,
+            agent.process_id,
+            agent.state.incarnation,
+            self.now_s,
+        )
+        self.history.runs.append(run)
+        service_s = self.service_s[kind] * self.slow.get(agent.process_id, 1.0)
+        duration_s = service_s * self.rng.uniform(0.8, 1.2)
+        self.after(duration_s, self.finish_run, agent, run, answer)
+
+    @perform.register
+    def _(self, effect: agent_events.SendAnswer, agent):
+        for waiter in effect.waiters:
+            self.reply(agent, waiter, effect.outcome)
+
+    @perform.register
+    def _(self, effect: agent_events.SendPending, agent):
+        # The daemon holds the reply back for a while, in case the answer comes.
+        self.after(0.2, self.reply, agent, effect.waiter, None)
+
+    @perform.register
+    def _(self, effect: agent_events.DrainCompleted, agent):
+        assert not agent.state.pending_by_id
+
+    # Network
+
+    def connection(self, entry_id, agent_id):
+        return (entry_id, agent_id, self.connections.get((entry_id, agent_id), 0))
+
+    def is_lost(self, source_id, target_id, connection):
+        return (source_id, target_id) in self.cuts or connection in self.silent
+
+    def carry(self, entry, effect, extra_s=0.0):
+        """Send a message of an entry to an agent."""
+        agent = self.agents[effect.instance_id]
+        connection = self.connection(entry.process_id, agent.process_id)
+        if not agent.is_alive:
+            lost = self.lost(effect, sent=False)
+            self.after(self.delay(), self.deliver, entry, lost)
+        elif not self.is_lost(entry.process_id, agent.process_id, connection):
+            waiter = Waiter(entry.process_id, connection, effect)
+            self.after(self.delay() + extra_s, self.receive, agent, waiter)
+
+    def receive(self, agent, waiter):
+        entry = self.entries.get(waiter.entry_id)
+        if agent.is_alive:
+            self.deliver(agent, self.request_event(waiter))
+        elif entry:
+            self.deliver(entry, self.lost(waiter.effect, sent=True))
+
+    def request_event(self, waiter):
+        effect = waiter.effect
+        if isinstance(effect, entry_events.AskAnswer):
+            return agent_events.AnswerRequested(
+                self.now_s,
+                effect.asked_id,
+                effect.incarnation,
+                effect.fence,
+                waiter,
+            )
+        return agent_events.RunRequested(
+            self.now_s,
+            effect.request_id,
+            effect.incarnation,
+            effect.service_name,
+            effect.kind,
+            effect.urgency,
+            self.now_s + effect.remaining_s,
+            effect.request,
+            effect.idempotent,
+            waiter,
+        )
+
+    def lost(self, effect, sent):
+        names = (effect.request_id, effect.attempt, effect.instance_id)
+        if isinstance(effect, entry_events.SendRun):
+            return entry_events.AttemptLost(self.now_s, *names, sent)
+        return entry_events.AskLost(self.now_s, names[0], effect.asked_id, *names[1:])
+
+    def reply(self, agent, waiter, outcome):
+        entry = self.entries.get(waiter.entry_id)
+        names = (agent.process_id, waiter.entry_id)
+        if entry is None or not agent.is_alive:
+            return
+        if self.is_lost(*names, waiter.connection):
+            return
+        event = self.answer_event(agent, waiter.effect, outcome)
+        self.after(self.delay(), self.deliver, entry, event)
+
+    def answer_event(self, agent, effect, outcome):
+        state = agent.state
+        load = Load(
+            state.running,
+            state.queued,
+            state.slots,
+            state.draining,
+            state.incarnation,
+        )
+        names = (effect.attempt, agent.process_id)
+        if isinstance(effect, entry_events.SendRun):
+            return entry_events.AnswerReceived(
+                self.now_s, effect.request_id, *names, outcome, load
+            )
+        names = (effect.request_id, effect.asked_id, *names)
+        if outcome is None:
+            return entry_events.AskPending(self.now_s, *names, load)
+        return entry_events.AskAnswered(self.now_s, *names, outcome, load)
+
+    def finish_run(self, agent, run, answer):
+        run.end_s = self.now_s
+        event = agent_events.RunFinished(
+            self.now_s, run.request_id, Completed(200, (), answer)
+        )
+        self.deliver(agent, event)
+
+    # Store
+
+    def append(self, entry, effect):
+        if self.store_is_up:
+            self.log[effect.stream].append(effect.record)
+            return
+        self.after(0.5, self.retry_append, entry, effect)
+
+    def retry_append(self, entry, effect):
+        """Report the failed append once the store can be read again."""
+        if not self.store_is_up:
+            self.after(0.5, self.retry_append, entry, effect)
+            return
+        failed = entry_events.AppendFailed(self.now_s, effect.request_id, True)
+        self.deliver(entry, failed)
+
+    def append_late(self, seconds):
+        """Let the appends of the next while take effect long after."""
+        old_s, self.append_delay_s = self.append_delay_s, 4.0
+        self.after(seconds, setattr, self, "append_delay_s", old_s)
+
+    def read_log(self, entry):
+        if not entry.is_alive:
+            return
+        self.after(READ_S, self.read_log, entry)
+        if not self.store_is_up or entry.is_frozen:
+            return
+        for stream in STREAMS:
+            records = self.log[stream]
+            for offset in range(entry.offsets[stream], len(records)):
+                entry.offsets[stream] = offset + 1
+                event = entry_events.ClaimRead(
+                    self.now_s, stream, offset, records[offset]
+                )
+                self.deliver(entry, event)
