--- a/dotterelspread/appending.py
+++ b/dotterelspread/appending.py
@@ -19,30 +19,29 @@
 from collections import deque
 from dataclasses import dataclass
 
-from .log import Extent, ReadReply
-from .record import Envelope, Record, RecordError, decode_record, encode_record
-from .reducer import Effect, Event, reduce
+from .appendmessages import (
+    AppendCancelled,
+    AppendDropped,
+    AppendFailed,
+    AppendFailure,
+    AppendReplied,
+    AppendRequested,
+    AppendSent,
+    AppendSettled,
+    BackReadFailed,
+    BackReadReplied,
+    BackReadSent,
+    BackReadTruncated,
+    CommitDue,
+    CommitTimerStarted,
+    TailLocated,
+    TailRequested,
+)
+from .record import Envelope, RecordError, decode_record, encode_record
+from .reducer import reduce
 from .stream import Backoff
 
-__all__ = [
-    "AppendCancelled",
-    "AppendDropped",
-    "AppendFailed",
-    "AppendFailure",
-    "AppendReplied",
-    "AppendRequested",
-    "AppendSent",
-    "AppendSettled",
-    "BackReadFailed",
-    "BackReadReplied",
-    "BackReadSent",
-    "BackReadTruncated",
-    "CommitDue",
-    "CommitTimerStarted",
-    "StreamWriter",
-    "TailLocated",
-    "TailRequested",
-]
+__all__ = ["StreamWriter"]
 
 #: Least seconds between two appends to one stream.
 COMMIT_INTERVAL_S = 0.02
@@ -57,14 +56,6 @@
 TAIL_MAX_AGE_S = 20.0
 
 
-class AppendFailure(enum.Enum):
-    """How an append failed."""
-
-    NOT_WRITTEN = "not written"
-    UNCERTAIN = "uncertain"
-    REJECTED = "rejected"
-
-
 class Phase(enum.Enum):
     """What a writer waits for."""
 
@@ -75,120 +66,6 @@
     BACK_READ = "back read"
 
 
-@dataclass(slots=True, frozen=True)
-class AppendRequested(Event):
-    """A caller wants a record appended; ``token`` names the request."""
-
-    token: int
-    record: Record
-
-
-@dataclass(slots=True, frozen=True)
-class AppendCancelled(Event):
-    """The caller no longer waits."""
-
-    token: int
-
-
-@dataclass(slots=True, frozen=True)
-class CommitDue(Event):
-    """The time set by `CommitTimerStarted` is over."""
-
-
-@dataclass(slots=True, frozen=True)
-class TailLocated(Event):
-    """The stream's extent was answered."""
-
-    attempt: int
-    extent: Extent
-
-
-@dataclass(slots=True, frozen=True)
-class AppendReplied(Event):
-    """The append was answered."""
-
-    attempt: int
-    extent: Extent
-
-
-@dataclass(slots=True, frozen=True)
-class AppendFailed(Event):
-    """The append, or the search for the end before it, failed."""
-
-    attempt: int
-    failure: AppendFailure
-
-
-@dataclass(slots=True, frozen=True)
-class BackReadReplied(Event):
-    """The reading back was answered."""
-
-    attempt: int
-    reply: ReadReply
-
-
-@dataclass(slots=True, frozen=True)
-class BackReadFailed(Event):
-    """The reading back was not answered."""
-
-    attempt: int
-
-
-@dataclass(slots=True, frozen=True)
-class BackReadTruncated(Event):
-    """The records that would settle the append have expired."""
-
-    attempt: int
-
-
-@dataclass(slots=True, frozen=True)
-class CommitTimerStarted(Effect):
-    """Send `CommitDue` after a delay."""
-
-    delay_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class TailRequested(Effect):
-    """Ask for the stream's extent."""
-
-    attempt: int
-
-
-@dataclass(slots=True, frozen=True)
-class AppendSent(Effect):
-    """Append one log record."""
-
-    attempt: int
-    data: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class BackReadSent(Effect):
-    """Read the stream from an offset, without waiting."""
-
-    attempt: int
-    from_offset: int
-
-
-@dataclass(slots=True, frozen=True)
-class AppendSettled(Effect):
-    """The record stands in the stream."""
-
-    token: int
-    offset: int
-
-
-@dataclass(slots=True, frozen=True)
-class AppendDropped(Effect):
-    """The record is no longer appended."""
-
-    token: int
-    #: True when the record is not in the stream and never will be.
-    is_absent: bool
-    detail: str
-
-
 @dataclass(slots=True, frozen=True)
 class WaitingRecord:
     """An envelope that a caller waits for."""
--- a/dotterelspread/logclient.py
+++ b/dotterelspread/logclient.py
@@ -6,7 +6,8 @@
 import random
 import time
 
-from .appending import (
+from .appending import StreamWriter
+from .appendmessages import (
     AppendCancelled,
     AppendDropped,
     AppendFailed,
@@ -21,7 +22,6 @@
     BackReadTruncated,
     CommitDue,
     CommitTimerStarted,
-    StreamWriter,
     TailLocated,
     TailRequested,
 )
--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -119,6 +119,8 @@
     """What one read brought; it never splits the envelopes of one offset."""
 
     stream: str
+    #: Offset from which the read was made.
+    from_offset: int
     entries: tuple[Entry, ...]
     #: Offset from which the next read starts; a snapshot here is as of this offset.
     next_offset: int
@@ -255,12 +257,13 @@
 @reduce.register
 def _(event: ReadReplied, state):
     state.backoff.reset()
+    from_offset = state.position
     entries = state.take(event.reply.records)
     caught_up_s = None
     if state.position == event.reply.extent.next:
         caught_up_s = _caught_up_s(event, state.wait_s)
         state.caught_up_s = caught_up_s
-    batch = Batch(state.stream, entries, state.position, caught_up_s)
+    batch = Batch(state.stream, from_offset, entries, state.position, caught_up_s)
     return [Delivered(batch), ReadSent(state.position, state.wait_s)]
 
 
--- a/tests/test_appending.py
+++ b/tests/test_appending.py
@@ -1,12 +1,12 @@
 import random
 
-from dotterelspread.appending import (
+from dotterelspread.appending import StreamWriter
+from dotterelspread.appendmessages import (
     AppendCancelled,
     AppendDropped,
     AppendRequested,
     AppendSent,
     CommitDue,
-    StreamWriter,
     TailLocated,
 )
 from dotterelspread.log import Extent
