Name the incarnation and the clock as the daemon uses them

Cause: the daemon passes its clock and asks logclient for its incarnation; the pure module had no business with the wall clock.

--- a/dotterelspread/logclient.py
+++ b/dotterelspread/logclient.py
@@ -46,10 +46,12 @@
     StreamReader,
 )
 
-__all__ = ["AppendError", "LogClient"]
+__all__ = ["AppendError", "LogClient", "make_incarnation"]
 
 #: Bytes that one read asks for.
 READ_BYTES = 256 << 10
+#: Random bits that tell apart the processes that start in the same millisecond.
+INCARNATION_RANDOM_BITS = 20
 
 FAILURES_BY_ERROR = {
     LogUnavailableError: AppendFailure.NOT_WRITTEN,
@@ -73,6 +75,13 @@
         self.is_absent = is_absent
 
 
+def make_incarnation():
+    """Return a number for this start of a process, larger for a later start."""
+    milliseconds = time.time_ns() // 1_000_000
+    random_part = random.SystemRandom().getrandbits(INCARNATION_RANDOM_BITS)
+    return milliseconds << INCARNATION_RANDOM_BITS | random_part
+
+
 class Appender:
     """Appends to one stream: a `StreamWriter` with its timers and calls."""
 
@@ -207,10 +216,10 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def from_settings(cls, base_url, incarnation, rng=None):
+    async def from_settings(cls, base_url, incarnation, clock=time.monotonic):
         """Hold open a client of the log at ``base_url``."""
         async with open_log(base_url) as log:
-            client = cls(log, incarnation, rng or random.Random(incarnation))
+            client = cls(log, incarnation, random.Random(incarnation), clock)
             try:
                 yield client
             finally:
--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -30,7 +30,6 @@
     "ReadTruncated",
     "StreamReader",
     "WriterSequences",
-    "make_incarnation",
 ]
 
 #: Writers remembered by each reader; those silent for longest are forgotten first.
@@ -41,23 +40,6 @@
 CLOCK_RATE_ERROR = 0.01
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 4.0
-INCARNATION_RANDOM_BITS = 20
-
-
-def make_incarnation(wall_clock_s, rng):
-    """Return a number for one start of a process, larger for a later start.
-
-    Parameters
-    ----------
-    wall_clock_s : float
-        Seconds since the epoch.
-    rng : random.Random
-        Tells apart the processes that start in the same millisecond.
-    """
-    milliseconds = int(wall_clock_s * 1000)
-    return milliseconds << INCARNATION_RANDOM_BITS | rng.getrandbits(
-        INCARNATION_RANDOM_BITS
-    )
 
 
 class Backoff:
