Keep a state past the log's retention, and members by the stream

Cause: processes start onto truncated streams, and dead members must go without a judgement on time. Ruled out: a record by which peers declare a member dead (one cut one way would).

--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -13,6 +13,7 @@
     "ClaimState",
     "ClaimsSnapshot",
     "ConfigurationPublished",
+    "ConfigurationSnapshot",
     "Envelope",
     "InstanceAnnounced",
     "InstanceDraining",
@@ -94,6 +95,12 @@
     as_of: int
     announced: tuple[InstanceAnnounced, ...]
     draining_ids: tuple[str, ...]
+    #: Snapshots since each of ``announced`` last announced itself.
+    ages: tuple[int, ...] = ()
+    #: Offset of the snapshot that last made members older; -1 for none.
+    aged_at: int = -1
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
 
 
 class RequestClaimed(Struct, tag=6):
@@ -146,6 +153,18 @@
     claims: tuple[ClaimState, ...]
 
 
+class ConfigurationSnapshot(Struct, tag=18):
+    """The configuration in force as of an offset, kept before its record expires."""
+
+    as_of: int
+    #: Offset at which the configuration was published; -1 for none.
+    version: int
+    author: str
+    text: str
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
+
+
 class TaskSpec(Struct):
     """One task of a job as its submitter declared it."""
 
@@ -266,6 +285,7 @@
     | CellSnapshot
     | CellSummary
     | ClaimsSnapshot
+    | ConfigurationSnapshot
 )
 
 
