--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -108,7 +108,9 @@
         process = AgentProcess(node, members, requests, tasks)
         await stack.enter_async_context(
             serve_peers(
-                str(settings.peer_address), node.handlers_by_method(), node.pool.traffic
+                str(settings.peer_listen_address),
+                node.handlers_by_method(),
+                node.pool.traffic,
             )
         )
         await stack.enter_async_context(
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -71,7 +71,9 @@
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(
             serve_peers(
-                str(settings.peer_address), node.handlers_by_method(), node.pool.traffic
+                str(settings.peer_listen_address),
+                node.handlers_by_method(),
+                node.pool.traffic,
             )
         )
         await stack.enter_async_context(
--- a/dotterelspread/settings.py
+++ b/dotterelspread/settings.py
@@ -160,8 +160,10 @@
     data_centre: str
     region: str
     rack: str
-    #: Where the process listens for its peers, and what it announces.
+    #: Address that the process announces to its peers.
     peer_address: Address
+    #: Where it listens for them, when a forwarder stands at the announced address.
+    peer_listen_address: Address
     #: Where the process listens for HTTP; only for health and metrics on an agent.
     http_address: Address
     #: URL of the platform's log service.
@@ -214,6 +216,7 @@
             region=options.name("region"),
             rack=options.name("rack", ""),
             peer_address=peer_address,
+            peer_listen_address=options.address("peer_listen_address", peer_address),
             http_address=http_address,
             log_url=options.url("log_url"),
             balancer_address=options.address("balancer_address", None),
--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -30,7 +30,6 @@
     "ReadTruncated",
     "StreamReader",
     "WriterSequences",
-    "make_incarnation",
 ]
 
 #: Writers remembered by each reader; those silent for longest are forgotten first.
@@ -41,23 +40,6 @@
 CLOCK_RATE_ERROR = 0.01
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 4.0
-INCARNATION_RANDOM_BITS = 20
-
-
-def make_incarnation(wall_clock_s, rng):
-    """Return a number for one start of a process, larger for a later start.
-
-    Parameters
-    ----------
-    wall_clock_s : float
-        Seconds since the epoch.
-    rng : random.Random
-        Tells apart the processes that start in the same millisecond.
-    """
-    milliseconds = int(wall_clock_s * 1000)
-    return milliseconds << INCARNATION_RANDOM_BITS | rng.getrandbits(
-        INCARNATION_RANDOM_BITS
-    )
 
 
 class Backoff:
@@ -119,6 +101,8 @@
     """What one read brought; it never splits the envelopes of one offset."""
 
     stream: str
+    #: Offset from which the read was made.
+    from_offset: int
     entries: tuple[Entry, ...]
     #: Offset from which the next read starts; a snapshot here is as of this offset.
     next_offset: int
@@ -255,12 +239,13 @@
 @reduce.register
 def _(event: ReadReplied, state):
     state.backoff.reset()
+    from_offset = state.position
     entries = state.take(event.reply.records)
     caught_up_s = None
     if state.position == event.reply.extent.next:
         caught_up_s = _caught_up_s(event, state.wait_s)
         state.caught_up_s = caught_up_s
-    batch = Batch(state.stream, entries, state.position, caught_up_s)
+    batch = Batch(state.stream, from_offset, entries, state.position, caught_up_s)
     return [Delivered(batch), ReadSent(state.position, state.wait_s)]
 
 
