Write each log line once, as JSON

Cause: a trial site showed every line twice (absl's handler beside ours) and libraries' lines without their text. Change: while the log is open its handler is the only one; libraries' lines come from warnings up, with their message.

--- a/dotterelspread/jsonlog.py
+++ b/dotterelspread/jsonlog.py
@@ -20,6 +20,8 @@
 def open_log(settings, stream=None):
     """Write the lines of this process as JSON while the block runs.
 
+    Libraries' lines come out the same way, from warnings upwards.
+
     Parameters
     ----------
     settings : DaemonSettings
@@ -29,14 +31,16 @@
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_formatter(settings))
     root = logging.getLogger()
-    level = _logger.level
-    root.addHandler(handler)
+    earlier = root.handlers, root.level, _logger.level
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
     _logger.setLevel(logging.INFO)
     try:
         yield
     finally:
-        _logger.setLevel(level)
-        root.removeHandler(handler)
+        root.handlers = earlier[0]
+        root.setLevel(earlier[1])
+        _logger.setLevel(earlier[2])
         handler.flush()
 
 
@@ -60,7 +64,7 @@
 
 def _formatter(settings):
     return JsonFormatter(
-        "%(levelname)s",
+        "%(levelname)s %(message)s",
         rename_fields={"levelname": "level"},
         static_fields={
             "instance_id": settings.instance_id,
