--- a/dotterelspread/document.py
+++ b/dotterelspread/document.py
@@ -4,7 +4,9 @@
 and so are repeated keys and documents that are too large or too deep.
 """
 
+import re
 from dataclasses import dataclass
+from itertools import islice
 
 import yaml
 
@@ -14,7 +16,10 @@
 MAX_DEPTH = 16
 MAX_NODES = 50_000
 MAX_SHOWN_CHARACTERS = 60
+#: Faults that one error lists; a text with more is not worth listing in full.
+MAX_FAULTS = 500
 
+_PLAIN_KEY = re.compile(r"[A-Za-z0-9._/-]{1,64}")
 _TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
 
 
@@ -39,11 +44,11 @@
     Parameters
     ----------
     faults : iterable of Fault
-        Every fault that was found.
+        Every fault that was found, of which the first `MAX_FAULTS` are kept.
     """
 
     def __init__(self, faults):
-        self.faults = tuple(faults)
+        self.faults = tuple(islice(faults, MAX_FAULTS))
         super().__init__("\n".join(str(fault) for fault in self.faults))
 
 
@@ -94,14 +99,23 @@
 
 
 def shorten(value):
-    """Return ``value`` as text for a fault, cut to a bounded length."""
-    text = value if isinstance(value, str) else repr(value)
-    shown = repr(text) if isinstance(value, str) else text
+    """Return ``value`` as one line of text for a fault, of a bounded length."""
+    try:
+        shown = repr(value)
+    except RecursionError:
+        shown = f"a deep {type(value).__name__}"
     if len(shown) <= MAX_SHOWN_CHARACTERS:
         return shown
     return shown[: MAX_SHOWN_CHARACTERS - 3] + "..."
 
 
+def show_key(key):
+    """Return a key as it stands in a fault's path; quoted when it is no plain name."""
+    if isinstance(key, str) and _PLAIN_KEY.fullmatch(key):
+        return key
+    return shorten(key)
+
+
 def _refuse(file_name, found, allowed):
     raise DocumentError([Fault(file_name, "", found, allowed)]) from None
 
@@ -141,7 +155,7 @@
         elif isinstance(node, yaml.MappingNode):
             seen = set()
             for key, value in node.value:
-                inner = _join(path, key.value)
+                inner = _join(path, key)
                 problem = _key_problem(key, seen)
                 if problem:
                     faults.append(Fault(file_name, inner, *problem))
@@ -163,5 +177,5 @@
 
 
 def _join(path, key):
-    name = key if isinstance(key, str) else "?"
+    name = show_key(key.value) if isinstance(key, yaml.ScalarNode) else "?"
     return f"{path}.{name}" if path else name
--- a/dotterelspread/options.py
+++ b/dotterelspread/options.py
@@ -13,7 +13,14 @@
 
 from contextlib import contextmanager
 
-from .document import DocumentError, Fault, FaultsError, load_document, shorten
+from .document import (
+    DocumentError,
+    Fault,
+    FaultsError,
+    load_document,
+    shorten,
+    show_key,
+)
 from .quantities import (
     Address,
     parse_address,
@@ -107,7 +114,7 @@
     def refuse_unread(self):
         """Note a fault for each field that was not read, here and in all sections."""
         for name in self._unread:
-            self.fault(name, "an unknown field", "only documented fields")
+            self.fault(show_key(name), "an unknown field", "only documented fields")
         for section in self._sections:
             section.refuse_unread()
 
@@ -242,7 +249,7 @@
         if form.accepts(key):
             return True
         self._unread.pop(key, None)
-        self.fault(shorten(key), "a key of another form", form.words)
+        self.fault(show_key(key), "a key of another form", form.words)
         return False
 
     def _checked(self, name, default, is_valid, form, fallback):
