--- a/dotterelspread/controllers/feedback.py
+++ b/dotterelspread/controllers/feedback.py
@@ -14,15 +14,15 @@
 __all__ = ["FeedbackController"]
 
 #: Standard deviations of caution: the least, and what full latency weight adds.
-MIN_CAUTION = 1.0
-LATENCY_CAUTION = 1.0
+MIN_CAUTION = 0.3
+LATENCY_CAUTION = 0.6
 
 #: Margin of the log latency below target: the least, and with full latency weight.
-MIN_MARGIN = 0.12
-LATENCY_MARGIN = 0.12
+MIN_MARGIN = 0.06
+LATENCY_MARGIN = 0.06
 
 #: Rise of a program's share per second.
-SHARE_RISE_PER_S = 0.02
+SHARE_RISE_PER_S = 0.04
 
 #: Smallest change of a share that is made.
 SHARE_STEP = 0.02
@@ -99,7 +99,8 @@
         goals = {}
         for program in sorted(wanted, key=lambda name: (costs[name], name)):
             cost = costs[program] * wanted[program]
-            goals[program] = 1.0 if cost <= room else max(room / cost, 0.0)
+            affordable = cost <= 0.0 or cost <= room
+            goals[program] = 1.0 if affordable else max(room / cost, 0.0)
             room -= goals[program] * cost
         return goals
 
