--- a/dotterelspread/evidence.py
+++ b/dotterelspread/evidence.py
@@ -1,4 +1,4 @@
-"""What failed and succeeded where: the evidence that quarantine decides by.
+"""What failed and succeeded where: the evidence that blame and quarantine rest on.
 
 Likelihood ratios are products of plain divisions, without logarithms, so that every
 reader of a cell's stream computes the same numbers on any machine.
@@ -7,7 +7,14 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-__all__ = ["FailureRate", "JobEvidence", "Run", "WorkerEvidence", "chance_of_failures"]
+__all__ = [
+    "FailureRate",
+    "JobEvidence",
+    "Run",
+    "TaskEvidence",
+    "WorkerEvidence",
+    "chance_of_failures",
+]
 
 #: Runs of a worker that are looked back at.
 WINDOW_RUNS = 24
@@ -15,8 +22,9 @@
 #: Part of the starts that a bad worker is taken to fail.
 BAD_WORKER_FAILS = 0.9
 
-#: Weight that an earlier run keeps in a rate with each later one.
-RATE_DECAY = 0.995
+#: Weight of one run in the long and in the short average of a failure rate.
+LONG_STEP = 0.005
+SHORT_STEP = 0.04
 
 #: Bounds of a failure rate, so that neither extreme proves anything by itself.
 MIN_RATE = 0.02
@@ -25,20 +33,29 @@
 
 @dataclass(slots=True)
 class FailureRate:
-    """Part of recent runs that failed, starting from a prior."""
+    """Part of recent runs that failed, starting from a prior.
 
-    failed: float
-    total: float
+    It is the larger of a long and a short average, so that it rises early in a wave
+    of noise, when failures prove less.
+    """
+
+    prior: float
+    long: float = field(init=False)
+    short: float = field(init=False)
+
+    def __post_init__(self):
+        self.long = self.short = self.prior
 
     def add(self, ok):
         """Count one run."""
-        self.failed = self.failed * RATE_DECAY + (0.0 if ok else 1.0)
-        self.total = self.total * RATE_DECAY + 1.0
+        failed = 0.0 if ok else 1.0
+        self.long += LONG_STEP * (failed - self.long)
+        self.short += SHORT_STEP * (failed - self.short)
 
     @property
     def value(self):
         """The rate, 0 to 1."""
-        return min(max(self.failed / self.total, MIN_RATE), MAX_RATE)
+        return min(max(self.long, self.short, MIN_RATE), MAX_RATE)
 
 
 @dataclass(slots=True)
@@ -49,41 +66,46 @@
     ok: bool
 
 
+@dataclass(slots=True)
+class TaskEvidence:
+    """Where a task that has not completed has failed."""
+
+    failed_worker_ids: set[str] = field(default_factory=set)
+    #: Offset from which it may be tried again.
+    retry_at: int = 0
+
+
 @dataclass(slots=True)
 class JobEvidence:
     """How a job's tasks have ended so far."""
 
+    #: Starts of its tasks that have not been released since.
     starts: int = 0
+    #: Starts that have completed or failed.
+    ended: int = 0
     #: Workers on which a task of the job completed.
     good_worker_ids: set[str] = field(default_factory=set)
     #: Failures by worker.
     failures_by_worker: dict[str, int] = field(default_factory=dict)
+    #: Offset from which a task may be tried again while none has completed.
+    retry_at: int = 0
 
     def succeeded_elsewhere(self, worker_id):
         """Tell whether a task of the job completed on another worker."""
         return any(other != worker_id for other in self.good_worker_ids)
 
-    def failed_elsewhere(self, worker_id, trusted):
+    def failed_elsewhere(self, worker_id, is_trusted):
         """Tell whether the job failed on another worker that is trusted."""
         return any(
-            other != worker_id and trusted(other) for other in self.failures_by_worker
+            other != worker_id and is_trusted(other)
+            for other in self.failures_by_worker
         )
 
-    def chance_of_noise(self, rate, trusted):
-        """Return how likely its failures are if it is sound; 1 when it succeeded."""
-        if self.good_worker_ids:
-            return 1.0
-        failed = sum(1 for worker in self.failures_by_worker if trusted(worker))
-        starts = max(self.starts, failed)
-        return chance_of_failures(starts, failed, rate)
-
-
-def chance_of_failures(starts, failed, rate):
-    """Return a bound on the chance that ``failed`` of the starts fail by noise."""
-    chance = 1.0
-    for index in range(failed):
-        chance *= rate * (starts - index) / (index + 1)
-    return chance
+    def failed_workers(self, is_trusted):
+        """Return the trusted workers on which it failed, sorted."""
+        return sorted(
+            worker for worker in self.failures_by_worker if is_trusted(worker)
+        )
 
 
 @dataclass(slots=True)
@@ -107,9 +129,9 @@
         Parameters
         ----------
         noise : float
-            Failure rate of jobs that have succeeded, on trusted workers.
+            Failure rate of jobs that have completed somewhere, on trusted workers.
         first_rate : float
-            Failure rate of jobs that have not succeeded yet.
+            Failure rate of jobs that have not completed yet.
         judge : callable
             Gives ``acquitted``, ``unknown`` or ``blamed`` for a job's id.
         """
@@ -125,3 +147,11 @@
             rate = noise if standing == "acquitted" else first_rate
             ratio = max(1.0, ratio * BAD_WORKER_FAILS / rate)
         return ratio
+
+
+def chance_of_failures(starts, failed, rate):
+    """Return a bound on the chance that ``failed`` of the starts fail by noise."""
+    chance = 1.0
+    for index in range(failed):
+        chance *= rate * (starts - index) / (index + 1)
+    return chance
--- /dev/null
+++ b/dotterelspread/jobblame.py
@@ -0,0 +1,187 @@
+"""Which jobs and tasks are at fault for their own failures, in one cell.
+
+A failure counts only where the worker is trusted. While a job has completed nowhere,
+its second failure puts it on probation: one task at a time, with growing gaps.
+"""
+
+from collections import OrderedDict
+
+from .evidence import FailureRate, JobEvidence, TaskEvidence, chance_of_failures
+
+__all__ = ["JobTable"]
+
+#: Chance of its failures by noise below which a job or task is refused.
+REFUSAL_CHANCE = 2e-4
+
+#: Distinct trusted workers on which a job or task must have failed to be refused.
+MIN_FAILED_WORKERS = 3
+
+#: Distinct trusted workers on which a job fails before it is on probation.
+PROBATION_WORKERS = 2
+
+#: Offsets between failures on two workers and the next try; doubled for each further.
+RETRY_GAP_OFFSETS = 50
+MAX_RETRY_GAP_OFFSETS = 800
+
+#: Failure rates assumed at first: of jobs that have completed somewhere, and others.
+NOISE_PRIOR = 0.05
+FIRST_PRIOR = 0.2
+
+#: Jobs, and tasks that failed, whose evidence is kept.
+MAX_JOBS = 2000
+MAX_TASKS = 10000
+
+
+class JobTable:
+    """Evidence about the jobs of a cell.
+
+    Parameters
+    ----------
+    is_trusted : callable
+        Tells whether failures on a worker, given by its id, count against jobs.
+    """
+
+    __slots__ = ("_is_trusted", "_jobs_by_id", "_tasks_by_id", "first_rate", "noise")
+
+    def __init__(self, is_trusted):
+        self._is_trusted = is_trusted
+        self._jobs_by_id = OrderedDict()
+        self._tasks_by_id = OrderedDict()
+        #: Failure rate of jobs that have completed somewhere.
+        self.noise = FailureRate(NOISE_PRIOR)
+        #: Failure rate of jobs that have not.
+        self.first_rate = FailureRate(FIRST_PRIOR)
+
+    def started(self, job_id):
+        """Count the start of a task."""
+        self._job(job_id).starts += 1
+
+    def released(self, job_id):
+        """Take back a start that ended without completing or failing."""
+        job = self._job(job_id)
+        job.starts = max(job.starts - 1, job.ended)
+
+    def success(self, job_id, task_id, worker_id):
+        """Take a completion; return workers whose evidence looks different now."""
+        job = self._job(job_id)
+        job.ended += 1
+        is_first = not job.good_worker_ids
+        job.good_worker_ids.add(worker_id)
+        self._tasks_by_id.pop(task_id, None)
+        if self._is_trusted(worker_id):
+            self.noise.add(ok=True)
+            if is_first:
+                self.first_rate.add(ok=True)
+        if not is_first:
+            return []
+        for failed_id in job.failed_workers(self._is_trusted):
+            for _ in range(job.failures_by_worker[failed_id]):
+                self.noise.add(ok=False)
+        return sorted(job.failures_by_worker)
+
+    def failure(self, offset, job_id, task_id, worker_id):
+        """Take a failure."""
+        job = self._job(job_id)
+        job.ended += 1
+        if self._is_trusted(worker_id) and not self._is_blamed(job):
+            rate = self.noise if job.good_worker_ids else self.first_rate
+            rate.add(ok=False)
+        failures = job.failures_by_worker
+        failures[worker_id] = failures.get(worker_id, 0) + 1
+        job.retry_at = offset + retry_gap(len(job.failed_workers(self._is_trusted)))
+        task = self._task(task_id)
+        task.failed_worker_ids.add(worker_id)
+        failed = sum(map(self._is_trusted, task.failed_worker_ids))
+        task.retry_at = offset + retry_gap(failed)
+
+    def forget_task(self, task_id):
+        """Drop a task that has ended for good."""
+        self._tasks_by_id.pop(task_id, None)
+
+    def failed_worker_ids(self, task_id):
+        """Return the workers on which a task has failed."""
+        task = self._tasks_by_id.get(task_id)
+        return task.failed_worker_ids if task else ()
+
+    def judge(self, job_id, worker_id):
+        """Return how a job's failure counts against a worker.
+
+        Returns
+        -------
+        standing : str
+            ``acquitted`` when it completed elsewhere, ``blamed`` when it failed on
+            another trusted worker, ``unknown`` otherwise.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            return "blamed"
+        if job.succeeded_elsewhere(worker_id):
+            return "acquitted"
+        if job.failed_elsewhere(worker_id, self._is_trusted):
+            return "blamed"
+        return "unknown"
+
+    def refusal(self, job_id, task_id):
+        """Return why a task should be refused for good, or None.
+
+        A job that has completed nowhere is judged by the failures of all its tasks,
+        other jobs task by task.
+        """
+        job = self._jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        if self._is_blamed(job):
+            workers = ", ".join(job.failed_workers(self._is_trusted))
+            return f"job {job_id} failed on {workers} and completed nowhere"
+        failed = sorted(filter(self._is_trusted, self.failed_worker_ids(task_id)))
+        chance = chance_of_failures(len(failed), len(failed), self.noise.value)
+        if len(failed) >= MIN_FAILED_WORKERS and chance < REFUSAL_CHANCE:
+            return f"task {task_id} failed on {', '.join(failed)}"
+        return None
+
+    def wait(self, offset, job_id, task_id):
+        """Return why a task should not be tried at this offset, or None."""
+        task = self._tasks_by_id.get(task_id)
+        if task is not None and offset < task.retry_at:
+            return f"{task_id} is tried again from offset {task.retry_at}"
+        job = self._jobs_by_id.get(job_id)
+        if job is None or job.good_worker_ids:
+            return None
+        if len(job.failed_workers(self._is_trusted)) < PROBATION_WORKERS:
+            return None
+        if job.starts > job.ended:
+            return f"{job_id} has failed before: one task at a time"
+        if offset < job.retry_at:
+            return f"{job_id} is tried again from offset {job.retry_at}"
+        return None
+
+    def _job(self, job_id):
+        job = self._jobs_by_id.setdefault(job_id, JobEvidence())
+        self._jobs_by_id.move_to_end(job_id)
+        if len(self._jobs_by_id) > MAX_JOBS:
+            self._jobs_by_id.popitem(last=False)
+        return job
+
+    def _task(self, task_id):
+        task = self._tasks_by_id.setdefault(task_id, TaskEvidence())
+        self._tasks_by_id.move_to_end(task_id)
+        if len(self._tasks_by_id) > MAX_TASKS:
+            self._tasks_by_id.popitem(last=False)
+        return task
+
+    def _is_blamed(self, job):
+        """Tell whether a job that completed nowhere failed too often for noise."""
+        failed = len(job.failed_workers(self._is_trusted))
+        if job.good_worker_ids or failed < MIN_FAILED_WORKERS:
+            return False
+        starts = max(job.starts, failed)
+        chance = chance_of_failures(starts, failed, self.noise.value)
+        return chance < REFUSAL_CHANCE
+
+
+def retry_gap(failed):
+    """Return the offsets to wait after failures on so many trusted workers."""
+    if failed < PROBATION_WORKERS:
+        return 0
+    gap = RETRY_GAP_OFFSETS * 2 ** (failed - PROBATION_WORKERS)
+    return min(gap, MAX_RETRY_GAP_OFFSETS)
