--- a/dotterelspread/cell.py
+++ b/dotterelspread/cell.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from .celltask import NO_EPOCH, CellJob, CellMember, CellTask, TaskPhase
+from .labels import instance_labels
 from .record import (
     CellSnapshot,
     InstanceAnnounced,
@@ -158,7 +159,7 @@
             record.incarnation,
             record.rack,
             record.capacity,
-            record.labels,
+            instance_labels(record, {}),
             offset,
         )
         if old is not None:
