Know members by heartbeats and configurations by peers, beside the log

Cause: the scenario of an agent that leaves with the log down gave it 8 new requests, because the drain waited for the log. Ruled out: entries polling each agent, since the drain is one push. Change: parts for membership and configuration on their reducers, states handed over between peers, drain that refuses at once and is pushed.

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -14,6 +14,7 @@
 from .record import InstanceAnnounced
 from .requestpart import RequestPart
 from .server import serve_http
+from .statepart import StatePart, join_parts
 from .taskpart import TaskPart
 from .telemetry import EXPOSITION_TYPE
 from .worker import get_worker_class
@@ -38,10 +39,12 @@
     async def drain(self):
         """Leave: tell all entries, finish requests, release tasks."""
         self.requests.drain()
-        await self.members.drain()
+        self.members.start_drain()
+        self.tasks.start_drain()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.requests.drained.wait())
-            group.create_task(self.tasks.drain())
+            group.create_task(self.tasks.wait_drained())
+        await self.members.leave()
         await asyncio.sleep(ROUTED_WAIT_S)
 
     def routes(self):
@@ -100,12 +103,22 @@
         )
         requests = RequestPart(node, backend)
         tasks = TaskPart(node, worker, announced)
-        members = MemberPart(node, announced)
+        members = MemberPart(node, announced, requests.load)
         configuration = ConfigurationPart(node)
         configuration.on_change(requests.configure)
         configuration.on_change(tasks.configure)
-        node.parts = [members, configuration, requests, tasks]
+        join_parts(members, configuration)
+        node.parts = [
+            members,
+            members.replica,
+            configuration,
+            configuration.replica,
+            StatePart(node, (members.replica, configuration.replica)),
+            requests,
+            tasks,
+        ]
         process = AgentProcess(node, members, requests, tasks)
+        members.on_drain(process.drain)
         await stack.enter_async_context(
             serve_peers(
                 str(settings.peer_listen_address),
--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -104,12 +104,14 @@
     node : Node
     entry : EntryPart
     jobs : JobPart
+    configuration : ConfigurationPart
     """
 
-    def __init__(self, node, entry, jobs):
+    def __init__(self, node, entry, jobs, configuration):
         self._node = node
         self._entry = entry
         self._jobs = jobs
+        self._configuration = configuration
         self._limits = node.settings.limits
         # Ids must differ between entries and between starts of one entry.
         self._id_prefix = f"{node.settings.instance_id}-{node.incarnation:x}-"
@@ -219,7 +221,7 @@
 
     async def readiness(self, request):
         """Tell whether the balancer may send callers here."""
-        is_ready = self._entry.is_ready and not self.is_draining
+        is_ready = self._configuration.is_ready and not self.is_draining
         body = {"ready": is_ready, "draining": self.is_draining}
         return JSONResponse(body, 200 if is_ready else 503)
 
--- a/dotterelspread/configurationpart.py
+++ b/dotterelspread/configurationpart.py
@@ -4,18 +4,32 @@
 from dataclasses import dataclass
 
 from .configreader import ConfigurationError, read_configuration
-from .log import TruncatedError
+from .gen.peer.ttypes import ConfigurationQuery, ConfigurationReply
+from .jsonlog import log_change
 from .logclient import AppendError
 from .node import Part
 from .outcome import RefusalReason, Refused, Unknown
+from .peer import PeerError
+from .publication import (
+    STREAM,
+    ConfigurationAccepted,
+    ConfigurationInForce,
+    ConfigurationReceived,
+    PublicationFate,
+    PublicationState,
+    VersionRead,
+)
 from .record import ConfigurationPublished
+from .replicapart import ReplicaPart
 
 __all__ = ["ConfigurationPart", "PublishResult"]
 
-STREAM = "configuration"
-NO_VERSION = -1
 #: Seconds that publishing may take.
 PUBLISH_TIMEOUT_S = 10.0
+#: Seconds that a peer may take to pass on its configuration.
+QUERY_TIMEOUT_S = 2.0
+#: Seconds between looks at whether a publication has been read back.
+READ_BACK_POLL_S = 0.02
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,19 +53,48 @@
 
     def __init__(self, node):
         super().__init__(node)
-        self.version = NO_VERSION
-        self._text = ""
-        self._listeners = []
-        self._read_to = 0
-        self._progress = asyncio.Condition()
+        parse = (read_configuration, ConfigurationError)
+        self.state = ConfigurationInForce(*parse, node.now_s())
+        self._change_listeners = []
+        self._fetching_addresses = set()
+        self.replica = ReplicaPart(
+            node, STREAM, lambda: PublicationState(*parse), self._take_stream_effect
+        )
+
+    @property
+    def version(self):
+        """Number of the version in force; -1 when there is none."""
+        return self.state.number
+
+    @property
+    def is_ready(self):
+        """Whether the process may serve with the version in force."""
+        return self.state.is_ready(self.node.now_s(), self.replica.state.is_ready)
 
     def on_change(self, listener):
-        """Call ``listener`` with each `Configuration` that comes into force."""
-        self._listeners.append(listener)
+        """Call ``listener`` with each `Version` that comes into force."""
+        self._change_listeners.append(listener)
+
+    def handlers_by_method(self):
+        """Return the handlers of calls on configurations."""
+        return {"configuration": self._configuration}
 
     def current(self):
         """Return the version in force and its text."""
-        return self.version, self._text
+        version = self.state.version
+        return self.version, version.text if version else ""
+
+    def perform(self, effect):
+        """Do what a `ConfigurationChanged` says."""
+        log_change("configuration in force", version=effect.version.number)
+        for listener in self._change_listeners:
+            listener(effect.version)
+
+    def fetch(self, address):
+        """Ask a peer for the configuration that it has in force."""
+        if address not in self._fetching_addresses:
+            self._fetching_addresses.add(address)
+            self.node.spawn(self._fetch(address))
 
     async def publish(self, publish):
         """Publish what an operator sent.
@@ -59,7 +102,7 @@
         Returns
         -------
         PublishResult or Outcome
-            An outcome when it is not known what became of it.
+            An outcome when it was not published or that is not known.
         """
         try:
             read_configuration(publish.text, "configuration")
@@ -70,40 +113,52 @@
             publish.base_version, publish.author, publish.text
         )
         try:
-            offset = await self.node.log_client.append(
-                STREAM, record, PUBLISH_TIMEOUT_S
-            )
-        except AppendError as error:
-            if not error.is_absent:
-                return Unknown("the platform's log did not say what became of it")
-            detail = "the platform's log takes no records now"
-            return Refused(RefusalReason.STORE_UNAVAILABLE, detail, 5.0)
-        async with self._progress:
-            await self._progress.wait_for(lambda: self._read_to > offset)
-        result = "accepted" if self.version >= offset else "superseded"
-        return PublishResult(result, self.version)
-
-    async def run(self):
-        """Follow the stream until cancelled."""
-        while True:
-            try:
-                async for batch in self.node.log_client.follow(STREAM, self._read_to):
-                    for entry in batch.entries:
-                        self._take(entry.offset, entry.envelope.record)
-                    async with self._progress:
-                        self._read_to = batch.next_offset
-                        self._progress.notify_all()
-            except TruncatedError as error:
-                self._read_to = error.oldest
-
-    def _take(self, offset, record):
-        if record.base_offset != self.version:
-            return
+            async with asyncio.timeout(2 * PUBLISH_TIMEOUT_S):
+                offset = await self.node.log_client.append(
+                    STREAM, record, PUBLISH_TIMEOUT_S
+                )
+                return await self._read_back(offset)
+        except (AppendError, TimeoutError) as error:
+            return _unpublished(error)
+
+    async def _read_back(self, offset):
+        published = self.replica.state
+        while published.next_offset <= offset:
+            await asyncio.sleep(READ_BACK_POLL_S)
+        fate = published.state.result_at(offset).fate
+        if fate is PublicationFate.UNKNOWN:
+            return Unknown("the publication's record has not been judged")
+        accepted = fate is PublicationFate.ACCEPTED
+        return PublishResult("accepted" if accepted else "superseded", self.version)
+
+    def _take_stream_effect(self, effect):
+        if isinstance(effect, VersionRead):
+            self.dispatch(ConfigurationAccepted(self.node.now_s(), effect.version))
+
+    async def _fetch(self, address):
+        query = ConfigurationQuery(self.version)
         try:
-            configuration = read_configuration(record.text, f"{STREAM}@{offset}")
-        except ConfigurationError:
+            reply = await self.node.pool.call(
+                address, "configuration", query, QUERY_TIMEOUT_S
+            )
+        except PeerError:
             return
-        self.version = offset
-        self._text = record.text
-        for listener in self._listeners:
-            listener(configuration)
+        finally:
+            self._fetching_addresses.discard(address)
+        received = ConfigurationReceived(
+            self.node.now_s(), reply.version, reply.text or ""
+        )
+        self.dispatch(received)
+
+    async def _configuration(self, query):
+        number, text = self.current()
+        if number <= (-1 if query.above_version is None else query.above_version):
+            return ConfigurationReply(version=-1, text="")
+        return ConfigurationReply(version=number, text=text)
+
+
+def _unpublished(error):
+    if isinstance(error, AppendError) and error.is_absent:
+        detail = "the platform's log takes no records now"
+        return Refused(RefusalReason.STORE_UNAVAILABLE, detail, retry_after_s=5.0)
+    return Unknown("the platform's log did not say what became of it")
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -6,12 +6,14 @@
 from .callerhttp import CallerHttp
 from .configurationpart import ConfigurationPart
 from .entrypart import EntryPart
+from .gen.peer.ttypes import Load
 from .jobpart import JobPart
 from .memberpart import MemberPart
 from .operatorhttp import OperatorHttp
 from .peer import serve_peers
 from .record import InstanceAnnounced
 from .server import serve_http
+from .statepart import StatePart, join_parts
 from .viewpart import ViewPart
 
 __all__ = ["EntryProcess", "open_entry"]
@@ -33,10 +35,11 @@
     async def drain(self):
         """Leave: let the balancer see it, then finish what is in progress."""
         self._callers.is_draining = True
-        await self._members.drain()
+        self._members.start_drain()
         await asyncio.sleep(BALANCER_WAIT_S)
         while self._entry.in_progress:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self._members.leave()
 
 
 def announcement(node):
@@ -57,16 +60,24 @@
 async def open_entry(node):
     """Yield the `EntryProcess` of a node, with its servers listening."""
     settings = node.settings
-    members = MemberPart(node, announcement(node))
+    members = MemberPart(node, announcement(node), Load)
     configuration = ConfigurationPart(node)
-    entry = EntryPart(node)
+    join_parts(members, configuration)
+    entry = EntryPart(node, members)
     jobs = JobPart(node, members)
     views = ViewPart(node, members, entry, jobs, configuration)
     members.on_event(entry.dispatch)
     configuration.on_change(entry.configure)
     configuration.on_change(jobs.configure)
-    node.parts = [members, configuration, entry]
-    callers = CallerHttp(node, entry, jobs)
+    node.parts = [
+        members,
+        members.replica,
+        configuration,
+        configuration.replica,
+        StatePart(node, (members.replica, configuration.replica)),
+        entry,
+    ]
+    callers = CallerHttp(node, entry, jobs, configuration)
     operators = OperatorHttp(node, configuration, views)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(
@@ -84,4 +95,6 @@
                 settings.drain_timeout_s,
             )
         )
-        yield EntryProcess(members, entry, callers)
+        process = EntryProcess(members, entry, callers)
+        members.on_drain(process.drain)
+        yield process
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -31,8 +31,7 @@
 from .outcome import Failed
 from .peer import PeerError, PeerFailedError, PeerUnsentError
 from .requestclaim import CLAIM_STREAMS
-from .routing import Load
-from .wire import MS_PER_S, outcome_from_message, to_headers
+from .wire import MS_PER_S, load_from_message, outcome_from_message, to_headers
 
 __all__ = ["EntryPart"]
 
@@ -52,10 +51,13 @@
     Parameters
     ----------
     node : Node
+    members : MemberPart
+        Knows the addresses of instances.
     """
 
-    def __init__(self, node):
+    def __init__(self, node, members):
         super().__init__(node)
+        self._members = members
         settings = node.settings
         place = Place(settings.instance_id, settings.data_centre, settings.region)
         unix_offset_s = time.time() - node.now_s()
@@ -63,12 +65,6 @@
             place, node.incarnation, node.incarnation, unix_offset_s
         )
         self._futures_by_id = {}
-        self._streams_read = set()
-
-    @property
-    def is_ready(self):
-        """Whether a configuration and all claims are known."""
-        return self.state.configuration is not None
 
     @property
     def in_progress(self):
@@ -84,9 +80,9 @@
                 await asyncio.sleep(TICK_S)
                 self.dispatch(EntryTick(self.node.now_s()))
 
-    def configure(self, configuration):
-        """Put a new configuration in force."""
-        self.dispatch(EntryConfigured(self.node.now_s(), configuration))
+    def configure(self, version):
+        """Put a new `Version` in force."""
+        self.dispatch(EntryConfigured(self.node.now_s(), version.configuration))
 
     async def handle(self, request):
         """Return the `Outcome` of a caller's request.
@@ -135,17 +131,17 @@
     @perform.register
     def _(self, effect: OpenNewConnection):
         self.node.telemetry.count("connections_replaced")
-        instance = self.state.instances_by_id.get(effect.instance_id)
-        if instance is not None:
-            self.node.pool.renew(instance.address)
+        address = self._members.address(effect.instance_id)
+        if address is not None:
+            self.node.pool.renew(address)
 
     @perform.register
     def _(self, effect: Append):
         self.node.spawn(self._append(effect))
 
     async def _send(self, effect):
-        instance = self.state.instances_by_id.get(effect.instance_id)
-        if instance is None:
+        address = self._members.address(effect.instance_id)
+        if address is None:
             self.dispatch(self._lost(effect, sent=False))
             return
         if effect.attempt > 0:
@@ -156,9 +152,7 @@
             run = _run_request(effect, span.traceparent)
             timeout_s = effect.remaining_s + LATE_ANSWER_S
             try:
-                answer = await self.node.pool.call(
-                    instance.address, "run", run, timeout_s
-                )
+                answer = await self.node.pool.call(address, "run", run, timeout_s)
             except PeerUnsentError:
                 event = self._lost(effect, sent=False)
             except PeerFailedError as error:
@@ -167,7 +161,7 @@
                 event = self._lost(effect, sent=True)
             else:
                 outcome = outcome_from_message(answer, effect.instance_id)
-                event = self._answered(effect, outcome, _load(answer.load))
+                event = self._answered(effect, outcome, load_from_message(answer.load))
         self.dispatch(event)
 
     def _answered(self, effect, outcome, load):
@@ -197,19 +191,17 @@
             effect.fence,
             round(ASK_WAIT_S * MS_PER_S),
         )
-        instance = self.state.instances_by_id.get(effect.instance_id)
-        if instance is None:
+        address = self._members.address(effect.instance_id)
+        if address is None:
             self.dispatch(AskLost(self.node.now_s(), *ids))
             return
         try:
-            answer = await self.node.pool.call(
-                instance.address, "answer", query, ASK_TIMEOUT_S
-            )
+            answer = await self.node.pool.call(address, "answer", query, ASK_TIMEOUT_S)
         except PeerError:
             self.dispatch(AskLost(self.node.now_s(), *ids))
             return
         outcome = outcome_from_message(answer, effect.instance_id)
-        load = _load(answer.load)
+        load = load_from_message(answer.load)
         if outcome is None:
             self.dispatch(AskPending(self.node.now_s(), *ids, load))
         else:
@@ -235,8 +227,6 @@
                 self.dispatch(truncated)
 
     def _take_claims(self, stream, batch):
-        if batch.caught_up_s is not None:
-            self._streams_read.add(stream)
         for entry in batch.entries:
             self.dispatch(
                 ClaimRead(
@@ -245,12 +235,6 @@
             )
 
 
-def _load(load):
-    if load is None:
-        return None
-    return Load(load.running, load.queued, load.slots, bool(load.draining))
-
-
 def _run_request(effect, traceparent):
     request = effect.request
     return RunRequest(
--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -57,9 +57,9 @@
         self.refusals = deque(maxlen=MAX_REFUSALS)
         self._configuration = None
 
-    def configure(self, configuration):
-        """Put a new configuration in force."""
-        self._configuration = configuration
+    def configure(self, version):
+        """Put a new `Version` in force."""
+        self._configuration = version.configuration
 
     def note_refusal(self, service, kind, outcome):
         """Remember a refusal for operators."""
--- a/dotterelspread/memberpart.py
+++ b/dotterelspread/memberpart.py
@@ -1,123 +1,278 @@
 """The part of a process that announces it and knows the other processes."""
 
 import asyncio
+import random
+from functools import singledispatchmethod
 
-from .entryevents import MemberGone, MemberSeen
+from .entryevents import LoadReported, MemberGone, MemberSeen
 from .gen.peer.ttypes import Load
-from .log import TruncatedError
+from .heartbeat import Liveness
+from .heartbeatevents import (
+    AnswerHeartbeat,
+    DrainStarted,
+    HeartbeatMissed,
+    HeartbeatReceived,
+    HeartbeatSeen,
+    HeartbeatTick,
+    MemberChanged,
+    MemberForgotten,
+    MemberLearned,
+    NewerVersionSeen,
+    PeerStatus,
+    SendHeartbeat,
+    SubsetChanged,
+    VersionChanged,
+)
+from .liveness import HEARTBEAT_TIMEOUT_S
 from .logclient import AppendError
+from .membership import (
+    STREAM,
+    Member,
+    MemberAged,
+    MemberRead,
+    MembershipAged,
+    MembershipState,
+)
 from .node import Part
-from .record import InstanceAnnounced, InstanceDraining, InstanceLeft
+from .peer import PeerError
+from .record import InstanceLeft
+from .replicapart import ReplicaPart, append_until_written
+from .routing import subset_ids
+from .snapshot import AppendRecord
+from .wire import load_from_message
 
 __all__ = ["MemberPart"]
 
-STREAM = "membership"
-#: Seconds before an announcement that failed is tried again.
-RETRY_S = 1.0
+#: Seconds between two looks at which heartbeats are due.
+TICK_S = 0.2
+#: Longest time that a process waits before it announces itself again, in seconds, so
+#: that not all do it at once.
+REANNOUNCE_SPREAD_S = 30.0
+#: Seconds that the last record of a process may take.
+LEAVE_TIMEOUT_S = 1.0
 
 
 class MemberPart(Part):
-    """Follows the stream of members, and announces this process there.
+    """Knows the members by the stream and by heartbeats.
 
     Parameters
     ----------
     node : Node
     announced : InstanceAnnounced
         Of this process.
+    read_load : callable
+        Returns the `Load` that heartbeats are answered with.
     """
 
-    def __init__(self, node, announced):
+    def __init__(self, node, announced, read_load):
         super().__init__(node)
         self.announced = announced
-        self.announced_by_id = {}
-        self.draining_ids = set()
-        self._listeners = []
+        self._read_load = read_load
+        self._rng = random.Random(node.incarnation)
+        self._reply = None
+        self._event_listeners = []
+        self._version_listeners = []
+        self._drain = None
+        balancer = node.settings.balancer_address
+        self.state = Liveness(
+            Member(announced), str(balancer) if balancer else "", self._rng
+        )
+        self.replica = ReplicaPart(
+            node, STREAM, MembershipState, self._take_stream_effect
+        )
+        self.replica.find_addresses = self.peer_addresses
 
     def on_event(self, listener):
-        """Call ``listener`` with each `MemberSeen` and `MemberGone`."""
-        self._listeners.append(listener)
+        """Call ``listener`` with each event of `entryevents` on an instance."""
+        self._event_listeners.append(listener)
+
+    def on_newer_version(self, listener):
+        """Call ``listener`` with the address of a peer that has a later version."""
+        self._version_listeners.append(listener)
+
+    def on_drain(self, drain):
+        """Await ``drain()`` when an operator lets this process leave."""
+        self._drain = drain
 
     def handlers_by_method(self):
         """Return the handlers of calls on members."""
-        return {"drain": self._drain}
+        return {"heartbeat": self._heartbeat, "drain": self._drain_asked}
 
     async def run(self):
-        """Announce this process and follow the stream until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow())
-            group.create_task(self._append(self.announced))
+        """Announce this process and exchange heartbeats until cancelled."""
+        self.node.spawn(append_until_written(self.node, STREAM, self.announced))
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.dispatch(HeartbeatTick(self.node.now_s()))
+
+    def start_drain(self):
+        """Tell all that this process takes no new work."""
+        self.dispatch(DrainStarted(self.node.now_s()))
+
+    async def leave(self):
+        """Say in the log that this process is gone, if the log takes it soon."""
+        record = InstanceLeft(self.announced.instance_id, self.announced.incarnation)
+        try:
+            await self.node.log_client.append(STREAM, record, LEAVE_TIMEOUT_S)
+        except AppendError:
+            self.node.telemetry.count("leaves_unwritten")
+
+    def note_version(self, number):
+        """Tell peers that a later configuration is in force here."""
+        self.dispatch(VersionChanged(self.node.now_s(), number))
+
+    def members(self):
+        """Return the members that have not left."""
+        known = self.state.members_by_id.values()
+        return [member for member in known if not member.has_left]
 
-    async def drain(self):
-        """Tell all that this process leaves."""
-        ids = (self.announced.instance_id, self.announced.incarnation)
-        self.node.spawn(self._append(InstanceDraining(*ids)))
+    def status(self, instance_id):
+        """Return the `PeerStatus` of a member."""
+        return self.state.peers_by_id[instance_id].status
+
+    def address(self, instance_id):
+        """Return the address of a process, also of one that has left; or None."""
+        member = self.state.members_by_id.get(instance_id)
+        return None if member is None else member.announced.peer_address
+
+    def peer_addresses(self):
+        """Return the addresses of the live members, in random order."""
+        addresses = [
+            member.announced.peer_address
+            for member in self.members()
+            if self.status(member.instance_id) is PeerStatus.LIVE
+        ]
+        self._rng.shuffle(addresses)
+        if not addresses and self.state.balancer_address:
+            return [self.state.balancer_address]
+        return addresses
 
     def agents_of_cell(self, cell):
-        """Return the announcements of the agents in a cell."""
-        return [
-            announced
-            for announced in self.announced_by_id.values()
-            if announced.cell == cell and announced.role == "agent"
+        """Return the announcements of the agents in a cell, live ones first."""
+        agents = [
+            member.announced
+            for member in self.members()
+            if member.announced.cell == cell
         ]
+        return sorted(
+            agents, key=lambda a: self.status(a.instance_id) is not PeerStatus.LIVE
+        )
 
     def cells(self):
         """Return the names of the cells that have agents."""
-        agents = self.announced_by_id.values()
-        return sorted({announced.cell for announced in agents if announced.cell})
+        names = {member.announced.cell for member in self.members()}
+        return sorted(names - {""})
 
-    async def _append(self, record):
-        while True:
-            try:
-                await self.node.log_client.append(STREAM, record)
-                return
-            except AppendError:
-                await asyncio.sleep(RETRY_S)
-
-    async def _drain(self, request):
-        self.node.spawn(self.drain())
-        return Load(draining=True)
+    @singledispatchmethod
+    def perform(self, effect):
+        """Do what ``effect`` says."""
+        raise TypeError(f"no such effect: {type(effect).__name__}")
 
-    async def _follow(self):
-        position = 0
-        while True:
-            try:
-                async for batch in self.node.log_client.follow(STREAM, position):
-                    for entry in batch.entries:
-                        self._take(entry.envelope.record)
-                    position = batch.next_offset
-            except TruncatedError as error:
-                position = error.oldest
-
-    def _take(self, record):
-        if isinstance(record, InstanceAnnounced):
-            self.announced_by_id[record.instance_id] = record
-            self.draining_ids.discard(record.instance_id)
-            self._tell(record)
-        known = self.announced_by_id.get(getattr(record, "instance_id", ""))
-        if known is None or known.incarnation != record.incarnation:
-            return
-        if isinstance(record, InstanceDraining):
-            self.draining_ids.add(record.instance_id)
-            self._tell(known)
-        if isinstance(record, InstanceLeft):
-            del self.announced_by_id[record.instance_id]
-            gone = MemberGone(self.node.now_s(), known.instance_id, known.incarnation)
-            for listener in self._listeners:
-                listener(gone)
-
-    def _tell(self, announced):
-        if announced.role != "agent":
+    @perform.register
+    def _(self, effect: SendHeartbeat):
+        self.node.spawn(self._send_heartbeat(effect))
+
+    @perform.register
+    def _(self, effect: AnswerHeartbeat):
+        self._reply = effect.reply
+
+    @perform.register
+    def _(self, effect: AppendRecord):
+        self.node.spawn(append_until_written(self.node, effect.stream, effect.record))
+
+    @perform.register
+    def _(self, effect: NewerVersionSeen):
+        for listener in self._version_listeners:
+            listener(effect.peer_address)
+
+    @perform.register
+    def _(self, effect: MemberChanged):
+        if effect.member.role != "agent":
             return
-        seen = MemberSeen(
-            self.node.now_s(),
-            announced.instance_id,
-            announced.incarnation,
-            announced.peer_address,
-            announced.data_centre,
-            announced.region,
-            announced.services,
-            announced.slots,
-            announced.instance_id in self.draining_ids,
+        self._update_subset()
+        self._tell(_event_on(effect, self.node.now_s()))
+
+    def _take_stream_effect(self, effect):
+        now_s = self.node.now_s()
+        if isinstance(effect, MemberRead):
+            self.dispatch(MemberLearned(now_s, effect.member))
+        elif isinstance(effect, MemberAged):
+            self.dispatch(MemberForgotten(now_s, effect.member))
+        elif isinstance(effect, MembershipAged):
+            self.node.spawn(self._announce_again())
+
+    async def _announce_again(self):
+        await asyncio.sleep(self._rng.uniform(0, REANNOUNCE_SPREAD_S))
+        await append_until_written(self.node, STREAM, self.announced)
+
+    def _update_subset(self):
+        """Ask those agents that requests of this entry may be routed to."""
+        ids_by_group = {}
+        for member in self.members():
+            if member.role == "agent":
+                group = (member.announced.services, self._distance(member.announced))
+                ids_by_group.setdefault(group, []).append(member.instance_id)
+        own_id = self.announced.instance_id
+        wanted = frozenset().union(
+            *(subset_ids(own_id, ids) for ids in ids_by_group.values())
+        )
+        if wanted != self.state.subset_ids:
+            self.dispatch(SubsetChanged(self.node.now_s(), wanted))
+
+    def _distance(self, announced):
+        own = self.announced
+        return (announced.region != own.region) + (
+            (announced.region, announced.data_centre) != (own.region, own.data_centre)
         )
-        for listener in self._listeners:
-            listener(seen)
+
+    def _tell(self, event):
+        for listener in self._event_listeners:
+            listener(event)
+
+    async def _send_heartbeat(self, effect):
+        try:
+            reply = await self.node.pool.call(
+                effect.peer_address, "heartbeat", effect.message, HEARTBEAT_TIMEOUT_S
+            )
+        except PeerError:
+            self.node.telemetry.count("heartbeats_missed")
+            self.node.pool.renew(effect.peer_address)
+            self.dispatch(HeartbeatMissed(self.node.now_s(), effect.instance_id))
+            return
+        now_s = self.node.now_s()
+        self.dispatch(HeartbeatSeen(now_s, effect.instance_id, reply))
+        if effect.instance_id and reply.load is not None:
+            load = load_from_message(reply.load)
+            self._tell(LoadReported(now_s, effect.instance_id, load))
+
+    async def _heartbeat(self, message):
+        self._reply = None
+        self.dispatch(HeartbeatReceived(self.node.now_s(), message))
+        if self._reply is None:
+            raise ValueError("heartbeat without a sender")
+        self._reply.load = self._read_load()
+        return self._reply
+
+    async def _drain_asked(self, request):
+        if request.instance_id != self.announced.instance_id:
+            raise ValueError(f"this is {self.announced.instance_id}")
+        self.node.spawn(self._drain())
+        return Load(draining=True)
+
+
+def _event_on(change, now_s):
+    """Return the event that tells an entry of a changed agent."""
+    announced = change.member.announced
+    if change.status is PeerStatus.GONE or change.member.has_left:
+        return MemberGone(now_s, announced.instance_id, announced.incarnation)
+    return MemberSeen(
+        now_s,
+        announced.instance_id,
+        announced.incarnation,
+        announced.peer_address,
+        announced.data_centre,
+        announced.region,
+        announced.services,
+        announced.slots,
+        change.member.is_draining,
+    )
--- /dev/null
+++ b/dotterelspread/replicapart.py
@@ -0,0 +1,107 @@
+"""The part of a process that keeps the state of one stream."""
+
+import asyncio
+import random
+
+from .gen.peer.ttypes import StateQuery, StateReply
+from .logclient import AppendError
+from .node import Part
+from .peer import PeerError
+from .record import RecordError
+from .snapshot import (
+    AppendRecord,
+    AskState,
+    Replica,
+    ReplicaTicked,
+    StateOffered,
+    decode_state,
+    encode_state,
+)
+
+__all__ = ["ReplicaPart", "append_until_written"]
+
+#: Seconds between two looks at whether a snapshot is due.
+TICK_S = 1.0
+#: Seconds before an append or a question that failed is tried again.
+RETRY_S = 1.0
+#: Seconds that a peer may take to hand over a state.
+QUERY_TIMEOUT_S = 2.0
+#: Peers that are asked for a state in one round.
+MAX_ASKED = 3
+
+
+async def append_until_written(node, stream, record):
+    """Append a record, trying again for as long as it is known to be absent."""
+    while True:
+        try:
+            return await node.log_client.append(stream, record)
+        except AppendError:
+            await asyncio.sleep(RETRY_S)
+
+
+class ReplicaPart(Part):
+    """Follows one stream, hands its state to peers and makes its snapshots.
+
+    Parameters
+    ----------
+    node : Node
+    stream : str
+    make_state : callable
+        Returns an empty `StreamState`.
+    on_effect : callable
+        Takes the effects of the state itself.
+    """
+
+    def __init__(self, node, stream, make_state, on_effect):
+        super().__init__(node)
+        self._on_effect = on_effect
+        self._asking = None
+        #: Returns the addresses of peers that may hand over the state.
+        self.find_addresses = tuple
+        retention_s = node.settings.log_retention_s
+        rng = random.Random(node.incarnation)
+        self.state = Replica(stream, make_state, retention_s, rng)
+
+    async def run(self):
+        """Follow the stream until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            keep = self.node.log_client.keep(self.state, self.dispatch)
+            group.create_task(keep)
+            while True:
+                await asyncio.sleep(TICK_S)
+                self.dispatch(ReplicaTicked(self.node.now_s()))
+
+    def perform(self, effect):
+        """Do what ``effect`` says."""
+        if isinstance(effect, AppendRecord):
+            append = append_until_written(self.node, effect.stream, effect.record)
+            self.node.spawn(append)
+        elif isinstance(effect, AskState):
+            if self._asking is None or self._asking.done():
+                self._asking = self.node.spawn(self._ask())
+        else:
+            self._on_effect(effect)
+
+    def hand_over(self):
+        """Return the `StateReply` for a peer that lacks the state."""
+        snapshot = self.state.to_snapshot()
+        if snapshot is None:
+            return StateReply(as_of=-1, state=b"")
+        return StateReply(as_of=snapshot.as_of, state=encode_state(snapshot))
+
+    async def _ask(self):
+        while not self.state.is_complete:
+            for address in tuple(self.find_addresses())[:MAX_ASKED]:
+                await self._ask_one(address)
+            await asyncio.sleep(RETRY_S)
+
+    async def _ask_one(self, address):
+        query = StateQuery(self.state.stream)
+        try:
+            reply = await self.node.pool.call(address, "state", query, QUERY_TIMEOUT_S)
+            if reply.as_of is None or reply.as_of < 0:
+                return
+            snapshot = decode_state(reply.state or b"")
+        except (PeerError, RecordError):
+            return
+        self.dispatch(StateOffered(self.node.now_s(), snapshot))
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -21,6 +21,7 @@
 from .gen.peer.ttypes import Load
 from .node import Part
 from .outcome import RefusalReason, Refused
+from .publication import NO_VERSION
 from .wire import MS_PER_S, from_headers, message_from_outcome, pending_message
 
 __all__ = ["RequestPart"]
@@ -45,6 +46,7 @@
         agent = node.settings.agent
         self._backend = backend
         self.is_configured = False
+        self._version = NO_VERSION
         self.drained = asyncio.Event()
         service = ServiceConfig(agent.service, {}, "")
         self.state = AgentState.from_config(service, agent.slots, node.incarnation)
@@ -59,9 +61,10 @@
             await asyncio.sleep(TICK_S)
             self.dispatch(AgentTick(self.node.now_s()))
 
-    def configure(self, configuration):
-        """Put a new configuration in force."""
-        service = configuration.services_by_name.get(self.state.service.name)
+    def configure(self, version):
+        """Put a new `Version` in force."""
+        self._version = version.number
+        service = version.configuration.services_by_name.get(self.state.service.name)
         if service is not None:
             self.is_configured = True
             self.dispatch(AgentConfigured(self.node.now_s(), service))
@@ -79,6 +82,7 @@
             slots=state.slots,
             draining=state.draining,
             incarnation=state.incarnation,
+            configuration_version=self._version,
         )
 
     @singledispatchmethod
--- a/dotterelspread/settings.py
+++ b/dotterelspread/settings.py
@@ -24,6 +24,8 @@
 MIN_BODY_BYTES = 1 << 10
 MAX_BODY_BYTES = 64 << 20
 MAX_TIMEOUT_S = 3600.0
+MIN_RETENTION_S = 5.0
+MAX_RETENTION_S = 365 * 86_400.0
 
 
 class SettingsError(FaultsError):
@@ -168,6 +170,8 @@
     http_address: Address
     #: URL of the platform's log service.
     log_url: str
+    #: Least seconds for which the log keeps a record.
+    log_retention_s: float
     #: Peer address behind the balancer, by which entries are found without the log.
     balancer_address: Address | None
     #: Seconds that a stop waits for work in progress.
@@ -219,6 +223,9 @@
             peer_listen_address=options.address("peer_listen_address", peer_address),
             http_address=http_address,
             log_url=options.url("log_url"),
+            log_retention_s=options.duration(
+                "log_retention", MIN_RETENTION_S, MAX_RETENTION_S, 86_400.0
+            ),
             balancer_address=options.address("balancer_address", None),
             drain_timeout_s=options.duration("drain_timeout", 0, MAX_TIMEOUT_S, 30.0),
             entry=None if is_agent else _entry(options),
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -73,18 +73,21 @@
                 if self._is_configured:
                     self.dispatch(Tick(self.node.now_s()))
 
-    def configure(self, configuration):
-        """Put a new configuration in force."""
+    def configure(self, version):
+        """Put a new `Version` in force."""
         self._is_configured = True
-        self.dispatch(ConfigurationChanged(self.node.now_s(), configuration))
+        self.dispatch(ConfigurationChanged(self.node.now_s(), version.configuration))
 
     def set_live_ids(self, live_ids):
         """Take over which instances are believed to be alive."""
         self.dispatch(MembersChanged(self.node.now_s(), frozenset(live_ids)))
 
-    async def drain(self):
+    def start_drain(self):
         """Checkpoint and release all tasks and leave the cell."""
         self.dispatch(DrainRequested(self.node.now_s()))
+
+    async def wait_drained(self):
+        """Wait until no task is left here and the cell knows it."""
         while self.state.locals_by_id or self.state.member is not None:
             await asyncio.sleep(DRAIN_POLL_S)
 
--- a/dotterelspread/viewpart.py
+++ b/dotterelspread/viewpart.py
@@ -53,34 +53,34 @@
 
     async def drain(self, instance_id):
         """Ask an instance to leave; return why not, or None."""
-        announced = self._members.announced_by_id.get(instance_id)
-        if announced is None:
+        address = self._members.address(instance_id)
+        if address is None:
             detail = f"no instance {instance_id!r} is known"
             return Refused(RefusalReason.NOT_FOUND, detail)
         request = DrainRequest(instance_id)
         try:
-            await self.node.pool.call(
-                announced.peer_address, "drain", request, QUERY_TIMEOUT_S
-            )
+            await self.node.pool.call(address, "drain", request, QUERY_TIMEOUT_S)
         except PeerError as error:
             detail = f"{instance_id} does not answer: {error}"
             return Refused(RefusalReason.NO_INSTANCE, detail, 5.0)
         return None
 
     async def _instances(self):
-        return [
-            {
-                "instance_id": announced.instance_id,
-                "role": announced.role,
-                "data_centre": announced.data_centre,
-                "region": announced.region,
-                "address": announced.peer_address,
-                "services": list(announced.services),
-                "cell": announced.cell,
-                "draining": announced.instance_id in self._members.draining_ids,
-            }
-            for announced in self._members.announced_by_id.values()
-        ]
+        return [self._instance(member) for member in self._members.members()]
+
+    def _instance(self, member):
+        announced = member.announced
+        return {
+            "instance_id": announced.instance_id,
+            "role": announced.role,
+            "data_centre": announced.data_centre,
+            "region": announced.region,
+            "address": announced.peer_address,
+            "services": list(announced.services),
+            "cell": announced.cell,
+            "status": self._members.status(announced.instance_id).value,
+            "draining": member.is_draining,
+        }
 
     async def _tasks(self):
         cells = self._members.cells()
@@ -132,9 +132,9 @@
             {
                 "instance_id": settings.instance_id,
                 "role": settings.role.value,
-                "ready": self._entry.is_ready,
+                "ready": self._configuration.is_ready,
                 "configuration_version": self._configuration.version,
-                "instances": len(self._members.announced_by_id),
+                "instances": len(self._members.members()),
                 "requests_in_progress": self._entry.in_progress,
             }
         ]
--- a/dotterelspread/wire.py
+++ b/dotterelspread/wire.py
@@ -1,14 +1,14 @@
-"""Turns outcomes and members into the Thrift messages of peers, and back."""
+"""Turns outcomes and loads into the Thrift messages of peers, and back."""
 
 from functools import singledispatch
 
-from .gen.peer.ttypes import Answer, Header, Member, Result
+from .gen.peer.ttypes import Answer, Header, Result
 from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
-from .record import InstanceAnnounced
+from .routing import Load
 
 __all__ = [
     "from_headers",
-    "message_from_announcement",
+    "load_from_message",
     "message_from_outcome",
     "outcome_from_message",
     "pending_message",
@@ -110,34 +110,16 @@
     return Refused(reason, answer.detail or "", retry_after_s)
 
 
-def message_from_announcement(announced, is_draining=False):
-    """Return the Thrift `Member` for an `InstanceAnnounced`."""
-    return Member(
-        instance_id=announced.instance_id,
-        incarnation=announced.incarnation,
-        role=announced.role,
-        peer_address=announced.peer_address,
-        data_centre=announced.data_centre,
-        region=announced.region,
-        rack=announced.rack,
-        services=list(announced.services),
-        slots=announced.slots,
-        draining=is_draining,
-        cell=announced.cell,
-    )
-
-
-def announcement_from_message(member):
-    """Return the `InstanceAnnounced` for a Thrift `Member`."""
-    return InstanceAnnounced(
-        member.instance_id,
-        member.incarnation,
-        member.role,
-        member.peer_address,
-        member.data_centre,
-        member.region,
-        member.rack or "",
-        tuple(member.services or ()),
-        member.slots or 0,
-        cell=member.cell or "",
+def load_from_message(load):
+    """Return the `Load` in a Thrift message; None when there is none."""
+    if load is None:
+        return None
+    version = load.configuration_version
+    return Load(
+        load.running or 0,
+        load.queued or 0,
+        load.slots or 0,
+        bool(load.draining),
+        load.incarnation or 0,
+        -1 if version is None else version,
     )
