--- a/dotterelspread/claiming.py
+++ b/dotterelspread/claiming.py
@@ -4,25 +4,39 @@
 that as a rule one member acts and a dead one delays the others by a tick.
 """
 
+from .configuration import Urgency
 from .lease import lapse_wait_s, renewal_period_s
 from .placement import PlacementView, plan, tie_break
+from .preemption import preempt_tasks
 from .record import (
+    CellSnapshot,
     InstanceAnnounced,
     InstanceDraining,
     InstanceLeft,
     OwnerRenewed,
     TaskClaimed,
+    TaskEnded,
     TaskLapsed,
 )
 
-__all__ = ["claim_tasks", "keep_membership", "record_lapses"]
+__all__ = ["claim_tasks", "keep_membership", "keep_snapshot", "record_lapses"]
+
+#: Seconds after which a member recorded as gone, but alive, joins again.
+REJOIN_S = 30.0
+#: Seconds of failed heartbeats after which a member is recorded as gone.
+DEAD_S = 3.0
+#: Seconds between looks for silent members.
+LAPSE_CHECK_S = 0.5
+#: Seconds that a task no member can ever hold waits for one to join.
+REFUSE_AFTER_S = 5.0
 
 
 def keep_membership(state, now_s):
     """Return the appends that announce the agent and renew its leases."""
     member = state.member
     if member is None:
-        if state.is_draining or state.is_in_flight(InstanceAnnounced):
+        is_waiting = now_s - state.expelled_s < REJOIN_S
+        if state.is_draining or is_waiting or state.is_in_flight(InstanceAnnounced):
             return []
         return [state.append(now_s, state.announcement)]
     if state.is_draining:
@@ -32,7 +46,7 @@
     period_s = renewal_period_s(state.configuration.leases.batch_s)
     if state.is_in_flight(OwnerRenewed) or now_s - state.renewed_s < period_s:
         return []
-    record = OwnerRenewed(state.instance_id, state.incarnation, state.take_learned())
+    record = OwnerRenewed(state.instance_id, state.incarnation, *state.take_learned())
     return [state.append(now_s, record)]
 
 
@@ -51,6 +65,9 @@
         return []
     if state.is_draining or not state.watch.is_live(now_s):
         return []
+    if not state.cell.pending:
+        state.waits_by_id = {}
+        return []
     view = PlacementView.from_cell(state.cell, state.configuration, state.live_ids)
     view.rooms_by_id[state.instance_id] = state.own_room()
     claimed_ids = {
@@ -58,22 +75,48 @@
         for item in state.in_flight
         if isinstance(item.record, TaskClaimed)
     }
-    waits_by_id, effects = {}, []
+    waits_by_id, effects, unfit = {}, [], []
     for task, ranked_ids in plan(view, claimed_ids):
+        first_id = ranked_ids[0] if ranked_ids else ""
         wait = state.waits_by_id.get(task.task_id)
-        if wait is None or wait[0] != ranked_ids[0]:
-            wait = (ranked_ids[0], now_s)
+        if wait is None or wait[0] != first_id:
+            wait = (first_id, now_s)
         waits_by_id[task.task_id] = wait
-        if _is_my_turn(state, now_s, ranked_ids, wait[1], task):
+        if not ranked_ids:
+            unfit.append(task)
+            effects += _refuse(state, now_s, task, wait[1])
+        elif _is_my_turn(state, now_s, ranked_ids, wait[1], task):
             effects.append(state.append(now_s, _claim(state, task)))
     state.waits_by_id = waits_by_id
-    return effects
+    return effects + preempt_tasks(state, now_s, unfit)
+
+
+def _refuse(state, now_s, task, since_s):
+    """End a task that no member of the cell could hold even when idle."""
+    members = [m for m in state.cell.members_by_id.values() if m.is_present]
+    if any(task.demand.fits_in(member.capacity) for member in members):
+        return []
+    wait_s = REFUSE_AFTER_S + _place(state, task.task_id) * state.tick_s
+    is_under_way = state.is_in_flight(TaskEnded, task.task_id)
+    if is_under_way or now_s - since_s < wait_s:
+        return []
+    largest = max((m.capacity.millicores for m in members), default=0)
+    detail = (
+        f"never fits: needs {task.demand.millicores} millicores, "
+        f"{task.demand.memory_mb} MiB and {task.demand.accelerators} accelerators; "
+        f"no member of the cell has as much (most millicores: {largest})"
+    )
+    record = TaskEnded(task.task_id, task.epoch, "refused", detail)
+    return [state.append(now_s, record)]
 
 
 def _is_my_turn(state, now_s, ranked_ids, since_s, task):
     if state.instance_id not in ranked_ids or task.task_id in state.locals_by_id:
         return False
-    if not task.demand.fits_in(state.own_room()):
+    room = state.own_room()
+    if task.task_id not in state.made_room_for and task.urgency < Urgency.URGENT:
+        room = room - state.promised()
+    if not task.demand.fits_in(room):
         return False
     place = ranked_ids.index(state.instance_id)
     return now_s - since_s >= place * state.tick_s
@@ -93,8 +136,10 @@
 
 def record_lapses(state, now_s):
     """Return the appends of lapses and departures of silent members."""
-    if state.member is None or not state.watch.is_live(now_s):
+    is_soon = now_s - state.lapses_checked_s < LAPSE_CHECK_S
+    if is_soon or state.member is None or not state.watch.is_live(now_s):
         return []
+    state.lapses_checked_s = now_s
     effects = []
     for member in state.cell.members_by_id.values():
         for record in _lapses_of(state, now_s, member):
@@ -104,22 +149,48 @@
 
 
 def _lapses_of(state, now_s, member):
-    """Yield the records due for what a member left behind."""
+    """Return the records due for what a member left behind."""
     owner = (member.instance_id, member.incarnation)
-    delay_s = _place(state, member.instance_id) * state.tick_s
-    silent_s = state.watch.silent_s(now_s, owner, member.renewal_offset) - delay_s
+    silent_s = state.watch.silent_s(now_s, owner, member.renewal_offset)
+    records = []
     for task_id in member.task_ids:
         task = state.cell.tasks_by_id[task_id]
         offset = state.cell.renewal_of(task)
         task_silent_s = silent_s
         if task.owner_incarnation != member.incarnation:
             old_owner = (member.instance_id, task.owner_incarnation)
-            task_silent_s = state.watch.silent_s(now_s, old_owner, offset) - delay_s
-        if task_silent_s >= lapse_wait_s(task.lease_s):
-            yield TaskLapsed(task_id, task.epoch, offset)
-    lease_s = state.configuration.leases.batch_s
-    if member.is_present and silent_s >= lapse_wait_s(lease_s):
-        yield InstanceLeft(*owner)
+            task_silent_s = state.watch.silent_s(now_s, old_owner, offset)
+        over_s = task_silent_s - lapse_wait_s(task.lease_s)
+        if _is_due(state, member, over_s):
+            records.append(TaskLapsed(task_id, task.epoch, offset))
+    over_s = max(
+        silent_s - lapse_wait_s(state.configuration.leases.batch_s),
+        state.dead_s(now_s, member.instance_id) - DEAD_S,
+    )
+    if member.is_present and _is_due(state, member, over_s):
+        records.append(InstanceLeft(*owner))
+    return records
+
+
+def _is_due(state, member, over_s):
+    """Tell whether it is this agent's turn ``over_s`` after the first one's."""
+    if over_s < 0:
+        return False
+    return over_s >= _place(state, member.instance_id) * state.tick_s
+
+
+def keep_snapshot(state, now_s):
+    """Return the append of a snapshot when the latest one has become old."""
+    if state.member is None or not state.watch.is_live(now_s):
+        return []
+    if state.snapshot_s is None:
+        state.snapshot_s = now_s
+    over_s = now_s - state.snapshot_s - state.snapshot_period_s
+    if over_s < 0 or state.is_in_flight(CellSnapshot):
+        return []
+    if over_s < _place(state, state.stream) * state.tick_s:
+        return []
+    return [state.append(now_s, state.cell.to_snapshot())]
 
 
 def _place(state, owner_id):
--- /dev/null
+++ b/dotterelspread/eviction.py
@@ -0,0 +1,159 @@
+"""Which tasks to slow down or to evict when an instance is short of resources.
+
+Throttling goes first, since it loses no work; then the victims whose loss is least for
+the processor time that they free.
+"""
+
+from dataclasses import dataclass, field
+
+from .resources import Resources
+
+__all__ = ["PressureControl", "Victim", "choose_victims", "room_after"]
+
+#: Part of the processors in use above which tasks are throttled.
+HIGH_USE = 1.0
+#: Part of the processors in use below which throttled tasks may speed up again.
+LOW_USE = 0.85
+#: Seconds of shortage under throttling before a task is evicted.
+EVICT_AFTER_S = 20.0
+#: Seconds between an eviction or a change of shares and the next.
+SETTLE_S = 10.0
+#: Smallest share that a task is throttled to, and how much is given back at a time.
+LEAST_SHARE = 0.1
+SHARE_STEP = 0.2
+
+
+@dataclass(slots=True, frozen=True)
+class Victim:
+    """A running task that may be evicted."""
+
+    task_id: str
+    reserved: Resources
+    urgency: int
+    #: Seconds of work since its latest checkpoint.
+    lost_s: float
+    #: Times that it was released before.
+    releases: int = 0
+
+    @property
+    def cost(self):
+        """Sort key: lost seconds per core freed grow with each earlier eviction."""
+        return (self.urgency, self.lost_s * (1 + self.releases), self.task_id)
+
+
+def room_after(room, victims):
+    """Return the room once the victims are gone."""
+    for victim in victims:
+        room = room + victim.reserved
+    return room
+
+
+def choose_victims(victims, room, needed):
+    """Return the cheapest victims that make room for ``needed``.
+
+    Parameters
+    ----------
+    victims : iterable of Victim
+    room : Resources
+        What is free without any eviction.
+    needed : Resources
+
+    Returns
+    -------
+    list of Victim
+        Empty when nothing need be evicted, None when all victims are too few.
+    """
+    chosen = []
+    for victim in sorted(victims, key=lambda victim: victim.cost):
+        if needed.fits_in(room_after(room, chosen)):
+            break
+        if not _relieves(victim, room_after(room, chosen), needed):
+            continue
+        chosen.append(victim)
+    if not needed.fits_in(room_after(room, chosen)):
+        return None
+    for victim in reversed(list(chosen)):
+        others = [other for other in chosen if other is not victim]
+        if needed.fits_in(room_after(room, others)):
+            chosen = others
+    return chosen
+
+
+def _relieves(victim, room, needed):
+    """Tell whether a victim frees some of what is still short."""
+    short = needed - room
+    freed = victim.reserved
+    return (
+        (short.millicores > 0 and freed.millicores > 0)
+        or (short.memory_mb > 0 and freed.memory_mb > 0)
+        or (short.accelerators > 0 and freed.accelerators > 0)
+    )
+
+
+@dataclass(slots=True)
+class PressureControl:
+    """Feedback from measured use to throttling and eviction, with hysteresis.
+
+    Use it on each fresh report of usage. Shares fall at once and rise in steps, and
+    an eviction needs a shortage that throttling did not end.
+    """
+
+    shares_by_id: dict[str, float] = field(default_factory=dict)
+    short_since_s: float | None = None
+    changed_s: float = float("-inf")
+
+    def update(self, now_s, capacity, used_by_id, reserved_by_id):
+        """Return the new shares, and how much to free by eviction.
+
+        Returns
+        -------
+        tuple of (dict of str to float, Resources)
+            Shares that changed by task, and the amount to evict, zero for none.
+        """
+        used = sum(used_by_id.values(), Resources())
+        gone_ids = self.shares_by_id.keys() - used_by_id.keys()
+        for task_id in gone_ids:
+            del self.shares_by_id[task_id]
+        memory_short_mb = used.memory_mb - capacity.memory_mb
+        if memory_short_mb > 0 and now_s - self.changed_s >= SETTLE_S:
+            self.changed_s = now_s
+            return {}, Resources(memory_mb=memory_short_mb)
+        use = used.millicores / max(capacity.millicores, 1)
+        if use > HIGH_USE:
+            return self._press(now_s, used, capacity, used_by_id, reserved_by_id)
+        self.short_since_s = None
+        if use < LOW_USE and now_s - self.changed_s >= SETTLE_S:
+            return self._relax(now_s), Resources()
+        return {}, Resources()
+
+    def _press(self, now_s, used, capacity, used_by_id, reserved_by_id):
+        if self.short_since_s is None:
+            self.short_since_s = now_s
+        if now_s - self.changed_s < SETTLE_S:
+            return {}, Resources()
+        shares_by_id = {}
+        for task_id, amount in used_by_id.items():
+            reserved = reserved_by_id.get(task_id, amount).millicores
+            share = self.shares_by_id.get(task_id, 1.0)
+            if amount.millicores > reserved and share > LEAST_SHARE:
+                share = max(LEAST_SHARE, share * reserved / amount.millicores)
+                shares_by_id[task_id] = share
+        if shares_by_id:
+            self.shares_by_id |= shares_by_id
+            self.changed_s = now_s
+            return shares_by_id, Resources()
+        if now_s - self.short_since_s < EVICT_AFTER_S:
+            return {}, Resources()
+        self.changed_s = now_s
+        return {}, Resources(millicores=used.millicores - capacity.millicores)
+
+    def _relax(self, now_s):
+        changed_by_id = {
+            task_id: min(1.0, share + SHARE_STEP)
+            for task_id, share in self.shares_by_id.items()
+            if share < 1.0
+        }
+        if changed_by_id:
+            self.shares_by_id |= changed_by_id
+            self.changed_s = now_s
+        return changed_by_id
--- a/dotterelspread/ownership.py
+++ b/dotterelspread/ownership.py
@@ -4,11 +4,11 @@
 anew after each event; what got lost is repeated.
 """
 
-from .cell import FAILED
+from .cellrules import FAILED
 from .celltask import TaskPhase
 from .lease import SLICE_S, slice_deadline_s
 from .record import TaskClaimed, TaskEnded, TaskReleased
-from .taskevent import RenewTask, StartTask, StopTask
+from .taskevent import CheckpointTask, RenewTask, StartTask, StopTask
 from .taskstate import LocalPhase, LocalTask, StopReason
 
 __all__ = ["follow_cell", "report_results", "stop_local"]
@@ -19,6 +19,8 @@
 REPEAT_S = 2.0
 #: Seconds after a slice's end when the worker has surely stopped the task.
 SLICE_MARGIN_S = 1.0
+#: Seconds between checkpoints of a running task.
+CHECKPOINT_PERIOD_S = 120.0
 #: Instances on which a program must fail before its task ends as failed.
 FAILED_INSTANCES = 3
 
@@ -50,6 +52,8 @@
         sent_s,
         checkpoint=task.checkpoint,
         started_s=now_s,
+        checkpointed_s=now_s,
+        checkpoint_asked_s=now_s,
         asked_s=now_s,
     )
     state.locals_by_id[task.task_id] = local
@@ -106,9 +110,11 @@
     task = state.cell.tasks_by_id[local.task_id]
     if state.cell.jobs_by_id[task.job_id].is_cancelled:
         return StopReason.CANCELLED
-    successor = state.cell.tasks_by_id.get(task.successor_id)
-    if successor is not None and successor.phase is not TaskPhase.PENDING:
-        return StopReason.REPLACED
+    if task.successor_id:
+        successor = state.cell.tasks_by_id.get(task.successor_id)
+        if successor is None or successor.phase is not TaskPhase.PENDING:
+            return StopReason.REPLACED
+        return StopReason.NONE
     if state.is_draining:
         return StopReason.DRAIN
     if now_s >= _lease_end_s(state, local) - STOP_AHEAD_S:
@@ -121,6 +127,9 @@
         if now_s - local.asked_s >= REPEAT_S:
             return [_start(state, now_s, local)]
         return []
+    if now_s - local.checkpoint_asked_s >= CHECKPOINT_PERIOD_S:
+        local.checkpoint_asked_s = now_s
+        return [CheckpointTask(local.task_id, local.epoch)]
     deadline_s = slice_deadline_s(now_s, _lease_end_s(state, local))
     is_due = now_s >= local.slice_deadline_s - SLICE_S / 2
     if not (is_due and state.has_worker(now_s) and deadline_s > local.slice_deadline_s):
--- a/dotterelspread/placement.py
+++ b/dotterelspread/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from .configuration import Urgency
 from .resources import Resources
 
 __all__ = [
@@ -17,6 +18,7 @@
     "get_policy",
     "is_eligible",
     "plan",
+    "rank_for_preemption",
     "rank_members",
 ]
 
@@ -93,6 +95,10 @@
                 view.rooms_by_id[member.instance_id] = member.room
         return view
 
+    def add_room(self, member_id, amount):
+        """Count ``amount`` as free on a member."""
+        self.rooms_by_id[member_id] = self.rooms_by_id[member_id] + amount
+
     def reserve(self, task_id, member_id, amount):
         """Count ``amount`` on a member for the rest of the plan."""
         self.planned_ids[task_id] = member_id
@@ -129,6 +135,24 @@
     """
     job = view.cell.jobs_by_id[task.job_id]
     policy = _policies[SERVICE_POLICY if job.is_service else BATCH_POLICY]
+    return _rank(task, view, policy.score)
+
+
+def rank_for_preemption(task, view):
+    """Return the ids of the members that can make room for ``task``, best first.
+
+    ``view`` counts what may be preempted as room; the member with most of it, so the
+    fewest tasks to stop, goes first.
+    """
+    return _rank(task, view, _least_preempted)
+
+
+def _least_preempted(task, member, room, view):
+    return -min(member.room.millicores, task.demand.millicores), -room.millicores
+
+
+def _rank(task, view, score):
+    job = view.cell.jobs_by_id[task.job_id]
     demand = task.demand
     scored = []
     for member_id, room in view.rooms_by_id.items():
@@ -138,7 +162,7 @@
         labels = labels_of(member, view.configuration)
         if not is_eligible(job.labels, labels, view.configuration):
             continue
-        key = policy.score(task, member, room, view)
+        key = score(task, member, room, view)
         has_failed = member_id in task.failed_ids
         scored.append((has_failed, key, tie_break(task.task_id, member_id), member_id))
     scored.sort()
@@ -146,9 +170,10 @@
 
 
 def plan(view, excluded_ids=frozenset()):
-    """Yield (task, ranked member ids) for the pending tasks that fit somewhere.
+    """Yield (task, ranked member ids) for the first pending tasks.
 
-    Each task is counted on its first member before the next is ranked.
+    Each task is counted on its first member before the next is ranked. A task that
+    fits nowhere comes with an empty ranking: each urgent one, of others a part.
 
     Parameters
     ----------
@@ -163,15 +188,24 @@
             return
         if task.task_id in excluded_ids:
             continue
-        shape = (view.cell.jobs_by_id[task.job_id].labels, task.demand)
-        if any(labels == shape[0] and size.fits_in(shape[1]) for labels, size in unfit):
+        labels = view.cell.jobs_by_id[task.job_id].labels
+        if _is_known_unfit(unfit, labels, task.demand):
+            if task.urgency >= Urgency.URGENT:
+                yield task, []
             continue
         ranked_ids = rank_members(task, view)
         if ranked_ids:
             view.reserve(task.task_id, ranked_ids[0], task.demand)
-            yield task, ranked_ids
         else:
-            unfit.append(shape)
+            unfit.append((labels, task.demand))
+        yield task, ranked_ids
+
+
+def _is_known_unfit(unfit, labels, demand):
+    """Tell whether a task of the same labels and no larger size fitted nowhere."""
+    return any(
+        size.fits_in(demand) and unfit_labels == labels for unfit_labels, size in unfit
+    )
 
 
 _policies = {name: get_policy(name) for name in _classes_by_name}
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -196,6 +196,8 @@
     incarnation: int
     #: Amounts learned from usage for running tasks that exceed their declared size.
     learned: dict[str, Resources] = {}
+    #: Checkpoints made since the last renewal, by task.
+    checkpoints: dict[str, str] = {}
 
 
 class CellSnapshot(Struct, tag=15):
--- a/dotterelspread/taskcore.py
+++ b/dotterelspread/taskcore.py
@@ -5,9 +5,16 @@
 """
 
 from .cell import CellError, CellState
-from .claiming import claim_tasks, keep_membership, record_lapses
+from .claiming import claim_tasks, keep_membership, keep_snapshot, record_lapses
 from .ownership import follow_cell, report_results
-from .record import CellSnapshot, InstanceAnnounced, OwnerRenewed, TaskClaimed
+from .preemption import relieve_pressure
+from .record import (
+    CellSnapshot,
+    InstanceAnnounced,
+    InstanceLeft,
+    OwnerRenewed,
+    TaskClaimed,
+)
 from .reducer import Tick, reduce
 from .taskevent import (
     AppendSettled,
@@ -17,6 +24,7 @@
     ConfigurationChanged,
     DrainRequested,
     MembersChanged,
+    TaskCheckpointed,
     TaskStarted,
     TaskStopped,
     WorkerReported,
@@ -30,9 +38,11 @@
     """Return all effects that are due."""
     if state.unplaced is not None:
         return []
+    state.clock_s = now_s
     state.take_read_back(now_s)
     effects = follow_cell(state, now_s)
     if state.may_append(now_s):
+        effects += keep_snapshot(state, now_s)
         effects += report_results(state, now_s)
         effects += keep_membership(state, now_s)
         effects += record_lapses(state, now_s)
@@ -58,11 +68,16 @@
 def _apply(state, event):
     record = event.envelope.record
     is_valid = state.cell.apply(event.offset, event.envelope)
+    if isinstance(record, CellSnapshot):
+        state.snapshot_s = event.now_s
     if not is_valid:
         return
     if isinstance(record, OwnerRenewed | TaskClaimed):
         owner = (record.owner_id, record.incarnation)
         state.watch.record_renewal(event.now_s, owner, event.offset)
+    elif isinstance(record, InstanceLeft):
+        if record.instance_id == state.instance_id:
+            state.expelled_s = event.now_s
     elif isinstance(record, InstanceAnnounced):
         owner = (record.instance_id, record.incarnation)
         state.watch.record_renewal(event.now_s, owner, event.offset)
@@ -113,6 +128,16 @@
     return []
 
 
+@reduce.register
+def _(event: TaskCheckpointed, state: TaskState):
+    local = state.locals_by_id.get(event.task_id)
+    if local is not None and local.epoch == event.epoch:
+        local.checkpoint = event.checkpoint
+        local.checkpointed_s = event.now_s
+        state.checkpoints_by_id[event.task_id] = event.checkpoint
+    return []
+
+
 @reduce.register
 def _(event: TaskStopped, state: TaskState):
     local = state.locals_by_id.get(event.task_id)
@@ -131,7 +156,7 @@
     state.worker_reported_s = event.now_s
     for usage in event.usages:
         _note_usage(state, event.now_s, usage)
-    return settle_tasks(state, event.now_s)
+    return relieve_pressure(state, event.now_s, event.usages)
 
 
 def _note_usage(state, now_s, usage):
@@ -167,6 +192,12 @@
 @reduce.register
 def _(event: MembersChanged, state: TaskState):
     state.live_ids = event.live_ids
+    member_ids = state.cell.members_by_id.keys()
+    state.dead_since_by_id = {
+        member_id: state.dead_since_by_id.get(member_id, event.now_s)
+        for member_id in member_ids - event.live_ids
+        if member_id != state.instance_id
+    }
     return settle_tasks(state, event.now_s)
 
 
--- a/dotterelspread/taskevent.py
+++ b/dotterelspread/taskevent.py
@@ -20,6 +20,7 @@
     "RenewTask",
     "StartTask",
     "StopTask",
+    "TaskCheckpointed",
     "TaskStarted",
     "TaskStopped",
     "TaskUsage",
@@ -74,6 +75,15 @@
     epoch: int
 
 
+@dataclass(slots=True, frozen=True)
+class TaskCheckpointed(Event):
+    """The worker made a checkpoint of a task that runs on."""
+
+    task_id: str
+    epoch: int
+    checkpoint: str
+
+
 @dataclass(slots=True, frozen=True)
 class TaskStopped(Event):
     """A task stopped on the worker.
--- a/dotterelspread/taskstate.py
+++ b/dotterelspread/taskstate.py
@@ -6,6 +6,7 @@
 from .cell import CellState
 from .celltask import TaskPhase
 from .configuration import Configuration
+from .eviction import PressureControl
 from .lease import LeaseWatch, owner_deadline_s
 from .record import (
     InstanceAnnounced,
@@ -27,6 +28,10 @@
 WORKER_SILENT_S = 10.0
 #: Assumed seconds from an append until it is read back, before one is measured.
 ROUND_TRIP_S = 0.1
+#: Seconds for which room made for an urgent task is kept for it.
+ROOM_KEPT_S = 5.0
+#: Seconds between snapshots of a cell.
+SNAPSHOT_PERIOD_S = 600.0
 #: Weight of a new measurement of the round trip.
 ROUND_TRIP_GAIN = 0.2
 
@@ -69,6 +74,9 @@
     #: When the worker stops the task unless renewed.
     slice_deadline_s: float = 0.0
     started_s: float = 0.0
+    #: When its latest checkpoint was made; its start before there is one.
+    checkpointed_s: float = 0.0
+    checkpoint_asked_s: float = 0.0
     #: Whether the worker has reported the task.
     is_confirmed: bool = False
     #: When the latest start or stop was sent.
@@ -106,6 +114,8 @@
     #: Appends wait until then after one failed.
     retry_s: float = float("-inf")
     worker_reported_s: float = float("-inf")
+    #: Time of the latest event.
+    clock_s: float = 0.0
     round_trip_s: float = ROUND_TRIP_S
     is_draining: bool = False
     #: When this agent sent the claim, by (task, epoch).
@@ -114,6 +124,23 @@
     learned_by_id: dict[str, Resources] = field(default_factory=dict)
     #: (first member of the ranking, since when) by pending task.
     waits_by_id: dict = field(default_factory=dict)
+    #: When an urgent task that fits nowhere was noticed, by task.
+    preempts_by_id: dict = field(default_factory=dict)
+    #: (time, amount) of the room made on this instance, by urgent task.
+    made_room_for: dict = field(default_factory=dict)
+    pressure: PressureControl = field(default_factory=PressureControl)
+    #: Checkpoints to record with the next renewal, by task.
+    checkpoints_by_id: dict[str, str] = field(default_factory=dict)
+    #: When silent members were looked for last.
+    lapses_checked_s: float = float("-inf")
+    #: When the latest snapshot of the cell was read.
+    snapshot_s: float | None = None
+    #: Seconds between snapshots; well below the retention of the log.
+    snapshot_period_s: float = SNAPSHOT_PERIOD_S
+    #: When an instance was first believed to be dead, by instance.
+    dead_since_by_id: dict[str, float] = field(default_factory=dict)
+    #: When the cell recorded that this agent had left.
+    expelled_s: float = float("-inf")
     #: Records read while the state before them is unknown; None when it is known.
     unplaced: list | None = None
 
@@ -152,6 +179,10 @@
         """Tell whether an instance is believed to be alive."""
         return self.live_ids is None or instance_id in self.live_ids
 
+    def dead_s(self, now_s, instance_id):
+        """Return for how long an instance has been believed dead; 0 when alive."""
+        return now_s - self.dead_since_by_id.get(instance_id, now_s)
+
     @property
     def tick_s(self):
         """Seconds between the fallbacks of a ranking: two round trips."""
@@ -237,13 +268,22 @@
             self.renewed_s = max(self.renewed_s, item.sent_s)
 
     def take_learned(self):
-        """Return the amounts to learn that the cell does not know, and forget them."""
+        """Return and forget the amounts and the checkpoints not recorded yet."""
         learned_by_id, self.learned_by_id = self.learned_by_id, {}
-        return {
-            task_id: amount
-            for task_id, amount in sorted(learned_by_id.items())
-            if task_id in self.locals_by_id
-        }
+        checkpoints_by_id, self.checkpoints_by_id = self.checkpoints_by_id, {}
+        return learned_by_id, checkpoints_by_id
+
+    def promised(self):
+        """Return the room that was made for urgent tasks and is not claimed yet."""
+        amount = Resources()
+        for task_id, (made_s, demand) in list(self.made_room_for.items()):
+            task = self.cell.tasks_by_id.get(task_id)
+            is_pending = task is not None and task.phase is TaskPhase.PENDING
+            if not is_pending or self.clock_s - made_s > ROOM_KEPT_S:
+                del self.made_room_for[task_id]
+            elif not self.is_in_flight(TaskClaimed, task_id):
+                amount = amount + demand
+        return amount
 
     def own_room(self):
         """Return what the instance has left once all that is in flight stands."""
--- a/dotterelspread/workers/http.py
+++ b/dotterelspread/workers/http.py
@@ -13,6 +13,7 @@
     RenewTask,
     StartTask,
     StopTask,
+    TaskCheckpointed,
     TaskStarted,
     TaskStopped,
     TaskUsage,
@@ -84,6 +85,8 @@
         if ended.outcome == "running":
             if isinstance(effect, StartTask):
                 return [TaskStarted(self.clock(), effect.task_id, effect.epoch)]
+            if isinstance(effect, CheckpointTask):
+                return [self._checkpointed(effect, ended.checkpoint)]
             return []
         return [self._stopped(ended)]
 
@@ -99,6 +102,9 @@
             tuple(self._stopped(ended) for ended in report.ended),
         )
 
+    def _checkpointed(self, effect, checkpoint):
+        return TaskCheckpointed(self.clock(), effect.task_id, effect.epoch, checkpoint)
+
     def _stopped(self, ended):
         return TaskStopped(
             self.clock(),
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -42,7 +42,8 @@
         ended = handlers[action](task_id, await request.body())
         if ended is None:
             return Response(b'{"outcome":"running"}')
-        return Response(msgspec.json.encode(ended), 200 if action == "stop" else 409)
+        is_done = action == "stop" or ended.outcome == "running"
+        return Response(msgspec.json.encode(ended), 200 if is_done else 409)
 
     def start(self, task_id, data):
         """Start a task."""
--- a/standins/workercore.py
+++ b/standins/workercore.py
@@ -143,12 +143,12 @@
         return None
 
     def checkpoint(self, task_id, epoch):
-        """Make a checkpoint; return None, or how the task ended."""
+        """Make a checkpoint; return it, or how the task ended."""
         task = self.running_by_id.get(task_id)
         if task is None or task.start.epoch != epoch:
             return self._ended_as(task_id, epoch)
         task.checkpoint = repr(task.done_s)
-        return None
+        return EndedTask(task_id, epoch, "running", checkpoint=task.checkpoint)
 
     def throttle(self, task_id, share):
         """Let a task run at a part of its speed."""
--- a/tests/builders_tasks.py
+++ b/tests/builders_tasks.py
@@ -24,9 +24,11 @@
     CellCaughtUp,
     CellRecordRead,
     CheckpointTask,
+    MembersChanged,
     RenewTask,
     StartTask,
     StopTask,
+    TaskCheckpointed,
     TaskStarted,
     TaskStopped,
     TaskUsage,
@@ -39,6 +41,7 @@
 GROUP_S = 0.02
 POLL_S = 1.0
 TICK_S = 0.1
+REPORT_S = 1.0
 CAPACITY = Resources(32_000, 128_000, 2)
 
 
@@ -101,6 +104,7 @@
     read_offset: int = 0
     sequence: int = 0
     ended_seen: int = 0
+    reported_s: float = float("-inf")
     queue: list = field(default_factory=list)
     held: list = field(default_factory=list)
     sending: list = field(default_factory=list)
@@ -114,11 +118,14 @@
 class Fleet:
     """Agents of one cell, driven by a queue of events in virtual time."""
 
-    def __init__(self, size, seed=0, capacity=CAPACITY, append_s=0.02, lag_s=0.05):
+    def __init__(
+        self, size, seed=0, capacity=CAPACITY, append_s=0.02, lag_s=0.05, tick_s=TICK_S
+    ):
         self.random = random.Random(seed)
         self.capacity = capacity
         self.append_s = append_s
         self.lag_s = lag_s
+        self.tick_s = tick_s
         self.now_s = 0.0
         self.events = []
         self.tie = count()
@@ -137,7 +144,7 @@
         agent = FakeAgent(state, worker, rate=rate, lag_s=self.lag_s)
         self.agents.append(agent)
         self.after(self.random.uniform(0, POLL_S), self.poll, agent)
-        self.after(self.random.uniform(0, TICK_S), self.tick, agent)
+        self.after(self.random.uniform(0, self.tick_s), self.tick, agent)
         return agent
 
     def after(self, delay_s, action, *arguments):
@@ -241,7 +248,7 @@
             return
         self.report(agent)
         self.send(agent, Tick)
-        self.after(TICK_S, self.tick, agent)
+        self.after(self.tick_s, self.tick, agent)
 
     def report(self, agent):
         """Tell the agent what its worker runs and what ended there."""
@@ -251,6 +258,9 @@
         for ended in agent.worker.ended[agent.ended_seen :]:
             agent.ended_seen += 1
             self.tell_stop(agent, ended)
+        if self.now_s - agent.reported_s < REPORT_S:
+            return
+        agent.reported_s = self.now_s
         usages = tuple(
             TaskUsage(task_id, epoch, Resources(*used))
             for task_id, epoch, used in agent.worker.usages()
@@ -276,13 +286,34 @@
             return
         self.clock_worker(agent)
         ended = perform_on(agent.worker, effect)
-        if ended is not None:
+        if ended is not None and ended.outcome == "running":
+            fields = (ended.task_id, ended.epoch, ended.checkpoint)
+            self.send(agent, TaskCheckpointed, *fields)
+        elif ended is not None:
             self.tell_stop(agent, ended)
         elif isinstance(effect, StartTask):
             self.send(agent, TaskStarted, effect.task_id, effect.epoch)
 
-    def kill(self, agent):
+    def kill(self, agent, with_worker=False):
+        """End an agent; with its worker, the instance's tasks end too."""
         agent.is_alive = False
+        if with_worker:
+            self.clock_worker(agent)
+            for task in list(agent.worker.running_by_id.values()):
+                agent.worker.stop(task.task_id, task.start.epoch)
+
+    def restart(self, agent):
+        """Start a new incarnation of an agent beside the same worker."""
+        number = int(agent.instance_id[1:])
+        incarnation = agent.state.incarnation + 1
+        return self.add_agent(number, incarnation, agent.worker, agent.rate)
+
+    def tell_members(self):
+        """Tell all agents which instances answer heartbeats."""
+        live = (a.instance_id for a in self.agents if a.is_alive and not a.is_frozen)
+        live_ids = frozenset(live)
+        for agent in self.agents:
+            self.send(agent, MembersChanged, live_ids)
 
     def freeze(self, agent):
         agent.is_frozen = True
@@ -298,8 +329,8 @@
         rows = []
         for agent in self.agents:
             self.clock_worker(agent)
-        workers = {id(agent.worker): agent for agent in self.agents}
-        for agent in workers.values():
+        by_worker = {id(agent.worker): agent for agent in self.agents}
+        for agent in by_worker.values():
             for run in agent.worker.history:
                 stopped_s = run.stopped_s
                 stop_s = self.now_s if stopped_s is None else stopped_s / agent.rate
