Script task failures on real processes

Cause: tasks had been tried on virtual time alone. Change: scenarios with kills, freezes, drains, outages and cancellation.

--- /dev/null
+++ b/tests/scenarios/task_processes.feature
@@ -0,0 +1,28 @@
+Feature: Tasks run in one place and end once while real processes fail
+
+  Background:
+    Given one cell of 3 agents with 32 cores and a batch lease of 5 s
+
+  Scenario Outline: A failure while tasks run
+    When a job of 9 tasks with 8 cores and 8 s each is submitted
+    And all its tasks run
+    And <failure>
+    Then the job's tasks are all completed within 60 s
+    And no task ever ran in two places at once
+    And no worker ran more than 32 cores
+    And each task was resumed from where it was stopped
+
+    Examples:
+      | failure                              |
+      | agent-1 is killed                    |
+      | agent-1 is frozen for 12 s           |
+      | agent-1 is drained by an operator    |
+      | the log is down for 12 s             |
+      | the log loses the replies to 10 appends |
+
+  Scenario: A cancelled job ends once
+    When a job of 9 tasks with 8 cores and 8 s each is submitted
+    And all its tasks run
+    And the job is cancelled
+    Then the job's tasks are all cancelled within 20 s
+    And nothing of the job runs any more
--- /dev/null
+++ b/tests/scenarios/test_task_processes.py
@@ -0,0 +1,170 @@
+"""Steps of `task_processes.feature` on real processes."""
+
+import signal
+import time
+import urllib.request
+from collections import defaultdict
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from standins.demo import AGENTS, KUMASI, read_example
+from standins.site import get, open_site, post
+
+scenarios("task_processes.feature")
+
+CORES = 32
+#: Within one clock reading of the worker, a stop and a start count as one moment.
+SAME_MOMENT_S = 1e-6
+JOB_RUNS_S = 30.0
+
+
+@pytest.fixture
+def site():
+    with open_site() as site:
+        yield site
+
+
+@given("one cell of 3 agents with 32 cores and a batch lease of 5 s")
+def _(site):
+    site.start_entry("entry-1", KUMASI, ["cell.0"])
+    for name in AGENTS:
+        site.start_agent(name, KUMASI)
+    site.wait_for("entry-1", "/healthz")
+    text = read_example().replace("batch: 2m", "batch: 5s")
+    document = {"base_version": -1, "author": "test", "text": text}
+    published = post(site.url("entry-1") + "/v1/operator/configuration", document)
+    assert published["result"] == "accepted"
+    site.wait_ready("entry-1", *AGENTS)
+    site.wait_for_agents("entry-1", AGENTS)
+
+
+def job_tasks(site, job_id):
+    try:
+        return get(f"{site.url('entry-1')}/v1/jobs/{job_id}")["tasks"]
+    except OSError:
+        return []
+
+
+def wait_for_states(site, job_id, state, seconds):
+    until_s = time.monotonic() + seconds
+    while True:
+        tasks = job_tasks(site, job_id)
+        if tasks and all(task["state"] == state for task in tasks):
+            return
+        assert time.monotonic() < until_s, tasks
+        time.sleep(0.2)
+
+
+def runs_by_task(site, job_id):
+    """Return the stretches in which each task ran, as (worker, run), by start."""
+    runs = defaultdict(list)
+    for name in AGENTS:
+        for run in get(site.url(f"{name}.worker") + "/v1/history"):
+            if run["task_id"].startswith(job_id):
+                runs[run["task_id"]].append((name, run))
+    for stretches in runs.values():
+        stretches.sort(key=lambda stretch: stretch[1]["started_s"])
+    return runs
+
+
+def end_s(run):
+    return float("inf") if run["stopped_s"] is None else run["stopped_s"]
+
+
+@when(
+    "a job of 9 tasks with 8 cores and 8 s each is submitted", target_fixture="job_id"
+)
+def _(site):
+    task = {"program": "sleep", "arguments": ["8"], "cores": 8, "memory": "1GiB"}
+    task |= {"run_time": "8s", "count": 9}
+    job = {"team": "pump-analysis", "tasks": [task]}
+    return post(site.url("entry-1") + "/v1/jobs", job)["job_id"]
+
+
+@when("all its tasks run")
+def _(site, job_id):
+    wait_for_states(site, job_id, "owned", JOB_RUNS_S)
+    time.sleep(2)
+
+
+@when("agent-1 is killed")
+def _(site):
+    site.kill("agent-1")
+
+
+@when("agent-1 is frozen for 12 s")
+def _(site):
+    site.signal("agent-1", signal.SIGSTOP)
+    time.sleep(12)
+    site.signal("agent-1", signal.SIGCONT)
+
+
+@when("agent-1 is drained by an operator")
+def _(site):
+    post(site.url("entry-1") + "/v1/operator/instances/agent-1/drain", {})
+
+
+@when("the log is down for 12 s")
+def _(site):
+    post(site.url("log") + "/control", {"down": True})
+    time.sleep(12)
+    post(site.url("log") + "/control", {"down": False})
+
+
+@when("the log loses the replies to 10 appends")
+def _(site):
+    post(site.url("log") + "/control", {"lose_replies": 10})
+
+
+@when("the job is cancelled")
+def _(site, job_id):
+    url = f"{site.url('entry-1')}/v1/jobs/{job_id}"
+    with urllib.request.urlopen(urllib.request.Request(url, method="DELETE")) as reply:
+        assert reply.status == 202
+
+
+@then(parsers.parse("the job's tasks are all {state} within {seconds:d} s"))
+def _(site, job_id, state, seconds):
+    wait_for_states(site, job_id, state, seconds)
+
+
+@then("no task ever ran in two places at once")
+def _(site, job_id):
+    for task_id, stretches in runs_by_task(site, job_id).items():
+        for (_, run), (_, later) in zip(stretches, stretches[1:], strict=False):
+            overlap_s = end_s(run) - later["started_s"]
+            assert overlap_s <= SAME_MOMENT_S, (task_id, stretches)
+
+
+@then("no worker ran more than 32 cores")
+def _(site, job_id):
+    changes_by_worker = defaultdict(list)
+    for stretches in runs_by_task(site, job_id).values():
+        for name, run in stretches:
+            cores = run["declared"][0] / 1000
+            changes_by_worker[name].append((run["started_s"], cores))
+            changes_by_worker[name].append((end_s(run) - SAME_MOMENT_S, -cores))
+    for name, changes in changes_by_worker.items():
+        used = 0.0
+        for _, cores in sorted(changes):
+            used += cores
+            assert used <= CORES, name
+
+
+@then("each task was resumed from where it was stopped")
+def _(site, job_id):
+    runs = runs_by_task(site, job_id)
+    assert len(runs) == 9
+    for task_id, stretches in runs.items():
+        done_s = 0.0
+        for _, run in stretches:
+            assert run["done_from_s"] <= done_s + 0.01, (task_id, stretches)
+            done_s = run["done_from_s"] + end_s(run) - run["started_s"]
+        assert done_s == pytest.approx(8, abs=0.05), (task_id, stretches)
+
+
+@then("nothing of the job runs any more")
+def _(site, job_id):
+    for stretches in runs_by_task(site, job_id).values():
+        assert all(run["stopped_s"] is not None for _, run in stretches)
