--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -10,7 +10,10 @@
 __all__ = [
     "CellSnapshot",
     "CellSummary",
+    "ClaimState",
+    "ClaimsSnapshot",
     "ConfigurationPublished",
+    "ConfigurationSnapshot",
     "Envelope",
     "InstanceAnnounced",
     "InstanceDraining",
@@ -68,6 +71,8 @@
     slots: int = 0
     capacity: Resources = Resources()
     labels: dict[str, str] = {}
+    #: Name of the cell that an agent takes part in.
+    cell: str = ""
 
 
 class InstanceDraining(Struct, tag=3):
@@ -90,6 +95,12 @@
     as_of: int
     announced: tuple[InstanceAnnounced, ...]
     draining_ids: tuple[str, ...]
+    #: Snapshots since each of ``announced`` last announced itself.
+    ages: tuple[int, ...] = ()
+    #: Offset of the snapshot that last made members older; -1 for none.
+    aged_at: int = -1
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
 
 
 class RequestClaimed(Struct, tag=6):
@@ -105,6 +116,8 @@
     fingerprint: bytes
     #: 0 for the first claim of a key; one more after a proof that it was not run.
     attempt: int = 0
+    #: Unix time of the claim in seconds.
+    claimed_at: int = 0
 
 
 class RequestSettled(Struct, tag=7):
@@ -118,6 +131,38 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     detail: str = ""
+    #: Attempt of the claim that is settled.
+    attempt: int = 0
+    #: Whether the body is too large for the log and is kept by the instance.
+    body_at_instance: bool = False
+
+
+class ClaimState(Struct):
+    """The claim that stands for a key, and how it was settled if it was."""
+
+    claim: RequestClaimed
+    settled: RequestSettled | None = None
+
+
+class ClaimsSnapshot(Struct, tag=17):
+    """All claims of a stream as of an offset, appended before their records expire."""
+
+    as_of: int
+    #: Unix time of the stream's claims in seconds.
+    clock_s: int
+    claims: tuple[ClaimState, ...]
+
+
+class ConfigurationSnapshot(Struct, tag=18):
+    """The configuration in force as of an offset, kept before its record expires."""
+
+    as_of: int
+    #: Offset at which the configuration was published; -1 for none.
+    version: int
+    author: str
+    text: str
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
 
 
 class TaskSpec(Struct):
@@ -241,6 +286,8 @@
     | OwnerRenewed
     | CellSnapshot
     | CellSummary
+    | ClaimsSnapshot
+    | ConfigurationSnapshot
 )
 
 
