--- /dev/null
+++ b/bench/starts.py
@@ -0,0 +1,235 @@
+"""Starts of tasks in a cell: appends, collisions, bytes, processor time and delay.
+
+Drives the shipped reducers of one cell on virtual time with the log and workers of the
+tests. Compares claims, as shipped, with an outright assignment by the reducer, which
+needs no claim but waits for a lapse when the assignee has just died. A second table has
+urgent tasks arrive at a full cell.
+
+Run with ``python -m bench.starts``.
+"""
+
+import argparse
+import random
+import statistics
+
+from dotterelspread.cell import CellState
+from dotterelspread.celltask import TaskPhase
+from dotterelspread.placement import PlacementView, plan
+from dotterelspread.record import TaskClaimed, TaskEnded
+from tests.builders_tasks import Fleet, job, spec
+
+STARTS_PER_S = 7.0
+WARM_UP_S = 3.0
+#: Bytes a second that a member may read.
+BYTES_BUDGET = 2000
+LEASE_S = 120
+#: (append, read lag) of the store in seconds.
+STORES = ((0.02, 0.05), (0.06, 0.1), (0.3, 0.5))
+HEARTBEAT_LOSS_S = 3.0
+
+
+class AssigningCell(CellState):
+    """A cell whose reducer gives each pending task to the member ranked first."""
+
+    __slots__ = ("configuration",)
+
+    def apply(self, offset, envelope):
+        is_valid = super().apply(offset, envelope)
+        view = PlacementView.from_cell(self, self.configuration)
+        for task, ranked_ids in list(plan(view)):
+            if ranked_ids:
+                member = self.members_by_id[ranked_ids[0]]
+                claim = TaskClaimed(
+                    task.task_id,
+                    member.instance_id,
+                    member.incarnation,
+                    task.demand,
+                    LEASE_S,
+                )
+                renewal_offset = member.renewal_offset
+                self.own(task, member, claim, offset)
+                member.renewal_offset = renewal_offset
+        return is_valid
+
+
+class AssignedStarts:
+    """Lets an assigned task start under the latest renewal, for want of a claim."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def pop(self, key, default):
+        return self.state.renewed_s
+
+    def __setitem__(self, key, value):
+        pass
+
+
+def use_assignment(fleet):
+    for agent in fleet.agents:
+        cell = AssigningCell()
+        cell.configuration = agent.state.configuration
+        agent.state.cell = cell
+        agent.state.claims_sent_s = AssignedStarts(agent.state)
+
+
+def quantile(values, part):
+    ordered = sorted(values)
+    return ordered[int(part * (len(ordered) - 1))] if ordered else float("nan")
+
+
+def submit_steadily(fleet, duration_s, rate, make_job):
+    """Submit jobs at random times; return the time of each by task."""
+    rng = random.Random(fleet.random.random())
+    submitted_by_task = {}
+    at_s, number = 0.0, 0
+    while at_s < duration_s:
+        record = make_job(number, rng)
+        fleet.after(at_s, fleet.submit, record)
+        for task in record.tasks:
+            submitted_by_task[task.task_id] = fleet.now_s + at_s
+        number += 1
+        at_s += rng.expovariate(rate)
+    return submitted_by_task
+
+
+def small_job(number, rng):
+    millicores = rng.choice([500, 1000, 1000, 2000, 4000])
+    run_time_s = min(60.0, rng.lognormvariate(2.0, 0.8))
+    return job(f"j{number:05d}", spec(f"j{number:05d}/0", millicores, 500, run_time_s))
+
+
+def start_delays(fleet, submitted_by_task):
+    first_by_task = {}
+    for _, run, start_s, _ in fleet.runs():
+        first = first_by_task.get(run.task_id, start_s)
+        first_by_task[run.task_id] = min(first, start_s)
+    return [
+        first_by_task.get(task_id, fleet.now_s) - submitted_s
+        for task_id, submitted_s in submitted_by_task.items()
+    ]
+
+
+def count_claims(fleet, cell):
+    """Return the valid and the void claims, and the ends, in the log."""
+    valid = void = ends = 0
+    for offset, envelopes in enumerate(fleet.log.entries):
+        for envelope in envelopes:
+            is_valid = cell.apply(offset, envelope)
+            if isinstance(envelope.record, TaskClaimed):
+                valid += is_valid
+                void += not is_valid
+            ends += isinstance(envelope.record, TaskEnded) and is_valid
+    return valid, void, ends
+
+
+def run_cell(size, store, duration_s, is_assigning, kills, seed):
+    append_s, lag_s = store
+    fleet = Fleet(size, seed, append_s=append_s, lag_s=lag_s, tick_s=0.25)
+    if is_assigning:
+        use_assignment(fleet)
+    fleet.run(WARM_UP_S)
+    appends, size_before = len(fleet.log.entries), fleet.log.bytes_appended
+    for agent in fleet.agents:
+        agent.reducer_s = 0.0
+    submitted = submit_steadily(fleet, duration_s, STARTS_PER_S, small_job)
+    if kills:
+        victim = fleet.agents[1]
+        fleet.after(duration_s / 3, fleet.kill, victim, True)
+        fleet.after(duration_s / 3 + HEARTBEAT_LOSS_S, fleet.tell_members)
+    fleet.run(duration_s)
+    appends = len(fleet.log.entries) - appends
+    reducer_s = statistics.mean(agent.reducer_s for agent in fleet.agents)
+    bytes_per_s = (fleet.log.bytes_appended - size_before) / duration_s
+    fleet.run(20.0)
+    delays = start_delays(fleet, submitted)
+    valid, void, _ = count_claims(fleet, CellState())
+    return (
+        (appends - len(submitted)) / len(submitted),
+        appends / len(submitted),
+        100 * void / max(valid, 1),
+        quantile(delays, 0.5),
+        quantile(delays, 0.99),
+        bytes_per_s,
+        1000 * reducer_s / duration_s,
+    )
+
+
+def print_cells(sizes, duration_s, seed):
+    print(f"{STARTS_PER_S:.0f} starts/s a cell for {duration_s:.0f} s, seed {seed}")
+    print(
+        "members  append+lag ms  way      one dies  appends/start  with submission"
+        "  void %  start p50  p99 s  B/s read  CPU ms/s"
+    )
+    cases = [(size, STORES[0], False, False) for size in sizes]
+    cases += [(sizes[-2], store, False, False) for store in STORES[1:]]
+    cases += [(sizes[-2], STORES[0], True, False)]
+    cases += [(sizes[-2], STORES[0], way, True) for way in (False, True)]
+    for size, store, is_assigning, kills in cases:
+        row = run_cell(size, store, duration_s, is_assigning, kills, seed)
+        delays = "+".join(f"{1000 * part:.0f}" for part in store)
+        way = "assign" if is_assigning else "claim"
+        print(
+            f"{size:7d}  {delays:>13}  {way:7}  {'yes' if kills else 'no':>8}"
+            f"  {row[0]:13.2f}  {row[1]:15.2f}  {row[2]:6.1f}  {row[3]:9.2f}"
+            f"  {row[4]:5.2f}  {row[5]:8.0f}  {row[6]:8.1f}"
+        )
+    print(f"aims: appends/start < 2, void < 5 %, B/s < {BYTES_BUDGET}")
+
+
+def urgent_job(number, rng):
+    millicores = rng.choice([2000, 8000, 16000])
+    task = spec(f"u{number}/0", millicores, 500, 20.0)
+    return job(f"u{number}", task, urgency=3)
+
+
+def run_urgent(size, store, duration_s, rate, seed):
+    append_s, lag_s = store
+    fleet = Fleet(size, seed, append_s=append_s, lag_s=lag_s, tick_s=0.25)
+    fleet.run(WARM_UP_S)
+    rng = random.Random(seed)
+    for number in range(size * 8):
+        fill = spec(f"f{number}/0", rng.choice([2000, 4000, 8000]), 500, 3600.0)
+        fleet.submit(job(f"f{number}", fill))
+    fleet.run(15.0)
+    free = sum(a.state.member.room.millicores for a in fleet.agents)
+    submitted = submit_steadily(fleet, duration_s, rate, urgent_job)
+    fleet.run(duration_s + 10.0)
+    cell = fleet.agents[0].state.cell
+    delays = start_delays(fleet, submitted)
+    releases = sum(task.releases for task in cell.tasks_by_id.values())
+    waiting = sum(
+        task.phase is TaskPhase.PENDING and task.urgency == 3
+        for task in cell.tasks_by_id.values()
+    )
+    return len(submitted), free / size, delays, releases, waiting
+
+
+def print_urgent(size, duration_s, seed):
+    print(f"\nurgent tasks at a full cell of {size}, {duration_s:.0f} s, seed {seed}")
+    print("append+lag ms  urgent  free/member  p50 s  p99 s  max s  evicted  waiting")
+    for store in STORES:
+        count, free, delays, releases, waiting = run_urgent(
+            size, store, duration_s, 1.0, seed
+        )
+        label = "+".join(f"{1000 * part:.0f}" for part in store)
+        print(
+            f"{label:>13}  {count:6d}  {free:11.0f}  {quantile(delays, 0.5):5.2f}"
+            f"  {quantile(delays, 0.99):5.2f}  {max(delays):5.2f}"
+            f"  {releases:7d}  {waiting:7d}"
+        )
+    print("aim: p99 < 6.6 s")
+
+
+def main(args=None):
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[8, 16, 32])
+    parser.add_argument("--duration", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(args)
+    print_cells(options.sizes, options.duration, options.seed)
+    print_urgent(options.sizes[-2], options.duration, options.seed)
+
+
+if __name__ == "__main__":
+    main()
--- a/dotterelspread/lease.py
+++ b/dotterelspread/lease.py
@@ -13,12 +13,17 @@
     "owner_deadline_s",
     "renewal_period_s",
     "slice_deadline_s",
+    "stop_ahead_s",
 ]
 
 #: Largest difference of two clocks' rates, as a part of the time measured.
 CLOCK_RATE_ERROR = 0.01
 #: Seconds that a taker waits beyond the lease and the error of the clocks.
 LAPSE_MARGIN_S = 2.0
+#: Seconds before the end of its lease at which the owner stops a task, at most, and
+#: as a part of the lease.
+STOP_AHEAD_S = 5.0
+STOP_AHEAD_PART = 0.1
 #: Seconds of one slice of the worker's own lease on a task.
 SLICE_S = 20.0
 #: Seconds without a caught-up read after which the stream counts as interrupted.
@@ -32,6 +37,11 @@
     return sent_s + lease_s
 
 
+def stop_ahead_s(lease_s):
+    """Return how long before its lease ends the owner stops a task."""
+    return min(STOP_AHEAD_S, STOP_AHEAD_PART * lease_s)
+
+
 def renewal_period_s(lease_s):
     """Return the seconds between an owner's renewals."""
     return lease_s / RENEWALS_PER_LEASE
--- a/dotterelspread/ownership.py
+++ b/dotterelspread/ownership.py
@@ -6,15 +6,13 @@
 
 from .cellrules import FAILED
 from .celltask import TaskPhase
-from .lease import SLICE_S, slice_deadline_s
+from .lease import SLICE_S, slice_deadline_s, stop_ahead_s
 from .record import TaskClaimed, TaskEnded, TaskReleased
 from .taskevent import CheckpointTask, RenewTask, StartTask, StopTask
 from .taskstate import LocalPhase, LocalTask, StopReason
 
 __all__ = ["follow_cell", "report_results", "stop_local"]
 
-#: Seconds before the end of its lease at which the owner stops a task.
-STOP_AHEAD_S = 5.0
 #: Seconds after which a start or stop that shows no effect is sent again.
 REPEAT_S = 2.0
 #: Seconds after a slice's end when the worker has surely stopped the task.
@@ -60,7 +58,7 @@
     )
     state.locals_by_id[task.task_id] = local
     deadline_s = state.deadline_s(local)
-    if sent_s == float("-inf") or now_s >= deadline_s - STOP_AHEAD_S:
+    if sent_s == float("-inf") or now_s >= deadline_s - stop_ahead_s(local.lease_s):
         local.phase = LocalPhase.STOPPED
         local.reason = StopReason.DECLINED
         return []
@@ -119,7 +117,7 @@
         return StopReason.NONE
     if state.is_draining:
         return StopReason.DRAIN
-    if now_s >= _lease_end_s(state, local) - STOP_AHEAD_S:
+    if now_s >= _lease_end_s(state, local) - stop_ahead_s(local.lease_s):
         return StopReason.LEASE
     return StopReason.NONE
 
--- a/tests/builders_tasks.py
+++ b/tests/builders_tasks.py
@@ -5,6 +5,7 @@
 
 import heapq
 import random
+import time
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -109,6 +110,7 @@
     queue: list = field(default_factory=list)
     held: list = field(default_factory=list)
     sending: list = field(default_factory=list)
+    #: Processor time that its reducer took.
     reducer_s: float = 0.0
 
     @property
@@ -134,7 +136,6 @@
         self.agents = []
         self.lost = []
         self.entry_sequence = count(1)
-        self.on_effect = lambda agent, effect: None
         for number in range(size):
             self.add_agent(number)
 
@@ -181,8 +182,11 @@
         """Give an agent one event and perform the effects."""
         if not agent.is_alive or agent.is_frozen:
             return
-        for effect in reduce(event_type(self.clock_s(agent), *fields), agent.state):
-            self.on_effect(agent, effect)
+        event = event_type(self.clock_s(agent), *fields)
+        started_s = time.perf_counter()
+        effects = reduce(event, agent.state)
+        agent.reducer_s += time.perf_counter() - started_s
+        for effect in effects:
             if isinstance(effect, Append):
                 agent.queue.append(effect.record)
                 if len(agent.queue) == 1 and not agent.sending:
