Prove publication; go on when records expired that nobody had read

Ruled out: a leader or a vote (no consensus group of our own). Change: after 30 s a process that was complete before appends its state, the first by offset counts; a version in force that the stream lost is appended again (reconcile).

--- a/dotterelspread/appending.py
+++ b/dotterelspread/appending.py
@@ -37,9 +37,9 @@
     TailLocated,
     TailRequested,
 )
+from .backoff import Backoff
 from .record import Envelope, RecordError, decode_record, encode_record
 from .reducer import reduce
-from .stream import Backoff
 
 __all__ = ["StreamWriter"]
 
--- a/dotterelspread/membership.py
+++ b/dotterelspread/membership.py
@@ -141,6 +141,8 @@
     __slots__ = ("aged_at", "ages_by_id", "members_by_id")
 
     snapshot_type = MembershipSnapshot
+    # Members announce themselves after each snapshot, which mends what was lost.
+    is_recoverable = True
 
     def __init__(self):
         self.members_by_id = {}
--- a/dotterelspread/publication.py
+++ b/dotterelspread/publication.py
@@ -13,7 +13,7 @@
 from .configuration import Configuration
 from .record import ConfigurationPublished, ConfigurationSnapshot
 from .reducer import Effect, Event, reduce
-from .snapshot import StreamState
+from .snapshot import AppendRecord, StreamState
 
 __all__ = [
     "NO_VERSION",
@@ -27,6 +27,7 @@
     "PublicationState",
     "Version",
     "VersionRead",
+    "reconcile",
 ]
 
 #: Name of the stream of configurations.
@@ -95,6 +96,8 @@
     __slots__ = ("accepted", "parse", "parse_error", "results")
 
     snapshot_type = ConfigurationSnapshot
+    # A process with a later version in force appends it (`reconcile`).
+    is_recoverable = True
 
     def __init__(self, parse, parse_error):
         self.parse = parse
@@ -109,6 +112,8 @@
 
     def apply(self, offset, record, now_s):
         """Judge one record and return effects."""
+        if isinstance(record, ConfigurationSnapshot):
+            return self.restore(record, now_s) if record.version > self.number else []
         if not isinstance(record, ConfigurationPublished):
             return []
         if record.base_offset != self.number or offset <= self.number:
@@ -133,12 +138,7 @@
 
     def to_snapshot(self, as_of, sequences):
         """Return the `ConfigurationSnapshot` of the accepted configuration."""
-        if self.accepted is None:
-            return ConfigurationSnapshot(as_of, NO_VERSION, "", "", sequences)
-        version = self.accepted
-        return ConfigurationSnapshot(
-            as_of, version.number, version.author, version.text, sequences
-        )
+        return _to_snapshot(self.accepted, as_of, sequences)
 
     def restore(self, snapshot, now_s):
         """Take the configuration in a `ConfigurationSnapshot` and return effects."""
@@ -158,6 +158,28 @@
         self.results.append(PublicationResult(offset, fate, self.number, detail))
 
 
+def _to_snapshot(version, as_of, sequences):
+    if version is None:
+        return ConfigurationSnapshot(as_of, NO_VERSION, "", "", sequences)
+    return ConfigurationSnapshot(
+        as_of, version.number, version.author, version.text, sequences
+    )
+
+
+def reconcile(replica, in_force):
+    """Return the effects that tell the stream of a version that it lost.
+
+    Records that expired before most had read them may have held the version that is
+    in force here; a `Replica` that is past its offset without it proves the loss.
+    """
+    is_past = replica.is_ready and replica.next_offset > in_force.number
+    if not is_past or in_force.number <= replica.state.number:
+        return []
+    sequences = replica.sequences.to_items()
+    record = _to_snapshot(in_force.version, replica.next_offset, sequences)
+    return [AppendRecord(STREAM, record)]
+
+
 @dataclass(slots=True, frozen=True)
 class ConfigurationAccepted(Event):
     """The stream says that a configuration is accepted (`VersionRead`)."""
--- a/dotterelspread/snapshot.py
+++ b/dotterelspread/snapshot.py
@@ -2,12 +2,15 @@
 
 A `Replica` reads the stream from its start, or from the first usable snapshot in it, or
 from a snapshot that a peer hands over; and appends a snapshot long before the last one
-expires. Give it a `StreamState` that says what the records mean.
+expires. When records expire that nobody has read, as in an outage longer than the
+retention, a recoverable state goes on without them. Give it a `StreamState` that says
+what the records mean.
 """
 
 import math
 from dataclasses import dataclass
 
+from .backoff import suppression_delay_s
 from .record import Envelope, Record, RecordError, decode_record, encode_record
 from .reducer import Effect, Event, reduce
 from .stream import Batch, WriterSequences
@@ -28,12 +31,10 @@
 
 #: Part of the retention after which a snapshot is due.
 SNAPSHOT_PART = 1 / 3
-#: Seconds within which one of the members appends a snapshot that is due.
-SUPPRESSION_S = 5.0
-#: The larger, the fewer members append before they see another's snapshot.
-SUPPRESSION_STEEPNESS = 10.0
 #: Seconds after which a snapshot that was appended but not read is due again.
 SNAPSHOT_RETRY_S = 30.0
+#: Seconds that those who lack expired records wait for one who has read them.
+RECOVERY_S = 30.0
 #: Seconds since the end of the stream was read, beyond which no snapshot is made.
 CAUGHT_UP_MAX_AGE_S = 10.0
 
@@ -62,6 +63,8 @@
 
     #: Type of the state's snapshot record, which has ``as_of`` and ``sequences``.
     snapshot_type = None
+    #: Whether a state that lacks records which nobody has read may go on without them.
+    is_recoverable = False
 
     def apply(self, offset, record, now_s):
         """Change the state by one record and return effects.
@@ -141,6 +144,7 @@
     __slots__ = (
         "caught_up_s",
         "is_complete",
+        "is_stale",
         "make_state",
         "next_offset",
         "retention_s",
@@ -151,6 +155,7 @@
         "snapshot_s",
         "state",
         "stream",
+        "truncated_s",
     )
 
     def __init__(self, stream, make_state, retention_s, rng):
@@ -163,9 +168,12 @@
         self.sequences = WriterSequences()
         #: True once the state holds all that the stream says before ``next_offset``.
         self.is_complete = False
-        #: Last moment at which the state was complete up to the stream's end.
+        #: True when the state was complete once and lacks records now.
+        self.is_stale = False
+        #: Last moment at which the stream was read to its end.
         self.caught_up_s = None
         self.searched_from = 0
+        self.truncated_s = -math.inf
         #: When the last snapshot was read, and when the next is to be appended.
         self.snapshot_s = -math.inf
         self.snapshot_at_s = None
@@ -177,8 +185,10 @@
 
     def to_snapshot(self):
         """Return the snapshot record of the state now, or None when incomplete."""
-        if not self.is_complete:
-            return None
+        return self.make_snapshot() if self.is_complete else None
+
+    def make_snapshot(self):
+        """Return the snapshot record of the state, be it stale or not."""
         return self.state.to_snapshot(self.next_offset, self.sequences.to_items())
 
     def move(self, offset, sequences):
@@ -190,6 +200,7 @@
         """Take the state in ``snapshot`` and return effects."""
         self.state = self.make_state()
         self.is_complete = True
+        self.is_stale = False
         self.move(snapshot.as_of, WriterSequences(snapshot.sequences))
         return self.state.restore(snapshot, now_s)
 
@@ -220,21 +231,13 @@
 
     def is_snapshot_due(self, now_s):
         """Tell whether a snapshot should be appended by one of the members."""
-        if not self.is_ready or self.next_offset == 0:
+        if self.caught_up_s is None or self.next_offset == 0:
             return False
         if now_s - self.caught_up_s > CAUGHT_UP_MAX_AGE_S:
             return False
-        return now_s - self.snapshot_s > self.retention_s * SNAPSHOT_PART
-
-    def suppression_delay_s(self):
-        """Return a random delay of which the least among many members is alone.
-
-        Most members draw a delay near the longest, so that those with short delays
-        are few however many members there are.
-        """
-        scale = math.expm1(SUPPRESSION_STEEPNESS)
-        part = math.log1p(self.rng.random() * scale) / SUPPRESSION_STEEPNESS
-        return SUPPRESSION_S * part
+        if self.is_complete:
+            return now_s - self.snapshot_s > self.retention_s * SNAPSHOT_PART
+        return self.is_stale and now_s - self.truncated_s > RECOVERY_S
 
 
 @reduce.register
@@ -256,14 +259,18 @@
     else:
         effects = state.apply(batch, event.now_s)
     state.next_offset = batch.next_offset
-    if state.is_complete and batch.caught_up_s is not None:
+    if batch.caught_up_s is not None:
         state.caught_up_s = batch.caught_up_s
     return effects
 
 
 @reduce.register
 def _(event: ReplicaTruncated, state):
+    if state.is_complete and state.state.is_recoverable:
+        state.is_stale = True
     state.is_complete = False
+    state.caught_up_s = None
+    state.truncated_s = event.now_s
     state.searched_from = event.oldest
     state.snapshot_at_s = None
     state.move(event.oldest, WriterSequences())
@@ -283,8 +290,8 @@
         state.snapshot_at_s = None
         return []
     if state.snapshot_at_s is None:
-        state.snapshot_at_s = event.now_s + state.suppression_delay_s()
+        state.snapshot_at_s = event.now_s + suppression_delay_s(state.rng)
     if event.now_s < state.snapshot_at_s:
         return []
     state.snapshot_at_s = event.now_s + SNAPSHOT_RETRY_S
-    return [AppendRecord(state.stream, state.to_snapshot())]
+    return [AppendRecord(state.stream, state.make_snapshot())]
--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -11,12 +11,12 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from .backoff import Backoff
 from .log import ReadReply
 from .record import Envelope, RecordError, decode_record
 from .reducer import Effect, Event, reduce
 
 __all__ = [
-    "Backoff",
     "Batch",
     "Delivered",
     "Entry",
@@ -38,28 +38,6 @@
 READ_WAIT_S = 2.0
 #: Part by which clocks may run at different rates.
 CLOCK_RATE_ERROR = 0.01
-RETRY_MIN_S = 0.05
-RETRY_MAX_S = 4.0
-
-
-class Backoff:
-    """Delays between attempts: exponential, bounded, and random to avoid a herd."""
-
-    __slots__ = ("failures", "rng")
-
-    def __init__(self, rng):
-        self.rng = rng
-        self.failures = 0
-
-    def next_delay_s(self):
-        """Count one more failure and return the seconds to wait after it."""
-        limit_s = min(RETRY_MAX_S, RETRY_MIN_S * 2 ** min(self.failures, 16))
-        self.failures += 1
-        return self.rng.uniform(limit_s / 4, limit_s)
-
-    def reset(self):
-        """Forget the failures after a success."""
-        self.failures = 0
 
 
 class WriterSequences:
