--- a/standins/demo.py
+++ b/standins/demo.py
@@ -42,27 +42,25 @@
     executed: str
 
 
+def read_example():
+    return Path(__file__).parent.parent.joinpath("examples/akwaaba.yaml").read_text()
+
+
 def start(site):
     site.start_entry("entry-1", KUMASI, ["cell.0", "cell.1"])
     site.start_entry("entry-2", TAKORADI, ["cell.0", "cell.1"])
     site.start_agent("agent-1", KUMASI)
     site.start_agent("agent-2", KUMASI)
     site.start_agent("agent-3", TAKORADI)
-    text = Path(__file__).parent.parent.joinpath("examples/akwaaba.yaml").read_text()
     for name in ENTRIES:
         site.wait_for(name, "/healthz")
-    publish = {"base_version": -1, "author": "demo", "text": text}
+    publish = {"base_version": -1, "author": "demo", "text": read_example()}
     published = post(site.url("entry-1") + "/v1/operator/configuration", publish)
     if published["result"] != "accepted":
         raise SystemExit(f"configuration: {published}")
     site.wait_ready(*ENTRIES, *AGENTS)
     for name in ENTRIES:
-        site.wait_for(name, "/v1/operator/instances", knows_all_agents)
-
-
-def knows_all_agents(listing):
-    roles = [row["role"] for row in listing["instances"]]
-    return roles.count("agent") == len(AGENTS)
+        site.wait_for_agents(name, AGENTS)
 
 
 async def call(session, url, kind, key, body):
--- a/standins/site.py
+++ b/standins/site.py
@@ -50,7 +50,7 @@
         self.start("log", "standins.log", "--port", str(self.log_port))
         self.wait_for("log", "/control")
 
-    def start_agent(self, name, place, **agent):
+    def start_agent(self, name, place, relayed=False, **agent):
         backend, worker, peer = free_port(), free_port(), free_port()
         self.ports_by_name |= {f"{name}.backend": backend, f"{name}.worker": worker}
         seconds = str(agent.pop("service_time_s", 0.005))
@@ -70,7 +70,27 @@
             "capacity": {"cores": 32, "memory": "125GB", "accelerators": 1},
             "cell": place.cell,
         } | agent
-        self._daemon(name, "agent", place, peer, {"agent": section})
+        settings = {"agent": section}
+        if relayed:
+            settings["peer_listen_address"] = f"127.0.0.1:{peer}"
+            peer = self._start_relay(name, peer)
+        self._daemon(name, "agent", place, peer, settings)
+
+    def _start_relay(self, name, target_port):
+        port, control_port = free_port(), free_port()
+        self.ports_by_name[f"{name}.relay"] = control_port
+        self.start(
+            f"{name}.relay",
+            "standins.relay",
+            f"--port={port}",
+            f"--target=127.0.0.1:{target_port}",
+            f"--control_port={control_port}",
+        )
+        return port
+
+    def set_path(self, name, mode):
+        """Set how the relay before ``name`` passes bytes; see `standins.relay`."""
+        post(self.url(f"{name}.relay") + "/mode", {"mode": mode})
 
     def start_entry(self, name, place, cells):
         self._daemon(name, "entry", place, free_port(), {"entry": {"cells": cells}})
@@ -119,6 +139,15 @@
         for name in names:
             self.wait_for(name, "/readyz")
 
+    def wait_for_agents(self, name, agents):
+        """Wait until an entry knows so many agents."""
+
+        def knows_all(listing):
+            roles = [row["role"] for row in listing["instances"]]
+            return roles.count("agent") == len(agents)
+
+        self.wait_for(name, "/v1/operator/instances", knows_all)
+
     def wait_for(self, name, path, accept=bool):
         """Wait until ``accept`` takes what ``name`` answers at ``path``."""
         until_s = time.monotonic() + START_TIMEOUT_S
