--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -10,32 +10,18 @@
     ConfigurationInForce,
     ConfigurationReceived,
     PublicationFate,
-    PublicationState,
     VersionRead,
     reconcile,
 )
 from dotterelspread.record import ConfigurationPublished, Envelope, encode_record
 from dotterelspread.reducer import reduce
+from tests.builders_publication import UnreadableError, make_state, parse
 from tests.builders_site import RETENTION_S, Site
 
 COUNT = 4
 NUMBERS = st.integers(0, COUNT - 1)
 
 
-class UnreadableError(Exception):
-    pass
-
-
-def parse(text, name):
-    if text.startswith("bad"):
-        raise UnreadableError(name)
-    return text
-
-
-def make_state():
-    return PublicationState(parse, UnreadableError)
-
-
 class PublicationMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
