--- a/dotterelspread/appender.py
+++ b/dotterelspread/appender.py
@@ -87,6 +87,10 @@
         try:
             self._apply(AppendRequested(self.clock(), token, record))
             await asyncio.wait((future,), timeout=timeout_s)
+        except asyncio.CancelledError:
+            future.cancel()
+            self._apply(AppendCancelled(self.clock(), token))
+            raise
         finally:
             if not future.done():
                 self._apply(AppendCancelled(self.clock(), token))
--- a/dotterelspread/appending.py
+++ b/dotterelspread/appending.py
@@ -1,7 +1,6 @@
 """Appending to one stream of the log: group commit, and settling lost replies.
 
-The decisions are handlers of `reduce` on a `StreamWriter`; `logclient` performs the
-effects.
+The handlers of `reduce` here take a `StreamWriter`; `appender` performs the effects.
 
 One append is in flight at a time. When its reply is lost, the writer reads the stream
 from where its end was before the append. A record found there settles the append. One
@@ -11,12 +10,11 @@
 reading, where the first occurrence counts.
 
 An append whose caller gave up before it was sent is known to be absent. After that it
-is unknown, until a later record of the same writer stands in the stream: then the
-earlier one can have no effect any more unless it stands before.
+is unknown, until a later record of its writer stands in the stream without it.
 """
 
 import enum
-from collections import deque
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from .appendmessages import (
@@ -45,7 +43,7 @@
 
 #: Least seconds between two appends to one stream.
 COMMIT_INTERVAL_S = 0.02
-#: Bytes of one append, unless a single record is larger.
+#: Bytes of one append, unless a record is larger.
 MAX_COMMIT_BYTES = 256 << 10
 #: Bytes of the largest record that is appended.
 MAX_RECORD_BYTES = 1 << 20
@@ -70,7 +68,6 @@
 class WaitingRecord:
     """An envelope that a caller waits for."""
 
-    token: int
     envelope: Envelope
     size: int
 
@@ -88,17 +85,17 @@
     __slots__ = (
         "attempt",
         "backoff",
-        "commit",
+        "commit_by_token",
         "incarnation",
         "is_uncertain",
         "lookup_from",
         "phase",
-        "queue",
         "replied_offset",
         "sent_s",
         "sequence",
         "tail",
         "tail_s",
+        "waiting_by_token",
     )
 
     def __init__(self, incarnation, rng):
@@ -107,7 +104,7 @@
         self.phase = Phase.IDLE
         self.sequence = 0
         self.attempt = 0
-        self.queue = deque()
+        self.waiting_by_token = OrderedDict()
         self.sent_s = -COMMIT_INTERVAL_S
         #: A lower bound of the stream's end, and when it was learned.
         self.tail = None
@@ -115,7 +112,7 @@
         self._clear()
 
     def _clear(self):
-        self.commit = []
+        self.commit_by_token = {}
         #: True once an attempt of this commit may have been written.
         self.is_uncertain = False
         self.lookup_from = None
@@ -124,11 +121,14 @@
     def fill_commit(self):
         """Move waiting records into the commit, up to its size limit."""
         size = 0
-        while self.queue:
-            size += self.queue[0].size
-            if self.commit and size > MAX_COMMIT_BYTES:
+        while self.waiting_by_token:
+            token, waiting = self.waiting_by_token.popitem(last=False)
+            size += waiting.size
+            if self.commit_by_token and size > MAX_COMMIT_BYTES:
+                self.waiting_by_token[token] = waiting
+                self.waiting_by_token.move_to_end(token, last=False)
                 break
-            self.commit.append(self.queue.popleft())
+            self.commit_by_token[token] = waiting
 
     def is_commit_unsent(self):
         """Tell whether no byte of the commit can have reached the log."""
@@ -136,7 +136,7 @@
 
     def find(self, records):
         """Return the offset of the first of ``records`` that holds the commit."""
-        sequence = self.commit[0].envelope.sequence
+        sequence = next(iter(self.commit_by_token.values())).envelope.sequence
         for record in records:
             try:
                 envelopes = decode_record(record.data)
@@ -150,7 +150,7 @@
     def schedule(self, now_s):
         """Return the effects that start the next commit, if records wait."""
         self.phase = Phase.IDLE
-        if not self.queue:
+        if not self.waiting_by_token:
             return []
         self.phase = Phase.TIMER
         return [CommitTimerStarted(max(0.0, self.sent_s + COMMIT_INTERVAL_S - now_s))]
@@ -175,7 +175,7 @@
         self.sent_s = now_s
         if not self.is_uncertain:
             self.lookup_from = self.tail
-        data = encode_record(waiting.envelope for waiting in self.commit)
+        data = encode_record(w.envelope for w in self.commit_by_token.values())
         return [AppendSent(self.attempt, data)]
 
     def read_back(self):
@@ -186,7 +186,7 @@
 
     def settle(self, offset, now_s):
         """Return the effects that end the commit, which stands at ``offset``."""
-        effects = [AppendSettled(waiting.token, offset) for waiting in self.commit]
+        effects = [AppendSettled(token, offset) for token in self.commit_by_token]
         self.backoff.reset()
         if self.tail is None or offset >= self.tail:
             self.tail = offset + 1
@@ -196,9 +196,8 @@
 
     def drop(self, is_absent, detail, now_s):
         """Return the effects that give the commit up."""
-        effects = [
-            AppendDropped(waiting.token, is_absent, detail) for waiting in self.commit
-        ]
+        tokens = self.commit_by_token
+        effects = [AppendDropped(token, is_absent, detail) for token in tokens]
         self._clear()
         self.tail = None
         return effects + self.schedule(now_s)
@@ -206,45 +205,37 @@
 
 @reduce.register
 def _(event: AppendRequested, state):
-    if len(state.queue) >= MAX_WAITING:
+    if len(state.waiting_by_token) >= MAX_WAITING:
         return [AppendDropped(event.token, True, "too many appends wait")]
     envelope = Envelope(state.incarnation, state.sequence + 1, event.record)
     size = len(encode_record((envelope,)))
     if size > MAX_RECORD_BYTES:
         return [AppendDropped(event.token, True, f"{size} bytes are too many")]
     state.sequence += 1
-    state.queue.append(WaitingRecord(event.token, envelope, size))
+    state.waiting_by_token[event.token] = WaitingRecord(envelope, size)
     return state.schedule(event.now_s) if state.phase is Phase.IDLE else []
 
 
 @reduce.register
 def _(event: AppendCancelled, state):
-    for waiting in state.queue:
-        if waiting.token == event.token:
-            state.queue.remove(waiting)
-            return [AppendDropped(event.token, True, "cancelled before it was sent")]
-    for waiting in state.commit:
-        if waiting.token == event.token:
-            return _cancel_committed(waiting, state, event.now_s)
-    return []
-
-
-def _cancel_committed(waiting, state, now_s):
+    if state.waiting_by_token.pop(event.token, None) is not None:
+        return [AppendDropped(event.token, True, "cancelled before it was sent")]
+    if state.commit_by_token.pop(event.token, None) is None:
+        return []
     is_absent = state.is_commit_unsent()
-    state.commit.remove(waiting)
-    effects = [AppendDropped(waiting.token, is_absent, "cancelled")]
-    if not state.commit and state.phase is not Phase.TIMER:
+    effects = [AppendDropped(event.token, is_absent, "cancelled")]
+    if not state.commit_by_token and state.phase is not Phase.TIMER:
         state.attempt += 1
-        effects += state.drop(is_absent, "cancelled", now_s)
+        effects += state.drop(is_absent, "cancelled", event.now_s)
     return effects
 
 
 @reduce.register
 def _(event: CommitDue, state):
-    if not state.commit:
+    if not state.commit_by_token:
         state._clear()
         state.fill_commit()
-    if not state.commit:
+    if not state.commit_by_token:
         return state.schedule(event.now_s)
     if state.is_uncertain:
         return state.read_back()
--- a/dotterelspread/logclient.py
+++ b/dotterelspread/logclient.py
@@ -24,6 +24,9 @@
 
 __all__ = ["AppendError", "LogClient", "make_incarnation"]
 
+#: Seconds that an idle read of a replica waits; peers pass on what a silent connection
+#: holds back.
+KEEP_WAIT_S = 5.0
 #: Random bits that tell apart the processes that start in the same millisecond.
 INCARNATION_RANDOM_BITS = 20
 
@@ -114,7 +117,7 @@
                 raise TruncatedError(action.oldest)
             effects = reduce(await self._perform_read(action, reader), reader)
 
-    async def keep(self, replica, dispatch):
+    async def keep(self, replica, dispatch, wait_s=KEEP_WAIT_S):
         """Keep a `Replica` up to date until cancelled.
 
         Parameters
@@ -122,11 +125,13 @@
         replica : Replica
         dispatch : callable
             Reduces an event with the replica as the state, and performs the effects.
+        wait_s : float
+            As for `follow`.
         """
         dispatch(ReplicaStarted(self.clock()))
         while True:
             sequences = replica.sequences
-            follow = self.follow(replica.stream, replica.next_offset, sequences)
+            follow = self.follow(replica.stream, replica.next_offset, sequences, wait_s)
             try:
                 async with contextlib.aclosing(follow):
                     async for batch in follow:
--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -52,6 +52,11 @@
         data = encode_record((Envelope(self.incarnation, self.sequence, record),))
         return self.site.append(data)
 
+    def append_snapshot(self):
+        snapshot = self.replica.to_snapshot()
+        if snapshot is not None:
+            self.append(snapshot)
+
     def read(self):
         if self.is_cut or self.site.is_out:
             return
@@ -116,6 +121,7 @@
                 self.log.first += 1
             for follower in self.followers:
                 follower.read()
+            for follower in self.followers:
                 follower.tick()
 
     def oracle(self, until):
--- a/tests/test_logclient.py
+++ b/tests/test_logclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 from aiohttp import web
@@ -81,6 +82,25 @@
     asyncio.run(scenario())
 
 
+def test_a_cancelled_append_leaves_nothing_behind():
+    async def scenario():
+        faults = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: faults.append(context))
+        async with serving() as (_, url), LogClient.from_settings(url, 7) as client:
+            append = asyncio.ensure_future(client.append("s", a_record(0)))
+            await asyncio.sleep(0)
+            append.cancel()
+            await asyncio.gather(append, return_exceptions=True)
+            assert append.cancelled()
+            del append
+            assert await client.append("s", a_record(1)) == 0
+        gc.collect()
+        assert not faults
+
+    asyncio.run(scenario())
+
+
 def test_truncation_and_malformed_records():
     async def scenario():
         async with (
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -63,6 +63,10 @@
     def ask(self, number, other):
         self.site.followers[number].ask_state(self.site.followers[other])
 
+    @rule(number=NUMBERS)
+    def append_snapshot(self, number):
+        self.site.followers[number].append_snapshot()
+
     @rule(is_out=st.booleans())
     def change_outage(self, is_out):
         self.site.is_out = is_out
@@ -103,6 +107,19 @@
 TestMembership = MembershipMachine.TestCase
 
 
+def test_a_member_goes_that_is_silent_for_three_snapshots_doubles_not_counted():
+    state = MembershipState()
+    state.apply(0, announced("a"), 0.0)
+    state.apply(1, announced("b"), 0.0)
+    for offset in (2, 5, 8):
+        assert set(state.members_by_id) == {"a", "b"}
+        snapshot = state.to_snapshot(offset, ())
+        state.apply(offset, snapshot, 0.0)
+        state.apply(offset + 1, snapshot, 0.0)
+        state.apply(offset + 2, announced("b"), 0.0)
+    assert set(state.members_by_id) == {"b"}
+
+
 @given(MEMBERS, MEMBERS, MEMBERS)
 @settings(derandomize=True, deadline=None)
 def test_the_order_in_which_news_arrives_does_not_matter(one, two, three):
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -91,6 +91,10 @@
         self.in_force[number] = self.start()
         self.seen[number] = NO_VERSION
 
+    @rule(number=NUMBERS)
+    def append_snapshot(self, number):
+        self.site.followers[number].append_snapshot()
+
     @rule(is_out=st.booleans())
     def change_outage(self, is_out):
         self.site.is_out = is_out
