--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -86,6 +86,7 @@
         self.by_id = {}
         self.cuts = set()
         self.is_log_up = True
+        self.is_balancer_up = True
         self.heartbeats = 0
         self._events = []
         self._order = itertools.count()
@@ -131,7 +132,7 @@
     def find(self, address):
         if address == BALANCER:
             entries = [p for p in self.by_id.values() if p.liveness.is_entry]
-            return self._rng.choice(entries) if entries else None
+            return self._rng.choice(entries) if self.is_balancer_up else None
         for process in self.by_id.values():
             if process.liveness.own.announced.peer_address == address:
                 return process
--- a/tests/scenarios/membership.feature
+++ b/tests/scenarios/membership.feature
@@ -49,6 +49,16 @@
     And every entry knows that a1 is not draining
     And every entry sees a1 as live
 
+  Scenario: A return is seen by its answers, also without log and balancer
+    Given the log is down
+    And the balancer is down
+    When a1 drains
+    And 3 seconds pass
+    And a1 returns with incarnation 2
+    And 5 seconds pass
+    Then every entry knows incarnation 2 of a1
+    And every entry knows that a1 is not draining
+
   Scenario: What was said before cannot end a drain
     When a1 drains
     And 3 seconds pass
--- a/tests/scenarios/test_membership.py
+++ b/tests/scenarios/test_membership.py
@@ -30,6 +30,11 @@
     network.is_log_up = False
 
 
+@given("the balancer is down")
+def balancer_down(network):
+    network.is_balancer_up = False
+
+
 @given(parsers.parse("nothing passes between {one} and {other}"))
 def cut_both(network, one, other):
     network.cuts |= {(one, other), (other, one)}
