--- a/dotterelspread/cellrules.py
+++ b/dotterelspread/cellrules.py
@@ -7,6 +7,7 @@
 from functools import singledispatch
 
 from .celltask import CellJob, CellMember, TaskPhase
+from .labels import instance_labels
 from .record import (
     InstanceAnnounced,
     InstanceDraining,
@@ -46,7 +47,7 @@
         record.incarnation,
         record.rack,
         record.capacity,
-        record.labels,
+        instance_labels(record, {}),
         offset,
     )
     if old is not None:
