--- a/dotterelspread/evidence.py
+++ b/dotterelspread/evidence.py
@@ -64,6 +64,9 @@
 
     job_id: str
     ok: bool
+    #: Failure rates of the cell when the run ended.
+    noise: float
+    first_rate: float
 
 
 @dataclass(slots=True)
@@ -89,6 +92,8 @@
     failures_by_worker: dict[str, int] = field(default_factory=dict)
     #: Offset from which a task may be tried again while none has completed.
     retry_at: int = 0
+    #: Failures of tasks that were tried one at a time after a gap.
+    probation_failures: int = 0
 
     def succeeded_elsewhere(self, worker_id):
         """Tell whether a task of the job completed on another worker."""
@@ -144,7 +149,10 @@
             if standing == "blamed" or run.job_id in counted:
                 continue
             counted.add(run.job_id)
-            rate = noise if standing == "acquitted" else first_rate
+            if standing == "acquitted":
+                rate = max(noise, run.noise)
+            else:
+                rate = max(first_rate, run.first_rate)
             ratio = max(1.0, ratio * BAD_WORKER_FAILS / rate)
         return ratio
 
--- a/dotterelspread/jobblame.py
+++ b/dotterelspread/jobblame.py
@@ -19,8 +19,11 @@
 #: Distinct trusted workers on which a job fails before it is on probation.
 PROBATION_WORKERS = 2
 
+#: Failures on probation before a job that completed nowhere is refused.
+MIN_PROBATION_FAILURES = 2
+
 #: Offsets between failures on two workers and the next try; doubled for each further.
-RETRY_GAP_OFFSETS = 50
+RETRY_GAP_OFFSETS = 100
 MAX_RETRY_GAP_OFFSETS = 800
 
 #: Failure rates assumed at first: of jobs that have completed somewhere, and others.
@@ -82,13 +85,17 @@
     def failure(self, offset, job_id, task_id, worker_id):
         """Take a failure."""
         job = self._job(job_id)
+        is_alone = job.starts <= job.ended + 1
         job.ended += 1
+        if is_alone and 0 < job.retry_at <= offset and self._is_trusted(worker_id):
+            job.probation_failures += 1
         if self._is_trusted(worker_id) and not self._is_blamed(job):
             rate = self.noise if job.good_worker_ids else self.first_rate
             rate.add(ok=False)
         failures = job.failures_by_worker
         failures[worker_id] = failures.get(worker_id, 0) + 1
-        job.retry_at = offset + retry_gap(len(job.failed_workers(self._is_trusted)))
+        gap = retry_gap(len(job.failed_workers(self._is_trusted)))
+        job.retry_at = offset + gap if gap else 0
         task = self._task(task_id)
         task.failed_worker_ids.add(worker_id)
         failed = sum(map(self._is_trusted, task.failed_worker_ids))
@@ -174,6 +181,8 @@
         failed = len(job.failed_workers(self._is_trusted))
         if job.good_worker_ids or failed < MIN_FAILED_WORKERS:
             return False
+        if job.probation_failures < MIN_PROBATION_FAILURES:
+            return False
         starts = max(job.starts, failed)
         chance = chance_of_failures(starts, failed, self.noise.value)
         return chance < REFUSAL_CHANCE
--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -17,10 +17,10 @@
 MAX_QUARANTINED_SHARE = 0.2
 
 #: Likelihood ratio at which a worker gets one task at a time.
-SUSPECT_RATIO = 50.0
+SUSPECT_RATIO = 30.0
 
 #: Likelihood ratio at which a worker is quarantined.
-QUARANTINE_RATIO = 1e4
+QUARANTINE_RATIO = 2e3
 
 #: Distinct jobs that must have failed on a worker before it is quarantined.
 MIN_FAILED_JOBS = 3
@@ -195,7 +195,8 @@
 
     def _end_run(self, job_id, worker_id, ok):
         worker = self._workers_by_id[worker_id]
-        worker.runs.append(Run(job_id, ok))
+        noise, first_rate = self._jobs.noise.value, self._jobs.first_rate.value
+        worker.runs.append(Run(job_id, ok, noise, first_rate))
         if worker.quarantined_at is None:
             self._judge_worker(worker_id)
         elif ok:
