--- a/dotterelspread/cellrules.py
+++ b/dotterelspread/cellrules.py
@@ -113,12 +113,11 @@
 
 
 def _learn(member, task, amount):
-    """Raise a task's reservation towards ``amount``, within the instance."""
-    task.learned = task.learned.at_least(amount.at_most(member.capacity))
-    wanted = task.reserved.at_least(task.learned)
-    raised = wanted.at_most(task.reserved + member.room)
-    member.reserved = member.reserved - task.reserved + raised
-    task.reserved = raised
+    """Move a task's reservation to ``amount``, within the instance."""
+    task.learned = amount.at_most(member.capacity)
+    moved = task.learned.at_most(task.reserved + member.room)
+    member.reserved = member.reserved - task.reserved + moved
+    task.reserved = moved
 
 
 @apply_record.register
--- a/dotterelspread/celltask.py
+++ b/dotterelspread/celltask.py
@@ -81,7 +81,7 @@
     lease_s: int = 0
     #: Renewal that stands for an owner whose agent has a newer incarnation since.
     renewal_offset: int = NO_EPOCH
-    #: Largest amounts that its owners measured.
+    #: Amount that its owners found it to need; zero before one measured it.
     learned: Resources = Resources()
     checkpoint: str = ""
     #: Times that it was released before its end.
@@ -100,8 +100,8 @@
 
     @property
     def demand(self):
-        """Amount that a claim must reserve: the larger of declared and learned."""
-        return self.spec.declared.at_least(self.learned)
+        """Amount that a claim must reserve: as declared until an owner measured it."""
+        return self.spec.declared if self.learned == Resources() else self.learned
 
     @property
     def order(self):
--- /dev/null
+++ b/dotterelspread/learning.py
@@ -0,0 +1,44 @@
+"""How much a running task needs, learned from the usage that its worker reports."""
+
+from .resources import Resources
+
+__all__ = ["needed_amount"]
+
+#: Seconds of observation before a reservation may shrink below what was declared.
+OBSERVE_S = 30.0
+#: Reserved beyond the measured peak, as a part of it.
+MARGIN = 0.1
+#: Part of a reservation that shrinking must free to be worth a record.
+WORTH_PART = 0.2
+
+
+def needed_amount(task, peak, observed_s):
+    """Return what a task's owner should have reserved for it.
+
+    Parameters
+    ----------
+    task : CellTask
+    peak : Resources
+        Largest amounts measured on this instance.
+    observed_s : float
+        For how long it was measured without limits; 0 when it must not shrink.
+
+    Returns
+    -------
+    Resources
+        The larger of declared, learned and measured for each resource; once observed
+        for long enough, the measured peak with a margin.
+    """
+    if observed_s < OBSERVE_S:
+        return task.demand.at_least(task.spec.declared).at_least(peak)
+    shrunk = Resources(
+        int(peak.millicores * (1 + MARGIN)),
+        int(peak.memory_mb * (1 + MARGIN)),
+        task.spec.declared.accelerators,
+    )
+    freed = task.reserved - shrunk
+    is_worth = (
+        freed.millicores > WORTH_PART * task.reserved.millicores
+        or freed.memory_mb > WORTH_PART * task.reserved.memory_mb
+    )
+    return shrunk if is_worth else task.reserved.at_least(peak)
--- a/dotterelspread/lease.py
+++ b/dotterelspread/lease.py
@@ -30,6 +30,8 @@
 LIVE_GAP_S = 5.0
 #: Renewals within the shortest lease in use.
 RENEWALS_PER_LEASE = 4
+#: Most seconds between renewals, which also carry checkpoints.
+LONGEST_PERIOD_S = 60.0
 
 
 def owner_deadline_s(sent_s, lease_s):
@@ -44,7 +46,7 @@
 
 def renewal_period_s(lease_s):
     """Return the seconds between an owner's renewals."""
-    return lease_s / RENEWALS_PER_LEASE
+    return min(lease_s / RENEWALS_PER_LEASE, LONGEST_PERIOD_S)
 
 
 def slice_deadline_s(now_s, deadline_s):
--- a/dotterelspread/taskcore.py
+++ b/dotterelspread/taskcore.py
@@ -6,6 +6,7 @@
 
 from .cell import CellError, CellState
 from .claiming import claim_tasks, keep_membership, keep_snapshot, record_lapses
+from .learning import needed_amount
 from .ownership import follow_cell, report_results
 from .preemption import relieve_pressure
 from .record import (
@@ -169,8 +170,15 @@
         return
     if task.owner_incarnation < state.incarnation:
         _adopt_to_stop(state, now_s, task)
-    elif not usage.used.fits_in(task.reserved.at_least(task.learned)):
-        state.learned_by_id[task.task_id] = usage.used
+    elif task.task_id in state.locals_by_id:
+        local = state.locals_by_id[task.task_id]
+        is_throttled = state.pressure.shares_by_id.get(task.task_id, 1.0) < 1.0
+        local.peak = local.peak.at_least(usage.used)
+        can_shrink = state.is_reclaiming and not is_throttled
+        observed_s = now_s - local.started_s if can_shrink else 0.0
+        needed = needed_amount(task, local.peak, observed_s)
+        if needed != task.learned and needed != task.reserved:
+            state.learned_by_id[task.task_id] = needed
 
 
 def _adopt_to_stop(state, now_s, task):
--- a/dotterelspread/taskstate.py
+++ b/dotterelspread/taskstate.py
@@ -79,6 +79,8 @@
     #: When its latest checkpoint was made; its start before there is one.
     checkpointed_s: float = 0.0
     checkpoint_asked_s: float = 0.0
+    #: Largest amounts that the worker reported for it.
+    peak: Resources = Resources()
     #: Whether the worker has reported the task.
     is_confirmed: bool = False
     #: When the latest start or stop was sent.
@@ -129,6 +131,8 @@
     preempts_by_id: dict = field(default_factory=dict)
     #: (time, amount) of the room made on this instance, by urgent task.
     made_room_for: dict = field(default_factory=dict)
+    #: Whether reservations shrink to what is measured; else never below declared.
+    is_reclaiming: bool = False
     pressure: PressureControl = field(default_factory=PressureControl)
     #: Checkpoints to record with the next renewal, by task.
     checkpoints_by_id: dict[str, str] = field(default_factory=dict)
--- a/standins/workercore.py
+++ b/standins/workercore.py
@@ -2,7 +2,8 @@
 
 Programs are simulated: ``sleep`` completes after its run time, ``fail`` fails after it,
 ``noisy`` uses several times its declared size. The first argument, when there is one,
-is the true run time in seconds.
+is the true run time in seconds; the second and third are the millicores and the MiB of
+memory that it truly uses.
 """
 
 from dataclasses import dataclass, field
@@ -30,6 +31,15 @@
         """Seconds of work until the program ends; 0 for one that never does."""
         return float(self.arguments[0]) if self.arguments else self.run_time_s
 
+    @property
+    def true_size(self):
+        """Amounts that the program uses when nothing limits it."""
+        cores, memory, accelerators = self.declared
+        if len(self.arguments) > 2:
+            return int(self.arguments[1]), int(self.arguments[2]), accelerators
+        factor = NOISY_FACTOR if self.program == "noisy" else 1
+        return cores * factor, memory, accelerators
+
 
 class RunningTask(msgspec.Struct):
     """A task that the worker runs; a checkpoint is the seconds of work done."""
@@ -174,8 +184,7 @@
         for task in self.running_by_id.values():
             if task.started_s > then_s:
                 continue
-            factor = NOISY_FACTOR if task.start.program == "noisy" else 1
-            cores, memory, accelerators = task.start.declared
-            used = (int(cores * factor * task.share), memory, accelerators)
+            cores, memory, accelerators = task.start.true_size
+            used = (int(cores * task.share), memory, accelerators)
             rows.append((task.task_id, task.start.epoch, used))
         return rows
