Scenarios on requests; retry after a connection that took no byte

Cause: the scenario 'No byte of a request has left' was red: such a refusal was not in the list of those after which another instance is tried. A load report of a newer incarnation is taken over at once. Ruled out: shrinking in the machine, which took five minutes on a failure. Mutants that were green before (ids not remembered, drain or incarnation ignored) are red with the smaller answer cache and the late announcements.

--- a/dotterelspread/entryadmit.py
+++ b/dotterelspread/entryadmit.py
@@ -1,13 +1,13 @@
 """Whether an entry can take a caller's request at all."""
 
 from .entrystate import Request
-from .outcome import RefusalReason, Refused
+from .outcome import RefusalReason, Refused, Unknown
 
 __all__ = ["add_request", "check_request"]
 
 
 def check_request(state, event):
-    """Return why a request cannot be taken at all; None when it can."""
+    """Return the outcome of a request that cannot be taken; None when it can."""
     if state.configuration is None:
         return Refused(RefusalReason.NOT_READY, "no configuration is known", 1.0)
     service = state.configuration.services_by_name.get(event.service_name)
@@ -22,10 +22,20 @@
         detail = f"requests of kind {kind.name} need an idempotency key"
         return Refused(RefusalReason.KEY_REQUIRED, detail)
     if event.deadline_s is not None and event.deadline_s <= event.now_s:
-        return Refused(RefusalReason.DEADLINE, "the deadline has passed")
+        return late_outcome(kind)
     return None
 
 
+def late_outcome(kind):
+    """Return the outcome of a request that arrives after its deadline.
+
+    Without the claims it isn't known whether an earlier request with its key was run.
+    """
+    if kind.idempotent:
+        return Refused(RefusalReason.DEADLINE, "the deadline has passed")
+    return Unknown("the deadline passed before the claims were read")
+
+
 def add_request(state, event):
     """Note a request that is taken."""
     service = state.configuration.services_by_name[event.service_name]
--- a/dotterelspread/entrycore.py
+++ b/dotterelspread/entrycore.py
@@ -52,9 +52,9 @@
 def _(event: RequestArrived, state):
     if event.request_id in state.requests_by_id:
         return []
-    refused = check_request(state, event)
-    if refused:
-        return [Respond(event.request_id, refused)]
+    outcome = check_request(state, event)
+    if outcome:
+        return [Respond(event.request_id, outcome)]
     request = add_request(state, event)
     state.retries.note_first_attempt()
     if request.key is not None:
--- a/dotterelspread/retry.py
+++ b/dotterelspread/retry.py
@@ -19,6 +19,7 @@
         RefusalReason.DRAINING,
         RefusalReason.SHED,
         RefusalReason.FENCED,
+        RefusalReason.NO_INSTANCE,
         RefusalReason.NOT_READY,
         RefusalReason.UNKNOWN_SERVICE,
     }
--- a/dotterelspread/routing.py
+++ b/dotterelspread/routing.py
@@ -54,8 +54,12 @@
 
     def note_load(self, load, now_s):
         """Take over a reported load."""
-        if load is None or load.incarnation not in (0, self.incarnation):
+        if load is None or 0 < load.incarnation < self.incarnation:
             return
+        if load.incarnation > self.incarnation:
+            # It has restarted, and its announcement is still on the way.
+            self.incarnation = load.incarnation
+            self.outstanding = 0
         self.reported = load.running + load.queued
         self.reported_s = now_s
         self.sent = 0
--- a/tests/builders_requests.py
+++ b/tests/builders_requests.py
@@ -88,6 +88,7 @@
         self.service = a_service()
         self.service_s = {"fault": 0.05, "price": 0.1, "book": 0.08}
         self.slow = {}
+        self.answer_bytes = 0
         self.sends = 0
         self.sent_ids_by_entry = {}
         self.entries = {}
@@ -131,14 +132,16 @@
         services = {SERVICE: self.service}
         return entry_events.EntryConfigured(self.now_s, Configuration(services))
 
-    def start_agent(self, agent_id, slots=2, incarnation=1):
+    def start_agent(self, agent_id, slots=2, incarnation=1, announce_s=0.0):
         state = AgentState.from_config(self.service, slots, incarnation)
+        # So few answers are kept that schedules also meet those that are not.
+        state.answers.max_answers = 4
         process = Process(agent_id, state)
         self.agents[agent_id] = process
         self.history.slots_by_id[agent_id] = slots
         self.history.drained_s_by_id.pop(agent_id, None)
         self.after(TICK_S, self.tick, process, agent_events.AgentTick)
-        self.announce(process)
+        self.after(announce_s, self.announce, process)
 
     def announce(self, agent):
         for entry in self.entries.values():
@@ -174,10 +177,11 @@
             for entry in self.entries.values():
                 self.after(1.0, self.deliver, entry, gone)
 
-    def restart_agent(self, agent_id):
+    def restart_agent(self, agent_id, announce_s=0.0):
         old = self.agents[agent_id]
         old.is_alive = False
-        self.start_agent(agent_id, old.state.slots, old.state.incarnation + 1)
+        incarnation = old.state.incarnation + 1
+        self.start_agent(agent_id, old.state.slots, incarnation, announce_s)
 
     def thaw(self, process):
         process.is_frozen = False
@@ -185,11 +189,11 @@
         for event in inbox:
             self.deliver(process, event)
 
-    def drain(self, agent_id):
+    def drain(self, agent_id, announce_s=0.0):
         self.history.drained_s_by_id.setdefault(agent_id, self.now_s)
         agent = self.agents[agent_id]
         self.dispatch(agent, agent_events.DrainRequested(self.now_s))
-        self.announce(agent)
+        self.after(announce_s, self.announce, agent)
 
     def heal(self):
         self.cuts.clear()
@@ -232,7 +236,7 @@
     def send(self, entry_id, kind="fault", key=None, fingerprint=b"f", deadline_s=None):
         request_id = f"r{next(self.numbers)}"
         self.sent_ids_by_entry[entry_id].add(request_id)
-        answer = (key or request_id).encode()
+        answer = (key or request_id).encode().ljust(self.answer_bytes, b".")
         is_keyed = not self.service.kinds_by_name[kind].idempotent
         self.history.sent_by_id[request_id] = Sent(
             request_id, self.now_s, key if is_keyed else None, answer
--- a/tests/test_requests_machine.py
+++ b/tests/test_requests_machine.py
@@ -1,6 +1,6 @@
 """Requests under failures on virtual time, judged by the history."""
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -39,7 +39,7 @@
         self.bench.run_for(0.1)
         self.bench.send(self.entry(second), "book", key)
 
-    @rule(entry=ENTRIES, kind=st.sampled_from(["fault", "price"]), n=st.integers(1, 12))
+    @rule(entry=ENTRIES, kind=st.sampled_from(["fault", "price"]), n=st.integers(1, 30))
     def ask_several(self, entry, kind, n):
         for _ in range(n):
             self.bench.send(self.entry(entry), kind)
@@ -57,13 +57,13 @@
     def kill_agent(self, agent, is_noticed):
         self.bench.kill_agent(agent, is_noticed)
 
-    @rule(agent=AGENTS)
-    def restart_agent(self, agent):
-        self.bench.restart_agent(agent)
+    @rule(agent=AGENTS, announce_s=st.sampled_from([0.0, 3.0]))
+    def restart_agent(self, agent, announce_s):
+        self.bench.restart_agent(agent, announce_s)
 
-    @rule(agent=AGENTS)
-    def drain(self, agent):
-        self.bench.drain(agent)
+    @rule(agent=AGENTS, announce_s=st.sampled_from([0.0, 1.0]))
+    def drain(self, agent, announce_s):
+        self.bench.drain(agent, announce_s)
 
     @rule(entry=ENTRIES)
     def freeze_entry(self, entry):
@@ -98,7 +98,7 @@
     def append_late(self):
         self.bench.append_late(0.5)
 
-    @rule(share=st.sampled_from([0.0, 0.5]))
+    @rule(share=st.sampled_from([0.0, 0.5, 1.0]))
     def duplicate_messages(self, share):
         self.bench.duplicates = share
 
@@ -121,7 +121,12 @@
             assert self.bench.history.faults(is_complete=True) == []
 
 
+# Without shrinking a failure is reported at once, and it is the same in every run.
 RequestsMachine.TestCase.settings = settings(
-    derandomize=True, deadline=None, max_examples=150, stateful_step_count=40
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    phases=[Phase.generate],
 )
 TestRequests = RequestsMachine.TestCase
