--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -3,7 +3,7 @@
 from dotterelspread.cell import CellState
 from dotterelspread.configreader import read_configuration
 from dotterelspread.explanation import explain_task
-from dotterelspread.placement import PlacementView, plan
+from dotterelspread.placement import PlacementView, rank_members
 from dotterelspread.record import (
     Envelope,
     InstanceDraining,
@@ -43,8 +43,12 @@
 
 def test_selectors_see_where_an_instance_is():
     cell = read(announcement(1), *JOBS)
-    planned = plan(PlacementView.from_cell(cell, CONFIGURATION))
-    placed = [task.task_id for task, ranked_ids in planned if ranked_ids]
+    view = PlacementView.from_cell(cell, CONFIGURATION)
+    placed = [
+        task_id
+        for task_id, task in cell.tasks_by_id.items()
+        if rank_members(task, view)
+    ]
     assert placed == ["local/0", "half/0"]
     assert explain(cell, "far/0")[1] == (
         "i01: selector there wants region=region-b; the instance has region=region-a"
