Hold batch tasks back by the service's measured tail latency

Cause: the controller was measured on a model and not yet part of the agent. Ruled out: the worker's reports as the source of latency, since the agent itself sees every request without lag. Change: windows of latency and load, a part that asks the controller every 5 s, shares of both controls joined by the least, eviction as an event of the task reducer, a setting that names the controller.

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -8,6 +8,7 @@
 
 from .backend import open_backend
 from .configurationpart import ConfigurationPart
+from .interferencepart import InterferencePart
 from .memberpart import MemberPart
 from .node import boottime_s
 from .peer import serve_peers
@@ -103,10 +104,12 @@
         )
         requests = RequestPart(node, backend)
         tasks = TaskPart(node, worker, announced)
+        interference = InterferencePart(node, requests, tasks)
         members = MemberPart(node, announced, requests.load)
         configuration = ConfigurationPart(node)
         configuration.on_change(requests.configure)
         configuration.on_change(tasks.configure)
+        configuration.on_change(interference.configure)
         join_parts(members, configuration)
         node.parts = [
             members,
@@ -116,6 +119,7 @@
             StatePart(node, (members.replica, configuration.replica)),
             requests,
             tasks,
+            interference,
         ]
         process = AgentProcess(node, members, requests, tasks)
         members.on_drain(process.drain)
--- /dev/null
+++ b/dotterelspread/interferencepart.py
@@ -0,0 +1,88 @@
+"""The part of an agent that holds batch tasks back when they slow its service down."""
+
+import asyncio
+
+from .controller import (
+    BatchTask,
+    EvictTask,
+    SetBatchShare,
+    UsageReported,
+    get_controller,
+)
+from .jsonlog import log_change
+from .node import Part
+
+__all__ = ["InterferencePart"]
+
+#: Seconds between two decisions.
+DECISION_S = 5.0
+
+
+class InterferencePart(Part):
+    """Asks the controller that the settings name, and has its decisions carried out.
+
+    Parameters
+    ----------
+    node : Node
+    requests : RequestPart
+        Measures the service.
+    tasks : TaskPart
+        Throttles and evicts batch tasks.
+    """
+
+    def __init__(self, node, requests, tasks):
+        super().__init__(node)
+        self._requests = requests
+        self._tasks = tasks
+        self._controller_class = get_controller(node.settings.agent.controller)
+        self._service_name = node.settings.agent.service
+        self.controller = None
+
+    def configure(self, version):
+        """Take the service's target and the objectives of a new `Version`."""
+        configuration = version.configuration
+        service = configuration.services_by_name.get(self._service_name)
+        if service is None:
+            return
+        objectives = configuration.objectives
+        known = self.controller
+        if known and (known.target_s, known.objectives) == (
+            service.target_p99_s,
+            objectives,
+        ):
+            return
+        self.controller = self._controller_class.from_config(service, configuration)
+
+    async def run(self):
+        """Decide every few seconds until cancelled."""
+        while True:
+            await asyncio.sleep(DECISION_S)
+            if self.controller is not None:
+                self._decide()
+
+    def perform(self, effect):
+        """Do what a decision's effect says."""
+        if isinstance(effect, SetBatchShare):
+            self._tasks.limit_shares(effect.share_by_program)
+        elif isinstance(effect, EvictTask):
+            log_change("task evicted", task_id=effect.task_id, reason=effect.reason)
+            self.node.telemetry.count("evictions")
+            self._tasks.evict(effect.task_id)
+
+    def _decide(self):
+        now_s = self.node.now_s()
+        sample = self._requests.window.take(now_s)
+        if sample is not None:
+            self.node.dispatch(UsageReported(now_s, sample), self, self.perform)
+        tasks = [
+            BatchTask(
+                local.task_id,
+                local.spec.program,
+                local.spec.declared.millicores / 1000,
+                now_s - local.checkpointed_s,
+            )
+            for local in self._tasks.batch_locals()
+        ]
+        load = self._requests.window.load
+        for effect in self.controller.decide(now_s, load, tasks).effects():
+            self.perform(effect)
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -19,8 +19,9 @@
 from .backend import BackendRequest
 from .configuration import ServiceConfig
 from .gen.peer.ttypes import Load
+from .latencywindow import LatencyWindow
 from .node import Part
-from .outcome import RefusalReason, Refused
+from .outcome import Completed, RefusalReason, Refused
 from .publication import NO_VERSION
 from .wire import MS_PER_S, from_headers, message_from_outcome, pending_message
 
@@ -48,6 +49,8 @@
         self.is_configured = False
         self._version = NO_VERSION
         self.drained = asyncio.Event()
+        #: Tail latency and load of the service, for the control of batch work.
+        self.window = LatencyWindow(node.now_s(), agent.slots)
         service = ServiceConfig(agent.service, {}, "")
         self.state = AgentState.from_config(service, agent.slots, node.incarnation)
 
@@ -130,6 +133,7 @@
             outcome = await self._backend.run(request, timeout_s)
         finished = RunFinished(self.node.now_s(), effect.request_id, outcome)
         self.dispatch(finished)
+        self.window.set_used(self.node.now_s(), self.state.running)
 
     async def _run(self, run):
         if not self.is_configured:
@@ -151,7 +155,11 @@
             waiter,
         )
         self.dispatch(event)
-        return message_from_outcome(await waiter, self.load())
+        self.window.set_used(self.node.now_s(), self.state.running)
+        outcome = await waiter
+        if isinstance(outcome, Completed):
+            self.window.add(self.node.now_s() - now_s)
+        return message_from_outcome(outcome, self.load())
 
     async def _answer(self, query):
         waiter = asyncio.get_running_loop().create_future()
--- a/dotterelspread/settings.py
+++ b/dotterelspread/settings.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass
 
+from .controller import CONTROLLERS_BY_NAME
 from .document import MAX_DOCUMENT_BYTES, Fault, FaultsError
 from .options import open_options
 from .quantities import Address
@@ -76,6 +77,8 @@
     #: Name of the cell that the agent takes part in.
     cell: str
     labels: dict[str, str]
+    #: Name of what holds batch tasks back for the service's sake; see `controller`.
+    controller: str = "feedback"
 
     @classmethod
     def from_options(cls, options):
@@ -89,6 +92,7 @@
             capacity=options.resources("capacity"),
             cell=options.name("cell"),
             labels=options.labels("labels"),
+            controller=options.choice("controller", CONTROLLERS_BY_NAME, "feedback"),
         )
 
 
--- a/dotterelspread/taskcore.py
+++ b/dotterelspread/taskcore.py
@@ -7,7 +7,7 @@
 from .cell import CellError, CellState
 from .claiming import claim_tasks, keep_membership, keep_snapshot, record_lapses
 from .learning import needed_amount
-from .ownership import follow_cell, report_results
+from .ownership import follow_cell, report_results, stop_local
 from .preemption import relieve_pressure
 from .record import (
     CellSnapshot,
@@ -24,6 +24,7 @@
     CellTruncated,
     ConfigurationChanged,
     DrainRequested,
+    EvictionRequested,
     MembersChanged,
     TaskCheckpointed,
     TaskStarted,
@@ -223,3 +224,11 @@
 def _(event: DrainRequested, state: TaskState):
     state.is_draining = True
     return settle_tasks(state, event.now_s)
+
+
+@reduce.register
+def _(event: EvictionRequested, state: TaskState):
+    local = state.locals_by_id.get(event.task_id)
+    if local is None or local.phase is not LocalPhase.RUNNING:
+        return []
+    return stop_local(local, event.now_s, StopReason.EVICTED)
--- a/dotterelspread/taskevent.py
+++ b/dotterelspread/taskevent.py
@@ -16,6 +16,7 @@
     "CheckpointTask",
     "ConfigurationChanged",
     "DrainRequested",
+    "EvictionRequested",
     "MembersChanged",
     "RenewTask",
     "StartTask",
@@ -129,6 +130,13 @@
     """The instance shall leave: its tasks are checkpointed and released."""
 
 
+@dataclass(slots=True, frozen=True)
+class EvictionRequested(Event):
+    """A batch task shall be checkpointed and released, for the service's sake."""
+
+    task_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class Append(Effect):
     """Append ``record`` to a stream, in order and once; answer by `AppendSettled`."""
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 from .gen.peer.ttypes import JobReply, StatusReply, TaskStatus
@@ -20,6 +21,7 @@
     CheckpointTask,
     ConfigurationChanged,
     DrainRequested,
+    EvictionRequested,
     MembersChanged,
     RenewTask,
     StartTask,
@@ -27,6 +29,8 @@
     ThrottleTask,
     WorkerReported,
 )
+from .taskexplain import explain_task
+from .taskstate import LocalPhase
 from .worker import WorkerError
 
 __all__ = ["TaskPart"]
@@ -37,10 +41,27 @@
 REPORT_S = 1.0
 #: Seconds that an append may take before it is given up.
 APPEND_TIMEOUT_S = 5.0
+#: Smallest change of a task's share that the worker is told of.
+LEAST_SHARE_CHANGE = 0.01
 #: Seconds between looks at whether a drain has ended.
 DRAIN_POLL_S = 0.1
 
 
+@dataclass(slots=True, frozen=True)
+class TaskShares:
+    """Parts of its processor time that each control gives a task, 0 to 1."""
+
+    #: By measured use against the instance's capacity.
+    pressure: float = 1.0
+    #: For the sake of the service beside it.
+    limit: float = 1.0
+
+    @property
+    def least(self):
+        """Share that the task gets."""
+        return min(self.pressure, self.limit)
+
+
 class TaskPart(Part):
     """Claims, runs and ends tasks of one cell.
 
@@ -57,6 +78,7 @@
         self._worker = worker
         self._is_configured = False
         self._last_by_task = {}
+        self._shares_by_id = {}
         self.state = TaskState.from_announcement(announcement, node.settings.agent.cell)
 
     def handlers_by_method(self):
@@ -91,6 +113,27 @@
         while self.state.locals_by_id or self.state.member is not None:
             await asyncio.sleep(DRAIN_POLL_S)
 
+    def batch_locals(self):
+        """Return the running local tasks of batch jobs."""
+        cell = self.state.cell
+        found = []
+        for local in self.state.locals_by_id.values():
+            task = cell.tasks_by_id.get(local.task_id)
+            is_batch = task is not None and not cell.jobs_by_id[task.job_id].is_service
+            if is_batch and local.phase is LocalPhase.RUNNING:
+                found.append(local)
+        return found
+
+    def limit_shares(self, share_by_program):
+        """Let batch tasks use only a part of their processor time, by program."""
+        for local in self.batch_locals():
+            share = share_by_program.get(local.spec.program, 1.0)
+            self._set_share(local.task_id, limit=share)
+
+    def evict(self, task_id):
+        """Checkpoint and release a batch task."""
+        self.dispatch(EvictionRequested(self.node.now_s(), task_id))
+
     @singledispatchmethod
     def perform(self, effect):
         """Do what ``effect`` says."""
@@ -103,9 +146,25 @@
     @perform.register(StartTask)
     @perform.register(RenewTask)
     @perform.register(CheckpointTask)
-    @perform.register(ThrottleTask)
     @perform.register(StopTask)
     def _(self, effect):
+        if isinstance(effect, StartTask | StopTask):
+            self._shares_by_id.pop(effect.task_id, None)
+        self._start_at_worker(effect)
+
+    @perform.register
+    def _(self, effect: ThrottleTask):
+        self._set_share(effect.task_id, pressure=effect.share)
+
+    def _set_share(self, task_id, **change):
+        """Throttle a task to the least share that any control gives it."""
+        shares = self._shares_by_id.get(task_id, TaskShares())
+        changed = replace(shares, **change)
+        self._shares_by_id[task_id] = changed
+        if abs(changed.least - shares.least) > LEAST_SHARE_CHANGE:
+            self._start_at_worker(ThrottleTask(task_id, changed.least))
+
+    def _start_at_worker(self, effect):
         before = self._last_by_task.get(effect.task_id)
         task = self.node.spawn(self._perform_at_worker(effect, before))
         self._last_by_task[effect.task_id] = task
@@ -210,5 +269,5 @@
             state=task.outcome or task.phase.name.lower(),
             owner_id=task.owner_id,
             epoch=task.epoch,
-            explanation=task.detail,
+            explanation=" ".join(explain_task(self.state, task.task_id)),
         )
--- /dev/null
+++ b/tests/test_latencywindow.py
@@ -0,0 +1,26 @@
+import pytest
+
+from dotterelspread.latencywindow import LatencyWindow
+
+
+def test_a_sample_has_the_tail_and_the_average_load():
+    window = LatencyWindow(100.0, slots=8)
+    window.set_used(100.0, 4)
+    window.set_used(105.0, 8)
+    for number in range(100):
+        window.add(0.001 * (number + 1))
+    sample = window.take(110.0)
+    assert (sample.start_s, sample.end_s) == (100.0, 110.0)
+    assert sample.load == pytest.approx(0.75)
+    assert sample.p99_s == pytest.approx(0.099)
+    assert window.load == 1.0
+
+
+def test_a_window_with_few_requests_goes_on():
+    window = LatencyWindow(0.0, slots=1)
+    window.add(0.5)
+    assert window.take(5.0) is None
+    for _ in range(19):
+        window.add(0.1)
+    assert window.take(10.0).start_s == 0.0
+    assert window.take(15.0) is None
