Gate claims by the quotas of teams, and summarize each cell

Cause: quotas were computed and nobody asked them. Ruled out: quotas as a condition of a valid claim, because members that have read different summaries would then disagree on what runs. Change: a gate on whom a plan designates, summaries by the first live member of a cell, waits explained. Capacity above a share is given back as tasks end; only urgent work preempts (not yet by quota).

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -16,6 +16,7 @@
 from .requestpart import RequestPart
 from .server import serve_http
 from .statepart import StatePart, join_parts
+from .summarypart import SummaryPart
 from .taskpart import TaskPart
 from .telemetry import EXPOSITION_TYPE
 from .worker import get_worker_class
@@ -105,11 +106,13 @@
         requests = RequestPart(node, backend)
         tasks = TaskPart(node, worker, announced)
         interference = InterferencePart(node, requests, tasks)
+        summaries = SummaryPart(node, tasks)
         members = MemberPart(node, announced, requests.load)
         configuration = ConfigurationPart(node)
         configuration.on_change(requests.configure)
         configuration.on_change(tasks.configure)
         configuration.on_change(interference.configure)
+        configuration.on_change(summaries.configure)
         join_parts(members, configuration)
         node.parts = [
             members,
@@ -120,6 +123,7 @@
             requests,
             tasks,
             interference,
+            summaries,
         ]
         process = AgentProcess(node, members, requests, tasks)
         members.on_drain(process.drain)
--- a/dotterelspread/designation.py
+++ b/dotterelspread/designation.py
@@ -40,7 +40,7 @@
     #: When a task was first seen to fit nowhere, by task.
     unfit_since_by_id: dict[str, float] = field(default_factory=dict)
 
-    def refresh(self, now_s, view):
+    def refresh(self, now_s, view, gate=None):
         """Bring the table in line with the cell.
 
         Parameters
@@ -48,6 +48,8 @@
         now_s : float
         view : PlacementView
             The room of the members that may take tasks; changed by the call.
+        gate : TeamGate, optional
+            Holds back tasks of teams at their quota; none are without it.
         """
         if not view.cell.pending:
             self.by_id, self.unfit, self.unfit_since_by_id = {}, [], {}
@@ -55,11 +57,18 @@
         self._keep_valid(now_s, view)
         self.unfit = []
         shapes = []
-        for looked, task in enumerate(view.cell.pending_tasks()):
+        looked = 0
+        for task in view.cell.pending_tasks():
             if looked == LOOKED_TASKS:
                 break
+            if gate is not None and not gate.decide(task).allowed:
+                self.by_id.pop(task.task_id, None)
+                continue
+            looked += 1
             if task.task_id not in self.by_id:
                 self._designate(now_s, task, view, shapes)
+            if gate is not None and task.task_id in self.by_id:
+                gate.reserve(task)
         self.unfit_since_by_id = {
             task.task_id: self.unfit_since_by_id.get(task.task_id, now_s)
             for task in self.unfit
--- /dev/null
+++ b/dotterelspread/summarypart.py
@@ -0,0 +1,113 @@
+"""The part of an agent that summarizes its cell and keeps the quotas of all teams."""
+
+import asyncio
+
+from .celltask import TaskPhase
+from .log import TruncatedError
+from .logclient import AppendError
+from .node import Part
+from .placement import tie_break
+from .quota import QuotaState, SummaryRead
+from .record import CellSummary
+from .resources import Resources
+from .summary import SUMMARY_PERIOD_S, summarize
+from .teamgate import team_amounts
+
+__all__ = ["SummaryPart"]
+
+STREAM = "summary"
+#: Seconds between two looks at whether a summary is due.
+TICK_S = 1.0
+#: Seconds that each member of the cell waits for the one before it to summarize.
+TURN_S = 2.0
+#: Seconds that the append of a summary may take.
+APPEND_TIMEOUT_S = 5.0
+
+
+class SummaryPart(Part):
+    """Appends summaries of a cell and follows those of all cells.
+
+    The first member of the cell, in a fixed order, summarizes; when it is silent the
+    next one does.
+
+    Parameters
+    ----------
+    node : Node
+    tasks : TaskPart
+    """
+
+    def __init__(self, node, tasks):
+        super().__init__(node)
+        self._tasks = tasks
+        self._summarized_s = node.now_s()
+        self.quota = None
+
+    def configure(self, version):
+        """Take the teams of a new `Version`."""
+        if self.quota is None:
+            self.quota = QuotaState.from_config(version.configuration)
+            self._tasks.state.quota = self.quota
+        else:
+            self.quota.configure(version.configuration)
+
+    async def run(self):
+        """Follow the summaries and append those of the cell until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._follow())
+            while True:
+                await asyncio.sleep(TICK_S)
+                if self._is_due():
+                    await self._summarize()
+
+    def perform(self, effect):
+        """Do nothing; summaries have no effects."""
+
+    def _is_due(self):
+        state = self._tasks.state
+        if self.quota is None or state.member is None or state.unplaced is not None:
+            return False
+        ids = sorted(
+            state.cell.members_by_id, key=lambda other: tie_break(STREAM, other)
+        )
+        turn_s = ids.index(state.instance_id) * TURN_S
+        waited_s = self.node.now_s() - self._summarized_s
+        return waited_s >= SUMMARY_PERIOD_S + turn_s
+
+    async def _summarize(self):
+        cell = self._tasks.state.cell
+        capacity = Resources()
+        for member in cell.members_by_id.values():
+            if member.takes_tasks:
+                capacity = capacity + member.capacity
+        record = summarize(
+            self._tasks.state.stream,
+            cell.next_offset,
+            capacity,
+            team_amounts(cell, TaskPhase.OWNED),
+            team_amounts(cell, TaskPhase.PENDING),
+        )
+        try:
+            await self.node.log_client.append(STREAM, record, APPEND_TIMEOUT_S)
+        except AppendError:
+            self.node.telemetry.count("summaries_unwritten")
+
+    async def _follow(self):
+        position = 0
+        while True:
+            try:
+                async for batch in self.node.log_client.follow(STREAM, position):
+                    for entry in batch.entries:
+                        self._take(entry.offset, entry.envelope.record)
+                    position = batch.next_offset
+            except TruncatedError as error:
+                # Only the latest summary of each cell counts, and those are kept.
+                position = error.oldest
+
+    def _take(self, offset, record):
+        if not isinstance(record, CellSummary):
+            return
+        if record.cell == self._tasks.state.stream:
+            self._summarized_s = self.node.now_s()
+        if self.quota is not None:
+            event = SummaryRead(self.node.now_s(), offset, record)
+            self.node.dispatch(event, self, self.perform)
--- a/dotterelspread/taskexplain.py
+++ b/dotterelspread/taskexplain.py
@@ -67,6 +67,10 @@
 
 
 def _explain_pending(state, task, job):
+    gate = state.gate()
+    decision = None if gate is None else gate.decide(task)
+    if decision is not None and not decision.allowed:
+        return [f"It waits for its team's quota: {decision.reason}."]
     designation = state.designations.by_id.get(task.task_id)
     if designation is not None:
         return [
--- a/dotterelspread/taskstate.py
+++ b/dotterelspread/taskstate.py
@@ -21,6 +21,7 @@
 )
 from .resources import Resources
 from .taskevent import Append
+from .teamgate import TeamGate
 
 __all__ = ["InFlight", "LocalPhase", "LocalTask", "StopReason", "TaskState"]
 
@@ -127,6 +128,8 @@
     #: Amounts to learn with the next renewal, by task.
     learned_by_id: dict[str, Resources] = field(default_factory=dict)
     designations: DesignationTable = field(default_factory=DesignationTable)
+    #: Quotas of teams over all cells; None while they are not known.
+    quota: object = None
     #: When an urgent task that fits nowhere was noticed, by task.
     preempts_by_id: dict = field(default_factory=dict)
     #: (time, amount) of the room made on this instance, by urgent task.
@@ -183,7 +186,7 @@
     def designate(self, now_s):
         """Name anew who claims what, after a change of the cell or its members."""
         view = PlacementView.from_cell(self.cell, self.configuration, self.live_ids)
-        self.designations.refresh(now_s, view)
+        self.designations.refresh(now_s, view, self.gate())
 
     def is_alive(self, instance_id):
         """Tell whether an instance is believed to be alive."""
@@ -233,6 +236,12 @@
         """Tell whether the worker has reported lately."""
         return now_s - self.worker_reported_s <= WORKER_SILENT_S
 
+    def gate(self):
+        """Return a `TeamGate` on what teams hold now; None without quotas."""
+        if self.quota is None:
+            return None
+        return TeamGate(self.cell, self.stream, self.quota)
+
     def settle(self, now_s, record, offset):
         """Note what became of an append."""
         for item in self.in_flight:
