--- a/dotterelspread/maxmin.py
+++ b/dotterelspread/maxmin.py
@@ -92,6 +92,8 @@
     """
     if sum(claimant.demand for claimant in claimants) <= capacity:
         return [float(claimant.demand) for claimant in claimants]
+    if capacity <= 0:
+        return [0.0] * len(claimants)
     level = _full_level(claimants, capacity)
     return [claimant.share_at(level) for claimant in claimants]
 
