--- a/dotterelspread/quota.py
+++ b/dotterelspread/quota.py
@@ -97,6 +97,10 @@
         silent = {cell for cell in by_cell if self._table.is_stale(cell)}
         self._plan = SharePlan(self._teams_by_name, by_cell, silent)
 
+    def is_stale(self, cell):
+        """Tell whether a cell was silent for so long that its use is frozen."""
+        return cell in self._plan.silent
+
     def allowance(self, cell, team):
         """Return what the team may hold in the cell given all reported demand.
 
