--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,80 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dotterelspread.configuration import ObjectiveConfig
+from dotterelspread.controller import (
+    CONTROLLERS_BY_NAME,
+    ControllerError,
+    cheapest_victim,
+    get_controller,
+)
+from dotterelspread.controllers.feedback import COOL_DOWN_S
+
+from .builders_policies import batch, sample
+
+TARGET_S = 0.25
+
+
+def make(name):
+    return get_controller(name)(TARGET_S, ObjectiveConfig())
+
+
+@pytest.mark.parametrize("name", sorted(CONTROLLERS_BY_NAME))
+def test_a_name_finds_its_controller(name):
+    assert get_controller(name).name == name
+
+
+def test_an_unknown_name_is_an_error_that_lists_the_known_ones():
+    with pytest.raises(ControllerError, match="feedback, fixed, none"):
+        get_controller("best")
+
+
+def test_the_cheapest_victim_loses_least_then_frees_most():
+    tasks = batch("a", 4.0, unsaved_s=60.0) + batch("b", 2.0) + batch("c", 8.0)
+    assert cheapest_victim(tasks).program == "c"
+    assert cheapest_victim([]) is None
+
+
+REPORTS = st.lists(
+    st.tuples(st.floats(0.01, 2.0), st.floats(0.0, 1.0), st.integers(0, 3)),
+    min_size=20,
+    max_size=120,
+)
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(st.sampled_from(sorted(CONTROLLERS_BY_NAME)), REPORTS)
+def test_shares_stay_in_bounds_and_victims_run(name, reports):
+    controller = make(name)
+    for step, (p99_s, load, count) in enumerate(reports):
+        now_s = step * 10.0
+        tasks = batch("a", 4.0, count) + batch("b", 2.0, 3 - count)
+        decision = controller.decide(now_s, load, tasks)
+        assert 0.0 <= decision.share <= 1.0
+        assert set(decision.share_by_program) == {task.program for task in tasks}
+        assert all(0.0 <= share <= 1.0 for share in decision.share_by_program.values())
+        assert set(decision.evicted) <= {task.task_id for task in tasks}
+        controller.report(sample(now_s - 20.0, p99_s, load))
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(st.lists(st.booleans(), min_size=100, max_size=400))
+def test_feedback_falls_at_once_rises_late_and_evicts_last(alarms):
+    controller = make("feedback")
+    tasks = batch("noisy", 8.0, 3)
+    before, alarm_s, evicted_s = 1.0, -1000.0, []
+    for step, is_alarm in enumerate(alarms):
+        now_s = step * 10.0
+        decision = controller.decide(now_s, 0.6, tasks)
+        if now_s < alarm_s + COOL_DOWN_S:
+            assert decision.share <= before
+        if decision.evicted:
+            assert before < 0.1 and now_s >= 300.0
+            evicted_s.append(now_s)
+        before = decision.share
+        if is_alarm:
+            controller.report(sample(now_s, 2.0, 0.6))
+            alarm_s = now_s
+    gaps = zip(evicted_s, evicted_s[1:], strict=False)
+    assert all(later - earlier >= COOL_DOWN_S for earlier, later in gaps)
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,94 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dotterelspread.quarantine import QuarantineState, Standing
+
+WORKERS = tuple(f"w{index}" for index in range(10))
+workers = st.sampled_from(WORKERS)
+jobs = st.sampled_from([f"job{index}" for index in range(6)])
+tasks = st.integers(0, 2)
+
+
+class BlameMachine(RuleBasedStateMachine):
+    """A cell where w0 fails all it starts, and job0 fails everywhere.
+
+    The other members read the same stream; one of them asks between all records.
+    """
+
+    @initialize()
+    def open_cell(self):
+        self.offset = 0
+        self.readers = [QuarantineState(), QuarantineState()]
+        self.clean_jobs = set()
+        self.clean_workers = set(WORKERS)
+        for reader in self.readers:
+            for worker in WORKERS:
+                reader.saw_worker(worker)
+
+    def tell(self, name, *arguments):
+        self.offset += 1
+        for reader in self.readers:
+            getattr(reader, name)(self.offset, *arguments)
+        self.readers[0].refusal("job1", "job1.0")
+        self.readers[0].admit("w1", "job1", "job1.0", 0)
+
+    @rule(worker=workers, job=jobs, task=tasks, noise=st.integers(0, 4))
+    def run_task(self, worker, job, task, noise):
+        task_id = f"{job}.{task}"
+        if not self.readers[1].admit(worker, job, task_id, 0).allowed:
+            return
+        self.tell("started", job, worker)
+        if worker == "w0" or job == "job0" or noise == 0:
+            self.clean_workers.discard(worker)
+            self.tell("failure", job, task_id, worker)
+        else:
+            self.tell("success", job, task_id, worker)
+
+    @rule(worker=workers, job=jobs)
+    def evict(self, worker, job):
+        self.tell("started", job, worker)
+        self.tell("released", job)
+
+    @rule(gap=st.integers(1, 500))
+    def pass_time(self, gap):
+        self.offset += gap
+        self.tell("started", "other", "w9")
+        self.tell("success", "other", "other.0", "w9")
+
+    @precondition(lambda self: hasattr(self, "readers"))
+    @invariant()
+    def readers_agree(self):
+        first, second = self.readers
+        assert [first.standing(w) for w in WORKERS] == [
+            second.standing(w) for w in WORKERS
+        ]
+        for job in ("job0", "job1"):
+            assert first.refusal(job, f"{job}.0") == second.refusal(job, f"{job}.0")
+
+    @precondition(lambda self: hasattr(self, "readers"))
+    @invariant()
+    def few_are_quarantined_and_none_without_failures(self):
+        held = self.readers[0].quarantined_ids()
+        assert len(held) <= 2
+        assert not self.clean_workers & set(held)
+
+    @precondition(lambda self: hasattr(self, "readers"))
+    @invariant()
+    def a_quarantined_worker_gets_one_probe_at_a_time(self):
+        for worker in self.readers[0].quarantined_ids():
+            admission = self.readers[0].admit(worker, "other", "other.1", 1)
+            assert not admission.allowed
+            assert self.readers[0].standing(worker) is Standing.QUARANTINED
+
+
+TestBlame = BlameMachine.TestCase
+TestBlame.settings = settings(
+    derandomize=True, max_examples=30, stateful_step_count=40, deadline=None
+)
