Keep tasks from workers that fail distinct jobs

Cause: quarantine was computed by its own tests alone. Change: the cell feeds the evidence, the ranking passes over quarantined workers but for probes of jobs that completed elsewhere. Measured: with 8 jobs failed on one of 10 workers it is ranked without the change and passed over with it; three completed probes lift it; evictions do not count.

--- a/dotterelspread/cell.py
+++ b/dotterelspread/cell.py
@@ -10,6 +10,7 @@
 
 from .cellrules import apply_record
 from .celltask import NO_EPOCH, CellJob, CellMember, CellTask, TaskPhase
+from .quarantine import QuarantineState
 from .record import CellSnapshot
 from .resources import Resources
 
@@ -59,6 +60,7 @@
         "members_by_id",
         "next_offset",
         "pending",
+        "quarantine",
         "tasks_by_id",
     )
 
@@ -71,6 +73,9 @@
         #: Sorted keys (`CellTask.order`) of the pending tasks.
         self.pending = []
         self.ended_job_ids = []
+        #: Evidence on failing workers. It starts anew at a snapshot: it only decides
+        #: who claims, and never whether a claim is valid.
+        self.quarantine = QuarantineState()
 
     @classmethod
     def from_snapshot(cls, snapshot):
@@ -118,6 +123,7 @@
         if offset + 1 < self.next_offset:
             return False
         self.next_offset = offset + 1
+        self.quarantine.advance(offset)
         return apply_record(envelope.record, self, offset)
 
     def is_pending(self, task_id):
--- a/dotterelspread/cellrules.py
+++ b/dotterelspread/cellrules.py
@@ -25,6 +25,8 @@
 
 #: Reason of a release after the program failed, which another instance may retry.
 FAILED = "failed"
+COMPLETED = "completed"
+LAPSED = "lapsed"
 
 
 @singledispatch
@@ -164,6 +166,7 @@
     if not (member.takes_tasks and fits and task.demand.fits_in(record.reserved)):
         return False
     cell.own(task, member, record, offset)
+    cell.quarantine.started(offset, task.job_id, task.owner_id)
     return True
 
 
@@ -176,6 +179,7 @@
         if record.outcome != "refused":
             return False
     else:
+        _note_run(cell, task, offset, record.outcome)
         cell.disown(task)
     if cell.jobs_by_id[task.job_id].is_cancelled:
         cell.end(task, "cancelled", "cancelled before its end was recorded")
@@ -191,6 +195,7 @@
         return False
     if record.reason == FAILED:
         task.failed_ids.append(task.owner_id)
+    _note_run(cell, task, offset, record.reason)
     task.checkpoint = record.checkpoint
     task.releases += 1
     cell.return_to_pending(task, f"released by {task.owner_id}: {record.reason}")
@@ -202,6 +207,7 @@
     task = cell.owned_task(record.task_id, record.epoch)
     if task is None or cell.renewal_of(task) != record.renewal_offset:
         return False
+    _note_run(cell, task, offset, LAPSED)
     detail = f"the lease of {task.owner_id} lapsed"
     if cell.jobs_by_id[task.job_id].is_service:
         # The replica may still run unseen, so its id is not used again.
@@ -212,3 +218,14 @@
     else:
         cell.return_to_pending(task, detail)
     return True
+
+
+def _note_run(cell, task, offset, ending):
+    """Add the end of a run to the evidence on its job and worker."""
+    run = (offset, task.job_id, task.task_id, task.owner_id)
+    if ending == COMPLETED:
+        cell.quarantine.success(*run)
+    elif ending == FAILED:
+        cell.quarantine.failure(*run)
+    else:
+        cell.quarantine.released(offset, task.job_id)
--- a/dotterelspread/placement.py
+++ b/dotterelspread/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from .quarantine import Standing
 from .resources import Resources
 
 __all__ = [
@@ -158,6 +159,8 @@
         if not demand.fits_in(room):
             continue
         member = view.cell.members_by_id[member_id]
+        if not _is_trusted_with(member, task, view.cell):
+            continue
         labels = labels_of(member, view.configuration)
         if not is_eligible(job.labels, labels, view.configuration):
             continue
@@ -168,6 +171,19 @@
     return [entry[-1] for entry in scored]
 
 
+def _is_trusted_with(member, task, cell):
+    """Tell whether quarantine lets a member have a task: in doubt, one at a time."""
+    standing = cell.quarantine.standing(member.instance_id)
+    if standing is Standing.OPEN:
+        return True
+    running = len(member.task_ids)
+    if standing is Standing.SUSPECT:
+        return running == 0
+    return cell.quarantine.admit(
+        member.instance_id, task.job_id, task.task_id, running
+    ).allowed
+
+
 def is_known_unfit(unfit, labels, demand):
     """Tell whether a task of the same labels and no larger size fitted nowhere."""
     return any(
--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -66,6 +66,10 @@
         self._workers_by_id = {}
         self._jobs = JobTable(self._is_trusted)
 
+    def advance(self, offset):
+        """Note the offset of a record of the cell, by which probes become due."""
+        self._offset = offset
+
     def saw_worker(self, worker_id):
         """Count a worker as a member of the cell."""
         if worker_id not in self._workers_by_id:
--- a/dotterelspread/taskexplain.py
+++ b/dotterelspread/taskexplain.py
@@ -90,6 +90,11 @@
                 job.labels, labels_of(m, state.configuration), state.configuration
             )
         ],
+        "in quarantine, since distinct jobs failed there": [
+            m
+            for m in members
+            if m.instance_id in state.cell.quarantine.quarantined_ids()
+        ],
         "too small even when idle": [
             m for m in members if not task.demand.fits_in(m.capacity)
         ],
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,86 @@
+"""A worker that fails distinct jobs gets no more of them, until probes complete."""
+
+from dotterelspread.cell import CellState
+from dotterelspread.configuration import Configuration
+from dotterelspread.placement import PlacementView, rank_members
+from dotterelspread.record import Envelope, TaskClaimed, TaskEnded, TaskReleased
+from dotterelspread.resources import Resources
+from tests.builders_tasks import announcement, job, spec
+
+MEMBERS = 10
+BAD = "i00"
+GOOD = "i01"
+SIZE = Resources(1000, 1000)
+#: Offsets after which each probe of a quarantined worker may be due.
+PROBE_GAP = 900
+
+
+class Records:
+    """Applies records to a cell at growing offsets."""
+
+    def __init__(self):
+        self.cell = CellState()
+        self.offset = -1
+        for number in range(MEMBERS):
+            self.put(announcement(number))
+
+    def put(self, record):
+        self.offset += 1
+        assert self.cell.apply(self.offset, Envelope(1, self.offset, record))
+
+    def run(self, task_id, worker_id, ending):
+        """Claim a task for a worker and end it there."""
+        self.put(TaskClaimed(task_id, worker_id, 1, SIZE))
+        epoch = self.offset
+        if ending == "completed":
+            self.put(TaskEnded(task_id, epoch, "completed"))
+        else:
+            self.put(TaskReleased(task_id, epoch, "", ending))
+
+    def ranked_ids(self, task_id):
+        view = PlacementView.from_cell(self.cell, Configuration())
+        return rank_members(self.cell.tasks_by_id[task_id], view)
+
+
+def with_bad_worker():
+    records = Records()
+    for number in range(8):
+        name = f"job{number}"
+        records.put(job(name, spec(f"{name}/0")))
+        records.run(f"{name}/0", BAD, "failed")
+        records.run(f"{name}/0", GOOD, "completed")
+    records.put(job("next", spec("next/0")))
+    return records
+
+
+def test_a_worker_that_fails_distinct_jobs_is_passed_over():
+    ranked_ids = with_bad_worker().ranked_ids("next/0")
+    assert BAD not in ranked_ids
+    assert len(ranked_ids) == MEMBERS - 1
+
+
+def test_a_worker_whose_tasks_were_evicted_stays_open():
+    records = Records()
+    for number in range(8):
+        name = f"job{number}"
+        records.put(job(name, spec(f"{name}/0")))
+        records.run(f"{name}/0", BAD, "eviction")
+        records.run(f"{name}/0", GOOD, "completed")
+    records.put(job("next", spec("next/0")))
+    assert BAD in records.ranked_ids("next/0")
+
+
+def test_probes_that_complete_lift_quarantine():
+    records = with_bad_worker()
+    for number in range(3):
+        records.offset += PROBE_GAP
+        name = f"probe{number}"
+        records.put(job(name, spec(f"{name}/0"), spec(f"{name}/1")))
+        assert BAD not in records.ranked_ids(f"{name}/0")
+        records.run(f"{name}/1", GOOD, "completed")
+        assert BAD in records.ranked_ids(f"{name}/0")
+        records.run(f"{name}/0", BAD, "completed")
+    assert BAD in records.ranked_ids("next/0")
+    records.put(TaskClaimed("next/0", BAD, 1, SIZE))
+    records.put(job("last", spec("last/0")))
+    assert BAD in records.ranked_ids("last/0")
