--- a/dotterelspread/jobblame.py
+++ b/dotterelspread/jobblame.py
@@ -128,6 +128,13 @@
             return "blamed"
         return "unknown"
 
+    def is_in_doubt(self, job_id):
+        """Tell whether a job failed on a trusted worker and has completed nowhere."""
+        job = self._jobs_by_id.get(job_id)
+        if job is None or job.good_worker_ids:
+            return False
+        return bool(job.failed_workers(self._is_trusted))
+
     def refusal(self, job_id, task_id):
         """Return why a task should be refused for good, or None.
 
--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -20,7 +20,7 @@
 SUSPECT_RATIO = 30.0
 
 #: Likelihood ratio at which a worker is quarantined.
-QUARANTINE_RATIO = 2e3
+QUARANTINE_RATIO = 1e4
 
 #: Distinct jobs that must have failed on a worker before it is quarantined.
 MIN_FAILED_JOBS = 3
@@ -177,7 +177,7 @@
         if self._offset < worker.probe_at:
             detail = f"next probe from offset {worker.probe_at}"
             return Admission(False, False, f"{worker_id} is quarantined; {detail}")
-        if self._jobs.judge(job_id, worker_id) == "blamed":
+        if self._jobs.is_in_doubt(job_id):
             return Admission(False, False, f"{job_id} may be at fault itself: no probe")
         return Admission(True, True, f"probe of {worker_id}")
 
