Bound the head of callers' requests in size and time

Cause: the HTTP server limits neither; limits.header_timeout was read and not used. Trials on one connection: heads of 36 MB took the process from 31 to 721 MB resident, a trailer of 30 MB stayed open, and a head or a connection without bytes stayed open for good. Ruled out: the library's other parser (it bounds the head, but not the time, and is slower). Change: BoundedProtocol refuses a head over 32 KiB or after header_timeout as problem+json, closes a request whose bytes exceed what its body may take, and a silent connection; server.py uses it. Libraries' warnings, which callers can cause, are not logged.

--- /dev/null
+++ b/dotterelspread/httpprotocol.py
@@ -0,0 +1,112 @@
+"""HTTP connections whose requests are bounded in size and time.
+
+The HTTP server bounds neither the head of a request nor the time in which it comes.
+"""
+
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+
+from .outcome import RefusalReason, Refused
+from .problem import describe_outcome
+
+__all__ = ["MAX_HEAD_BYTES", "BoundedProtocol"]
+
+#: Largest head of a request, give or take what comes in one read.
+MAX_HEAD_BYTES = 32 << 10
+#: Bytes on the wire for each byte of the largest body, for chunked bodies.
+CHUNK_OVERHEAD = 8
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """A caller's connection; it is closed when a request exceeds the limits.
+
+    Parameters
+    ----------
+    limits : LimitSettings
+    **options
+        As the HTTP server gives them.
+    """
+
+    def __init__(self, limits, **options):
+        super().__init__(**options)
+        self._limits = limits
+        self._max_message_bytes = MAX_HEAD_BYTES + limits.max_body * CHUNK_OVERHEAD
+        self._head_timer = None
+        self._has_received = False
+        # Bytes after the read in which the present request began.
+        self._received = 0
+
+    def connection_made(self, transport):
+        """Start to wait for the first head."""
+        super().connection_made(transport)
+        self._expect_head()
+
+    def connection_lost(self, exc):
+        """Forget the timer."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data):
+        """Read ``data`` and refuse the request when it exceeds the limits."""
+        if self.transport.is_closing():
+            return
+        self._has_received = True
+        self._received += len(data)
+        super().data_received(data)
+        if self.transport.is_closing():
+            return
+        if self._head_timer is not None and self._received > MAX_HEAD_BYTES:
+            self._refuse(RefusalReason.TOO_LARGE, f"head: over {MAX_HEAD_BYTES} bytes")
+        elif self._received > self._max_message_bytes:
+            detail = f"request: over {self._max_message_bytes} bytes"
+            self._refuse(RefusalReason.TOO_LARGE, detail)
+
+    def on_message_begin(self):
+        """Start to wait for a head."""
+        super().on_message_begin()
+        self._received = 0
+        if self._head_timer is None:
+            self._expect_head()
+
+    def on_headers_complete(self):
+        """Stop waiting for the head."""
+        self._stop_timer()
+        super().on_headers_complete()
+
+    def send_400_response(self, msg):
+        """Refuse bytes that are not HTTP."""
+        self._refuse(RefusalReason.BAD_REQUEST, msg)
+
+    def _expect_head(self):
+        timeout_s = self._limits.header_timeout_s
+        self._head_timer = self.loop.call_later(timeout_s, self._head_timed_out)
+
+    def _stop_timer(self):
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_timed_out(self):
+        self._head_timer = None
+        detail = f"head: not received within {self._limits.header_timeout_s} s"
+        self._refuse(RefusalReason.BAD_REQUEST, detail)
+
+    def _refuse(self, reason, detail):
+        """Refuse the request that is being read, and close the connection.
+
+        Nothing is written into an answer that has begun, nor before any byte came.
+        """
+        self._stop_timer()
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and self._has_received:
+            self.transport.write(_response(Refused(reason, detail)))
+        self.transport.close()
+
+
+def _response(refused):
+    problem = describe_outcome(refused)
+    length = ("Content-Length", str(len(problem.body)))
+    lines = [
+        f"{name}: {value}\r\n".encode("ascii")
+        for name, value in (*problem.headers, length, ("Connection", "close"))
+    ]
+    return b"".join([STATUS_LINE[problem.status], *lines, b"\r\n", problem.body])
--- a/dotterelspread/jsonlog.py
+++ b/dotterelspread/jsonlog.py
@@ -20,7 +20,7 @@
 def open_log(settings, stream=None):
     """Write the lines of this process as JSON while the block runs.
 
-    Libraries' lines come out the same way, from warnings upwards.
+    Libraries' errors come out the same way; what they warn of, callers can cause.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     root = logging.getLogger()
     earlier = root.handlers, root.level, _logger.level
     root.handlers = [handler]
-    root.setLevel(logging.WARNING)
+    root.setLevel(logging.ERROR)
     _logger.setLevel(logging.INFO)
     try:
         yield
--- a/dotterelspread/server.py
+++ b/dotterelspread/server.py
@@ -2,10 +2,13 @@
 
 import asyncio
 from contextlib import asynccontextmanager, nullcontext
+from functools import partial
 
 import uvicorn
 from starlette.applications import Starlette
 
+from .httpprotocol import BoundedProtocol
+
 __all__ = ["ServerError", "serve_http"]
 
 #: Seconds between looks at whether the server has started.
@@ -38,6 +41,7 @@
         Starlette(routes=list(routes)),
         host=address.host,
         port=address.port,
+        http=partial(BoundedProtocol, limits),
         log_config=None,
         access_log=False,
         lifespan="off",
