Keep each kind's share in a flood, and route by latency

Change: slots lent are free of charge; the wait counts entitled work of all kinds; within its share a kind may wait one service time, over it half of one; an instance's latency joins the two choices; progress timeouts shrink with the time left, so that a retry still fits. Suspected instances are taken when there is no other.

--- /dev/null
+++ b/bench/retries.py
@@ -0,0 +1,121 @@
+"""Goodput and attempts when a third of the agents fail or slow down tenfold.
+
+Entries and agents run on virtual time; the shipped retry budget is compared with
+retries without a budget, and with none.
+"""
+
+import argparse
+from statistics import quantiles
+
+from dotterelspread.configuration import KindConfig, ServiceConfig
+from dotterelspread.outcome import Completed
+from dotterelspread.retry import RetryBudget
+from tests.builders_requests import SERVICE, Bench
+
+KIND = KindConfig("price", share=1.0, deadline_s=2.0)
+SERVICE_S = 0.1
+SLOTS = 8
+#: Seconds before the failures.
+WARM_UP_S = 2.0
+
+
+class NoBudget(RetryBudget):
+    def take(self):
+        return True
+
+
+class NoRetries(RetryBudget):
+    def take(self):
+        return False
+
+
+BUDGETS = {"budget": RetryBudget, "no budget": NoBudget, "no retries": NoRetries}
+
+
+def fail(bench, agent_id):
+    bench.kill_agent(agent_id, is_noticed=False)
+
+
+def freeze(bench, agent_id):
+    bench.agents[agent_id].is_frozen = True
+
+
+def refuse(bench, agent_id):
+    bench.agents[agent_id].state.slots = 0
+
+
+def slow_down(bench, agent_id):
+    bench.slow[agent_id] = 10.0
+
+
+FAULTS = {
+    "fail": fail,
+    "freeze": freeze,
+    "refuse all": refuse,
+    "10x slower": slow_down,
+}
+
+
+class RetryBench(Bench):
+    """Offers one idempotent kind as a Poisson process."""
+
+    def __init__(self, args, budget):
+        service = ServiceConfig(SERVICE, {KIND.name: KIND}, KIND.name)
+        super().__init__(
+            args.seed, args.entries, args.agents, SLOTS, 0.0005, service, act_s=0.0002
+        )
+        self.service_s = {KIND.name: SERVICE_S}
+        for entry in self.entries.values():
+            entry.state.retries = budget()
+
+    def offer(self, per_s):
+        self.after(self.rng.expovariate(per_s), self.offer, per_s)
+        self.send(self.rng.choice(list(self.entries)), KIND.name)
+
+
+def measure(args, fault, budget, load):
+    """Return goodput per request, attempts per request and the p99 in seconds."""
+    bench = RetryBench(args, budget)
+    bench.offer(load * args.agents * SLOTS / SERVICE_S)
+    bench.run_for(WARM_UP_S)
+    sends = bench.sends
+    for number in range(args.agents // 3):
+        fault(bench, f"a{number}")
+    bench.run_for(args.seconds)
+    sends = bench.sends - sends
+    # Requests of the last seconds may not have ended.
+    sent_by_id = {
+        request_id: sent.time_s
+        for request_id, sent in bench.history.sent_by_id.items()
+        if sent.time_s >= WARM_UP_S
+    }
+    bench.run_for(KIND.deadline_s + 0.2)
+    done_s = [
+        seen.time_s - sent_by_id[seen.request_id]
+        for seen in bench.history.seen
+        if seen.request_id in sent_by_id and isinstance(seen.outcome, Completed)
+    ]
+    p99_s = quantiles(done_s, n=100)[-1] if len(done_s) > 1 else float("nan")
+    return len(done_s) / len(sent_by_id), sends / len(sent_by_id), p99_s
+
+
+def main(args=None):
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--agents", type=int, default=6)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=4.0)
+    args = parser.parse_args(args)
+    print(f"{'fault':11} {'load':5} {'retries':11} goodput attempts p99 ms")
+    for name, fault in FAULTS.items():
+        for load in (0.5, 0.9):
+            for label, budget in BUDGETS.items():
+                goodput, attempts, p99_s = measure(args, fault, budget, load)
+                print(
+                    f"{name:11} {load:4.1f}  {label:11}"
+                    f"{goodput:7.3f} {attempts:8.2f} {1000 * p99_s:6.0f}"
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/dotterelspread/admission.py
+++ b/dotterelspread/admission.py
@@ -13,8 +13,10 @@
 ARRIVAL_WINDOW_S = 0.5
 #: Service time assumed for a kind that has not been run yet, in seconds.
 INITIAL_SERVICE_TIME_S = 0.02
-#: Longest wait of a request that may be refused, in service times of its kind.
-MAX_WAIT_SERVICE_TIMES = 0.75
+#: Longest wait of a request within its kind's share, in service times of the kind.
+MAX_WAIT_IN_SHARE = 1.0
+#: Longest wait of a request over its kind's share, in service times of the kind.
+MAX_WAIT_OVER_SHARE = 0.5
 #: Most requests that wait at an instance, of all kinds.
 MAX_WAITING = 512
 #: Seconds after which a refused caller may try again.
@@ -86,10 +88,24 @@
         slots = self.expected_slots(kind, now_s)
         if slots <= 0:
             return float("inf")
-        ahead = self.queue.count(kind) if self.queue.has_shares else len(self.queue)
-        credit_slot_s = max(0.0, self.queue.credit(kind, now_s))
-        work_slot_s = max(0.0, ahead * self.service_s(kind) - credit_slot_s)
-        return self.service_s(kind) / self.queue.slots + work_slot_s / slots
+        work_s = self.queue.count_ahead(kind) * self.service_s(kind)
+        credit_s = self.queue.credit(kind, now_s)
+        own_s = min(work_s, max(0.0, credit_s))
+        entitled_s = own_s + self._entitled_work_s(kind, now_s)
+        next_free_s = self.service_s(kind) / self.queue.slots
+        own_rate_s = (work_s - own_s + max(0.0, -credit_s)) / slots
+        return next_free_s + entitled_s / self.queue.slots + own_rate_s
+
+    def _entitled_work_s(self, but_kind, now_s):
+        """Return the slot seconds of other kinds' waiting work that go first."""
+        return sum(
+            min(
+                self.queue.count(kind) * self.service_s(kind),
+                max(0.0, self.queue.credit(kind, now_s)),
+            )
+            for kind in self.queue.kinds_by_name
+            if kind != but_kind
+        )
 
     def refusal(self, kind, deadline_s, running, now_s):
         """Return why a request cannot be admitted; None when it can.
@@ -113,12 +129,16 @@
             detail = "too many requests wait"
             return Refused(RefusalReason.NO_CAPACITY, detail, RETRY_AFTER_S)
         config = self.queue.kinds_by_name.get(kind)
-        is_refusable = config is None or config.refusable
-        if is_refusable and wait_s > MAX_WAIT_SERVICE_TIMES * service_s:
+        is_refusable = self.queue.has_shares and (config is None or config.refusable)
+        if is_refusable and wait_s > self._max_wait(kind, now_s) * service_s:
             detail = f"kind {kind} is over its share"
             return Refused(RefusalReason.SHED, detail, RETRY_AFTER_S)
         return None
 
+    def _max_wait(self, kind, now_s):
+        is_in_share = self.queue.credit(kind, now_s) > self.service_s(kind)
+        return MAX_WAIT_IN_SHARE if is_in_share else MAX_WAIT_OVER_SHARE
+
     def _arrival_rate(self, kind, now_s):
         elapsed_s = now_s - self.seen_s_by_kind.get(kind, now_s)
         remains = max(0.0, 1 - elapsed_s / ARRIVAL_WINDOW_S)
--- a/dotterelspread/agentcore.py
+++ b/dotterelspread/agentcore.py
@@ -45,6 +45,8 @@
     waiters: list
     #: When it started; None while it waits.
     started_s: float | None = None
+    #: Slot seconds charged for it; 0 when the slot was lent.
+    charged_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -120,8 +122,8 @@
     state.running_ids.remove(event.request_id)
     kind = pending.event.kind
     service_s = event.now_s - pending.started_s
-    charged_s = state.admission.service_s(kind)
-    state.queue.charge(kind, service_s - charged_s, event.now_s)
+    if pending.charged_s:
+        state.queue.charge(kind, service_s - pending.charged_s, event.now_s)
     state.admission.note_service(kind, service_s)
     state.answers.put(event.request_id, event.outcome)
     answer = SendAnswer(event.request_id, event.outcome, tuple(pending.waiters))
@@ -230,7 +232,9 @@
     state.running_ids.add(waiting.request_id)
     ids = state.run_ids if pending.event.idempotent else state.claimed_ids
     ids.add(waiting.request_id, now_s)
-    state.queue.charge(waiting.kind, state.admission.service_s(waiting.kind), now_s)
+    if state.queue.credit(waiting.kind, now_s) > 0:
+        pending.charged_s = state.admission.service_s(waiting.kind)
+        state.queue.charge(waiting.kind, pending.charged_s, now_s)
     return StartRun(waiting.request_id, pending.event.request, waiting.deadline_s)
 
 
--- a/dotterelspread/entryclaims.py
+++ b/dotterelspread/entryclaims.py
@@ -12,7 +12,7 @@
     ClaimsTruncated,
 )
 from .entrysend import (
-    ASK_TIMEOUT_S,
+    PROGRESS_TIMEOUT_S,
     choose,
     final_outcome,
     open_attempt,
@@ -133,7 +133,7 @@
         instance = state.instances_by_id.get(record.instance_id)
         if now_s < request.deadline_s and is_claimed_instance(instance, record):
             return [open_attempt(state, request, instance, record.attempt, now_s)]
-        attempt = note_unsent(request, record)
+        attempt = note_unsent(request, record, now_s)
         may_claim_again = len(request.attempts) < MAX_ATTEMPTS and state.retries.take()
         if not may_claim_again:
             return give_up(state, request)
@@ -160,12 +160,13 @@
     )
 
 
-def note_unsent(request, record):
+def note_unsent(request, record, now_s):
     """Note that the attempt of a claim was not sent and never will be."""
     attempt = Attempt(
         record.attempt,
         record.instance_id,
         record.incarnation,
+        sent_s=now_s,
         ask_s=request.deadline_s,
         state=AttemptState.NOT_RUN,
     )
@@ -230,7 +231,7 @@
         return [append(request.claim, request.request_id)]
     if request.follow_s is None or request.follow_s > now_s:
         return []
-    request.follow_s = now_s + ASK_TIMEOUT_S
+    request.follow_s = now_s + PROGRESS_TIMEOUT_S
     claim = state.table(request).find(request.service_name, request.key)
     if claim is None:
         request.follow_s = None
--- a/dotterelspread/entrycore.py
+++ b/dotterelspread/entrycore.py
@@ -28,14 +28,15 @@
     Respond,
 )
 from .entrysend import (
-    PROGRESS_TIMEOUT_S,
     ask,
     charge_answer,
     choose,
     close_attempt,
     final_outcome,
+    note_latency,
     note_load,
     open_attempt,
+    progress_timeout_s,
     respond,
     suspect,
 )
@@ -110,12 +111,12 @@
     if request is None:
         return []
     if event.asked_id != event.request_id:
-        request.follow_s = event.now_s + PROGRESS_TIMEOUT_S
+        request.follow_s = event.now_s + progress_timeout_s(request, event.now_s)
         return []
     attempt = request.find_attempt(event.attempt)
     if attempt and attempt.is_open:
         attempt.state = AttemptState.ASKING
-        attempt.ask_s = event.now_s + PROGRESS_TIMEOUT_S
+        attempt.ask_s = event.now_s + progress_timeout_s(request, event.now_s)
     return []
 
 
@@ -207,6 +208,7 @@
 def take_outcome(state, request, attempt, outcome, now_s):
     """Go on after an attempt's outcome became known."""
     if isinstance(outcome, Completed | Failed):
+        note_latency(state, attempt, now_s)
         effects = respond(state, request, outcome)
         return [*effects, *settle(state, request, outcome)]
     if not attempt.is_open:
--- a/dotterelspread/entrysend.py
+++ b/dotterelspread/entrysend.py
@@ -11,32 +11,42 @@
     "choose",
     "close_attempt",
     "final_outcome",
+    "note_latency",
     "note_load",
     "open_attempt",
+    "progress_timeout_s",
     "respond",
     "suspect",
 ]
 
 #: Seconds without an answer after which an instance is asked on a new connection.
 PROGRESS_TIMEOUT_S = 1.0
-#: Seconds that the reply to such a question may take.
-ASK_TIMEOUT_S = 1.0
+#: Part of the time left after which it is asked, if that is sooner.
+PROGRESS_SHARE = 0.25
+#: Seconds after which it is asked at the earliest.
+MIN_PROGRESS_TIMEOUT_S = 0.05
 
 
 def choose(state, request, now_s):
-    """Return an instance that the request was not sent to; None when there is none."""
+    """Return an instance that the request was not sent to; None when there is none.
+
+    A suspected instance is taken when there is no other.
+    """
     tried_ids = request.tried_ids
     candidates = [
         instance
         for instance in state.instances_by_id.values()
         if instance.instance_id not in tried_ids
-        and instance.can_serve(request.service_name, now_s)
+        and instance.can_serve(request.service_name)
     ]
+    trusted = [i for i in candidates if i.suspect_until_s <= now_s]
 
     def may_cross():
         return state.link.has_room(request.size_bytes, now_s)
 
-    return choose_instance(candidates, state.place, may_cross, state.rng, now_s)
+    return choose_instance(
+        trusted or candidates, state.place, may_cross, state.rng, now_s
+    )
 
 
 def open_attempt(state, request, instance, number, now_s):
@@ -45,7 +55,8 @@
         number,
         instance.instance_id,
         instance.incarnation,
-        ask_s=now_s + PROGRESS_TIMEOUT_S,
+        sent_s=now_s,
+        ask_s=now_s + progress_timeout_s(request, now_s),
     )
     request.attempts.append(attempt)
     instance.note_sent()
@@ -65,6 +76,19 @@
     )
 
 
+def progress_timeout_s(request, now_s):
+    """Return the seconds to wait for progress, so that time is left for a retry."""
+    timeout_s = min(PROGRESS_TIMEOUT_S, PROGRESS_SHARE * (request.deadline_s - now_s))
+    return max(MIN_PROGRESS_TIMEOUT_S, timeout_s)
+
+
+def note_latency(state, attempt, now_s):
+    """Take over how long an attempt took to be answered."""
+    instance = state.instances_by_id.get(attempt.instance_id)
+    if attempt.is_open and instance and instance.incarnation == attempt.incarnation:
+        instance.note_latency(now_s - attempt.sent_s, now_s)
+
+
 def close_attempt(state, attempt, closed):
     """Note what became of an attempt; it waits for no answer from then on."""
     if attempt.is_open:
@@ -77,7 +101,7 @@
 def ask(state, request, attempt, now_s):
     """Return the effects that ask for an attempt's answer on a new connection."""
     attempt.state = AttemptState.ASKING
-    attempt.ask_s = now_s + ASK_TIMEOUT_S
+    attempt.ask_s = now_s + progress_timeout_s(request, now_s)
     suspect(state, attempt.instance_id, now_s)
     return [
         OpenNewConnection(attempt.instance_id),
@@ -129,7 +153,7 @@
 
 
 def suspect(state, instance_id, now_s):
-    """Send nothing new to an instance for a while."""
+    """Prefer other instances for a while."""
     instance = state.instances_by_id.get(instance_id)
     if instance:
         instance.suspect_until_s = now_s + SUSPECT_S
--- a/dotterelspread/entrystate.py
+++ b/dotterelspread/entrystate.py
@@ -42,6 +42,7 @@
     number: int
     instance_id: str
     incarnation: int
+    sent_s: float
     #: When the instance is asked next unless an answer comes before.
     ask_s: float
     state: AttemptState = AttemptState.SENT
--- a/dotterelspread/queue.py
+++ b/dotterelspread/queue.py
@@ -74,6 +74,10 @@
         """Return how many requests of a kind wait."""
         return len(self.waiting_by_kind.get(kind, ()))
 
+    def count_ahead(self, kind):
+        """Return how many waiting requests start before a new one of a kind."""
+        return len(self)
+
     def credit(self, kind, now_s):
         """Return the slot seconds that a kind may use before all others."""
         return 0.0
--- a/dotterelspread/queues/fair.py
+++ b/dotterelspread/queues/fair.py
@@ -12,8 +12,9 @@
     """Hierarchical token buckets: a guaranteed rate, then borrowing by urgency.
 
     Each kind earns credit in slot seconds at its share of the slots, and pays with the
-    slot time that it uses. Kinds with credit go first; what is left goes to the most
-    urgent kind. Use it wherever several kinds share an instance.
+    slot time that it uses while it has any. Kinds with credit go first; what is left is
+    lent to the most urgent kind free of charge. Use it wherever kinds share an
+    instance.
     """
 
     __slots__ = ("credit_by_kind", "earned_s")
@@ -25,6 +26,10 @@
         self.earned_s = None
         super().__init__(slots, kinds_by_name)
 
+    def count_ahead(self, kind):
+        """Return how many waiting requests start before a new one of a kind."""
+        return self.count(kind)
+
     def rate(self, kind):
         """Return the slots guaranteed to a kind."""
         config = self.kinds_by_name.get(kind)
@@ -38,11 +43,8 @@
     def charge(self, kind, slot_s, now_s):
         """Count slot seconds against a kind; negative gives back."""
         self._earn(now_s)
-        rate = self.rate(kind)
         credit = self.credit_by_kind.get(kind, 0.0) - slot_s
-        # Debt is bounded too, so that borrowed time is not held against a kind later.
-        bound = CREDIT_S * rate
-        self.credit_by_kind[kind] = max(-bound, min(bound, credit))
+        self.credit_by_kind[kind] = min(CREDIT_S * self.rate(kind), credit)
 
     def pop(self, now_s):
         """Remove and return the request that starts next; None when empty."""
--- a/dotterelspread/queues/strict.py
+++ b/dotterelspread/queues/strict.py
@@ -10,6 +10,16 @@
 
     __slots__ = ()
 
+    def count_ahead(self, kind):
+        """Return how many waiting requests start before a new one of a kind."""
+        config = self.kinds_by_name.get(kind)
+        urgency = config.urgency if config else 0
+        return sum(
+            len(waiting)
+            for waiting in self.waiting_by_kind.values()
+            if waiting and waiting[0].urgency >= urgency
+        )
+
     def pop(self, now_s):
         """Remove and return the most urgent request; None when empty."""
         heads = self.heads()
--- a/dotterelspread/routing.py
+++ b/dotterelspread/routing.py
@@ -15,6 +15,10 @@
 FULL_LOAD = 1.25
 #: Seconds for which a reported load is believed.
 LOAD_AGE_S = 2.0
+#: Weight of a new latency in the moving average.
+LATENCY_WEIGHT = 0.2
+#: Seconds for which a latency is believed; a slow instance is tried again after that.
+LATENCY_AGE_S = 5.0
 #: Seconds for which an instance is avoided after a failed connection.
 SUSPECT_S = 2.0
 
@@ -50,7 +54,11 @@
     sent: int = 0
     #: Requests of this entry that have not ended.
     outstanding: int = 0
+    #: Until when others are preferred, as a connection to it failed.
     suspect_until_s: float = float("-inf")
+    #: Moving average of the time to an answer; 0 when there was none.
+    latency_s: float = 0.0
+    answered_s: float = float("-inf")
 
     def note_load(self, load, now_s):
         """Take over a reported load."""
@@ -66,6 +74,12 @@
         self.slots = load.slots or self.slots
         self.draining = self.draining or load.draining
 
+    def note_latency(self, latency_s, now_s):
+        """Take over the time that a completed request took."""
+        step_s = LATENCY_WEIGHT * (latency_s - self.latency_s)
+        self.latency_s = self.latency_s + step_s if self.latency_s else latency_s
+        self.answered_s = now_s
+
     def note_sent(self):
         """Count a request that is sent there."""
         self.sent += 1
@@ -77,14 +91,17 @@
         reported = self.reported + self.sent if is_fresh else 0
         return max(reported, self.outstanding) / max(1, self.slots)
 
-    def can_serve(self, service_name, now_s):
+    def cost_s(self, now_s):
+        """Return the latency to expect, growing with the load."""
+        return self.latency_s * (self.load_per_slot(now_s) + 1 / max(1, self.slots))
+
+    def has_latency(self, now_s):
+        """Tell whether the average latency is recent enough to compare."""
+        return self.latency_s > 0 and now_s - self.answered_s <= LATENCY_AGE_S
+
+    def can_serve(self, service_name):
         """Tell whether a request of a service may be sent there."""
-        return (
-            not self.draining
-            and self.slots > 0
-            and service_name in self.services
-            and now_s >= self.suspect_until_s
-        )
+        return not self.draining and self.slots > 0 and service_name in self.services
 
 
 def subset_ids(entry_id, instance_ids, size=SUBSET_SIZE):
@@ -132,6 +149,8 @@
     if not instances:
         return None
     pair = rng.sample(instances, min(2, len(instances)))
+    if all(instance.has_latency(now_s) for instance in pair):
+        return min(pair, key=lambda instance: instance.cost_s(now_s))
     return min(pair, key=lambda instance: instance.load_per_slot(now_s))
 
 
