--- a/dotterelspread/admission.py
+++ b/dotterelspread/admission.py
@@ -14,7 +14,7 @@
 #: Service time assumed for a kind that has not been run yet, in seconds.
 INITIAL_SERVICE_TIME_S = 0.02
 #: Longest wait of a request within its kind's share, in service times of the kind.
-MAX_WAIT_IN_SHARE = 1.0
+MAX_WAIT_IN_SHARE = 1.25
 #: Longest wait of a request over its kind's share, in service times of the kind.
 MAX_WAIT_OVER_SHARE = 0.5
 #: Most requests that wait at an instance, of all kinds.
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -141,6 +141,8 @@
     as_of: int
     #: Unix time of the stream's claims in seconds.
     clock_s: int
+    #: Times of the latest claims, of which the clock is the median.
+    times: tuple[int, ...]
     claims: tuple[ClaimState, ...]
 
 
--- a/dotterelspread/requestclaim.py
+++ b/dotterelspread/requestclaim.py
@@ -146,7 +146,8 @@
             ClaimState(claim.record, claim.settled)
             for claim in self.claims_by_key.values()
         )
-        return ClaimsSnapshot(self.offset, self.clock_s, tuple(claims))
+        times = tuple(self.times)
+        return ClaimsSnapshot(self.offset, self.clock_s, times, tuple(claims))
 
     @singledispatchmethod
     def _apply(self, record):
@@ -181,6 +182,7 @@
             for state in record.claims
         )
         self.clock_s = record.clock_s
+        self.times = deque(record.times, maxlen=CLOCK_CLAIMS)
         self.is_complete = True
         later, self.pending = self.pending, []
         for offset, waiting in later:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,45 @@
+import pytest
+
+from dotterelspread.admission import MAX_WAITING, Admission
+from dotterelspread.configuration import KindConfig
+from dotterelspread.outcome import RefusalReason
+from dotterelspread.queue import Waiting, find_queue
+
+KINDS = {
+    "plain": KindConfig("plain", 1, share=0.5),
+    "kept": KindConfig("kept", 1, share=0.0, refusable=False),
+}
+
+
+def an_admission(name="fair", waiting=0, kind="plain"):
+    queue = find_queue(name)(2, KINDS)
+    for number in range(waiting):
+        queue.push(Waiting(f"r{number}", kind, 1, 99.0, 0.0))
+    admission = Admission(queue)
+    for kind_name in KINDS:
+        admission.note_service(kind_name, 0.1)
+    return admission
+
+
+def reason(admission, kind="plain", deadline_s=9.0, running=2):
+    refused = admission.refusal(kind, deadline_s, running, 0.0)
+    return refused and refused.reason
+
+
+def test_a_free_slot_admits_what_can_end_in_time():
+    assert reason(an_admission(), running=1) is None
+    assert reason(an_admission(), running=1, deadline_s=0.09) == RefusalReason.DEADLINE
+
+
+def test_the_wait_counts_against_the_deadline_before_it_is_waited_for():
+    busy = an_admission("fifo", waiting=10)
+    assert busy.expected_wait_s("plain", 2, 0.0) == pytest.approx(0.55)
+    assert reason(busy, deadline_s=0.6) == RefusalReason.DEADLINE
+    assert reason(busy, deadline_s=0.7) is None
+
+
+def test_a_kind_over_its_share_is_shed_unless_it_may_not_be():
+    assert reason(an_admission(waiting=20)) == RefusalReason.SHED
+    assert reason(an_admission(waiting=20, kind="kept"), "kept") is None
+    full = an_admission(waiting=MAX_WAITING, kind="kept")
+    assert reason(full, "kept", 999.0) == RefusalReason.NO_CAPACITY
--- /dev/null
+++ b/tests/test_requestclaim.py
@@ -0,0 +1,101 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dotterelspread.outcome import Completed, Failed, RefusalReason, Refused, Unknown
+from dotterelspread.record import RequestClaimed, RequestSettled
+from dotterelspread.requestclaim import (
+    CLAIM_HORIZON_S,
+    SETTLED_BODY_BYTES,
+    ClaimTable,
+    settled_record,
+)
+
+IDS = st.sampled_from(["r1", "r2", "r3"])
+CLAIMS = st.builds(
+    RequestClaimed,
+    st.just("dispatch"),
+    st.sampled_from(["k1", "k2"]),
+    IDS,
+    st.sampled_from(["a0", "a1"]),
+    st.integers(1, 2),
+    st.sampled_from([b"f", b"g"]),
+    st.integers(0, 2),
+    st.integers(0, 3).map(lambda day: day * CLAIM_HORIZON_S),
+)
+SETTLEMENTS = st.builds(
+    RequestSettled,
+    st.just("dispatch"),
+    st.sampled_from(["k1", "k2"]),
+    IDS,
+    st.sampled_from(["completed", "refused"]),
+    attempt=st.integers(0, 2),
+)
+
+
+def a_claim(request_id="r1", attempt=0, claimed_at=0, key="k1"):
+    return RequestClaimed(
+        "dispatch", key, request_id, "a0", 1, b"f", attempt, claimed_at
+    )
+
+
+def a_table(*records):
+    table = ClaimTable()
+    for offset, record in enumerate(records):
+        table.apply(offset, record)
+    return table
+
+
+@settings(derandomize=True)
+@given(st.lists(CLAIMS | SETTLEMENTS, max_size=30), st.data())
+def test_a_reader_from_a_snapshot_agrees_with_one_from_the_start(records, data):
+    # The snapshot is of an older offset than its own: records stand in between.
+    as_of = data.draw(st.integers(0, len(records)))
+    first = data.draw(st.integers(0, as_of))
+    whole = a_table(*records)
+    snapshot = a_table(*records[:as_of]).snapshot()
+    late = ClaimTable(first_offset=first)
+    for offset in range(first, len(records)):
+        late.apply(offset, records[offset])
+    late.apply(len(records), snapshot)
+    assert late.is_complete
+    assert late.claims_by_key == whole.claims_by_key
+
+
+def test_the_first_claim_stands():
+    table = a_table(a_claim("r1"), a_claim("r2"))
+    assert table.find("dispatch", "k1").record.request_id == "r1"
+
+
+def test_the_next_attempt_takes_the_place_of_an_open_claim_only():
+    table = a_table(a_claim("r1"), a_claim("r2", attempt=1))
+    assert table.find("dispatch", "k1").record.request_id == "r2"
+    done = settled_record(a_claim("r1"), Completed(200))
+    table = a_table(a_claim("r1"), done, a_claim("r2", attempt=1))
+    assert table.find("dispatch", "k1").outcome == Completed(200)
+
+
+def test_a_claim_is_forgotten_after_the_horizon_by_most_clocks():
+    later = [a_claim(f"r{n}", 0, CLAIM_HORIZON_S + 9, f"k{n}") for n in range(2, 9)]
+    assert a_table(a_claim(), later[0]).find("dispatch", "k1") is not None
+    assert a_table(a_claim(), *later).find("dispatch", "k1") is None
+
+
+def test_a_truncated_stream_is_incomplete_until_a_snapshot():
+    table = a_table(a_claim())
+    table.truncate(5)
+    assert not table.is_complete
+    table.apply(6, a_table(*[a_claim()] * 5).snapshot())
+    assert table.is_complete
+
+
+def test_outcomes_survive_the_log():
+    small, large = (Completed(200, (), b"x" * n) for n in (9, SETTLED_BODY_BYTES + 1))
+    for outcome in (small, Failed("no vans left")):
+        table = a_table(a_claim(), settled_record(a_claim(), outcome))
+        assert table.find("dispatch", "k1").outcome == outcome
+    table = a_table(a_claim(), settled_record(a_claim(), large))
+    assert table.find("dispatch", "k1").outcome is None
+    assert table.find("dispatch", "k1").settled.body_at_instance
+    refused = settled_record(a_claim(), Refused(RefusalReason.SHED))
+    assert a_table(a_claim(), refused).find("dispatch", "k1").was_not_run
+    assert settled_record(a_claim(), Unknown()) is None
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,72 @@
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dotterelspread.entrystate import Place
+from dotterelspread.routing import (
+    FULL_LOAD,
+    Instance,
+    Load,
+    choose_instance,
+    subset_ids,
+)
+
+PLACE = Place("e0", "kumasi", "ashanti")
+
+
+def an_instance(name, data_centre="kumasi", region="ashanti", used=0):
+    instance = Instance(name, 1, name, data_centre, region, ("dispatch",), 8)
+    instance.note_load(Load(used, 0, 8, incarnation=1), 0.0)
+    return instance
+
+
+def chosen(instances, may_cross=True, now_s=0.0):
+    rng = random.Random(1)
+    picks = [
+        choose_instance(instances, PLACE, lambda: may_cross, rng, now_s)
+        for _ in range(50)
+    ]
+    return {pick.instance_id for pick in picks if pick}
+
+
+def test_nearer_instances_go_first_and_others_take_overflow():
+    full = int(8 * FULL_LOAD)
+    here = an_instance("a0", used=full)
+    near = an_instance("a1", "obuasi")
+    far = an_instance("a2", "takoradi", "western")
+    assert chosen([here, near, far]) == {"a1"}
+    near.note_load(Load(full, 0, 8), 0.0)
+    assert chosen([here, near, far]) == {"a2"}
+    assert chosen([here, near, far], may_cross=False) == {"a0"}
+    here.note_load(Load(0, 0, 8), 0.0)
+    assert chosen([here, near, far]) == {"a0"}
+
+
+def test_a_slow_instance_is_avoided_until_its_latency_is_old():
+    slow, quick = an_instance("a0"), an_instance("a1", used=4)
+    slow.note_latency(1.0, 0.0)
+    quick.note_latency(0.1, 0.0)
+    assert chosen([slow, quick]) == {"a1"}
+    quick.note_load(Load(4, 0, 8), 9.0)
+    slow.note_load(Load(0, 0, 8), 9.0)
+    assert chosen([slow, quick], now_s=9.0) == {"a0"}
+
+
+def test_a_report_of_an_earlier_incarnation_is_ignored_and_of_a_later_one_taken():
+    instance = an_instance("a0")
+    instance.note_load(Load(8, 8, 8, incarnation=3), 1.0)
+    instance.note_load(Load(0, 0, 8, draining=True, incarnation=2), 2.0)
+    assert (instance.incarnation, instance.reported) == (3, 16)
+    assert not instance.draining
+
+
+@settings(derandomize=True)
+@given(st.integers(2, 60), st.integers(1, 20), st.data())
+def test_a_subset_changes_only_with_its_members(count, size, data):
+    ids = [f"a{number}" for number in range(count)]
+    before = set(subset_ids("e0", ids, size))
+    gone = data.draw(st.sampled_from(ids))
+    after = set(subset_ids("e0", [i for i in ids if i != gone], size))
+    assert len(before) == min(size, count)
+    assert before - after <= {gone}
