--- /dev/null
+++ b/dotterelspread/cell.py
@@ -0,0 +1,247 @@
+"""State of one cell: a pure function of the records in its stream.
+
+Every reader that applies the same records has the same state, so whether a claim, an
+end or a lapse is valid needs no agreement beyond the order of the stream.
+"""
+
+from bisect import bisect_left, insort
+
+import msgspec
+
+from .cellrules import apply_record
+from .celltask import NO_EPOCH, CellJob, CellMember, CellTask, TaskPhase
+from .quarantine import QuarantineState
+from .record import CellSnapshot
+from .resources import Resources
+
+__all__ = ["KEPT_JOBS", "CellError", "CellState"]
+
+#: Number of ended jobs whose outcome the state keeps.
+KEPT_JOBS = 256
+#: Stands between the id of a service replica and the number of its replacement.
+SUCCESSOR_MARK = "~"
+
+
+class CellError(Exception):
+    """A snapshot of a cell cannot be read."""
+
+
+class CellContent(msgspec.Struct, array_like=True):
+    """What a snapshot holds."""
+
+    next_offset: int
+    members: list[CellMember]
+    jobs: list[CellJob]
+    tasks: list[CellTask]
+    ended_job_ids: list[str]
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_decoder = msgspec.msgpack.Decoder(CellContent)
+
+
+def _successor_id(task_id):
+    base, mark, number = task_id.rpartition(SUCCESSOR_MARK)
+    if mark and number.isdecimal():
+        return f"{base}{SUCCESSOR_MARK}{int(number) + 1}"
+    return f"{task_id}{SUCCESSOR_MARK}1"
+
+
+class CellState:
+    """Members, jobs and tasks of a cell as of an offset of its stream.
+
+    Use `apply` on each record in order. A record that is not valid at its offset
+    changes nothing, for every reader alike; so repeated records do no harm.
+    """
+
+    __slots__ = (
+        "ended_job_ids",
+        "jobs_by_id",
+        "members_by_id",
+        "next_offset",
+        "pending",
+        "quarantine",
+        "tasks_by_id",
+    )
+
+    def __init__(self):
+        #: Offset of the first record that has not been applied.
+        self.next_offset = 0
+        self.members_by_id = {}
+        self.jobs_by_id = {}
+        self.tasks_by_id = {}
+        #: Sorted keys (`CellTask.order`) of the pending tasks.
+        self.pending = []
+        self.ended_job_ids = []
+        #: Evidence on failing workers. It starts anew at a snapshot: it only decides
+        #: who claims, and never whether a claim is valid.
+        self.quarantine = QuarantineState()
+
+    @classmethod
+    def from_snapshot(cls, snapshot):
+        """Return the state in a `CellSnapshot`.
+
+        Raises
+        ------
+        CellError
+            When its bytes are not the state of a cell.
+        """
+        try:
+            content = _decoder.decode(snapshot.state)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise CellError(f"cell snapshot: {error}") from error
+        state = cls()
+        state.next_offset = content.next_offset
+        state.members_by_id = {m.instance_id: m for m in content.members}
+        state.jobs_by_id = {job.job_id: job for job in content.jobs}
+        state.tasks_by_id = {task.task_id: task for task in content.tasks}
+        state.ended_job_ids = content.ended_job_ids
+        state.pending = sorted(
+            task.order for task in content.tasks if task.phase is TaskPhase.PENDING
+        )
+        return state
+
+    def to_snapshot(self):
+        """Return the `CellSnapshot`; the same bytes for every reader at an offset."""
+        content = CellContent(
+            self.next_offset,
+            [self.members_by_id[key] for key in sorted(self.members_by_id)],
+            [self.jobs_by_id[key] for key in sorted(self.jobs_by_id)],
+            [self.tasks_by_id[key] for key in sorted(self.tasks_by_id)],
+            self.ended_job_ids,
+        )
+        return CellSnapshot(self.next_offset - 1, _encoder.encode(content))
+
+    def apply(self, offset, envelope):
+        """Apply one envelope of the log record at ``offset``.
+
+        Returns
+        -------
+        bool
+            True when the record was valid and changed the state.
+        """
+        if offset + 1 < self.next_offset:
+            return False
+        self.next_offset = offset + 1
+        self.quarantine.advance(offset)
+        return apply_record(envelope.record, self, offset)
+
+    def is_pending(self, task_id):
+        """Tell whether the task waits to be claimed."""
+        task = self.tasks_by_id.get(task_id)
+        return task is not None and task.phase is TaskPhase.PENDING
+
+    def pending_tasks(self):
+        """Yield the pending tasks, the first to be claimed first."""
+        for key in self.pending:
+            yield self.tasks_by_id[key[-1]]
+
+    def renewal_of(self, task):
+        """Return the offset of the latest renewal of an owned task's lease."""
+        member = self.members_by_id[task.owner_id]
+        if member.incarnation == task.owner_incarnation:
+            return max(task.epoch, member.renewal_offset)
+        return max(task.epoch, task.renewal_offset)
+
+    def owned_task(self, task_id, epoch):
+        """Return the task when it is owned under ``epoch``, else None."""
+        task = self.tasks_by_id.get(task_id)
+        if task is None or task.phase is not TaskPhase.OWNED or task.epoch != epoch:
+            return None
+        return task
+
+    def present_member(self, instance_id, incarnation):
+        """Return the member when this incarnation of it is present, else None."""
+        member = self.members_by_id.get(instance_id)
+        if member is None or member.incarnation != incarnation:
+            return None
+        return member if member.is_present else None
+
+    def add_job(self, job):
+        """Add a job without tasks."""
+        self.jobs_by_id[job.job_id] = job
+
+    def add_task(self, job, spec, offset):
+        """Add a pending task to a job, unless its id is in use."""
+        if spec.task_id in self.tasks_by_id:
+            return
+        task = CellTask(spec, job.job_id, job.urgency, offset)
+        self.tasks_by_id[spec.task_id] = task
+        job.task_ids.append(spec.task_id)
+        job.open_tasks += 1
+        insort(self.pending, task.order)
+
+    def replace_replica(self, task, offset):
+        """Add a replica under a new id in place of one whose owner may be lost."""
+        job = self.jobs_by_id[task.job_id]
+        if not job.is_service or job.is_cancelled or task.successor_id:
+            return
+        task.successor_id = _successor_id(task.task_id)
+        spec = msgspec.structs.replace(task.spec, task_id=task.successor_id)
+        self.add_task(job, spec, offset)
+
+    def own(self, task, member, claim, offset):
+        """Give a pending task to the member that claimed it."""
+        self._leave_pending(task)
+        task.phase = TaskPhase.OWNED
+        task.epoch = offset
+        task.owner_id = claim.owner_id
+        task.owner_incarnation = claim.incarnation
+        task.reserved = claim.reserved
+        task.lease_s = claim.lease_s
+        member.reserved = member.reserved + claim.reserved
+        member.task_ids.append(task.task_id)
+        member.renewal_offset = offset
+
+    def return_to_pending(self, task, detail):
+        """Take an owned task from its owner, so that it can be claimed again."""
+        self.disown(task)
+        if self.jobs_by_id[task.job_id].is_cancelled or task.successor_id:
+            self.end(task, "cancelled", detail)
+            return
+        task.phase = TaskPhase.PENDING
+        task.detail = detail
+        insort(self.pending, task.order)
+
+    def disown(self, task):
+        """Free what an owned task holds on its owner's instance."""
+        member = self.members_by_id[task.owner_id]
+        member.reserved = member.reserved - task.reserved
+        member.task_ids.remove(task.task_id)
+        task.owner_id = ""
+        task.reserved = Resources()
+        task.renewal_offset = NO_EPOCH
+        self.forget_if_idle(member)
+
+    def forget_if_idle(self, member):
+        """Drop a member that has left once nothing is reserved on it."""
+        if not member.is_present and not member.task_ids:
+            del self.members_by_id[member.instance_id]
+
+    def end(self, task, outcome, detail):
+        """End a task that nobody owns."""
+        if task.phase is TaskPhase.PENDING:
+            self._leave_pending(task)
+        task.phase = TaskPhase.ENDED
+        task.outcome = outcome
+        task.detail = detail
+        job = self.jobs_by_id[task.job_id]
+        job.open_tasks -= 1
+        if job.open_tasks == 0:
+            self.keep_ended(job)
+        elif task.successor_id:
+            # A service never ends, so the replicas that it replaced are dropped.
+            job.task_ids.remove(task.task_id)
+            del self.tasks_by_id[task.task_id]
+
+    def keep_ended(self, job):
+        """Keep the outcome of an ended job, and forget the oldest one."""
+        self.ended_job_ids.append(job.job_id)
+        if len(self.ended_job_ids) <= KEPT_JOBS:
+            return
+        forgotten = self.jobs_by_id.pop(self.ended_job_ids.pop(0))
+        for task_id in forgotten.task_ids:
+            del self.tasks_by_id[task_id]
+
+    def _leave_pending(self, task):
+        del self.pending[bisect_left(self.pending, task.order)]
--- /dev/null
+++ b/dotterelspread/quarantine.py
@@ -0,0 +1,242 @@
+"""Telling bad jobs from bad workers, and quarantine of the workers, for one cell.
+
+All decisions are a pure function of the ends of tasks in the cell's stream, in the
+order of their offsets, so that every member of the cell computes the same. Offsets
+serve as the clock for probes and retries.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from .evidence import Run, WorkerEvidence
+from .jobblame import JobTable
+
+__all__ = ["Admission", "QuarantineState", "Standing"]
+
+#: Largest part of a cell's workers in quarantine at a time; at least one may be.
+MAX_QUARANTINED_SHARE = 0.2
+
+#: Likelihood ratio at which a worker gets one task at a time.
+SUSPECT_RATIO = 30.0
+
+#: Likelihood ratio at which a worker is quarantined.
+QUARANTINE_RATIO = 1e4
+
+#: Distinct jobs that must have failed on a worker before it is quarantined.
+MIN_FAILED_JOBS = 3
+
+#: Probes in a row that must complete for quarantine to be lifted.
+PROBES_TO_LIFT = 3
+
+#: Offsets between a failed probe and the next: the first gap, and the longest.
+PROBE_GAP_OFFSETS = 100
+MAX_PROBE_GAP_OFFSETS = 800
+
+
+class Standing(enum.StrEnum):
+    """What a worker may be given."""
+
+    OPEN = "open"
+    #: One task at a time, until more is known.
+    SUSPECT = "suspect"
+    #: Probes only.
+    QUARANTINED = "quarantined"
+
+
+@dataclass(slots=True, frozen=True)
+class Admission:
+    """Whether a task may start on a worker, and why."""
+
+    allowed: bool
+    is_probe: bool
+    reason: str
+
+
+class QuarantineState:
+    """Evidence about the jobs and workers of one cell as of an offset.
+
+    Use one beside the state of each cell that a process reads. Feed it every start,
+    completion, failure and release of a task in the order of their offsets.
+    """
+
+    __slots__ = ("_jobs", "_offset", "_workers_by_id")
+
+    def __init__(self):
+        self._offset = -1
+        self._workers_by_id = {}
+        self._jobs = JobTable(self._is_trusted)
+
+    def advance(self, offset):
+        """Note the offset of a record of the cell, by which probes become due."""
+        self._offset = offset
+
+    def saw_worker(self, worker_id):
+        """Count a worker as a member of the cell."""
+        if worker_id not in self._workers_by_id:
+            self._workers_by_id[worker_id] = WorkerEvidence()
+
+    def forget_worker(self, worker_id):
+        """Drop a worker that has left the cell."""
+        self._workers_by_id.pop(worker_id, None)
+
+    def forget_task(self, task_id):
+        """Drop a task that was cancelled or refused."""
+        self._jobs.forget_task(task_id)
+
+    def started(self, offset, job_id, worker_id):
+        """Count the start of a task of a job on a worker."""
+        self._offset = offset
+        self.saw_worker(worker_id)
+        self._jobs.started(job_id)
+
+    def released(self, offset, job_id):
+        """Take back a start: the task was evicted, lapsed or cancelled."""
+        self._offset = offset
+        self._jobs.released(job_id)
+
+    def success(self, offset, job_id, task_id, worker_id):
+        """Take the completion of a task on a worker."""
+        self._offset = offset
+        self.saw_worker(worker_id)
+        affected_ids = self._jobs.success(job_id, task_id, worker_id)
+        self._end_run(job_id, worker_id, ok=True)
+        for other_id in affected_ids:
+            self._judge_worker(other_id)
+
+    def failure(self, offset, job_id, task_id, worker_id):
+        """Take the failure of a task on a worker."""
+        self._offset = offset
+        self.saw_worker(worker_id)
+        self._jobs.failure(offset, job_id, task_id, worker_id)
+        self._end_run(job_id, worker_id, ok=False)
+
+    def standing(self, worker_id):
+        """Return the `Standing` of a worker."""
+        worker = self._workers_by_id.get(worker_id)
+        if worker is None or self._is_trusted(worker_id):
+            return Standing.OPEN
+        if worker.quarantined_at is not None:
+            return Standing.QUARANTINED
+        return Standing.SUSPECT
+
+    def quarantined_ids(self):
+        """Return the ids of the workers in quarantine, sorted."""
+        return sorted(
+            worker_id
+            for worker_id, worker in self._workers_by_id.items()
+            if worker.quarantined_at is not None
+        )
+
+    def refusal(self, job_id, task_id):
+        """Return why a task should be refused for good, or None."""
+        return self._jobs.refusal(job_id, task_id)
+
+    def admit(self, worker_id, job_id, task_id, running):
+        """Decide whether a task may start on a worker.
+
+        Parameters
+        ----------
+        worker_id, job_id, task_id : str
+        running : int
+            Tasks that the worker runs now.
+
+        Returns
+        -------
+        admission : Admission
+        """
+        wait = self._jobs.wait(self._offset, job_id, task_id)
+        if wait is not None:
+            return Admission(False, False, wait)
+        if worker_id in self._avoided_ids(task_id):
+            return Admission(False, False, f"{task_id} failed on {worker_id} before")
+        standing = self.standing(worker_id)
+        if standing is Standing.OPEN:
+            return Admission(True, False, f"{worker_id} is open")
+        if running > 0:
+            return Admission(False, False, f"{worker_id} is {standing}: one at a time")
+        if standing is Standing.SUSPECT:
+            return Admission(True, False, f"{worker_id} is suspect")
+        return self._admit_probe(worker_id, job_id)
+
+    def explain(self, worker_id):
+        """Return a worker's standing in words, with the jobs that failed there."""
+        worker = self._workers_by_id.get(worker_id)
+        if worker is None:
+            return f"{worker_id}: no task has run there"
+        failed = sorted({run.job_id for run in worker.runs if not run.ok})
+        text = f"{worker_id}: {self.standing(worker_id)}"
+        if failed:
+            text += f"; of its last {len(worker.runs)} runs these jobs' failed: "
+            text += ", ".join(failed)
+        if worker.quarantined_at is not None:
+            text += (
+                f"; quarantined at offset {worker.quarantined_at}; "
+                f"{worker.probes_passed} of {PROBES_TO_LIFT} probes completed; "
+                f"next probe from offset {worker.probe_at}"
+            )
+        return text
+
+    def _admit_probe(self, worker_id, job_id):
+        worker = self._workers_by_id[worker_id]
+        if self._offset < worker.probe_at:
+            detail = f"next probe from offset {worker.probe_at}"
+            return Admission(False, False, f"{worker_id} is quarantined; {detail}")
+        if self._jobs.is_in_doubt(job_id):
+            return Admission(False, False, f"{job_id} may be at fault itself: no probe")
+        return Admission(True, True, f"probe of {worker_id}")
+
+    def _avoided_ids(self, task_id):
+        """Return the workers a task failed on, while there are others to try."""
+        failed_ids = self._jobs.failed_worker_ids(task_id)
+        usable = len(self._workers_by_id) - len(self.quarantined_ids())
+        return failed_ids if len(failed_ids) < usable else ()
+
+    def _is_trusted(self, worker_id):
+        worker = self._workers_by_id.get(worker_id)
+        if worker is None:
+            return True
+        return worker.quarantined_at is None and worker.ratio < SUSPECT_RATIO
+
+    def _end_run(self, job_id, worker_id, ok):
+        worker = self._workers_by_id[worker_id]
+        noise, first_rate = self._jobs.noise.value, self._jobs.first_rate.value
+        worker.runs.append(Run(job_id, ok, noise, first_rate))
+        if worker.quarantined_at is None:
+            self._judge_worker(worker_id)
+        elif ok:
+            self._pass_probe(worker)
+        elif self._jobs.judge(job_id, worker_id) != "blamed":
+            self._fail_probe(worker)
+
+    def _pass_probe(self, worker):
+        worker.probes_passed += 1
+        if worker.probes_passed >= PROBES_TO_LIFT:
+            worker.quarantined_at = None
+            worker.ratio = 1.0
+            worker.runs.clear()
+
+    def _fail_probe(self, worker):
+        worker.probes_passed = 0
+        worker.probe_gap = min(2 * worker.probe_gap, MAX_PROBE_GAP_OFFSETS)
+        worker.probe_at = self._offset + worker.probe_gap
+
+    def _judge_worker(self, worker_id):
+        worker = self._workers_by_id.get(worker_id)
+        if worker is None or worker.quarantined_at is not None:
+            return
+        worker.ratio = worker.weigh(
+            self._jobs.noise.value,
+            self._jobs.first_rate.value,
+            lambda job_id: self._jobs.judge(job_id, worker_id),
+        )
+        failed = {run.job_id for run in worker.runs if not run.ok}
+        enough = len(failed) >= MIN_FAILED_JOBS and worker.ratio >= QUARANTINE_RATIO
+        if enough and self._has_quarantine_room():
+            worker.quarantined_at = self._offset
+            worker.probes_passed = 0
+            worker.probe_gap = PROBE_GAP_OFFSETS
+            worker.probe_at = self._offset + PROBE_GAP_OFFSETS
+
+    def _has_quarantine_room(self):
+        most = max(1, int(MAX_QUARANTINED_SHARE * len(self._workers_by_id)))
+        return len(self.quarantined_ids()) < most
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -13,6 +13,7 @@
     "ClaimState",
     "ClaimsSnapshot",
     "ConfigurationPublished",
+    "ConfigurationSnapshot",
     "Envelope",
     "InstanceAnnounced",
     "InstanceDraining",
@@ -70,6 +71,8 @@
     slots: int = 0
     capacity: Resources = Resources()
     labels: dict[str, str] = {}
+    #: Name of the cell that an agent takes part in.
+    cell: str = ""
 
 
 class InstanceDraining(Struct, tag=3):
@@ -92,6 +95,12 @@
     as_of: int
     announced: tuple[InstanceAnnounced, ...]
     draining_ids: tuple[str, ...]
+    #: Snapshots since each of ``announced`` last announced itself.
+    ages: tuple[int, ...] = ()
+    #: Offset of the snapshot that last made members older; -1 for none.
+    aged_at: int = -1
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
 
 
 class RequestClaimed(Struct, tag=6):
@@ -146,6 +155,18 @@
     claims: tuple[ClaimState, ...]
 
 
+class ConfigurationSnapshot(Struct, tag=18):
+    """The configuration in force as of an offset, kept before its record expires."""
+
+    as_of: int
+    #: Offset at which the configuration was published; -1 for none.
+    version: int
+    author: str
+    text: str
+    #: Highest sequence of each writer.
+    sequences: tuple[tuple[int, int], ...] = ()
+
+
 class TaskSpec(Struct):
     """One task of a job as its submitter declared it."""
 
@@ -183,6 +204,8 @@
     incarnation: int
     #: Amount reserved on the owner's instance.
     reserved: Resources
+    #: Seconds of the lease on the task, so that owner and takers count alike.
+    lease_s: int = 120
 
 
 class TaskEnded(Struct, tag=11):
@@ -220,6 +243,8 @@
     incarnation: int
     #: Amounts learned from usage for running tasks that exceed their declared size.
     learned: dict[str, Resources] = {}
+    #: Checkpoints made since the last renewal, by task.
+    checkpoints: dict[str, str] = {}
 
 
 class CellSnapshot(Struct, tag=15):
@@ -264,6 +289,7 @@
     | CellSnapshot
     | CellSummary
     | ClaimsSnapshot
+    | ConfigurationSnapshot
 )
 
 
