--- a/dotterelspread/configurationpart.py
+++ b/dotterelspread/configurationpart.py
@@ -1,6 +1,7 @@
 """The part of a process that follows and publishes configurations."""
 
 import asyncio
+import random
 from dataclasses import dataclass
 
 from .configreader import ConfigurationError, read_configuration
@@ -18,6 +19,7 @@
     PublicationFate,
     PublicationState,
     VersionRead,
+    reconcile,
 )
 from .record import ConfigurationPublished
 from .replicapart import ReplicaPart
@@ -28,6 +30,9 @@
 PUBLISH_TIMEOUT_S = 10.0
 #: Seconds that a peer may take to pass on its configuration.
 QUERY_TIMEOUT_S = 2.0
+#: Longest time between looks at whether the stream lost the version in force, in
+#: seconds.
+RECONCILE_S = 60.0
 #: Seconds between looks at whether a publication has been read back.
 READ_BACK_POLL_S = 0.02
 
@@ -84,6 +89,14 @@
         version = self.state.version
         return self.version, version.text if version else ""
 
+    async def run(self):
+        """Give the stream back a version that it lost, until cancelled."""
+        rng = random.Random(self.node.incarnation)
+        while True:
+            await asyncio.sleep(rng.uniform(RECONCILE_S / 2, RECONCILE_S))
+            for effect in reconcile(self.replica.state, self.state):
+                self.replica.perform(effect)
+
     def perform(self, effect):
         """Do what a `ConfigurationChanged` says."""
         log_change("configuration in force", version=effect.version.number)
--- a/tests/scenarios/membership.feature
+++ b/tests/scenarios/membership.feature
@@ -11,13 +11,15 @@
     Then every entry knows a4
 
   Scenario: An agent that drains while the log is down gets no new work after 3 seconds
-    Given the log is down
+    Given 60 more agents, which every entry asks
+    And the log is down
     When a1 drains
     And 3 seconds pass
     Then every entry knows that a1 is draining
 
   Scenario: A draining agent that reaches one entry only is known as such to all
-    Given the log is down
+    Given 60 more agents, which every entry asks
+    And the log is down
     And nothing passes between a1 and e1
     And nothing passes between a1 and e2
     When a1 drains
--- a/tests/scenarios/test_membership.py
+++ b/tests/scenarios/test_membership.py
@@ -6,6 +6,8 @@
 scenarios("membership.feature")
 
 ENTRY_IDS = ("e1", "e2", "e3")
+#: Seconds after which all have been asked at least once.
+SETTLING_S = 20
 
 
 @given("entries e1, e2 and e3", target_fixture="network")
@@ -18,11 +20,21 @@
 
 @given("agents a1, a2 and a3, which every entry asks")
 def agents(network):
-    for agent_id in ("a1", "a2", "a3"):
+    start_agents(network, ("a1", "a2", "a3"))
+
+
+@given(parsers.parse("{count:d} more agents, which every entry asks"))
+def more_agents(network, count):
+    start_agents(network, [f"b{number}" for number in range(count)])
+
+
+def start_agents(network, agent_ids):
+    for agent_id in agent_ids:
         network.start(agent_id)
+    all_ids = set(network.by_id).difference(ENTRY_IDS)
     for entry_id in ENTRY_IDS:
-        network.watch(entry_id, ("a1", "a2", "a3"))
-    network.run(5)
+        network.watch(entry_id, all_ids)
+    network.run(SETTLING_S)
 
 
 @given("the log is down")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -107,6 +107,17 @@
 TestMembership = MembershipMachine.TestCase
 
 
+def test_a_snapshot_holds_the_whole_state():
+    state = MembershipState()
+    state.apply(0, announced("a"), 0.0)
+    state.apply(1, InstanceDraining("a", 1), 0.0)
+    state.apply(2, state.to_snapshot(2, ()), 0.0)
+    snapshot = state.to_snapshot(3, ((1, 2),))
+    restored = MembershipState()
+    restored.restore(snapshot, 0.0)
+    assert restored.to_snapshot(3, ((1, 2),)) == snapshot
+
+
 def test_a_member_goes_that_is_silent_for_three_snapshots_doubles_not_counted():
     state = MembershipState()
     state.apply(0, announced("a"), 0.0)
