Prove that an owner's lease counts from its sending

The fakes' read lag was void, since each poll read all: agents now read no record younger than half their lag, and can lose appends alone.

--- a/tests/builders_tasks.py
+++ b/tests/builders_tasks.py
@@ -40,6 +40,8 @@
 
 CELL = "cell.0"
 GROUP_S = 0.02
+#: Least part of an agent's lag after which it reads a record.
+LEAST_LAG = 0.5
 POLL_S = 1.0
 TICK_S = 0.1
 REPORT_S = 1.0
@@ -81,10 +83,12 @@
 
     def __init__(self):
         self.entries = []
+        self.times = []
         self.is_up = True
         self.bytes_appended = 0
 
-    def append(self, envelopes):
+    def append(self, now_s, envelopes):
+        self.times.append(now_s)
         self.entries.append(tuple(envelopes))
         self.bytes_appended += len(encode_record(envelopes))
         return len(self.entries) - 1
@@ -101,6 +105,7 @@
     is_frozen: bool = False
     has_worker_link: bool = True
     has_log_link: bool = True
+    can_append: bool = True
     loses_replies: bool = False
     lag_s: float = 0.05
     read_offset: int = 0
@@ -167,9 +172,11 @@
         self.commit([Envelope(0, next(self.entry_sequence), record)])
 
     def commit(self, envelopes):
-        offset = self.log.append(envelopes)
+        offset = self.log.append(self.now_s, envelopes)
         for agent in self.agents:
-            self.after(agent.lag_s * self.random.uniform(0.5, 1.5), self.read, agent)
+            self.after(
+                agent.lag_s * self.random.uniform(LEAST_LAG, 1.5), self.read, agent
+            )
         return offset
 
     def clock_s(self, agent):
@@ -203,7 +210,7 @@
     def arrive(self, agent):
         """Let the store take an append, or refuse it while down."""
         records, offset = agent.sending, None
-        if self.log.is_up and agent.has_log_link:
+        if self.log.is_up and agent.has_log_link and agent.can_append:
             first = agent.sequence
             agent.sequence += len(records)
             offset = self.commit(
@@ -235,7 +242,11 @@
             return
         if not (self.log.is_up and agent.has_log_link):
             return
-        while agent.read_offset < len(self.log.entries):
+        seen_s = self.now_s - agent.lag_s * LEAST_LAG
+        while (
+            agent.read_offset < len(self.log.entries)
+            and self.log.times[agent.read_offset] <= seen_s
+        ):
             offset = agent.read_offset
             agent.read_offset += 1
             for envelope in self.log.entries[offset]:
@@ -424,6 +435,10 @@
     agent.loses_replies = is_broken
 
 
+def set_appends(fleet, agent, is_broken):
+    agent.can_append = not is_broken
+
+
 def set_log_link(fleet, agent, is_broken):
     agent.has_log_link = not is_broken
 
@@ -440,6 +455,7 @@
     "frozen": set_frozen,
     "store down": set_store,
     "replies lost": set_replies,
+    "unable to append": set_appends,
     "cut from the log": set_log_link,
     "cut from its worker": set_worker_link,
     "cut from all": set_all_links,
--- a/tests/scenarios/tasks.feature
+++ b/tests/scenarios/tasks.feature
@@ -13,6 +13,7 @@
 
     Examples:
       | fault               | outage | moves |
+      | unable to append    | 300    | 1     |
       | cut from the log    | 60     | 0     |
       | cut from the log    | 300    | 1     |
       | cut from all        | 300    | 1     |
@@ -20,6 +21,15 @@
       | frozen              | 10     | 0     |
       | frozen              | 300    | 1     |
 
+  Scenario: An owner that reads late does not overrun its lease
+    Given a task of 400 s that runs
+    And its owner reads 60 s late
+    When 70 s pass
+    And its owner is unable to append for 300 s
+    And 700 s pass
+    Then the task completed
+    And no task ran in two places
+
   Scenario: An outage of the store that is shorter than the lease stops no task
     Given a task of 400 s that runs
     When the store is down for 60 s
--- a/tests/scenarios/test_tasks.py
+++ b/tests/scenarios/test_tasks.py
@@ -31,6 +31,12 @@
     assert len(fleet.running(task_id)) == 1
 
 
+@given(parsers.parse("its owner reads {lag_s:d} s late"))
+def lag_owner(fleet, task_id, lag_s):
+    (owner,) = fleet.running(task_id)
+    owner.lag_s = lag_s
+
+
 @given(parsers.parse("a service of {count:d} replicas that runs"))
 def running_service(fleet, count):
     replicas = [spec(f"s/{n}", run_time_s=0.0) for n in range(count)]
