--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -17,7 +17,7 @@
 MAX_QUARANTINED_SHARE = 0.2
 
 #: Likelihood ratio at which a worker gets one task at a time.
-SUSPECT_RATIO = 50.0
+SUSPECT_RATIO = 30.0
 
 #: Likelihood ratio at which a worker is quarantined.
 QUARANTINE_RATIO = 1e4
@@ -66,6 +66,10 @@
         self._workers_by_id = {}
         self._jobs = JobTable(self._is_trusted)
 
+    def advance(self, offset):
+        """Note the offset of a record of the cell, by which probes become due."""
+        self._offset = offset
+
     def saw_worker(self, worker_id):
         """Count a worker as a member of the cell."""
         if worker_id not in self._workers_by_id:
@@ -177,7 +181,7 @@
         if self._offset < worker.probe_at:
             detail = f"next probe from offset {worker.probe_at}"
             return Admission(False, False, f"{worker_id} is quarantined; {detail}")
-        if self._jobs.judge(job_id, worker_id) == "blamed":
+        if self._jobs.is_in_doubt(job_id):
             return Admission(False, False, f"{job_id} may be at fault itself: no probe")
         return Admission(True, True, f"probe of {worker_id}")
 
@@ -195,7 +199,8 @@
 
     def _end_run(self, job_id, worker_id, ok):
         worker = self._workers_by_id[worker_id]
-        worker.runs.append(Run(job_id, ok))
+        noise, first_rate = self._jobs.noise.value, self._jobs.first_rate.value
+        worker.runs.append(Run(job_id, ok, noise, first_rate))
         if worker.quarantined_at is None:
             self._judge_worker(worker_id)
         elif ok:
--- a/dotterelspread/taskexplain.py
+++ b/dotterelspread/taskexplain.py
@@ -67,6 +67,10 @@
 
 
 def _explain_pending(state, task, job):
+    gate = state.gate()
+    decision = None if gate is None else gate.decide(task)
+    if decision is not None and not decision.allowed:
+        return [f"It waits for its team's quota: {decision.reason}."]
     designation = state.designations.by_id.get(task.task_id)
     if designation is not None:
         return [
@@ -86,6 +90,11 @@
                 job.labels, labels_of(m, state.configuration), state.configuration
             )
         ],
+        "in quarantine, since distinct jobs failed there": [
+            m
+            for m in members
+            if m.instance_id in state.cell.quarantine.quarantined_ids()
+        ],
         "too small even when idle": [
             m for m in members if not task.demand.fits_in(m.capacity)
         ],
