--- a/tests/scenarios/tasks.feature
+++ b/tests/scenarios/tasks.feature
@@ -83,3 +83,10 @@
     Then the task completed
     And at most 1 s of work was lost
     And the task moved 1 times
+
+  Scenario: A noisy task is throttled, and no quiet one is evicted
+    Given a noisy task of 16000 millicores that runs
+    And a task of 400 s that runs
+    When 60 s pass
+    Then the noisy task is throttled
+    And the task moved 0 times
--- a/tests/scenarios/test_tasks.py
+++ b/tests/scenarios/test_tasks.py
@@ -31,6 +31,13 @@
     assert len(fleet.running(task_id)) == 1
 
 
+@given(parsers.parse("a noisy task of {millicores:d} millicores that runs"))
+def noisy_task(fleet, millicores):
+    fleet.submit(job("n", spec("n/0", millicores, 100, 900.0, program="noisy")))
+    fleet.run(2)
+    assert len(fleet.running("n/0")) == 1
+
+
 @given(parsers.parse("its owner reads {lag_s:d} s late"))
 def lag_owner(fleet, task_id, lag_s):
     (owner,) = fleet.running(task_id)
@@ -183,6 +190,12 @@
     assert all(float(task.checkpoint) > 5 for task in evicted)
 
 
+@then("the noisy task is throttled")
+def noisy_throttled(fleet):
+    (owner,) = fleet.running("n/0")
+    assert owner.worker.running_by_id["n/0"].share < 1.0
+
+
 @then("nothing runs")
 def nothing_runs(fleet):
     assert all(row[1].stopped_s is not None for row in fleet.runs())
--- a/tests/test_tasks_machine.py
+++ b/tests/test_tasks_machine.py
@@ -177,8 +177,8 @@
 
 TestTasks = Tasks.TestCase
 TestTasks.settings = settings(
-    max_examples=16,
-    stateful_step_count=20,
+    max_examples=30,
+    stateful_step_count=25,
     derandomize=True,
     deadline=None,
     suppress_health_check=list(HealthCheck),
