--- a/bench/starts.py
+++ b/bench/starts.py
@@ -101,6 +101,13 @@
     return job(f"j{number:05d}", spec(f"j{number:05d}/0", millicores, 500, run_time_s))
 
 
+def large_job(number, rng):
+    """Return a job of about 64 cores times seconds, more than 16 members can take."""
+    millicores = rng.choice([4000, 8000, 8000, 16_000])
+    run_time_s = min(60.0, rng.lognormvariate(2.2, 0.6))
+    return job(f"j{number:05d}", spec(f"j{number:05d}/0", millicores, 500, run_time_s))
+
+
 def start_delays(fleet, submitted_by_task):
     first_by_task = {}
     for _, run, start_s, _ in fleet.runs():
@@ -130,16 +137,17 @@
     return valid, void, ends
 
 
-def run_cell(size, store, duration_s, is_assigning, kills, seed):
+def run_cell(size, store, duration_s, way, kills, seed):
     append_s, lag_s = store
     fleet = Fleet(size, seed, append_s=append_s, lag_s=lag_s, tick_s=0.25)
-    if is_assigning:
+    if way == "assign":
         use_assignment(fleet)
     fleet.run(WARM_UP_S)
     appends, size_before = len(fleet.log.entries), fleet.log.bytes_appended
     for agent in fleet.agents:
         agent.reducer_s = 0.0
-    submitted = submit_steadily(fleet, duration_s, STARTS_PER_S, small_job)
+    make_job = large_job if way == "full" else small_job
+    submitted = submit_steadily(fleet, duration_s, STARTS_PER_S, make_job)
     if kills:
         fleet.after(duration_s / 3, kill_busiest, fleet)
         fleet.after(duration_s / 3 + HEARTBEAT_LOSS_S, fleet.tell_members)
@@ -150,9 +158,10 @@
     fleet.run(20.0)
     delays = start_delays(fleet, submitted)
     valid, void, _ = count_claims(fleet, CellState())
+    starts = valid if way != "assign" else len(submitted)
     return (
-        (appends - len(submitted)) / len(submitted),
-        appends / len(submitted),
+        (appends - len(submitted)) / starts,
+        appends / starts,
         100 * void / max(valid, 1),
         quantile(delays, 0.5),
         quantile(delays, 0.99),
@@ -168,19 +177,21 @@
         "members  append+lag ms  way      one dies  appends/start  with submission"
         "  void %  start p50  p99 s  max s  B/s read  CPU ms/s"
     )
-    cases = [(size, STORES[0], False, False) for size in sizes]
-    cases += [(sizes[-2], store, False, False) for store in STORES[1:]]
-    cases += [(sizes[-2], STORES[0], True, False)]
-    cases += [(sizes[-2], STORES[0], way, True) for way in (False, True)]
-    for size, store, is_assigning, kills in cases:
-        row = run_cell(size, store, duration_s, is_assigning, kills, seed)
+    middle = sizes[-2]
+    cases = [(size, STORES[0], "claim", False) for size in sizes]
+    cases += [(middle, store, "claim", False) for store in STORES[1:]]
+    cases += [(middle, store, "full", False) for store in STORES]
+    cases += [(middle, STORES[0], "assign", False)]
+    cases += [(middle, STORES[0], way, True) for way in ("claim", "assign")]
+    for size, store, way, kills in cases:
+        row = run_cell(size, store, duration_s, way, kills, seed)
         delays = "+".join(f"{1000 * part:.0f}" for part in store)
-        way = "assign" if is_assigning else "claim"
         print(
             f"{size:7d}  {delays:>13}  {way:7}  {'yes' if kills else 'no':>8}"
             f"  {row[0]:13.2f}  {row[1]:15.2f}  {row[2]:6.1f}  {row[3]:9.2f}"
             f"  {row[4]:5.2f}  {row[5]:5.1f}  {row[6]:8.0f}  {row[7]:8.1f}"
         )
+    print("full: tasks arrive faster than the cell can take them, and wait")
     print(f"aims: appends/start < 2, void < 5 %, B/s < {BYTES_BUDGET}")
 
 
--- a/dotterelspread/claiming.py
+++ b/dotterelspread/claiming.py
@@ -4,6 +4,8 @@
 that as a rule one member acts and a dead one delays the others by a tick.
 """
 
+from functools import partial
+
 from .configuration import Urgency
 from .lease import lapse_wait_s, renewal_period_s
 from .placement import is_eligible, labels_of, tie_break
@@ -29,7 +31,7 @@
 #: Seconds between looks for silent members.
 LAPSE_CHECK_S = 0.5
 #: Waiting tasks among which a member chooses for room that it is freeing.
-FREED_ROOM_TASKS = 32
+FREED_ROOM_TASKS = 64
 #: Seconds that a task no member can ever hold waits for one to join.
 REFUSE_AFTER_S = 5.0
 
@@ -93,22 +95,23 @@
 def _claim_into_freed_room(state, now_s):
     """Claim waiting tasks for room whose release is on its way to the stream.
 
-    Others do not know of the room yet. Members take waiting tasks of one urgency in
-    different orders, so that two that free room together do not claim the same one.
+    Others do not know of the room yet, and may be freeing some too. So each member
+    takes only the tasks that a hash gives to it; the rest wait until the room is read.
     """
     if not state.is_in_flight(TaskEnded | TaskReleased):
         return []
-    first_tasks = [
-        task
-        for task in state.designations.unfit[:FREED_ROOM_TASKS]
-        if task.urgency == state.designations.unfit[0].urgency
+    member_ids = [
+        member.instance_id
+        for member in state.cell.members_by_id.values()
+        if member.takes_tasks and state.is_alive(member.instance_id)
     ]
-    first_tasks.sort(key=lambda task: tie_break(task.task_id, state.instance_id))
+    labels = labels_of(state.member, state.configuration)
     effects = []
-    for task in first_tasks:
+    for task in state.designations.unfit[:FREED_ROOM_TASKS]:
+        first_id = min(member_ids, key=partial(tie_break, task.task_id))
         job = state.cell.jobs_by_id[task.job_id]
-        labels = labels_of(state.member, state.configuration)
-        if is_eligible(job.labels, labels, state.configuration):
+        is_allowed = is_eligible(job.labels, labels, state.configuration)
+        if first_id == state.instance_id and is_allowed:
             effects += _claim(state, now_s, task)
     return effects
 
