--- a/dotterelspread/cell.py
+++ b/dotterelspread/cell.py
@@ -18,6 +18,8 @@
 
 #: Number of ended jobs whose outcome the state keeps.
 KEPT_JOBS = 256
+#: Number of jobs that ended before those, kept in memory for questions about them.
+ARCHIVED_JOBS = 20_000
 #: Stands between the id of a service replica and the number of its replacement.
 SUCCESSOR_MARK = "~"
 
@@ -55,6 +57,7 @@
     """
 
     __slots__ = (
+        "archive_by_id",
         "ended_job_ids",
         "jobs_by_id",
         "members_by_id",
@@ -73,6 +76,8 @@
         #: Sorted keys (`CellTask.order`) of the pending tasks.
         self.pending = []
         self.ended_job_ids = []
+        #: (job, tasks) of jobs that ended earlier; not in snapshots, decides nothing.
+        self.archive_by_id = {}
         #: Evidence on failing workers. It starts anew at a snapshot: it only decides
         #: who claims, and never whether a claim is valid.
         self.quarantine = QuarantineState()
@@ -126,6 +131,13 @@
         self.quarantine.advance(offset)
         return apply_record(envelope.record, self, offset)
 
+    def find_job(self, job_id):
+        """Return (job, its tasks), also of a job in the archive, or None."""
+        job = self.jobs_by_id.get(job_id)
+        if job is None:
+            return self.archive_by_id.get(job_id)
+        return job, [self.tasks_by_id[task_id] for task_id in job.task_ids]
+
     def is_pending(self, task_id):
         """Tell whether the task waits to be claimed."""
         task = self.tasks_by_id.get(task_id)
@@ -240,8 +252,10 @@
         if len(self.ended_job_ids) <= KEPT_JOBS:
             return
         forgotten = self.jobs_by_id.pop(self.ended_job_ids.pop(0))
-        for task_id in forgotten.task_ids:
-            del self.tasks_by_id[task_id]
+        tasks = [self.tasks_by_id.pop(task_id) for task_id in forgotten.task_ids]
+        self.archive_by_id[forgotten.job_id] = (forgotten, tasks)
+        if len(self.archive_by_id) > ARCHIVED_JOBS:
+            del self.archive_by_id[next(iter(self.archive_by_id))]
 
     def _leave_pending(self, task):
         del self.pending[bisect_left(self.pending, task.order)]
--- a/dotterelspread/ownership.py
+++ b/dotterelspread/ownership.py
@@ -7,9 +7,9 @@
 from .cellrules import FAILED
 from .celltask import TaskPhase
 from .lease import SLICE_S, slice_deadline_s, stop_ahead_s
+from .localtask import LocalPhase, LocalTask, StopReason
 from .record import TaskClaimed, TaskEnded, TaskReleased
 from .taskevent import CheckpointTask, RenewTask, StartTask, StopTask
-from .taskstate import LocalPhase, LocalTask, StopReason
 
 __all__ = ["follow_cell", "report_results", "stop_local"]
 
--- a/dotterelspread/preemption.py
+++ b/dotterelspread/preemption.py
@@ -3,11 +3,11 @@
 from .celltask import TaskPhase
 from .configuration import Urgency
 from .eviction import Victim, choose_victims
+from .localtask import LocalPhase, StopReason
 from .ownership import stop_local
 from .placement import PlacementView, rank_for_preemption
 from .resources import Resources
 from .taskevent import ThrottleTask
-from .taskstate import LocalPhase, StopReason
 
 __all__ = ["preempt_tasks", "relieve_pressure"]
 
--- a/dotterelspread/taskcore.py
+++ b/dotterelspread/taskcore.py
@@ -7,6 +7,7 @@
 from .cell import CellError, CellState
 from .claiming import claim_tasks, keep_membership, keep_snapshot, record_lapses
 from .learning import needed_amount
+from .localtask import LocalPhase, LocalTask, StopReason
 from .ownership import follow_cell, report_results, stop_local
 from .preemption import relieve_pressure
 from .record import (
@@ -31,7 +32,7 @@
     TaskStopped,
     WorkerReported,
 )
-from .taskstate import LocalPhase, LocalTask, StopReason, TaskState
+from .taskstate import TaskState
 
 __all__ = ["TaskState"]
 
--- a/dotterelspread/taskexplain.py
+++ b/dotterelspread/taskexplain.py
@@ -6,6 +6,9 @@
 
 __all__ = ["explain_task"]
 
+#: Most instance ids that a sentence lists.
+SHOWN_IDS = 5
+
 
 def explain_task(state, task_id):
     """Return sentences on a task, as one reader of its cell knows it.
@@ -78,36 +81,38 @@
             f"{len(designation.ranked_ids) - 1} other members could take it instead."
         ]
     members = [m for m in state.cell.members_by_id.values() if m.is_present]
-    causes = {
-        "leaving": [m for m in members if m.is_draining],
-        "not answering heartbeats": [
-            m for m in members if not state.is_alive(m.instance_id)
-        ],
-        "not allowed by the selectors": [
-            m
-            for m in members
-            if not is_eligible(
-                job.labels, labels_of(m, state.configuration), state.configuration
-            )
-        ],
-        "in quarantine, since distinct jobs failed there": [
-            m
-            for m in members
-            if m.instance_id in state.cell.quarantine.quarantined_ids()
-        ],
-        "too small even when idle": [
-            m for m in members if not task.demand.fits_in(m.capacity)
-        ],
-    }
     lines = [f"It waits: none of the {len(members)} members of its cell has room."]
     excluded = set()
-    for cause, found in causes.items():
-        ids = {member.instance_id for member in found} - excluded
+    for cause, is_cause in _causes(state, task, job):
+        ids = {m.instance_id for m in members if is_cause(m)} - excluded
         excluded |= ids
         if ids:
-            lines.append(f"{len(ids)} {cause}: {', '.join(sorted(ids)[:5])}.")
-    lines += _explain_full(state, task, members, excluded)
-    return lines
+            lines.append(f"{len(ids)} {cause}: {', '.join(sorted(ids)[:SHOWN_IDS])}.")
+    return lines + _explain_full(state, task, members, excluded)
+
+
+def _causes(state, task, job):
+    """Return what may keep a task from a member, each with its test of a member."""
+    configuration = state.configuration
+    return (
+        ("leaving", lambda member: member.is_draining),
+        (
+            "not answering heartbeats",
+            lambda member: not state.is_alive(member.instance_id),
+        ),
+        (
+            "not allowed by the selectors",
+            lambda member: (
+                not is_eligible(
+                    job.labels, labels_of(member, configuration), configuration
+                )
+            ),
+        ),
+        (
+            "too small even when idle",
+            lambda member: not task.demand.fits_in(member.capacity),
+        ),
+    )
 
 
 def _explain_full(state, task, members, excluded):
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 
 from .gen.peer.ttypes import JobReply, StatusReply, TaskStatus
+from .localtask import LocalPhase
 from .log import TruncatedError
 from .logclient import AppendError
 from .node import Part
@@ -30,7 +31,6 @@
     WorkerReported,
 )
 from .taskexplain import explain_task
-from .taskstate import LocalPhase
 from .worker import WorkerError
 
 __all__ = ["TaskPart"]
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dotterelspread.cell import CellState
+from dotterelspread.cell import KEPT_JOBS, CellState
 from dotterelspread.celltask import NO_EPOCH, TaskPhase
 from dotterelspread.record import (
     Envelope,
@@ -136,3 +136,15 @@
             cell.apply(offset, Envelope(1, offset, record))
         expected = "cancelled" if is_first else "completed"
         assert cell.tasks_by_id["a/0"].outcome == expected
+
+
+def test_a_job_that_ended_long_ago_is_still_found():
+    cell = CellState()
+    for number in range(KEPT_JOBS + 2):
+        cell.apply(2 * number, Envelope(1, 0, job(f"j{number}")))
+        cell.apply(2 * number + 1, Envelope(1, 1, JobCancelled(f"j{number}")))
+    assert "j0" not in cell.jobs_by_id
+    for job_id in ("j0", f"j{KEPT_JOBS}"):
+        found, (task,) = cell.find_job(job_id)
+        assert (found.job_id, task.outcome) == (job_id, "cancelled")
+    assert cell.find_job("x") is None
