--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from dotterelspread.configuration import TeamConfig
+from dotterelspread.preemption import Candidate, choose_victims
 from dotterelspread.quota import QuotaState, StartDecision
 from dotterelspread.record import Envelope, encode_record
 from dotterelspread.resources import Resources
@@ -26,6 +27,7 @@
 FLOOD_AT_S = 240.0
 FLOOD_TASKS = 150
 SIZES_CORES = (8, 16, 32)
+LARGEST = Resources(32_000, 32 * 4000)
 NOTHING = Resources()
 
 
@@ -217,30 +219,34 @@
                 else:
                     break
                 held += task.size
-        needed = 0
+        needed = NOTHING
         for team, wanted in short_by_team.items():
-            needed += wanted.millicores
-            self._preempt(cell, team, wanted, needed - room.millicores, now_s)
+            needed += wanted
+            self._preempt(cell, team, wanted, needed - room, now_s)
 
-    def _preempt(self, cell, team, wanted, needed, now_s):
-        """Stop tasks of teams over their share until what is needed gets free."""
-        staying, freed = {}, 0
+    def _preempt(self, cell, team, wanted, missing, now_s):
+        """Stop tasks of teams over their share until what is missing gets free."""
+        staying = {}
         for task in cell.running:
             if task.stops_at_s is None:
                 staying[task.team] = staying.get(task.team, NOTHING) + task.size
             else:
-                freed += task.size.millicores
-        for excess in self.policy.excess(cell.name, staying, team, wanted):
-            left = excess.amount.millicores
-            for task in cell.running:
-                if freed >= needed:
-                    return
-                is_victim = task.team == excess.team and task.stops_at_s is None
-                if is_victim and task.size.millicores <= left:
-                    task.stops_at_s = now_s + CHECKPOINT_S
-                    freed += task.size.millicores
-                    left -= task.size.millicores
-                    self.result.preemptions += 1
+                missing -= task.size
+        if missing.fits_in(NOTHING):
+            return
+        tasks_by_id = {
+            str(index): task
+            for index, task in enumerate(cell.running)
+            if task.stops_at_s is None
+        }
+        candidates = [
+            Candidate(task_id, task.team, task.size)
+            for task_id, task in tasks_by_id.items()
+        ]
+        excesses = self.policy.excess(cell.name, staying, team, wanted)
+        for task_id in choose_victims(excesses, candidates, missing):
+            tasks_by_id[task_id].stops_at_s = now_s + CHECKPOINT_S
+            self.result.preemptions += 1
 
     def _begin(self, cell, task, now_s):
         task.end_s = now_s + task.run_s
@@ -275,9 +281,9 @@
                 self.result.spells_s.append(now_s - self.over_since_s.pop(key))
 
     def _is_short(self, cell, team, used):
-        share = self.judge.allowance(cell.name, team).millicores
-        held = used.get(team, NOTHING).millicores
-        return share - held >= 1000 * max(SIZES_CORES)
+        """Tell whether the largest task would still fit in the team's share."""
+        share = self.judge.allowance(cell.name, team)
+        return (used.get(team, NOTHING) + LARGEST).fits_in(share)
 
     def finish(self, now_s):
         """Count the spells that last until the end."""
--- a/dotterelspread/preemption.py
+++ b/dotterelspread/preemption.py
@@ -1,126 +1,62 @@
-"""How an agent frees its instance for urgent work, and evicts under pressure."""
+"""Choice of the tasks to preempt for a team that is due capacity."""
+
+from dataclasses import dataclass
 
-from .celltask import TaskPhase
 from .configuration import Urgency
-from .eviction import Victim, choose_victims
-from .ownership import stop_local
-from .placement import PlacementView, rank_for_preemption
 from .resources import Resources
-from .taskevent import ThrottleTask
-from .taskstate import LocalPhase, StopReason
-
-__all__ = ["preempt_tasks", "relieve_pressure"]
-
-#: Seconds between the fallbacks of a ranking that must stop tasks first.
-PREEMPT_TICK_S = 1.5
-#: Most urgent tasks that one plan makes room for.
-PREEMPT_TASKS = 32
-
-
-def preempt_tasks(state, now_s, unfit_tasks):
-    """Return the effects that stop tasks in favour of urgent ones that fit nowhere.
-
-    Parameters
-    ----------
-    state : TaskState
-    now_s : float
-    unfit_tasks : list of CellTask
-        Pending tasks that no member has room for, the most urgent first.
-    """
-    urgent = [task for task in unfit_tasks if task.urgency >= Urgency.URGENT]
-    if not urgent:
-        state.preempts_by_id = {}
-        return []
-    view = PlacementView.from_cell(state.cell, state.configuration, state.live_ids)
-    for member_id in view.rooms_by_id:
-        view.add_room(member_id, _preemptible(state, member_id))
-    since_by_id, effects = {}, []
-    for task in urgent[:PREEMPT_TASKS]:
-        ranked_ids = rank_for_preemption(task, view)
-        if not ranked_ids:
-            continue
-        view.reserve(task.task_id, ranked_ids[0], task.demand)
-        since_s = state.preempts_by_id.get(task.task_id, now_s)
-        since_by_id[task.task_id] = since_s
-        if state.instance_id in ranked_ids:
-            place = ranked_ids.index(state.instance_id)
-            if now_s - since_s >= place * PREEMPT_TICK_S:
-                effects += _make_room(state, now_s, task)
-    state.preempts_by_id = since_by_id
-    return effects
+from .shareplan import RESOURCE_NAMES
 
+__all__ = ["Candidate", "choose_victims"]
 
-def _preemptible(state, member_id):
-    """Return what a member's tasks that urgent work may preempt hold."""
-    amount = Resources()
-    for task_id in state.cell.members_by_id[member_id].task_ids:
-        task = state.cell.tasks_by_id[task_id]
-        job = state.cell.jobs_by_id[task.job_id]
-        if task.urgency < Urgency.URGENT and not job.is_service:
-            amount = amount + task.reserved
-    return amount
 
+@dataclass(slots=True, frozen=True)
+class Candidate:
+    """A running task that may be preempted."""
 
-def _make_room(state, now_s, task):
-    """Stop the cheapest victims for a task, unless enough are stopping already."""
-    promised = state.promised()
-    if task.task_id in state.made_room_for:
-        return []
-    room = state.own_room() - promised
-    for local in state.locals_by_id.values():
-        if local.phase is LocalPhase.STOPPING and state.owns(local):
-            room = room + state.cell.tasks_by_id[local.task_id].reserved
-    victims = choose_victims(_victims(state, now_s), room, task.demand)
-    if victims is None:
-        return []
-    state.made_room_for[task.task_id] = (now_s, task.demand)
-    return _evict(state, now_s, victims, StopReason.PREEMPTED)
+    task_id: str
+    team: str
+    size: Resources
+    urgency: Urgency = Urgency.NORMAL
+    #: Seconds of work since its last checkpoint.
+    unsaved_s: float = 0.0
 
 
-def _evict(state, now_s, victims, reason):
-    effects = []
-    for victim in victims:
-        effects += stop_local(state.locals_by_id[victim.task_id], now_s, reason)
-    return effects
+def choose_victims(excesses, candidates, missing):
+    """Return the tasks to preempt so that ``missing`` gets free, cheapest first.
 
+    A task is taken only for a resource that is missing and of which its team holds at
+    least the task's size above its share.
 
-def _victims(state, now_s):
-    """Return the running tasks that may be evicted."""
+    Parameters
+    ----------
+    excesses : list of Excess
+        As `QuotaState.excess` returns them.
+    candidates : list of Candidate
+    missing : Resources
+        What is wanted, less what is free and what is being freed.
+
+    Returns
+    -------
+    task_ids : list of str
+    """
     victims = []
-    for local in state.locals_by_id.values():
-        task = state.cell.tasks_by_id.get(local.task_id)
-        if local.phase is not LocalPhase.RUNNING or not state.owns(local):
-            continue
-        job = state.cell.jobs_by_id[task.job_id]
-        if job.is_service or task.urgency >= Urgency.URGENT:
-            continue
-        lost_s = now_s - local.checkpointed_s
-        victims.append(
-            Victim(task.task_id, task.reserved, task.urgency, lost_s, task.releases)
-        )
+    for excess in excesses:
+        left = excess.amount
+        tasks = [task for task in candidates if task.team == excess.team]
+        tasks.sort(key=lambda task: (task.urgency, task.unsaved_s, task.task_id))
+        for task in tasks:
+            if missing.fits_in(Resources()):
+                return victims
+            if _relieves(task.size, left, missing):
+                victims.append(task.task_id)
+                left -= task.size
+                missing -= task.size
     return victims
 
 
-def relieve_pressure(state, now_s, usages):
-    """Return the effects that bring measured use back within the instance."""
-    member = state.member
-    if member is None:
-        return []
-    used_by_id, reserved_by_id = {}, {}
-    for usage in usages:
-        task = state.cell.tasks_by_id.get(usage.task_id)
-        is_owned = task is not None and task.phase is TaskPhase.OWNED
-        if not is_owned or task.owner_id != state.instance_id:
-            continue
-        job = state.cell.jobs_by_id[task.job_id]
-        used_by_id[usage.task_id] = usage.used
-        is_batch = not job.is_service
-        reserved_by_id[usage.task_id] = task.reserved if is_batch else usage.used
-    shares_by_id, to_free = state.pressure.update(
-        now_s, member.capacity, used_by_id, reserved_by_id
+def _relieves(size, left, missing):
+    """Tell whether the task frees a missing resource that its team has above share."""
+    return any(
+        getattr(missing, name) > 0 and 0 < getattr(size, name) <= getattr(left, name)
+        for name in RESOURCE_NAMES
     )
-    effects = [ThrottleTask(task_id, share) for task_id, share in shares_by_id.items()]
-    if to_free != Resources():
-        victims = choose_victims(_victims(state, now_s), Resources(), to_free)
-        effects += _evict(state, now_s, victims or [], StopReason.EVICTED)
-    return effects
