--- a/dotterelspread/celltask.py
+++ b/dotterelspread/celltask.py
@@ -81,12 +81,12 @@
     lease_s: int = 0
     #: Renewal that stands for an owner whose agent has a newer incarnation since.
     renewal_offset: int = NO_EPOCH
-    #: Largest amounts that its owners measured.
+    #: Amount that its owners found it to need; zero before one measured it.
     learned: Resources = Resources()
     checkpoint: str = ""
     #: Times that it was released before its end.
     releases: int = 0
-    #: Instances on which the program failed.
+    #: Instance of each failure of the program, in order.
     failed_ids: list[str] = []
     #: Id of the replica that replaces this one; empty for none.
     successor_id: str = ""
@@ -100,8 +100,8 @@
 
     @property
     def demand(self):
-        """Amount that a claim must reserve: the larger of declared and learned."""
-        return self.spec.declared.at_least(self.learned)
+        """Amount that a claim must reserve: as declared until an owner measured it."""
+        return self.spec.declared if self.learned == Resources() else self.learned
 
     @property
     def order(self):
