--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,36 @@
+"""Run experiments: ``python -m bench`` for all, ``python -m bench NAME`` for one."""
+
+import sys
+from importlib import import_module
+
+#: Experiments by name; each is a module of this package with ``main(args)``.
+NAMES = (
+    "path",
+    "logclient",
+    "membership",
+    "floods",
+    "retries",
+    "starts",
+    "cells",
+    "packing",
+    "leases",
+    "interference",
+    "quarantine",
+    "quotas",
+)
+
+
+def main(args):
+    """Run the experiments named, or all; return an exit code."""
+    unknown = [name for name in args if name not in NAMES]
+    if unknown:
+        print(f"unknown: {', '.join(unknown)}; known: {', '.join(NAMES)}")
+        return 2
+    for name in args or NAMES:
+        print(f"== {name}", flush=True)
+        import_module(f"bench.{name}").main([])
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -1,9 +1,11 @@
 """The part of an entry that carries callers' requests to instances."""
 
 import asyncio
+import random
 import time
 from functools import singledispatchmethod
 
+from .claimsnapshot import ClaimSnapshotTimer
 from .entrycore import EntryState
 from .entryevents import (
     AnswerReceived,
@@ -30,7 +32,7 @@
 from .node import Part
 from .outcome import Failed
 from .peer import PeerError, PeerFailedError, PeerUnsentError
-from .requestclaim import CLAIM_STREAMS
+from .record import ClaimsSnapshot
 from .wire import MS_PER_S, load_from_message, outcome_from_message, to_headers
 
 __all__ = ["EntryPart"]
@@ -43,6 +45,8 @@
 ASK_WAIT_S = 0.5
 #: Seconds that such a question may take in all.
 ASK_TIMEOUT_S = 1.0
+#: Seconds that the append of a snapshot may take.
+SNAPSHOT_TIMEOUT_S = 30.0
 
 
 class EntryPart(Part):
@@ -65,6 +69,11 @@
             place, node.incarnation, node.incarnation, unix_offset_s
         )
         self._futures_by_id = {}
+        rng = random.Random(node.incarnation)
+        self._timers_by_stream = {
+            stream: ClaimSnapshotTimer(settings.log_retention_s, rng, node.now_s())
+            for stream in self.state.tables_by_stream
+        }
 
     @property
     def in_progress(self):
@@ -74,11 +83,12 @@
     async def run(self):
         """Follow the streams of claims and look at deadlines until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for number in range(CLAIM_STREAMS):
-                group.create_task(self._follow_claims(f"claims.{number}"))
+            for stream in self.state.tables_by_stream:
+                group.create_task(self._follow_claims(stream))
             while True:
                 await asyncio.sleep(TICK_S)
                 self.dispatch(EntryTick(self.node.now_s()))
+                self._append_snapshots()
 
     def configure(self, version):
         """Put a new `Version` in force."""
@@ -214,6 +224,20 @@
             failed = AppendFailed(self.node.now_s(), effect.request_id, error.is_absent)
             self.dispatch(failed)
 
+    def _append_snapshots(self):
+        now_s = self.node.now_s()
+        for stream, table in self.state.tables_by_stream.items():
+            timer = self._timers_by_stream[stream]
+            if timer.is_due(now_s, table):
+                timer.restart(now_s)
+                self.node.spawn(self._append_snapshot(stream, table.snapshot()))
+
+    async def _append_snapshot(self, stream, snapshot):
+        try:
+            await self.node.log_client.append(stream, snapshot, SNAPSHOT_TIMEOUT_S)
+        except AppendError:
+            self.node.telemetry.count("snapshots_unwritten")
+
     async def _follow_claims(self, stream):
         position = 0
         while True:
@@ -228,6 +252,8 @@
 
     def _take_claims(self, stream, batch):
         for entry in batch.entries:
+            if isinstance(entry.envelope.record, ClaimsSnapshot):
+                self._timers_by_stream[stream].restart(self.node.now_s())
             self.dispatch(
                 ClaimRead(
                     self.node.now_s(), stream, entry.offset, entry.envelope.record
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -41,6 +41,8 @@
 REPORT_S = 1.0
 #: Seconds that an append may take before it is given up.
 APPEND_TIMEOUT_S = 5.0
+#: Part of the log's retention after which the cell's snapshot is due.
+SNAPSHOT_PART = 1 / 3
 #: Smallest change of a task's share that the worker is told of.
 LEAST_SHARE_CHANGE = 0.01
 #: Seconds between looks at whether a drain has ended.
