--- a/dotterelspread/evidence.py
+++ b/dotterelspread/evidence.py
@@ -4,7 +4,6 @@
 reader of a cell's stream computes the same numbers on any machine.
 """
 
-from collections import deque
 from dataclasses import dataclass, field
 
 __all__ = [
@@ -39,12 +38,13 @@
     of noise, when failures prove less.
     """
 
-    prior: float
-    long: float = field(init=False)
-    short: float = field(init=False)
+    long: float
+    short: float
 
-    def __post_init__(self):
-        self.long = self.short = self.prior
+    @classmethod
+    def from_prior(cls, prior):
+        """Return a rate that starts at ``prior``."""
+        return cls(prior, prior)
 
     def add(self, ok):
         """Count one run."""
@@ -117,7 +117,8 @@
 class WorkerEvidence:
     """How runs on a worker have ended, and whether it is quarantined."""
 
-    runs: deque[Run] = field(default_factory=lambda: deque(maxlen=WINDOW_RUNS))
+    #: Its last runs, the latest one last.
+    runs: list[Run] = field(default_factory=list)
     #: Likelihood of its runs if it is bad over that if it is sound.
     ratio: float = 1.0
     #: Offset at which it was quarantined; None when it is not.
@@ -128,6 +129,11 @@
     probe_gap: int = 0
     probes_passed: int = 0
 
+    def add_run(self, run):
+        """Append a run, dropping the oldest of too many."""
+        self.runs.append(run)
+        del self.runs[:-WINDOW_RUNS]
+
     def weigh(self, noise, first_rate, judge):
         """Return the likelihood ratio of the recent runs (cumulative sum test).
 
--- a/dotterelspread/jobblame.py
+++ b/dotterelspread/jobblame.py
@@ -5,10 +5,11 @@
 """
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 from .evidence import FailureRate, JobEvidence, TaskEvidence, chance_of_failures
 
-__all__ = ["JobTable"]
+__all__ = ["JobTable", "JobTableState"]
 
 #: Chance of its failures by noise below which a job or task is refused.
 REFUSAL_CHANCE = 2e-4
@@ -31,8 +32,18 @@
 FIRST_PRIOR = 0.2
 
 #: Jobs, and tasks that failed, whose evidence is kept.
-MAX_JOBS = 2000
-MAX_TASKS = 10000
+MAX_JOBS = 1000
+MAX_TASKS = 2000
+
+
+@dataclass(slots=True)
+class JobTableState:
+    """Content of a `JobTable` for a snapshot, the least recent entries first."""
+
+    jobs: list[tuple[str, JobEvidence]]
+    tasks: list[tuple[str, TaskEvidence]]
+    noise: FailureRate
+    first_rate: FailureRate
 
 
 class JobTable:
@@ -51,9 +62,20 @@
         self._jobs_by_id = OrderedDict()
         self._tasks_by_id = OrderedDict()
         #: Failure rate of jobs that have completed somewhere.
-        self.noise = FailureRate(NOISE_PRIOR)
+        self.noise = FailureRate.from_prior(NOISE_PRIOR)
         #: Failure rate of jobs that have not.
-        self.first_rate = FailureRate(FIRST_PRIOR)
+        self.first_rate = FailureRate.from_prior(FIRST_PRIOR)
+
+    def to_state(self):
+        """Return the content for a snapshot."""
+        jobs, tasks = list(self._jobs_by_id.items()), list(self._tasks_by_id.items())
+        return JobTableState(jobs, tasks, self.noise, self.first_rate)
+
+    def restore(self, state):
+        """Take over the content of a snapshot."""
+        self._jobs_by_id = OrderedDict(state.jobs)
+        self._tasks_by_id = OrderedDict(state.tasks)
+        self.noise, self.first_rate = state.noise, state.first_rate
 
     def started(self, job_id):
         """Count the start of a task."""
--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -8,10 +8,12 @@
 import enum
 from dataclasses import dataclass
 
+import msgspec
+
 from .evidence import Run, WorkerEvidence
-from .jobblame import JobTable
+from .jobblame import JobTable, JobTableState
 
-__all__ = ["Admission", "QuarantineState", "Standing"]
+__all__ = ["Admission", "QuarantineError", "QuarantineState", "Standing"]
 
 #: Largest part of a cell's workers in quarantine at a time; at least one may be.
 MAX_QUARANTINED_SHARE = 0.2
@@ -33,6 +35,10 @@
 MAX_PROBE_GAP_OFFSETS = 800
 
 
+class QuarantineError(Exception):
+    """A snapshot of the evidence cannot be read."""
+
+
 class Standing(enum.StrEnum):
     """What a worker may be given."""
 
@@ -52,6 +58,19 @@
     reason: str
 
 
+@dataclass(slots=True)
+class Snapshot:
+    """All evidence of a cell as of an offset."""
+
+    offset: int
+    workers_by_id: dict[str, WorkerEvidence]
+    jobs: JobTableState
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
 class QuarantineState:
     """Evidence about the jobs and workers of one cell as of an offset.
 
@@ -70,6 +89,30 @@
         """Note the offset of a record of the cell, by which probes become due."""
         self._offset = offset
 
+    def encode(self):
+        """Return the evidence as bytes, the same for all readers of an offset."""
+        state = self._jobs.to_state()
+        return _encoder.encode(Snapshot(self._offset, self._workers_by_id, state))
+
+    @classmethod
+    def decode(cls, data):
+        """Return the state that `encode` gave.
+
+        Raises
+        ------
+        QuarantineError
+            When the bytes are not such a state.
+        """
+        try:
+            snapshot = _decoder.decode(data)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise QuarantineError(f"quarantine snapshot: {error}") from error
+        state = cls()
+        state._offset = snapshot.offset
+        state._workers_by_id = snapshot.workers_by_id
+        state._jobs.restore(snapshot.jobs)
+        return state
+
     def saw_worker(self, worker_id):
         """Count a worker as a member of the cell."""
         if worker_id not in self._workers_by_id:
@@ -188,6 +231,8 @@
     def _avoided_ids(self, task_id):
         """Return the workers a task failed on, while there are others to try."""
         failed_ids = self._jobs.failed_worker_ids(task_id)
+        if not failed_ids:
+            return failed_ids
         usable = len(self._workers_by_id) - len(self.quarantined_ids())
         return failed_ids if len(failed_ids) < usable else ()
 
@@ -200,7 +245,7 @@
     def _end_run(self, job_id, worker_id, ok):
         worker = self._workers_by_id[worker_id]
         noise, first_rate = self._jobs.noise.value, self._jobs.first_rate.value
-        worker.runs.append(Run(job_id, ok, noise, first_rate))
+        worker.add_run(Run(job_id, ok, noise, first_rate))
         if worker.quarantined_at is None:
             self._judge_worker(worker_id)
         elif ok:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,4 +1,5 @@
-from hypothesis import settings
+import pytest
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -8,7 +9,7 @@
     rule,
 )
 
-from dotterelspread.quarantine import QuarantineState, Standing
+from dotterelspread.quarantine import QuarantineError, QuarantineState, Standing
 
 WORKERS = tuple(f"w{index}" for index in range(10))
 workers = st.sampled_from(WORKERS)
@@ -62,10 +63,18 @@
         self.tell("started", "other", "w9")
         self.tell("success", "other", "other.0", "w9")
 
+    @rule()
+    def restart_one(self):
+        """Let one reader begin again from a snapshot of the other."""
+        data = self.readers[1].encode()
+        self.readers[0] = QuarantineState.decode(data)
+        assert self.readers[0].encode() == data
+
     @precondition(lambda self: hasattr(self, "readers"))
     @invariant()
     def readers_agree(self):
         first, second = self.readers
+        assert first.encode() == second.encode()
         assert [first.standing(w) for w in WORKERS] == [
             second.standing(w) for w in WORKERS
         ]
@@ -88,6 +97,13 @@
             assert self.readers[0].standing(worker) is Standing.QUARANTINED
 
 
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.binary(max_size=40))
+def test_bytes_that_are_no_snapshot_are_an_error(data):
+    with pytest.raises(QuarantineError):
+        QuarantineState.decode(data)
+
+
 TestBlame = BlameMachine.TestCase
 TestBlame.settings = settings(
     derandomize=True, max_examples=30, stateful_step_count=40, deadline=None
