--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -28,7 +28,7 @@
 from .entrystate import Place
 from .gen.peer.ttypes import AnswerQuery, RunRequest
 from .log import TruncatedError
-from .logclient import AppendError
+from .logclient import KEEP_WAIT_S, AppendError
 from .node import Part
 from .outcome import Failed
 from .peer import PeerError, PeerFailedError, PeerUnsentError
@@ -242,7 +242,10 @@
         position = 0
         while True:
             try:
-                async for batch in self.node.log_client.follow(stream, position):
+                follow = self.node.log_client.follow(
+                    stream, position, wait_s=KEEP_WAIT_S
+                )
+                async for batch in follow:
                     self._take_claims(stream, batch)
                     position = batch.next_offset
             except TruncatedError as error:
--- a/dotterelspread/summarypart.py
+++ b/dotterelspread/summarypart.py
@@ -4,7 +4,7 @@
 
 from .celltask import TaskPhase
 from .log import TruncatedError
-from .logclient import AppendError
+from .logclient import KEEP_WAIT_S, AppendError
 from .node import Part
 from .placement import tie_break
 from .quota import QuotaState, SummaryRead
@@ -95,7 +95,7 @@
         position = 0
         while True:
             try:
-                async for batch in self.node.log_client.follow(STREAM, position):
+                async for batch in self._read(position):
                     for entry in batch.entries:
                         self._take(entry.offset, entry.envelope.record)
                     position = batch.next_offset
@@ -103,6 +103,10 @@
                 # Only the latest summary of each cell counts, and those are kept.
                 position = error.oldest
 
+    def _read(self, position):
+        log_client = self.node.log_client
+        return log_client.follow(STREAM, position, wait_s=KEEP_WAIT_S)
+
     def _take(self, offset, record):
         if not isinstance(record, CellSummary):
             return
