Settle claims again once the store is back

Cause: the new scenario 'The store goes down before a booking is settled' was red: after an outage and a restart of the agent a repeat got 'unknown' though the entry knew the answer.

--- a/dotterelspread/entryclaims.py
+++ b/dotterelspread/entryclaims.py
@@ -5,7 +5,6 @@
 """
 
 from .entryevents import (
-    Append,
     AppendFailed,
     AskAnswer,
     ClaimRead,
@@ -18,11 +17,12 @@
     open_attempt,
     respond,
 )
+from .entrysettle import append, settle, settle_abandoned, settle_claim
 from .entrystate import Attempt, AttemptState
 from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
 from .record import RequestClaimed, RequestSettled
 from .reducer import reduce
-from .requestclaim import claim_stream, settled_record
+from .requestclaim import claim_stream
 from .retry import MAX_ATTEMPTS
 
 __all__ = [
@@ -30,7 +30,6 @@
     "follow_outcome",
     "is_claimed_by_other",
     "pursue_claim",
-    "settle",
     "tick_claim",
 ]
 
@@ -46,6 +45,8 @@
     table.apply(event.offset, event.record)
     if not table.is_complete:
         return []
+    if isinstance(event.record, RequestSettled):
+        state.settling_by_id.pop(event.record.request_id, None)
     effects = settle_abandoned(state, table, event.record)
     for request in affected_requests(state, event):
         effects += pursue_claim(state, request, event.now_s)
@@ -61,8 +62,9 @@
 @reduce.register
 def _(event: AppendFailed, state):
     request = state.requests_by_id.get(event.request_id)
-    if request and event.proved_absent and request.claiming is not None:
-        request.append_s = event.now_s + APPEND_BACKOFF_S
+    appended = request or state.settling_by_id.get(event.request_id)
+    if appended and event.proved_absent:
+        appended.append_s = event.now_s + APPEND_BACKOFF_S
     return []
 
 
@@ -119,11 +121,6 @@
     return [append(request.claim, request.request_id)]
 
 
-def append(record, request_id):
-    """Return the effect that appends a record to its key's stream."""
-    return Append(claim_stream(record.service, record.key), record, request_id)
-
-
 def pursue_own_claim(state, request, claim, now_s):
     """Send the request whose claim stands, or claim again if it was not run."""
     record = claim.record
@@ -183,37 +180,6 @@
     return [*effects, *settle(state, request, outcome)]
 
 
-def settle(state, request, outcome):
-    """Return the effects that settle the request's own claim if it stands."""
-    if request.key is None:
-        return []
-    claim = state.table(request).find(request.service_name, request.key)
-    if claim is None or claim.settled is not None:
-        return []
-    if claim.record.request_id != request.request_id:
-        return []
-    return settle_claim(claim.record, outcome)
-
-
-def settle_claim(claim_record, outcome):
-    """Return the effects that settle a claim; none when the outcome is unknown."""
-    record = settled_record(claim_record, outcome)
-    return [append(record, claim_record.request_id)] if record else []
-
-
-def settle_abandoned(state, table, record):
-    """Settle a claim as not run that surfaced after its request was given up."""
-    if not isinstance(record, RequestClaimed):
-        return []
-    if state.abandoned_ids.get(record.request_id) != record.attempt:
-        return []
-    claim = table.find(record.service, record.key)
-    if claim is None or claim.record is not record:
-        return []
-    outcome = Refused(RefusalReason.STORE_UNAVAILABLE, "given up before it was sent")
-    return settle_claim(record, outcome)
-
-
 def follow(request, claim, now_s):
     """Wait for the claim of another request with the same key."""
     if request.claiming is not None and request.claiming <= claim.record.attempt:
@@ -226,7 +192,8 @@
 
 def tick_claim(state, request, now_s):
     """Append a claim again, or ask for the outcome of the one that is followed."""
-    if request.append_s is not None and request.append_s <= now_s:
+    is_due = request.append_s is not None and request.append_s <= now_s
+    if is_due and request.claiming is not None:
         request.append_s = None
         return [append(request.claim, request.request_id)]
     if request.follow_s is None or request.follow_s > now_s:
@@ -268,7 +235,7 @@
         outcome = Unknown(outcome.detail, (record.instance_id,))
     effects = respond(state, request, outcome)
     if isinstance(outcome, Completed | Failed) and claim.settled is None:
-        effects += settle_claim(record, outcome)
+        effects += settle_claim(state, record, outcome)
     return effects
 
 
--- a/dotterelspread/entrycore.py
+++ b/dotterelspread/entrycore.py
@@ -10,7 +10,6 @@
     follow_outcome,
     is_claimed_by_other,
     pursue_claim,
-    settle,
     tick_claim,
 )
 from .entryevents import (
@@ -36,10 +35,12 @@
     note_latency,
     note_load,
     open_attempt,
+    open_attempts,
     progress_timeout_s,
     respond,
     suspect,
 )
+from .entrysettle import settle, tick_settlements
 from .entrystate import AttemptState, EntryState
 from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
 from .reducer import reduce
@@ -185,7 +186,7 @@
 
 @reduce.register
 def _(event: EntryTick, state):
-    effects = []
+    effects = tick_settlements(state, event.now_s)
     for request in list(state.requests_by_id.values()):
         if request.deadline_s <= event.now_s:
             effects += expire(state, request)
@@ -277,21 +278,6 @@
     return []
 
 
-def open_attempts(state, instance_id, incarnation):
-    """Return the requests and attempts open at an instance before an incarnation.
-
-    No request has two open attempts at one instance.
-    """
-    return [
-        (request, attempt)
-        for request in state.requests_by_id.values()
-        for attempt in request.attempts
-        if attempt.is_open
-        and attempt.instance_id == instance_id
-        and attempt.incarnation < incarnation
-    ]
-
-
 def expire(state, request):
     """Answer the caller of a request whose deadline has passed."""
     if request.key is not None:
--- a/dotterelspread/entrysend.py
+++ b/dotterelspread/entrysend.py
@@ -14,6 +14,7 @@
     "note_latency",
     "note_load",
     "open_attempt",
+    "open_attempts",
     "progress_timeout_s",
     "respond",
     "suspect",
@@ -82,6 +83,21 @@
     return max(MIN_PROGRESS_TIMEOUT_S, timeout_s)
 
 
+def open_attempts(state, instance_id, incarnation):
+    """Return the requests and attempts open at an instance before an incarnation.
+
+    No request has two open attempts at one instance.
+    """
+    return [
+        (request, attempt)
+        for request in state.requests_by_id.values()
+        for attempt in request.attempts
+        if attempt.is_open
+        and attempt.instance_id == instance_id
+        and attempt.incarnation < incarnation
+    ]
+
+
 def note_latency(state, attempt, now_s):
     """Take over how long an attempt took to be answered."""
     instance = state.instances_by_id.get(attempt.instance_id)
--- /dev/null
+++ b/dotterelspread/entrysettle.py
@@ -0,0 +1,63 @@
+"""Settling claims: how an entry records the outcome of non-idempotent requests."""
+
+from .entryevents import Append
+from .outcome import RefusalReason, Refused
+from .record import RequestClaimed
+from .requestclaim import claim_stream, settled_record
+
+__all__ = [
+    "append",
+    "settle",
+    "settle_abandoned",
+    "settle_claim",
+    "tick_settlements",
+]
+
+
+def settle(state, request, outcome):
+    """Return the effects that settle the request's own claim if it stands."""
+    if request.key is None:
+        return []
+    claim = state.table(request).find(request.service_name, request.key)
+    if claim is None or claim.settled is not None:
+        return []
+    if claim.record.request_id != request.request_id:
+        return []
+    return settle_claim(state, claim.record, outcome)
+
+
+def settle_claim(state, claim_record, outcome):
+    """Return the effects that settle a claim; none when the outcome is unknown."""
+    record = settled_record(claim_record, outcome)
+    if record is None:
+        return []
+    state.note_settling(record)
+    return [append(record, record.request_id)]
+
+
+def tick_settlements(state, now_s):
+    """Append settlements again that are proved to be absent from the log."""
+    effects = []
+    for settling in state.settling_by_id.values():
+        if settling.append_s is not None and settling.append_s <= now_s:
+            settling.append_s = None
+            effects.append(append(settling.record, settling.record.request_id))
+    return effects
+
+
+def settle_abandoned(state, table, record):
+    """Settle a claim as not run that surfaced after its request was given up."""
+    if not isinstance(record, RequestClaimed):
+        return []
+    if state.abandoned_ids.get(record.request_id) != record.attempt:
+        return []
+    claim = table.find(record.service, record.key)
+    if claim is None or claim.record is not record:
+        return []
+    outcome = Refused(RefusalReason.STORE_UNAVAILABLE, "given up before it was sent")
+    return settle_claim(state, record, outcome)
+
+
+def append(record, request_id):
+    """Return the effect that appends a record to its key's stream."""
+    return Append(claim_stream(record.service, record.key), record, request_id)
--- a/dotterelspread/entrystate.py
+++ b/dotterelspread/entrystate.py
@@ -7,11 +7,14 @@
 
 from .configuration import Configuration, KindConfig
 from .linkbudget import LinkBudget
+from .record import RequestSettled
 from .requestclaim import CLAIM_STREAMS, ClaimTable, claim_stream
 from .retry import RetryBudget
 
-__all__ = ["Attempt", "AttemptState", "EntryState", "Place", "Request"]
+__all__ = ["Attempt", "AttemptState", "EntryState", "Place", "Request", "Settling"]
 
+#: Most settlements that wait to be read back.
+MAX_SETTLING = 10_000
 #: Most requests given up whose claims may still surface in the log.
 MAX_ABANDONED = 10_000
 
@@ -87,6 +90,15 @@
         return next((a for a in self.attempts if a.number == number), None)
 
 
+@dataclass(slots=True)
+class Settling:
+    """The settlement of a claim on its way into the log."""
+
+    record: RequestSettled
+    #: When it is appended again; None unless it is proved to be absent.
+    append_s: float | None = None
+
+
 @dataclass(slots=True)
 class EntryState:
     """All that an entry's decisions on requests depend on."""
@@ -104,6 +116,8 @@
     tables_by_stream: dict = field(default_factory=dict)
     #: Attempt claimed by each request that was given up, by id; never to be sent.
     abandoned_ids: OrderedDict = field(default_factory=OrderedDict)
+    #: Settlements that have not been read back, by request id.
+    settling_by_id: OrderedDict = field(default_factory=OrderedDict)
     retries: RetryBudget = field(default_factory=RetryBudget)
     link: LinkBudget = field(default_factory=lambda: LinkBudget.from_entries(1))
 
@@ -125,3 +139,9 @@
         self.abandoned_ids[request_id] = attempt
         while len(self.abandoned_ids) > MAX_ABANDONED:
             self.abandoned_ids.popitem(last=False)
+
+    def note_settling(self, record):
+        """Remember a settlement until it is read back."""
+        self.settling_by_id[record.request_id] = Settling(record)
+        while len(self.settling_by_id) > MAX_SETTLING:
+            self.settling_by_id.popitem(last=False)
--- a/tests/scenarios/requests.feature
+++ b/tests/scenarios/requests.feature
@@ -161,3 +161,19 @@
     And e0 wakes
     And 3 s pass
     Then "k1" was run once
+
+  Scenario: The store goes down before a booking is settled
+    Given agents a0 and a1
+    When a caller books k1 through e0
+    And "k1" has started
+    And the store goes down
+    And 2 s pass
+    Then the caller of k1 through e0 got completed
+    When the store comes back
+    And 2 s pass
+    And agent a0 restarts
+    And agent a1 restarts
+    And a caller books k1 through e1
+    And 3 s pass
+    Then the caller of k1 through e1 got completed
+    And "k1" was run once
