--- a/dotterelspread/ownership.py
+++ b/dotterelspread/ownership.py
@@ -17,8 +17,9 @@
 REPEAT_S = 2.0
 #: Seconds after a slice's end when the worker has surely stopped the task.
 SLICE_MARGIN_S = 1.0
-#: Seconds between checkpoints of a running task.
+#: Seconds between checkpoints of a running task, at most, and as a part of its lease.
 CHECKPOINT_PERIOD_S = 120.0
+CHECKPOINT_PART = 0.5
 #: Instances on which a program must fail before its task ends as failed.
 FAILED_INSTANCES = 3
 #: Failures after which a task ends as failed, on however few instances.
@@ -127,7 +128,8 @@
         if now_s - local.asked_s >= REPEAT_S:
             return [_start(state, now_s, local)]
         return []
-    if now_s - local.checkpoint_asked_s >= CHECKPOINT_PERIOD_S:
+    period_s = min(CHECKPOINT_PERIOD_S, local.lease_s * CHECKPOINT_PART)
+    if now_s - local.checkpoint_asked_s >= period_s:
         local.checkpoint_asked_s = now_s
         return [CheckpointTask(local.task_id, local.epoch)]
     deadline_s = slice_deadline_s(now_s, _lease_end_s(state, local))
