--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -63,6 +63,9 @@
             return "too many attempts"
         return None
 
+    def wait(self, job_id, task_id):
+        return None
+
     def standing(self, worker_id):
         return Standing.OPEN
 
@@ -247,6 +250,8 @@
             self.result.refused_sound_tasks += 1
 
     def _choose(self, job, task_id):
+        if self.policy.wait(job.job_id, task_id):
+            return None
         free = [worker for worker in self.workers if worker.running < SLOTS]
         free.sort(key=lambda worker: (worker.running, self.ends.random()))
         for worker in free:
--- a/dotterelspread/quarantine.py
+++ b/dotterelspread/quarantine.py
@@ -174,6 +174,13 @@
         """Return why a task should be refused for good, or None."""
         return self._jobs.refusal(job_id, task_id)
 
+    def wait(self, job_id, task_id):
+        """Return why a task may start on no worker yet, or None.
+
+        `admit` asks this too; ask it first to skip looking at each worker.
+        """
+        return self._jobs.wait(self._offset, job_id, task_id)
+
     def admit(self, worker_id, job_id, task_id, running):
         """Decide whether a task may start on a worker.
 
@@ -187,7 +194,7 @@
         -------
         admission : Admission
         """
-        wait = self._jobs.wait(self._offset, job_id, task_id)
+        wait = self.wait(job_id, task_id)
         if wait is not None:
             return Admission(False, False, wait)
         if worker_id in self._avoided_ids(task_id):
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -6,10 +8,13 @@
 from dotterelspread.controller import (
     CONTROLLERS_BY_NAME,
     ControllerError,
+    EvictTask,
+    UsageReported,
     cheapest_victim,
     get_controller,
 )
 from dotterelspread.controllers.feedback import COOL_DOWN_S
+from dotterelspread.reducer import reduce
 
 from .builders_policies import batch, sample
 
@@ -79,3 +84,10 @@
             alarm_s = now_s + 10.0
     gaps = zip(evicted_s, evicted_s[1:], strict=False)
     assert all(later - earlier >= COOL_DOWN_S for earlier, later in gaps)
+
+
+def test_the_reducer_hands_reports_to_the_controller():
+    state = SimpleNamespace(controller=make("fixed"))
+    assert reduce(UsageReported(30.0, sample(10.0, 0.3)), state) == []
+    decision = state.controller.decide(30.0, 0.5, batch("a", 4.0))
+    assert EvictTask("a-0", "p99 above target") in decision.effects()
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,9 +1,11 @@
 import random
+from types import SimpleNamespace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dotterelspread.quota import QuotaState
+from dotterelspread.quota import QuotaState, SummaryRead
+from dotterelspread.reducer import reduce
 from dotterelspread.resources import Resources
 
 from .builders_policies import (
@@ -124,3 +126,9 @@
     for offset, record in list(enumerate(stream))[6:]:
         late.apply(offset, record)
     assert shares(early) == shares(late)
+
+
+def test_the_reducer_applies_summaries():
+    state = SimpleNamespace(quota=QuotaState({}))
+    assert reduce(SummaryRead(0.0, 3, summary("north", 8)), state) == []
+    assert state.quota.offset == 3
