--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 
 from dotterelspread.configuration import TeamConfig
-from dotterelspread.preemption import Candidate, choose_victims
 from dotterelspread.quota import QuotaState, StartDecision
+from dotterelspread.quotavictims import Candidate, choose_victims
 from dotterelspread.record import Envelope, encode_record
 from dotterelspread.resources import Resources
 from dotterelspread.summary import SUMMARY_PERIOD_S, summarize
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 
 from .gen.peer.ttypes import JobReply, StatusReply, TaskStatus
+from .localtask import LocalPhase
 from .log import TruncatedError
 from .logclient import AppendError
 from .node import Part
@@ -30,7 +31,6 @@
     WorkerReported,
 )
 from .taskexplain import explain_task
-from .taskstate import LocalPhase
 from .worker import WorkerError
 
 __all__ = ["TaskPart"]
@@ -41,6 +41,8 @@
 REPORT_S = 1.0
 #: Seconds that an append may take before it is given up.
 APPEND_TIMEOUT_S = 5.0
+#: Part of the log's retention after which the cell's snapshot is due.
+SNAPSHOT_PART = 1 / 3
 #: Smallest change of a task's share that the worker is told of.
 LEAST_SHARE_CHANGE = 0.01
 #: Seconds between looks at whether a drain has ended.
--- a/tests/test_preemption.py
+++ b/tests/test_quotavictims.py
@@ -1,8 +1,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dotterelspread.preemption import Candidate, choose_victims
 from dotterelspread.quota import Excess
+from dotterelspread.quotavictims import Candidate, choose_victims
 from dotterelspread.resources import Resources
 
 from .builders_policies import cores
