--- a/dotterelspread/daemon.py
+++ b/dotterelspread/daemon.py
@@ -9,14 +9,18 @@
 from absl import app, flags
 
 from .agentnode import open_agent
+from .backend import BackendError
 from .entrynode import open_entry
-from .jsonlog import log_change, open_log
+from .jsonlog import log_change, log_fault, open_log
+from .log import LogError
 from .logclient import LogClient, make_incarnation
 from .node import Node, boottime_s
-from .peer import PeerPool
+from .peer import PeerError, PeerPool
 from .reducer import reduce
+from .server import ServerError
 from .settings import DaemonSettings, Role, SettingsError
 from .telemetry import open_telemetry
+from .tracing import TracingError
 
 __all__ = ["main", "run", "serve"]
 
@@ -28,6 +32,9 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+#: What keeps a process from starting.
+START_ERRORS = (BackendError, LogError, PeerError, ServerError, TracingError)
+
 OPENERS_BY_ROLE = {Role.ENTRY: open_entry, Role.AGENT: open_agent}
 
 
@@ -89,7 +96,11 @@
         print(error, file=sys.stderr)
         return EXIT_USAGE
     with open_log(settings):
-        uvloop.run(serve(settings))
+        try:
+            uvloop.run(serve(settings))
+        except START_ERRORS as error:
+            log_fault("failed", error)
+            return EXIT_FAILED
     return EXIT_OK
 
 
--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -246,7 +246,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, protocol = await loop.create_connection(
-                    lambda: _ClientProtocol(self.traffic), host, int(port)
+                    lambda: _ClientProtocol(self.traffic), host.strip("[]"), int(port)
                 )
         except (OSError, ValueError, TimeoutError) as error:
             raise PeerUnsentError(f"{address}: {error or 'no connection'}") from error
@@ -265,16 +265,24 @@
         What runs each method: takes its argument, returns its value.
     traffic : TrafficCount, optional
         Where bytes and messages are counted.
+
+    Raises
+    ------
+    PeerError
+        When nothing can listen on the address.
     """
     host, _, port = address.rpartition(":")
     traffic = traffic or TrafficCount()
     protocols = set()
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(
-        lambda: _ServerProtocol(traffic, handlers_by_method, protocols),
-        host,
-        int(port),
-    )
+    try:
+        server = await loop.create_server(
+            lambda: _ServerProtocol(traffic, handlers_by_method, protocols),
+            host.strip("[]"),
+            int(port),
+        )
+    except OSError as error:
+        raise PeerError(f"cannot listen on {address}: {error}") from error
     try:
         yield server
     finally:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -10,6 +10,7 @@
     RunRequest,
 )
 from dotterelspread.peer import (
+    PeerError,
     PeerFailedError,
     PeerLostError,
     PeerPool,
@@ -79,3 +80,14 @@
         assert (await pool.call(address, "run", soon, 10)).body == b"3"
 
     run_with_agent(scenario)
+
+
+def test_an_address_in_use_is_named():
+    async def main():
+        async with serve_peers("127.0.0.1:0", {}) as server:
+            port = server.sockets[0].getsockname()[1]
+            with pytest.raises(PeerError, match=f"cannot listen on 127.0.0.1:{port}"):
+                async with serve_peers(f"127.0.0.1:{port}", {}):
+                    pass
+
+    asyncio.run(main())
