Choose a cell that can hold a job, and refuse what no instance can

Cause: jobs went to a random cell, selectors' urgency was not applied, and a job that no instance could hold waited half a minute to be refused. Found on the way: heartbeats do not carry sizes, so members learned from them looked empty; the log's announcement is used. Change: cellchoice at the entry, urgency by selectors, a just accepted job is never called unknown.

--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -1,11 +1,14 @@
 """The part of an entry that takes jobs, cancels them and tells how they stand."""
 
+import asyncio
 import hashlib
 import random
-from collections import deque
-from dataclasses import dataclass
+from collections import OrderedDict, deque
+from dataclasses import dataclass, replace
 
+from .cellchoice import CellMemberView, CellView, choose_cell
 from .gen.peer.ttypes import JobQuery
+from .labels import applying_selectors, effective_urgency, instance_labels
 from .logclient import AppendError
 from .node import Part
 from .outcome import Outcome, RefusalReason, Refused, Unknown
@@ -18,6 +21,11 @@
 APPEND_TIMEOUT_S = 10.0
 #: Seconds that an agent may take to tell how a job stands.
 QUERY_TIMEOUT_S = 1.0
+#: Longest time that an agent may lag behind an append of this entry, in seconds.
+READ_LAG_S = 2.0
+READ_POLL_S = 0.1
+#: Jobs accepted here that are remembered.
+MAX_ACCEPTED = 1000
 #: Refusals kept for operators.
 MAX_REFUSALS = 1000
 #: Agents of a cell that are asked for a job before giving up.
@@ -56,6 +64,7 @@
         self._cells = node.settings.entry.cells
         self.refusals = deque(maxlen=MAX_REFUSALS)
         self._configuration = None
+        self._accepted_ids = OrderedDict()
 
     def configure(self, version):
         """Put a new `Version` in force."""
@@ -85,26 +94,39 @@
         refused = self._refusal(job)
         if refused is not None:
             return refused, ""
-        cell = self._choose_cell(key)
+        cell = self._choose_cell(job, key)
+        if isinstance(cell, Refused):
+            return cell, ""
         job_id = f"{cell}-{self._new_id(job.team, key)}"
-        record = job.to_record(job_id)
+        record = self._with_urgency(job).to_record(job_id)
         outcome = await self._append(cell, record)
         if outcome is None:
+            self._remember(job_id)
             self.node.telemetry.count("jobs_accepted", team=job.team)
         return outcome, job_id
 
     async def cancel(self, job_id):
         """Append a job's cancellation; return why not, or None."""
         cell = cell_of_job(job_id)
-        if cell not in self._known_cells():
+        if cell not in self._cells:
             return _not_found(job_id)
         return await self._append(cell, JobCancelled(job_id))
 
     async def show(self, job_id):
         """Return a job as a JSON document, or the `Outcome` that says why not."""
+        until_s = self.node.now_s() + READ_LAG_S
+        outcome = await self._ask_cell(job_id)
+        # Agents may not have read yet what this entry has just appended.
+        while job_id in self._accepted_ids and isinstance(outcome, Refused):
+            if self.node.now_s() >= until_s:
+                break
+            await asyncio.sleep(READ_POLL_S)
+            outcome = await self._ask_cell(job_id)
+        return outcome
+
+    async def _ask_cell(self, job_id):
         cell = cell_of_job(job_id)
-        agents = list(self._members.agents_of_cell(cell))
-        self._random.shuffle(agents)
+        agents = self._members.agents_of_cell(cell)
         for member in agents[:MAX_ASKED]:
             try:
                 reply = await self.node.pool.call(
@@ -128,20 +150,36 @@
             known = ", ".join(sorted(teams))
             detail = f"team {job.team!r}: must be one of {known}"
             return Refused(RefusalReason.BAD_REQUEST, detail)
-        if not self._known_cells():
+        if not self._cells:
             return Refused(RefusalReason.NO_INSTANCE, "no cell is known", 2.0)
         return None
 
-    def _known_cells(self):
-        return self._cells
+    def _choose_cell(self, job, key):
+        """Return the name of a cell that can hold the job, or why none ever can.
 
-    def _choose_cell(self, key):
-        """Spread jobs over cells; a job with a key always goes to the same one."""
-        cells = sorted(self._known_cells())
+        A job with a key always goes to the same cell, so that a repeat finds it.
+        """
+        views = [self._view(cell) for cell in sorted(self._cells)]
+        if all(_is_known(view) for view in views):
+            record = job.to_record(self._new_id(job.team, key))
+            own = self.node.settings.data_centre
+            chosen = choose_cell(record, views, self._configuration, own)
+            if isinstance(chosen, Refused) or not key:
+                return chosen
         if not key:
-            return self._random.choice(cells)
+            return self._random.choice(self._cells)
         digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
-        return cells[int.from_bytes(digest) % len(cells)]
+        return sorted(self._cells)[int.from_bytes(digest) % len(self._cells)]
+
+    def _view(self, cell):
+        agents = self._members.agents_of_cell(cell)
+        members = tuple(
+            CellMemberView(
+                agent.instance_id, agent.capacity, instance_labels(agent, {})
+            )
+            for agent in agents
+        )
+        return CellView(cell, agents[0].data_centre if agents else "", members)
 
     def _new_id(self, team, key):
         if not key:
@@ -149,6 +187,16 @@
         identity = f"{team}\0{key}".encode()
         return hashlib.blake2b(identity, digest_size=8).hexdigest()
 
+    def _with_urgency(self, job):
+        """Return the job at the urgency that the selectors on its labels set."""
+        selectors = applying_selectors(self._configuration, job.labels)
+        return replace(job, urgency=effective_urgency(selectors, job.urgency))
+
+    def _remember(self, job_id):
+        self._accepted_ids[job_id] = None
+        if len(self._accepted_ids) > MAX_ACCEPTED:
+            self._accepted_ids.popitem(last=False)
+
     async def _append(self, cell, record):
         try:
             await self.node.log_client.append(cell, record, APPEND_TIMEOUT_S)
@@ -161,6 +209,12 @@
         return None
 
 
+def _is_known(view):
+    """Tell whether the size of every agent in a cell is known, and there are some."""
+    sizes = [member.capacity.millicores for member in view.members]
+    return bool(sizes) and all(sizes)
+
+
 def _not_found(job_id):
     return Refused(RefusalReason.NOT_FOUND, f"no job {job_id!r} is known")
 
--- a/dotterelspread/memberpart.py
+++ b/dotterelspread/memberpart.py
@@ -148,16 +148,24 @@
         return addresses
 
     def agents_of_cell(self, cell):
-        """Return the announcements of the agents in a cell, live ones first."""
+        """Return the agents' announcements in a cell, live ones first, else random."""
         agents = [
-            member.announced
+            self._whole(member)
             for member in self.members()
             if member.announced.cell == cell
         ]
+        self._rng.shuffle(agents)
         return sorted(
             agents, key=lambda a: self.status(a.instance_id) is not PeerStatus.LIVE
         )
 
+    def _whole(self, member):
+        """Return an announcement with what peers do not pass on, if the log has it."""
+        logged = self.replica.state.state.members_by_id.get(member.instance_id)
+        if logged is None or logged.incarnation != member.incarnation:
+            return member.announced
+        return logged.announced
+
     def cells(self):
         """Return the names of the cells that have agents."""
         names = {member.announced.cell for member in self.members()}
--- a/dotterelspread/viewpart.py
+++ b/dotterelspread/viewpart.py
@@ -147,7 +147,7 @@
         if isinstance(reply, Outcome):
             return [reply.detail]
         return [
-            f"{task['task_id']}: {task['state']} {task['owner']} {task['explanation']}"
+            task["explanation"]
             for task in reply["tasks"]
             if subject_id in (job_id, task["task_id"])
         ]
--- a/tests/scenarios/task_processes.feature
+++ b/tests/scenarios/task_processes.feature
@@ -26,3 +26,7 @@
     And the job is cancelled
     Then the job's tasks are all cancelled within 20 s
     And nothing of the job runs any more
+
+  Scenario: A job that no instance can hold is refused at once
+    When a job of a task with 99 cores is submitted
+    Then it is refused with status 422, reason never-fits, and not run
--- a/tests/scenarios/test_task_processes.py
+++ b/tests/scenarios/test_task_processes.py
@@ -1,7 +1,9 @@
 """Steps of `task_processes.feature` on real processes."""
 
+import json
 import signal
 import time
+import urllib.error
 import urllib.request
 from collections import defaultdict
 
@@ -168,3 +170,18 @@
 def _(site, job_id):
     for stretches in runs_by_task(site, job_id).values():
         assert all(run["stopped_s"] is not None for _, run in stretches)
+
+
+@when("a job of a task with 99 cores is submitted", target_fixture="problem")
+def _(site):
+    task = {"program": "sleep", "cores": 99, "memory": "1GiB", "run_time": "8s"}
+    with pytest.raises(urllib.error.HTTPError) as refused:
+        post(site.url("entry-1") + "/v1/jobs", {"team": "contracts", "tasks": [task]})
+    return refused.value.code, json.load(refused.value)
+
+
+@then("it is refused with status 422, reason never-fits, and not run")
+def _(problem):
+    status, document = problem
+    assert (status, document["reason"]) == (422, "never-fits")
+    assert document["executed"] == "no"
