Apply callers' urgency and selectors to requests

Cause: the headers for urgency and labels were checked and then dropped. Ruled out: callers raising their own urgency, which would let a flood call itself urgent. Change: a caller may lower the kind's urgency, selectors on its labels, service and kind set it; it goes to the agent with the request.

--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -9,6 +9,7 @@
 from starlette.routing import Route
 
 from .callerrequest import CallerRequestError, read_headers
+from .configuration import Urgency
 from .jobrequest import read_job
 from .outcome import Completed, Outcome, RefusalReason, Refused
 from .problem import describe_outcome
@@ -62,6 +63,9 @@
     #: Seconds within which the caller wants the answer; None leaves it to the kind.
     deadline_s: float | None
     traceparent: str
+    #: Urgency that the caller asks for; None for the kind's.
+    urgency: Urgency | None
+    labels: dict[str, str]
 
     @property
     def fingerprint(self):
@@ -161,6 +165,8 @@
             headers.key or None,
             headers.deadline_s,
             headers.traceparent,
+            headers.urgency,
+            headers.labels,
         )
 
     def _answer(self, outcome, read, started_s):
--- a/dotterelspread/entryadmit.py
+++ b/dotterelspread/entryadmit.py
@@ -1,6 +1,7 @@
 """Whether an entry can take a caller's request at all."""
 
 from .entrystate import Request
+from .labels import applying_selectors, effective_urgency
 from .outcome import RefusalReason, Refused, Unknown
 
 __all__ = ["add_request", "check_request"]
@@ -36,6 +37,15 @@
     return Unknown("the deadline passed before the claims were read")
 
 
+def urgency_of(configuration, kind, event):
+    """Return the urgency of a request: a caller may lower it, selectors may set it."""
+    asked = kind.urgency
+    if event.urgency is not None:
+        asked = min(asked, event.urgency)
+    work = {**event.labels, "service": event.service_name, "kind": kind.name}
+    return effective_urgency(applying_selectors(configuration, work), asked)
+
+
 def add_request(state, event):
     """Note a request that is taken."""
     service = state.configuration.services_by_name[event.service_name]
@@ -52,6 +62,7 @@
         event.fingerprint,
         event.size_bytes,
         event.request,
+        urgency_of(state.configuration, kind, event),
     )
     state.requests_by_id[request.request_id] = request
     if request.key is not None:
--- a/dotterelspread/entryevents.py
+++ b/dotterelspread/entryevents.py
@@ -1,8 +1,8 @@
 """Events that an entry's request handling takes, and the effects that it returns."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from .configuration import Configuration
+from .configuration import Configuration, Urgency
 from .outcome import Outcome
 from .record import Record
 from .reducer import Effect, Event, Tick
@@ -48,6 +48,9 @@
     size_bytes: int = 0
     #: What the daemon sends to an instance.
     request: object = None
+    #: Urgency that the caller asks for, at most the kind's; None for the kind's.
+    urgency: Urgency | None = None
+    labels: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -115,6 +115,8 @@
             request.fingerprint,
             len(request.body),
             request,
+            request.urgency,
+            request.labels,
         )
         self.dispatch(event)
         return await future
@@ -278,4 +280,5 @@
         remaining_ms=max(0, round(effect.remaining_s * MS_PER_S)),
         idempotent=effect.idempotent,
         traceparent=traceparent,
+        urgency=effect.urgency,
     )
--- a/dotterelspread/entrysend.py
+++ b/dotterelspread/entrysend.py
@@ -70,7 +70,7 @@
         instance.incarnation,
         request.service_name,
         request.kind.name,
-        int(request.kind.urgency),
+        int(request.urgency),
         request.kind.idempotent,
         request.deadline_s - now_s,
         request.body,
--- a/dotterelspread/entrystate.py
+++ b/dotterelspread/entrystate.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from .configuration import Configuration, KindConfig
+from .configuration import Configuration, KindConfig, Urgency
 from .linkbudget import LinkBudget
 from .record import RequestSettled
 from .requestclaim import CLAIM_STREAMS, ClaimTable, claim_stream
@@ -68,6 +68,7 @@
     fingerprint: bytes
     size_bytes: int
     body: object
+    urgency: Urgency = Urgency.NORMAL
     attempts: list = field(default_factory=list)
     #: Outcome of the latest refused attempt.
     refused: object = None
--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -262,6 +262,7 @@
      - remaining_ms
      - idempotent
      - traceparent
+     - urgency
 
     """
 
@@ -277,10 +278,11 @@
         'remaining_ms',
         'idempotent',
         'traceparent',
+        'urgency',
     )
 
 
-    def __init__(self, request_id=None, incarnation=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, traceparent=None,):
+    def __init__(self, request_id=None, incarnation=None, service_name=None, kind=None, method=None, path=None, headers=None, body=None, remaining_ms=None, idempotent=None, traceparent=None, urgency=None,):
         self.request_id = request_id
         self.incarnation = incarnation
         self.service_name = service_name
@@ -292,6 +294,7 @@
         self.remaining_ms = remaining_ms
         self.idempotent = idempotent
         self.traceparent = traceparent
+        self.urgency = urgency
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -363,6 +366,11 @@
                     self.traceparent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.urgency = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -420,6 +428,10 @@
             oprot.writeFieldBegin('traceparent', TType.STRING, 11)
             oprot.writeString(self.traceparent.encode('utf-8') if sys.version_info[0] == 2 else self.traceparent)
             oprot.writeFieldEnd()
+        if self.urgency is not None:
+            oprot.writeFieldBegin('urgency', TType.I32, 12)
+            oprot.writeI32(self.urgency)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1944,6 +1956,7 @@
     (9, TType.I32, 'remaining_ms', None, None, ),  # 9
     (10, TType.BOOL, 'idempotent', None, None, ),  # 10
     (11, TType.STRING, 'traceparent', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'urgency', None, None, ),  # 12
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -139,7 +139,6 @@
         if not self.is_configured:
             refused = Refused(RefusalReason.NOT_READY, "no configuration is known")
             return message_from_outcome(refused, self.load())
-        kind = self.state.service.kinds_by_name.get(run.kind)
         now_s = self.node.now_s()
         waiter = asyncio.get_running_loop().create_future()
         event = RunRequested(
@@ -148,7 +147,7 @@
             run.incarnation,
             run.service_name,
             run.kind,
-            kind.urgency if kind else 0,
+            run.urgency or 0,
             now_s + run.remaining_ms / MS_PER_S,
             run,
             bool(run.idempotent),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -36,6 +36,7 @@
   9: i32 remaining_ms,
   10: bool idempotent,
   11: string traceparent,
+  12: i32 urgency,
 }
 
 struct Answer {
