--- a/dotterelspread/cell.py
+++ b/dotterelspread/cell.py
@@ -10,7 +10,7 @@
 
 from .cellrules import apply_record
 from .celltask import NO_EPOCH, CellJob, CellMember, CellTask, TaskPhase
-from .quarantine import QuarantineState
+from .quarantine import QuarantineError, QuarantineState
 from .record import CellSnapshot
 from .resources import Resources
 
@@ -36,6 +36,7 @@
     jobs: list[CellJob]
     tasks: list[CellTask]
     ended_job_ids: list[str]
+    quarantine: bytes
 
 
 _encoder = msgspec.msgpack.Encoder(order="deterministic")
@@ -78,8 +79,8 @@
         self.ended_job_ids = []
         #: (job, tasks) of jobs that ended earlier; not in snapshots, decides nothing.
         self.archive_by_id = {}
-        #: Evidence on failing workers. It starts anew at a snapshot: it only decides
-        #: who claims, and never whether a claim is valid.
+        #: Evidence on failing workers. It decides who claims, and never whether a
+        #: claim is valid.
         self.quarantine = QuarantineState()
 
     @classmethod
@@ -101,6 +102,10 @@
         state.jobs_by_id = {job.job_id: job for job in content.jobs}
         state.tasks_by_id = {task.task_id: task for task in content.tasks}
         state.ended_job_ids = content.ended_job_ids
+        try:
+            state.quarantine = QuarantineState.decode(content.quarantine)
+        except QuarantineError as error:
+            raise CellError(f"cell snapshot: {error}") from error
         state.pending = sorted(
             task.order for task in content.tasks if task.phase is TaskPhase.PENDING
         )
@@ -114,6 +119,7 @@
             [self.jobs_by_id[key] for key in sorted(self.jobs_by_id)],
             [self.tasks_by_id[key] for key in sorted(self.tasks_by_id)],
             self.ended_job_ids,
+            self.quarantine.encode(),
         )
         return CellSnapshot(self.next_offset - 1, _encoder.encode(content))
 
