Give operators' rows types of their own

Cause: rows went as bare maps from module to module. Change: views.py; agents send the same type that entries read.

--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -5,6 +5,7 @@
 import itertools
 from dataclasses import dataclass
 
+import msgspec
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
@@ -211,7 +212,7 @@
         reply = await self._jobs.show(request.path_params["job_id"])
         if isinstance(reply, Outcome):
             return problem_response(reply)
-        return JSONResponse(reply)
+        return JSONResponse(msgspec.to_builtins(reply))
 
     async def cancel_job(self, request):
         """Cancel what has not ended of a job."""
--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -4,18 +4,19 @@
 import hashlib
 import random
 from collections import OrderedDict, deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from .cellchoice import CellMemberView, CellView, choose_cell
 from .gen.peer.ttypes import JobQuery
 from .labels import applying_selectors, effective_urgency, instance_labels
 from .logclient import AppendError
 from .node import Part
-from .outcome import Outcome, RefusalReason, Refused, Unknown
+from .outcome import RefusalReason, Refused, Unknown
 from .peer import PeerError
 from .record import JobCancelled
+from .views import JobView, RefusalView
 
-__all__ = ["JobPart", "Refusal", "cell_of_job"]
+__all__ = ["JobPart", "cell_of_job"]
 
 #: Seconds that an append of a job may take before its caller is told.
 APPEND_TIMEOUT_S = 10.0
@@ -32,15 +33,6 @@
 MAX_ASKED = 3
 
 
-@dataclass(slots=True, frozen=True)
-class Refusal:
-    """A refusal that this entry gave, for operators to read."""
-
-    service: str
-    kind: str
-    outcome: Outcome
-
-
 def cell_of_job(job_id):
     """Return the stream of the cell that a job id names; empty when it names none."""
     cell, separator, _ = job_id.rpartition("-")
@@ -73,7 +65,9 @@
     def note_refusal(self, service, kind, outcome):
         """Remember a refusal for operators."""
         if isinstance(outcome, Refused):
-            self.refusals.append(Refusal(service, kind, outcome))
+            self.refusals.append(
+                RefusalView(service, kind, outcome.reason.value, outcome.detail)
+            )
 
     async def submit(self, job, key=""):
         """Append a job to a cell's stream.
@@ -113,7 +107,7 @@
         return await self._append(cell, JobCancelled(job_id))
 
     async def show(self, job_id):
-        """Return a job as a JSON document, or the `Outcome` that says why not."""
+        """Return a `JobView`, or the `Outcome` that says why there is none."""
         until_s = self.node.now_s() + READ_LAG_S
         outcome = await self._ask_cell(job_id)
         # Agents may not have read yet what this entry has just appended.
@@ -135,7 +129,7 @@
             except PeerError:
                 continue
             if reply.found:
-                return _document(reply)
+                return JobView.from_message(reply)
         if agents:
             return _not_found(job_id)
         detail = f"no agent of {cell or 'its cell'} can be asked now"
@@ -217,20 +211,3 @@
 
 def _not_found(job_id):
     return Refused(RefusalReason.NOT_FOUND, f"no job {job_id!r} is known")
-
-
-def _document(reply):
-    return {
-        "job_id": reply.job_id,
-        "team": reply.team,
-        "tasks": [
-            {
-                "task_id": task.task_id,
-                "state": task.state,
-                "owner": task.owner_id,
-                "epoch": task.epoch,
-                "explanation": task.explanation,
-            }
-            for task in reply.tasks
-        ],
-    }
--- a/dotterelspread/operatorhttp.py
+++ b/dotterelspread/operatorhttp.py
@@ -78,7 +78,8 @@
         subject = request.path_params["subject"]
         if subject not in SUBJECTS:
             return _bad_request("subject", subject, f"one of {', '.join(SUBJECTS)}")
-        return JSONResponse({subject: await self._views.rows(subject)})
+        rows = await self._views.rows(subject)
+        return JSONResponse({subject: msgspec.to_builtins(rows)})
 
     async def explain(self, request):
         """Say in words why a job, a task or an instance is as it is."""
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -1,10 +1,11 @@
 """The part of an agent that takes part in its cell and drives the platform's worker."""
 
 import asyncio
-import json
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
+import msgspec
+
 from .gen.peer.ttypes import JobReply, StatusReply, TaskStatus
 from .localtask import LocalPhase
 from .log import TruncatedError
@@ -31,6 +32,7 @@
     WorkerReported,
 )
 from .taskexplain import explain_task
+from .views import TaskView
 from .worker import WorkerError
 
 __all__ = ["TaskPart"]
@@ -250,20 +252,11 @@
         return JobReply(found=True, job_id=query.job_id, team=job.team, tasks=tasks)
 
     async def _status_rows(self, query):
-        rows = []
-        for task in self.state.cell.tasks_by_id.values():
-            status = self._status(task)
-            row = {
-                "task_id": status.task_id,
-                "job_id": task.job_id,
-                "state": status.state,
-                "owner": status.owner_id,
-                "epoch": status.epoch,
-                "releases": task.releases,
-                "explanation": status.explanation,
-            }
-            rows.append(json.dumps(row))
-        return StatusReply(rows)
+        views = [
+            TaskView.from_message(self._status(task))
+            for task in self.state.cell.tasks_by_id.values()
+        ]
+        return StatusReply([msgspec.json.encode(view).decode() for view in views])
 
     def _status(self, task):
         return TaskStatus(
--- a/dotterelspread/viewpart.py
+++ b/dotterelspread/viewpart.py
@@ -1,16 +1,20 @@
 """What operators can read at an entry, and the drains that they ask for."""
 
 import asyncio
-import json
+
+import msgspec
 
 from .gen.peer.ttypes import DrainRequest, StatusQuery
 from .jobpart import cell_of_job
 from .node import Part
 from .outcome import Outcome, RefusalReason, Refused
 from .peer import PeerError
+from .views import InstanceView, RequestView, StatusView, TaskView
 
 __all__ = ["ViewPart"]
 
+_task_decoder = msgspec.json.Decoder(TaskView)
+
 #: Seconds that an agent may take to answer.
 QUERY_TIMEOUT_S = 2.0
 
@@ -42,7 +46,7 @@
         }
 
     async def rows(self, subject):
-        """Return the rows on one subject, each a mapping for JSON."""
+        """Return the rows on one subject, each an object of `views`."""
         return await self._readers_by_subject[subject]()
 
     async def explain(self, subject_id):
@@ -66,26 +70,16 @@
         return None
 
     async def _instances(self):
-        return [self._instance(member) for member in self._members.members()]
-
-    def _instance(self, member):
-        announced = member.announced
-        return {
-            "instance_id": announced.instance_id,
-            "role": announced.role,
-            "data_centre": announced.data_centre,
-            "region": announced.region,
-            "address": announced.peer_address,
-            "services": list(announced.services),
-            "cell": announced.cell,
-            "status": self._members.status(announced.instance_id).value,
-            "draining": member.is_draining,
-        }
+        members = self._members
+        return [
+            InstanceView.from_member(member, members.status(member.instance_id))
+            for member in members.members()
+        ]
 
     async def _tasks(self):
         cells = self._members.cells()
         replies = await asyncio.gather(*(self._ask_cell(cell) for cell in cells))
-        return [json.loads(row) for rows in replies for row in rows]
+        return [view for views in replies for view in views]
 
     async def _ask_cell(self, cell):
         for announced in self._members.agents_of_cell(cell):
@@ -98,46 +92,28 @@
                 )
             except PeerError:
                 continue
-            return reply.rows
+            return [_task_decoder.decode(row) for row in reply.rows or ()]
         return []
 
     async def _requests(self):
         now_s = self.node.now_s()
-        return [
-            {
-                "request_id": request.request_id,
-                "service": request.service_name,
-                "kind": request.kind.name,
-                "attempts": len(request.attempts),
-                "instances": sorted(request.tried_ids),
-                "remaining_s": round(request.deadline_s - now_s, 3),
-            }
-            for request in self._entry.state.requests_by_id.values()
-        ]
+        requests = self._entry.state.requests_by_id.values()
+        return [RequestView.from_request(request, now_s) for request in requests]
 
     async def _refusals(self):
-        return [
-            {
-                "service": refusal.service,
-                "kind": refusal.kind,
-                "reason": refusal.outcome.reason.value,
-                "detail": refusal.outcome.detail,
-            }
-            for refusal in self._jobs.refusals
-        ]
+        return list(self._jobs.refusals)
 
     async def _status(self):
         settings = self.node.settings
-        return [
-            {
-                "instance_id": settings.instance_id,
-                "role": settings.role.value,
-                "ready": self._configuration.is_ready,
-                "configuration_version": self._configuration.version,
-                "instances": len(self._members.members()),
-                "requests_in_progress": self._entry.in_progress,
-            }
-        ]
+        status = StatusView(
+            settings.instance_id,
+            settings.role.value,
+            self._configuration.is_ready,
+            self._configuration.version,
+            len(self._members.members()),
+            self._entry.in_progress,
+        )
+        return [status]
 
     async def _explain_job(self, subject_id):
         job_id = subject_id
@@ -147,9 +123,9 @@
         if isinstance(reply, Outcome):
             return [reply.detail]
         return [
-            task["explanation"]
-            for task in reply["tasks"]
-            if subject_id in (job_id, task["task_id"])
+            task.explanation
+            for task in reply.tasks
+            if subject_id in (job_id, task.task_id)
         ]
 
     def _explain_request(self, request_id):
