--- a/tests/builders_requests.py
+++ b/tests/builders_requests.py
@@ -184,7 +184,7 @@
 
     def kill_agent(self, agent_id, is_noticed=True):
         agent = self.agents[agent_id]
-        agent.is_alive = False
+        self.reset_connections(agent)
         if is_noticed:
             gone = entry_events.MemberGone(
                 self.now_s, agent_id, agent.state.incarnation
@@ -194,10 +194,23 @@
 
     def restart_agent(self, agent_id, announce_s=0.0):
         old = self.agents[agent_id]
-        old.is_alive = False
+        self.reset_connections(old)
         incarnation = old.state.incarnation + 1
         self.start_agent(agent_id, old.state.slots, incarnation, announce_s)
 
+    def reset_connections(self, agent):
+        """End a process; those that wait for its answers learn it unless cut off."""
+        if not agent.is_alive:
+            return
+        agent.is_alive = False
+        for pending in agent.state.pending_by_id.values():
+            for waiter in pending.waiters:
+                names = (agent.process_id, waiter.entry_id)
+                entry = self.entries.get(waiter.entry_id)
+                if entry and not self.is_lost(*names, waiter.connection):
+                    lost = self.lost(waiter.effect, sent=True)
+                    self.after(self.delay(), self.deliver, entry, lost)
+
     def thaw(self, process):
         process.is_frozen = False
         inbox, process.inbox = process.inbox, []
