--- a/standins/site.py
+++ b/standins/site.py
@@ -1,5 +1,6 @@
 """A whole site on loopback: stand-ins and real daemons, each a process of its own."""
 
+import itertools
 import json
 import os
 import signal
@@ -15,11 +16,18 @@
 
 import yaml
 
+FIRST_PORT = 12_000
+PORT_COUNT = 20_000
+#: Ports between those with which two processes start.
+PORTS_APART = 211
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
 POLL_S = 0.05
 
 
+_numbers = itertools.count()
+
+
 class SiteError(Exception):
     """A process of the site did not do what it should."""
 
@@ -202,9 +210,19 @@
 
 
 def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """Return a port that nothing listens on.
+
+    It lies below the range from which outgoing connections take theirs, so that none
+    of these takes it before the process that it is meant for.
+    """
+    while True:
+        port = FIRST_PORT + (next(_numbers) + os.getpid() * PORTS_APART) % PORT_COUNT
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def get(url):
