Share the link's bytes among the live entries; call a failed handler unknown

Change: entries of the region are counted from heartbeats; such an attempt is lost after sending, so its answer is asked for.

--- a/dotterelspread/entrycore.py
+++ b/dotterelspread/entrycore.py
@@ -18,6 +18,7 @@
     AskLost,
     AskPending,
     AttemptLost,
+    EntriesCounted,
     EntryConfigured,
     EntryTick,
     LoadReported,
@@ -178,6 +179,12 @@
     return []
 
 
+@reduce.register
+def _(event: EntriesCounted, state):
+    state.link.share_with(event.count)
+    return []
+
+
 @reduce.register
 def _(event: EntryConfigured, state):
     state.configuration = event.configuration
--- a/dotterelspread/entryevents.py
+++ b/dotterelspread/entryevents.py
@@ -19,6 +19,7 @@
     "AttemptLost",
     "ClaimRead",
     "ClaimsTruncated",
+    "EntriesCounted",
     "EntryConfigured",
     "EntryTick",
     "LoadReported",
@@ -165,6 +166,13 @@
     load: Load
 
 
+@dataclass(slots=True, frozen=True)
+class EntriesCounted(Event):
+    """So many entries of the own region, this one included, share its link."""
+
+    count: int
+
+
 @dataclass(slots=True, frozen=True)
 class EntryConfigured(Event):
     """A configuration is in force from now on."""
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -30,8 +30,7 @@
 from .log import TruncatedError
 from .logclient import KEEP_WAIT_S, AppendError
 from .node import Part
-from .outcome import Failed
-from .peer import PeerError, PeerFailedError, PeerUnsentError
+from .peer import PeerError, PeerUnsentError
 from .record import ClaimsSnapshot
 from .wire import MS_PER_S, load_from_message, outcome_from_message, to_headers
 
@@ -167,8 +166,6 @@
                 answer = await self.node.pool.call(address, "run", run, timeout_s)
             except PeerUnsentError:
                 event = self._lost(effect, sent=False)
-            except PeerFailedError as error:
-                event = self._answered(effect, Failed(str(error)), None)
             except PeerError:
                 event = self._lost(effect, sent=True)
             else:
--- a/dotterelspread/linkbudget.py
+++ b/dotterelspread/linkbudget.py
@@ -10,6 +10,10 @@
 BURST_S = 0.5
 
 
+def _bytes_per_s(entries):
+    return LINK_BITS_PER_S / 8 * REQUEST_SHARE / max(1, entries)
+
+
 class LinkBudget:
     """Token bucket of the bytes that an entry may send to other regions.
 
@@ -31,7 +35,11 @@
     @classmethod
     def from_entries(cls, entries):
         """Return the budget of one of several entries that share the link."""
-        return cls(LINK_BITS_PER_S / 8 * REQUEST_SHARE / max(1, entries))
+        return cls(_bytes_per_s(entries))
+
+    def share_with(self, entries):
+        """Take the share of one of so many entries from now on."""
+        self.bytes_per_s = _bytes_per_s(entries)
 
     def has_room(self, size_bytes, now_s):
         """Tell whether a request of a size may be sent now."""
--- a/dotterelspread/memberpart.py
+++ b/dotterelspread/memberpart.py
@@ -4,7 +4,7 @@
 import random
 from functools import singledispatchmethod
 
-from .entryevents import LoadReported, MemberGone, MemberSeen
+from .entryevents import EntriesCounted, LoadReported, MemberGone, MemberSeen
 from .gen.peer.ttypes import Load
 from .heartbeat import Liveness
 from .heartbeatevents import (
@@ -196,6 +196,7 @@
     @perform.register
     def _(self, effect: MemberChanged):
         if effect.member.role != "agent":
+            self._tell(EntriesCounted(self.node.now_s(), self._count_entries()))
             return
         self._update_subset()
         self._tell(_event_on(effect, self.node.now_s()))
@@ -213,6 +214,17 @@
         await asyncio.sleep(self._rng.uniform(0, REANNOUNCE_SPREAD_S))
         await append_until_written(self.node, STREAM, self.announced)
 
+    def _count_entries(self):
+        """Return the number of live entries in the own region, with this process."""
+        others = [
+            member
+            for member in self.members()
+            if member.role == "entry"
+            and member.announced.region == self.announced.region
+            and self.status(member.instance_id) is PeerStatus.LIVE
+        ]
+        return 1 + len(others)
+
     def _update_subset(self):
         """Ask those agents that requests of this entry may be routed to."""
         ids_by_group = {}
--- a/tests/test_linkbudget.py
+++ b/tests/test_linkbudget.py
@@ -24,3 +24,10 @@
     budget.charge(1500, 0.0)
     assert not budget.has_room(1, 0.9)
     assert budget.has_room(1, 1.1)
+
+
+def test_more_entries_share_the_link():
+    budget = LinkBudget.from_entries(1)
+    alone = budget.bytes_per_s
+    budget.share_with(4)
+    assert budget.bytes_per_s == alone / 4
