--- a/tests/test_labels.py
+++ b/tests/test_labels.py
@@ -3,11 +3,15 @@
 from dataclasses import replace
 
 from hypothesis import given, settings
+from msgspec.structs import replace as replace_struct
 
+from dotterelspread.cell import CellState
 from dotterelspread.configuration import Configuration, SelectorConfig, Urgency
 from dotterelspread.labels import instance_labels, match_work
-from dotterelspread.record import InstanceAnnounced
+from dotterelspread.placement import PlacementView, rank_members
+from dotterelspread.record import Envelope, InstanceAnnounced
 
+from .builders_tasks import announcement, job
 from .builders_tools import configurations, labels
 
 PLANT = SelectorConfig("plant", {"plant": "recife"}, {"region": "pernambuco"})
@@ -60,3 +64,18 @@
         "role": "agent",
         "service": "dispatch",
     }
+
+
+def test_selectors_see_where_an_instance_of_a_cell_is():
+    cell = CellState()
+    jobs = [
+        job("near", labels={"plant": "recife"}),
+        job("fast", labels={"job": "check"}),
+    ]
+    there = announcement(1, labels={"region": "bahia"})
+    here = replace_struct(announcement(2), region="pernambuco")
+    for offset, record in enumerate([there, here, *jobs]):
+        assert cell.apply(offset, Envelope(1, offset, record))
+    view = PlacementView.from_cell(cell, CONFIGURATION)
+    ranked = {key: rank_members(task, view) for key, task in cell.tasks_by_id.items()}
+    assert ranked == {"near/0": ["i02"], "fast/0": []}
