--- a/bench/floods.py
+++ b/bench/floods.py
@@ -8,9 +8,9 @@
 from collections import Counter, defaultdict
 from statistics import quantiles
 
+from bench.requestsite import SERVICE, Bench
 from dotterelspread.configuration import KindConfig, ServiceConfig, Urgency
 from dotterelspread.outcome import Completed, Refused
-from tests.builders_requests import SERVICE, Bench
 
 KINDS = [
     KindConfig("ticket", Urgency.URGENT, share=0.25, deadline_s=2.0),
--- a/tests/builders_requests.py
+++ b/bench/requestsite.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from itertools import count
 
+from bench.history import History, Run, Seen, Sent
 from dotterelspread import agentevents as agent_events
 from dotterelspread import entryevents as entry_events
 from dotterelspread.agentcore import AgentState
@@ -21,7 +22,6 @@
 from dotterelspread.reducer import reduce
 from dotterelspread.requestclaim import CLAIM_STREAMS
 from dotterelspread.routing import Load
-from tests.history import History, Run, Seen, Sent
 
 SERVICE = "dispatch"
 TICK_S = 0.1
--- a/bench/retries.py
+++ b/bench/retries.py
@@ -7,10 +7,10 @@
 import argparse
 from statistics import quantiles
 
+from bench.requestsite import SERVICE, Bench
 from dotterelspread.configuration import KindConfig, ServiceConfig
 from dotterelspread.outcome import Completed
 from dotterelspread.retry import RetryBudget
-from tests.builders_requests import SERVICE, Bench
 
 KIND = KindConfig("price", share=1.0, deadline_s=2.0)
 SERVICE_S = 0.1
--- a/tests/scenarios/caller.py
+++ b/tests/scenarios/caller.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from bench.history import History, Run, Seen, Sent
 from dotterelspread.outcome import (
     Completed,
     Failed,
@@ -14,7 +15,6 @@
     Unknown,
 )
 from standins.site import get
-from tests.history import History, Run, Seen, Sent
 
 KINDS = ("fault-call", "price-visit", "book-visit", "renew-contract")
 KEYED_KINDS = {"book-visit", "renew-contract"}
@@ -24,7 +24,7 @@
 
 @dataclass(slots=True)
 class Callers:
-    """Sends requests to a site and keeps the history for `tests.history`."""
+    """Sends requests to a site and keeps the history for `bench.history`."""
 
     site: object
     history: History = field(default_factory=History)
--- a/tests/scenarios/test_requests.py
+++ b/tests/scenarios/test_requests.py
@@ -3,8 +3,8 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from bench.requestsite import Bench
 from dotterelspread.outcome import Completed, Refused, Unknown
-from tests.builders_requests import Bench
 
 scenarios("requests.feature")
 
--- a/tests/test_agentcore.py
+++ b/tests/test_agentcore.py
@@ -1,8 +1,8 @@
+from bench.requestsite import SERVICE, a_service
 from dotterelspread import agentevents as events
 from dotterelspread.agentcore import AgentState
 from dotterelspread.outcome import Completed, RefusalReason, Unknown
 from dotterelspread.reducer import reduce
-from tests.builders_requests import SERVICE, a_service
 
 DONE = Completed(200, (), b"done")
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from bench.history import History, Run, Seen, Sent
 from dotterelspread.outcome import Completed, RefusalReason, Refused, Unknown
-from tests.history import History, Run, Seen, Sent
 
 SHED = Refused(RefusalReason.SHED)
 STORE = Refused(RefusalReason.STORE_UNAVAILABLE)
--- a/tests/test_requests_machine.py
+++ b/tests/test_requests_machine.py
@@ -10,7 +10,7 @@
     rule,
 )
 
-from tests.builders_requests import Bench
+from bench.requestsite import Bench
 
 ENTRIES = st.sampled_from(["e0", "e1", "e2"])
 AGENTS = st.sampled_from(["a0", "a1", "a2"])
