--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -49,6 +49,20 @@
         await self.members.leave()
         await asyncio.sleep(ROUTED_WAIT_S)
 
+    def observe(self, configuration):
+        """Export the state of the instance as gauges."""
+        observe = self.node.telemetry.observe
+        slots, tasks = self.requests.state, self.tasks.state.locals_by_id
+        observe("slots_running", "1", "Slots in use", lambda: slots.running)
+        observe("requests_queued", "1", "Requests that wait", lambda: slots.queued)
+        observe("tasks_running", "1", "Tasks on the worker", lambda: len(tasks))
+        observe(
+            "configuration_version",
+            "1",
+            "Version in force",
+            lambda: configuration.version,
+        )
+
     def routes(self):
         """Return the Starlette routes for health and metrics."""
         return [
@@ -126,6 +140,7 @@
             summaries,
         ]
         process = AgentProcess(node, members, requests, tasks)
+        process.observe(configuration)
         members.on_drain(process.drain)
         await stack.enter_async_context(
             serve_peers(
--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from starlette.requests import ClientDisconnect
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
@@ -95,6 +96,9 @@
                     detail = f"body: over {limits.max_body} bytes"
                     raise BodyError(RefusalReason.TOO_LARGE, detail)
                 chunks.append(chunk)
+    except ClientDisconnect as error:
+        detail = "body: the caller closed its connection"
+        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
     except TimeoutError as error:
         detail = f"body: not received within {limits.body_timeout_s} s"
         raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
@@ -110,13 +114,15 @@
     entry : EntryPart
     jobs : JobPart
     configuration : ConfigurationPart
+    refusal_log : RefusalLog
     """
 
-    def __init__(self, node, entry, jobs, configuration):
+    def __init__(self, node, entry, jobs, configuration, refusal_log):
         self._node = node
         self._entry = entry
         self._jobs = jobs
         self._configuration = configuration
+        self._refusal_log = refusal_log
         self._limits = node.settings.limits
         # Ids must differ between entries and between starts of one entry.
         self._id_prefix = f"{node.settings.instance_id}-{node.incarnation:x}-"
@@ -139,24 +145,31 @@
     async def run_request(self, request):
         """Carry one request to an instance and return the whole answer."""
         started_s = self._node.now_s()
+        request_id = f"{self._id_prefix}{next(self._numbers):x}"
         if self._entry.in_progress >= self._limits.max_requests:
-            refused = Refused(RefusalReason.SHED, "too many requests in progress", 1.0)
-            return self._answer(refused, None, started_s)
+            detail = "too many requests in progress"
+            refused = Refused(RefusalReason.SHED, detail, retry_after_s=1.0)
+            return self._refuse(request_id, refused, started_s)
         try:
-            read = await self._read(request)
+            read = await self._read(request_id, request)
         except (BodyError, CallerRequestError) as error:
-            return error_response(error)
+            refused = refusal_of_error(error)
+            return self._refuse(request_id, refused, started_s, faults_of(error))
         span = self._node.telemetry.tracing.span("entry.request", read.traceparent)
         with span as hop:
             read.traceparent = hop.traceparent
             outcome = await self._entry.handle(read)
             hop.set("outcome", type(outcome).__name__)
-        return self._answer(outcome, read, started_s)
+        service, kind = self._known_names(read)
+        self._count(request_id, service, kind, outcome, started_s)
+        if isinstance(outcome, Completed):
+            return _answer(outcome)
+        return problem_response(outcome, request_id)
 
-    async def _read(self, request):
+    async def _read(self, request_id, request):
         headers = read_headers(request.headers.raw)
         return CallerRequest(
-            f"{self._id_prefix}{next(self._numbers):x}",
+            request_id,
             request.path_params["service"],
             request.method,
             _path(request),
@@ -170,30 +183,30 @@
             headers.labels,
         )
 
-    def _answer(self, outcome, read, started_s):
-        service = read.service if read else ""
-        kind = read.kind if read else ""
-        request_id = read.request_id if read else ""
+    def _known_names(self, read):
+        """Return service and kind as the configuration has them, else empty texts.
+
+        What callers make up must not become a label of a counter.
+        """
         configuration = self._entry.state.configuration
-        known = configuration and configuration.services_by_name.get(service)
-        if not known:
-            service = kind = ""
-        elif kind not in known.kinds_by_name:
-            kind = known.default_kind if not kind else ""
+        service = configuration and configuration.services_by_name.get(read.service)
+        if not service:
+            return "", ""
+        kind = read.kind or service.default_kind
+        return service.name, kind if kind in service.kinds_by_name else ""
+
+    def _refuse(self, request_id, refused, started_s, faults=()):
+        self._count(request_id, "", "", refused, started_s)
+        return problem_response(refused, request_id, faults)
+
+    def _count(self, request_id, service, kind, outcome, started_s):
         duration_s = self._node.now_s() - started_s
         self._node.telemetry.count_request(service, kind, outcome, duration_s)
-        if not isinstance(outcome, Completed):
-            self._jobs.note_refusal(service, kind, outcome)
-            return problem_response(outcome, request_id)
-        response = Response(outcome.body, outcome.status)
-        response.raw_headers.extend(
-            (name.lower().encode("latin-1"), value.encode("latin-1"))
-            for name, value in outcome.headers
-        )
-        return response
+        self._refusal_log.note(request_id, service, kind, outcome)
 
     async def submit_job(self, request):
         """Accept a job once it stands in the platform's log."""
+        request_id = f"{self._id_prefix}{next(self._numbers):x}"
         try:
             body = await read_body(request, self._limits)
             key = read_headers(request.headers.raw).key
@@ -202,7 +215,8 @@
             return error_response(error)
         outcome, job_id = await self._jobs.submit(job, key)
         if outcome is not None:
-            return problem_response(outcome)
+            self._refusal_log.note(request_id, "", "job", outcome)
+            return problem_response(outcome, request_id)
         return JSONResponse(
             {"job_id": job_id}, 202, headers={"Location": f"/v1/jobs/{job_id}"}
         )
@@ -255,9 +269,27 @@
     return Response(problem.body, problem.status, headers=dict(problem.headers))
 
 
+def refusal_of_error(error):
+    """Return the `Refused` for a request that cannot be read."""
+    if isinstance(error, BodyError):
+        return error.refused
+    return Refused(RefusalReason.BAD_REQUEST, str(error))
+
+
+def faults_of(error):
+    """Return the faults that an error names."""
+    return () if isinstance(error, BodyError) else error.faults
+
+
 def error_response(error):
     """Return the response that tells a caller what is wrong with its request."""
-    if isinstance(error, BodyError):
-        return problem_response(error.refused)
-    refused = Refused(RefusalReason.BAD_REQUEST, str(error))
-    return problem_response(refused, faults=error.faults)
+    return problem_response(refusal_of_error(error), faults=faults_of(error))
+
+
+def _answer(outcome):
+    response = Response(outcome.body, outcome.status)
+    response.raw_headers.extend(
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in outcome.headers
+    )
+    return response
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -12,6 +12,7 @@
 from .operatorhttp import OperatorHttp
 from .peer import serve_peers
 from .record import InstanceAnnounced
+from .refusallog import RefusalLog
 from .server import serve_http
 from .statepart import StatePart, join_parts
 from .viewpart import ViewPart
@@ -65,7 +66,8 @@
     join_parts(members, configuration)
     entry = EntryPart(node, members)
     jobs = JobPart(node, members)
-    views = ViewPart(node, members, entry, jobs, configuration)
+    refusal_log = RefusalLog()
+    views = ViewPart(node, members, entry, jobs, configuration, refusal_log)
     members.on_event(entry.dispatch)
     configuration.on_change(entry.configure)
     configuration.on_change(jobs.configure)
@@ -77,7 +79,7 @@
         StatePart(node, (members.replica, configuration.replica)),
         entry,
     ]
-    callers = CallerHttp(node, entry, jobs, configuration)
+    callers = CallerHttp(node, entry, jobs, configuration, refusal_log)
     operators = OperatorHttp(node, configuration, views)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(
--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -3,7 +3,7 @@
 import asyncio
 import hashlib
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from dataclasses import replace
 
 from .cellchoice import CellMemberView, CellView, choose_cell
@@ -14,7 +14,7 @@
 from .outcome import RefusalReason, Refused, Unknown
 from .peer import PeerError
 from .record import JobCancelled
-from .views import JobView, RefusalView
+from .views import JobView
 
 __all__ = ["JobPart", "cell_of_job"]
 
@@ -27,8 +27,6 @@
 READ_POLL_S = 0.1
 #: Jobs accepted here that are remembered.
 MAX_ACCEPTED = 1000
-#: Refusals kept for operators.
-MAX_REFUSALS = 1000
 #: Agents of a cell that are asked for a job before giving up.
 MAX_ASKED = 3
 
@@ -54,7 +52,6 @@
         self._members = members
         self._random = random.Random(node.incarnation)
         self._cells = node.settings.entry.cells
-        self.refusals = deque(maxlen=MAX_REFUSALS)
         self._configuration = None
         self._accepted_ids = OrderedDict()
 
@@ -62,13 +59,6 @@
         """Put a new `Version` in force."""
         self._configuration = version.configuration
 
-    def note_refusal(self, service, kind, outcome):
-        """Remember a refusal for operators."""
-        if isinstance(outcome, Refused):
-            self.refusals.append(
-                RefusalView(service, kind, outcome.reason.value, outcome.detail)
-            )
-
     async def submit(self, job, key=""):
         """Append a job to a cell's stream.
 
--- a/dotterelspread/telemetry.py
+++ b/dotterelspread/telemetry.py
@@ -29,6 +29,8 @@
 #: Different sets of attributes kept; beyond it they are counted as ``other``.
 MAX_ATTRIBUTE_SETS = 1000
 OTHER = "other"
+#: Least HTTP status by which a backend server says that it failed.
+SERVER_ERROR_STATUS = 500
 
 
 @singledispatch
@@ -39,7 +41,8 @@
 
 @outcome_name.register
 def _(outcome: Completed):
-    return "completed"
+    # A whole answer may still say that the backend server failed.
+    return "failed" if outcome.status >= SERVER_ERROR_STATUS else "completed"
 
 
 @outcome_name.register
--- a/dotterelspread/viewpart.py
+++ b/dotterelspread/viewpart.py
@@ -29,14 +29,16 @@
     entry : EntryPart
     jobs : JobPart
     configuration : ConfigurationPart
+    refusal_log : RefusalLog
     """
 
-    def __init__(self, node, members, entry, jobs, configuration):
+    def __init__(self, node, members, entry, jobs, configuration, refusal_log):
         super().__init__(node)
         self._members = members
         self._entry = entry
         self._jobs = jobs
         self._configuration = configuration
+        self._refusal_log = refusal_log
         self._readers_by_subject = {
             "instances": self._instances,
             "tasks": self._tasks,
@@ -101,7 +103,7 @@
         return [RequestView.from_request(request, now_s) for request in requests]
 
     async def _refusals(self):
-        return list(self._jobs.refusals)
+        return self._refusal_log.views()
 
     async def _status(self):
         settings = self.node.settings
@@ -129,6 +131,9 @@
         ]
 
     def _explain_request(self, request_id):
+        refusal = self._refusal_log.find(request_id)
+        if refusal is not None:
+            return [f"refused and not run, {refusal.reason}: {refusal.detail}"]
         request = self._entry.state.requests_by_id.get(request_id)
         if request is None:
             return [f"no request {request_id!r} is in progress at this entry"]
--- a/dotterelspread/views.py
+++ b/dotterelspread/views.py
@@ -113,6 +113,7 @@
 class RefusalView:
     """A refusal that an entry gave."""
 
+    request_id: str
     service: str
     kind: str
     reason: str
