--- a/dotterelspread/claiming.py
+++ b/dotterelspread/claiming.py
@@ -96,7 +96,8 @@
     """Claim waiting tasks for room whose release is on its way to the stream.
 
     Others do not know of the room yet, and may be freeing some too. So each member
-    takes only the tasks that a hash gives to it; the rest wait until the room is read.
+    takes only the urgent tasks that it made room for and those that a hash gives to
+    it; the rest wait until the room is read.
     """
     if not state.is_in_flight(TaskEnded | TaskReleased):
         return []
@@ -111,7 +112,8 @@
         first_id = min(member_ids, key=partial(tie_break, task.task_id))
         job = state.cell.jobs_by_id[task.job_id]
         is_allowed = is_eligible(job.labels, labels, state.configuration)
-        if first_id == state.instance_id and is_allowed:
+        is_mine = first_id == state.instance_id or task.task_id in state.made_room_for
+        if is_mine and is_allowed:
             effects += _claim(state, now_s, task)
     return effects
 
