--- a/tests/scenarios/tasks.feature
+++ b/tests/scenarios/tasks.feature
@@ -64,6 +64,14 @@
     And every evicted task was checkpointed
     And no instance was overloaded
 
+  Scenario: Urgent work does not lose the room made for it to a backlog
+    Given the cell is full of work of urgency 1
+    And 40 tasks of urgency 1 wait
+    When 4 urgent tasks are submitted
+    And 6 s pass
+    Then 4 urgent tasks run
+    And at most 8 tasks were evicted
+
   Scenario: Cancelled while it runs
     Given a task of 400 s that runs
     When its job is cancelled
--- a/tests/scenarios/test_tasks.py
+++ b/tests/scenarios/test_tasks.py
@@ -82,6 +82,30 @@
     fleet.tell_members()
 
 
+@given(parsers.parse("{count:d} tasks of urgency {urgency:d} wait"))
+def backlog(fleet, count, urgency):
+    for number in range(count):
+        fleet.submit(job(f"w{number}", spec(f"w{number}/0", 8000), urgency=urgency))
+    fleet.run(2)
+
+
+@when(parsers.parse("{count:d} urgent tasks are submitted"))
+def submit_urgent_tasks(fleet, count):
+    for number in range(count):
+        fleet.submit(job(f"u{number}", spec(f"u{number}/0", 16000), urgency=3))
+
+
+@then(parsers.parse("{count:d} urgent tasks run"))
+def urgent_tasks_run(fleet, count):
+    assert [len(fleet.running(f"u{n}/0")) for n in range(count)] == [1] * count
+
+
+@then(parsers.parse("at most {count:d} tasks were evicted"))
+def few_evicted(fleet, count):
+    tasks = fleet.agents[0].state.cell.tasks_by_id.values()
+    assert sum(task.releases for task in tasks) <= count
+
+
 @when("an urgent task is submitted")
 def submit_urgent(fleet):
     fleet.submit(job("u", spec("u/0", 16000), urgency=3))
