--- a/bench/cells.py
+++ b/bench/cells.py
@@ -10,13 +10,13 @@
 import time
 import tracemalloc
 
+from bench.fleet import announcement, job, spec
 from dotterelspread.cell import CellState
 from dotterelspread.configuration import Configuration
 from dotterelspread.designation import DesignationTable
 from dotterelspread.placement import PlacementView
 from dotterelspread.record import Envelope, TaskClaimed, TaskEnded, encode_record
 from dotterelspread.resources import Resources
-from tests.builders_tasks import announcement, job, spec
 
 MEMBERS = 30
 SIZE = Resources(1000, 500)
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -9,9 +9,9 @@
 
 import argparse
 
+from bench.fleet import Fleet, job, spec
 from dotterelspread.configuration import Configuration, LeaseConfig
 from dotterelspread.taskevent import ConfigurationChanged
-from tests.builders_tasks import Fleet, job, spec
 
 MEMBERS = 3
 TASKS = 6
--- a/bench/packing.py
+++ b/bench/packing.py
@@ -10,8 +10,8 @@
 import argparse
 import random
 
+from bench.fleet import Fleet, job, spec
 from dotterelspread.resources import Resources
-from tests.builders_tasks import Fleet, job, spec
 
 MEMBERS = 4
 TASKS_AHEAD = 24
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -12,12 +12,12 @@
 import random
 import statistics
 
+from bench.fleet import Fleet, job, spec
 from dotterelspread.cell import CellState
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.designation import DesignationTable
 from dotterelspread.placement import PlacementView
 from dotterelspread.record import TaskClaimed, TaskEnded
-from tests.builders_tasks import Fleet, job, spec
 
 STARTS_PER_S = 7.0
 WARM_UP_S = 3.0
--- a/tests/scenarios/test_tasks.py
+++ b/tests/scenarios/test_tasks.py
@@ -1,10 +1,10 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from bench.fleet import FAULTS, Fleet, job, overlaps, overloads, spec
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.record import JobCancelled
 from dotterelspread.taskevent import DrainRequested
-from tests.builders_tasks import FAULTS, Fleet, job, overlaps, overloads, spec
 
 scenarios("tasks.feature")
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bench.fleet import announcement, job, spec
 from dotterelspread.cell import KEPT_JOBS, CellState
 from dotterelspread.celltask import NO_EPOCH, TaskPhase
 from dotterelspread.record import (
@@ -17,7 +18,6 @@
     TaskReleased,
 )
 from dotterelspread.resources import Resources
-from tests.builders_tasks import announcement, job, spec
 
 CAPACITY = Resources(4000, 4000, 1)
 members = st.integers(0, 2)
--- a/tests/test_cellchoice.py
+++ b/tests/test_cellchoice.py
@@ -1,3 +1,4 @@
+from bench.fleet import job, spec
 from dotterelspread.cellchoice import (
     CELL_SIZE,
     CellMemberView,
@@ -8,7 +9,6 @@
 from dotterelspread.configuration import Configuration, SelectorConfig
 from dotterelspread.outcome import RefusalReason
 from dotterelspread.resources import Resources
-from tests.builders_tasks import job, spec
 
 SMALL = CellMemberView("i00", Resources(8000, 8000))
 LARGE = CellMemberView("i01", Resources(32_000, 8000), {"disk": "fast"})
--- a/tests/test_labels.py
+++ b/tests/test_labels.py
@@ -5,13 +5,13 @@
 from hypothesis import given, settings
 from msgspec.structs import replace as replace_struct
 
+from bench.fleet import announcement, job
 from dotterelspread.cell import CellState
 from dotterelspread.configuration import Configuration, SelectorConfig, Urgency
 from dotterelspread.labels import instance_labels, match_work
 from dotterelspread.placement import PlacementView, rank_members
 from dotterelspread.record import Envelope, InstanceAnnounced
 
-from .builders_tasks import announcement, job
 from .builders_tools import configurations, labels
 
 PLANT = SelectorConfig("plant", {"plant": "recife"}, {"region": "pernambuco"})
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,12 +1,12 @@
 """A worker that fails distinct jobs gets no more of them, until probes complete."""
 
+from bench.fleet import announcement, job, spec
 from dotterelspread.cell import CellState
 from dotterelspread.configuration import Configuration
 from dotterelspread.placement import PlacementView, rank_members
 from dotterelspread.quarantine import PROBES_TO_LIFT
 from dotterelspread.record import Envelope, TaskClaimed, TaskEnded, TaskReleased
 from dotterelspread.resources import Resources
-from tests.builders_tasks import announcement, job, spec
 
 MEMBERS = 10
 BAD = "i00"
--- a/tests/test_taskcore.py
+++ b/tests/test_taskcore.py
@@ -1,5 +1,5 @@
+from bench.fleet import Fleet, job, overlaps, overloads, spec
 from dotterelspread.celltask import TaskPhase
-from tests.builders_tasks import Fleet, job, overlaps, overloads, spec
 
 
 def outcomes(agent):
--- a/tests/test_taskexplain.py
+++ b/tests/test_taskexplain.py
@@ -1,9 +1,9 @@
 import pytest
 
+from bench.fleet import Fleet, job, spec
 from dotterelspread.configuration import Configuration, SelectorConfig
 from dotterelspread.taskevent import ConfigurationChanged
 from dotterelspread.taskexplain import explain_task
-from tests.builders_tasks import Fleet, job, spec
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_tasks_machine.py
+++ b/tests/test_tasks_machine.py
@@ -4,11 +4,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from bench.fleet import FAULTS, Fleet, job, overlaps, overloads, spec
 from dotterelspread.cell import CellState
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.record import JobCancelled, TaskClaimed
 from dotterelspread.taskevent import DrainRequested
-from tests.builders_tasks import FAULTS, Fleet, job, overlaps, overloads, spec
 
 AGENTS = 4
 index = st.integers(0, AGENTS - 1)
--- a/tests/test_teamgate.py
+++ b/tests/test_teamgate.py
@@ -1,5 +1,6 @@
 """A team's flood leaves the cell to others, and idle capacity to the flood."""
 
+from bench.fleet import announcement, job, spec
 from dotterelspread.cell import CellState
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.configuration import Configuration, TeamConfig
@@ -10,7 +11,6 @@
 from dotterelspread.resources import Resources
 from dotterelspread.summary import summarize
 from dotterelspread.teamgate import TeamGate, team_amounts
-from tests.builders_tasks import announcement, job, spec
 
 CORES = 8000
 TASK = Resources(CORES, 1000)
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -5,6 +5,7 @@
 import pytest
 import uvicorn
 
+from bench.fleet import spec
 from dotterelspread.taskevent import (
     RenewTask,
     StartTask,
@@ -15,7 +16,6 @@
 from dotterelspread.worker import WorkerError, get_worker_class
 from standins.worker import build_app
 from standins.workercore import WorkerCore
-from tests.builders_tasks import spec
 
 
 class Clock:
