--- a/dotterelspread/memberpart.py
+++ b/dotterelspread/memberpart.py
@@ -37,8 +37,8 @@
 from .peer import PeerError
 from .record import InstanceLeft
 from .replicapart import ReplicaPart, append_until_written
-from .routing import subset_ids
 from .snapshot import AppendRecord
+from .subset import asked_ids
 from .wire import load_from_message
 
 __all__ = ["MemberPart"]
@@ -227,45 +227,11 @@
 
     def _update_subset(self):
         """Ask those agents whose state this process needs to know."""
-        if self.announced.role == "agent":
-            wanted = self._next_in_cell()
-        else:
-            wanted = self._routed_ids()
+        agents = [m.announced for m in self.members() if m.role == "agent"]
+        wanted = asked_ids(self.announced, agents, self.status)
         if wanted != self.state.subset_ids:
             self.dispatch(SubsetChanged(self.node.now_s(), wanted))
 
-    def _next_in_cell(self):
-        """Return the agent that this one watches: the next of its cell, by id.
-
-        Each is watched by one other; when that one dies too, the one before it does.
-        """
-        ids = sorted(
-            agent.instance_id
-            for agent in self.agents_of_cell(self.announced.cell)
-            if self.status(agent.instance_id) is not PeerStatus.GONE
-        )
-        own_id = self.announced.instance_id
-        later = [other for other in ids if other > own_id]
-        return frozenset((later or ids)[:1])
-
-    def _routed_ids(self):
-        """Return the agents that requests of this entry may be routed to."""
-        ids_by_group = {}
-        for member in self.members():
-            if member.role == "agent":
-                group = (member.announced.services, self._distance(member.announced))
-                ids_by_group.setdefault(group, []).append(member.instance_id)
-        own_id = self.announced.instance_id
-        return frozenset().union(
-            *(subset_ids(own_id, ids) for ids in ids_by_group.values())
-        )
-
-    def _distance(self, announced):
-        own = self.announced
-        return (announced.region != own.region) + (
-            (announced.region, announced.data_centre) != (own.region, own.data_centre)
-        )
-
     def _tell(self, event):
         for listener in self._event_listeners:
             listener(event)
