Split the HTTP edge: bodies, problems, callers

Cause: one file read bodies, told problems and served callers, and operators' edge imported from it.

--- a/dotterelspread/callerhttp.py
+++ b/dotterelspread/callerhttp.py
@@ -1,30 +1,27 @@
 """The HTTP edge towards callers: requests to services, and jobs."""
 
-import asyncio
 import hashlib
 import itertools
 from dataclasses import dataclass
 
 import msgspec
-from starlette.requests import ClientDisconnect
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from .callerrequest import CallerRequestError, read_headers
 from .configuration import Urgency
+from .httpbody import BodyError, read_body
+from .httpproblem import (
+    error_response,
+    faults_of,
+    problem_response,
+    refusal_of_error,
+)
 from .jobrequest import read_job
 from .outcome import Completed, Outcome, RefusalReason, Refused
-from .problem import describe_outcome
 from .telemetry import EXPOSITION_TYPE
 
-__all__ = [
-    "BodyError",
-    "CallerHttp",
-    "CallerRequest",
-    "error_response",
-    "problem_response",
-    "read_body",
-]
+__all__ = ["CallerHttp", "CallerRequest"]
 
 #: Methods that a service may take.
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
@@ -36,20 +33,6 @@
 FINGERPRINT_BYTES = 16
 
 
-class BodyError(Exception):
-    """A request's body is too large or comes too slowly; nothing of it was run.
-
-    Parameters
-    ----------
-    reason : RefusalReason
-        What the caller is told.
-    """
-
-    def __init__(self, reason, detail):
-        super().__init__(detail)
-        self.refused = Refused(reason, detail)
-
-
 @dataclass(slots=True)
 class CallerRequest:
     """A caller's request to a service, read in full."""
@@ -78,33 +61,6 @@
         return digest.digest()
 
 
-async def read_body(request, limits):
-    """Return the whole body of a Starlette request.
-
-    Raises
-    ------
-    BodyError
-        When it exceeds ``limits.max_body`` bytes or ``limits.body_timeout_s`` seconds.
-    """
-    chunks = []
-    size = 0
-    try:
-        async with asyncio.timeout(limits.body_timeout_s):
-            async for chunk in request.stream():
-                size += len(chunk)
-                if size > limits.max_body:
-                    detail = f"body: over {limits.max_body} bytes"
-                    raise BodyError(RefusalReason.TOO_LARGE, detail)
-                chunks.append(chunk)
-    except ClientDisconnect as error:
-        detail = "body: the caller closed its connection"
-        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
-    except TimeoutError as error:
-        detail = f"body: not received within {limits.body_timeout_s} s"
-        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
-    return b"".join(chunks)
-
-
 class CallerHttp:
     """Serves callers at one entry.
 
@@ -263,29 +219,6 @@
             yield name.decode("latin-1"), value.decode("latin-1")
 
 
-def problem_response(outcome, request_id="", faults=()):
-    """Return the response that tells a caller of an outcome without an answer."""
-    problem = describe_outcome(outcome, request_id, faults)
-    return Response(problem.body, problem.status, headers=dict(problem.headers))
-
-
-def refusal_of_error(error):
-    """Return the `Refused` for a request that cannot be read."""
-    if isinstance(error, BodyError):
-        return error.refused
-    return Refused(RefusalReason.BAD_REQUEST, str(error))
-
-
-def faults_of(error):
-    """Return the faults that an error names."""
-    return () if isinstance(error, BodyError) else error.faults
-
-
-def error_response(error):
-    """Return the response that tells a caller what is wrong with its request."""
-    return problem_response(refusal_of_error(error), faults=faults_of(error))
-
-
 def _answer(outcome):
     response = Response(outcome.body, outcome.status)
     response.raw_headers.extend(
--- /dev/null
+++ b/dotterelspread/httpbody.py
@@ -0,0 +1,50 @@
+"""Reading the body of an HTTP request within bounds of size and time."""
+
+import asyncio
+
+from starlette.requests import ClientDisconnect
+
+from .outcome import RefusalReason, Refused
+
+__all__ = ["BodyError", "read_body"]
+
+
+class BodyError(Exception):
+    """A request's body is too large or comes too slowly; nothing of it was run.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        What the caller is told.
+    """
+
+    def __init__(self, reason, detail):
+        super().__init__(detail)
+        self.refused = Refused(reason, detail)
+
+
+async def read_body(request, limits):
+    """Return the whole body of a Starlette request.
+
+    Raises
+    ------
+    BodyError
+        When it exceeds ``limits.max_body`` bytes or ``limits.body_timeout_s`` seconds.
+    """
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout(limits.body_timeout_s):
+            async for chunk in request.stream():
+                size += len(chunk)
+                if size > limits.max_body:
+                    detail = f"body: over {limits.max_body} bytes"
+                    raise BodyError(RefusalReason.TOO_LARGE, detail)
+                chunks.append(chunk)
+    except ClientDisconnect as error:
+        detail = "body: the caller closed its connection"
+        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
+    except TimeoutError as error:
+        detail = f"body: not received within {limits.body_timeout_s} s"
+        raise BodyError(RefusalReason.BAD_REQUEST, detail) from error
+    return b"".join(chunks)
--- a/dotterelspread/operatorhttp.py
+++ b/dotterelspread/operatorhttp.py
@@ -4,9 +4,10 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from .callerhttp import BodyError, error_response, problem_response, read_body
 from .callerrequest import CallerRequestError
 from .document import Fault
+from .httpbody import BodyError, read_body
+from .httpproblem import error_response, problem_response
 from .outcome import Outcome
 
 __all__ = ["OperatorHttp", "PublishRequest"]
