--- a/dotterelspread/liveness.py
+++ b/dotterelspread/liveness.py
@@ -20,6 +20,8 @@
 #: Bytes a second that a process may spend on heartbeats.
 BUDGET_BYTES_S = 1000
 MIN_INTERVAL_S = 1.0
+#: Least seconds between heartbeats of agents to each other.
+WATCH_INTERVAL_S = 2.5
 #: Part by which intervals vary at random.
 JITTER = 0.1
 #: Seconds between heartbeats to a suspect, or to one that has not yet heard news.
@@ -262,6 +264,8 @@
         if peer.pushes or peer.status is PeerStatus.SUSPECT:
             return PROBE_INTERVAL_S
         interval_s = heartbeat_interval_s(len(self.target_ids()))
+        if not self.is_entry:
+            interval_s = max(interval_s, WATCH_INTERVAL_S)
         if peer.status is PeerStatus.GONE:
             interval_s = max(interval_s, GONE_INTERVAL_S)
         return interval_s * self.rng.uniform(1 - JITTER, 1 + JITTER)
