--- a/dotterelspread/placement.py
+++ b/dotterelspread/placement.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from .labels import match_work
 from .quarantine import Standing
 from .resources import Resources
 
@@ -108,12 +109,7 @@
 
 def is_eligible(work_labels, instance_labels, configuration):
     """Tell whether the selectors let work with these labels run on an instance."""
-    for selector in configuration.selectors_by_name.values():
-        if selector.work.items() <= work_labels.items() and not (
-            selector.instances.items() <= instance_labels.items()
-        ):
-            return False
-    return True
+    return match_work(configuration, work_labels, instance_labels).allowed
 
 
 def labels_of(member, configuration):
