Place once for each append, and skip needs that found no worker in the same pass

Its log shows 4 to 10 ms between the ends that it took: it placed anew after every end and every answer to an order, looking at each of 70 workers for each waiting job, and summed each job's tasks to order the jobs.

Change: while an append is under way placing waits for it, since a start waits for it anyway; needs that found no worker are not looked up again in a pass; the room of a worker and the pending tasks of a step are kept instead of summed.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -12,6 +12,7 @@
 __all__ = [
     "AcknowledgeEnds",
     "AgentLost",
+    "AppendDone",
     "Cancelled",
     "Cell",
     "CellTick",
@@ -44,6 +45,10 @@
     costs: PairCosts = field(default_factory=PairCosts)
     #: Leader's clock before which nothing is placed, so that all workers are known.
     place_from_s: float = 0.0
+    #: Whether starts would have to wait for an append that is under way.
+    is_append_under_way: bool = False
+    #: Whether tasks are to be placed once that append is done.
+    is_placing_due: bool = False
     #: Seconds that a finished job's state is kept.
     status_s: float = 120.0
 
@@ -130,6 +135,11 @@
     wall_ms: int
 
 
+@dataclass(slots=True, frozen=True)
+class AppendDone(Event):
+    """The append that kept starts waiting is done."""
+
+
 @dataclass(slots=True, frozen=True)
 class StartRun(Effect):
     """Order a worker to start a run."""
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -10,7 +10,8 @@
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
-from .cell import DropJob
+from .cell import AppendDone, DropJob
+from .handlers import reduce
 from .job import JobState
 from .journal import (
     JournalError,
@@ -90,6 +91,7 @@
         self._stored = set(self.committed_by_id)
         self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
         self._append_since_s = None
+        self._is_confirmation_due = False
         self._held = []
         self._pending = None
         self._in_flight = None
@@ -104,12 +106,14 @@
     def hold(self, effects):
         """Take the effects of a change to the cell, for after its commit."""
         self._held.extend(effects)
-        if self.cell.dirty or self.cell.dirty_workers or self._held:
+        cell = self.cell
+        if cell.dirty or cell.dirty_workers or cell.is_placing_due or self._held:
             self._request()
 
     def confirm_if_due(self):
         """See to it that an append confirms the term about once a second."""
         if clock.now_s() - self.confirmed_s > CONFIRM_INTERVAL_S:
+            self._is_confirmation_due = True
             self._request()
 
     async def settle(self):
@@ -147,8 +151,10 @@
             if batch is None:
                 continue
             self._in_flight = batch
+            self.cell.is_append_under_way = True
             for chunk in self._chunks(batch.records):
                 await self._append(chunk)
+            self.cell.is_append_under_way = False
             self._in_flight = None
             self._finish(batch)
 
@@ -161,7 +167,8 @@
         batch, self._pending = self._pending, None
         if batch is None:
             return None
-        batch.effects, self._held = self._held, []
+        placed = reduce(AppendDone(clock.now_s()), self.cell)
+        batch.effects, self._held = self._held + placed, []
         self._add_jobs(batch)
         self._add_workers(batch)
         if self.cell.costs.by_pair and clock.now_s() > self._costs_due_s:
@@ -170,8 +177,9 @@
         for effect in batch.effects:
             if isinstance(effect, DropJob):
                 batch.records.extend(drop_records(effect.job_id))
-        if not batch.records and not batch.effects:
+        if self._is_confirmation_due and not batch.records:
             batch.records.append(leader_record(self._leader))
+        self._is_confirmation_due = False
         return batch
 
     def _add_jobs(self, batch):
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -66,6 +66,8 @@
     ended_ms: int = 0
     #: Tasks that have not completed, by occurrence and step.
     open_by_step: dict[tuple[int, int], int] = field(default_factory=dict)
+    #: Tasks that are neither completed nor assigned, by occurrence and step.
+    pending_by_step: dict[tuple[int, int], int] = field(default_factory=dict)
     #: Whether a task was ever assigned.
     has_begun: bool = False
     #: Leader's clock when the job became known, in seconds.
@@ -82,6 +84,7 @@
         for occurrence in range(spec.occurrences):
             for number, step in enumerate(spec.steps):
                 job.open_by_step[occurrence, number] = step.count
+                job.pending_by_step[occurrence, number] = step.count
                 for index in range(step.count):
                     job.tasks_by_key[occurrence, number, index] = TaskState()
         return job
@@ -97,6 +100,8 @@
             key = (occurrence, step, index)
             job.tasks_by_key[key] = task
             job.has_begun = True
+            if task.phase != Phase.PENDING:
+                job.pending_by_step[occurrence, step] -= 1
             if task.phase == Phase.COMPLETED:
                 job.open_by_step[occurrence, step] -= 1
         return job
@@ -151,17 +156,31 @@
             for earlier in self.spec.steps[step].depends_on
         )
 
+    def assign(self, key, worker, run_number):
+        """Give a pending task to a worker, as its run ``run_number``."""
+        task = self.tasks_by_key[key]
+        self._move(key, task, Phase.ASSIGNED)
+        task.run = run_number
+        task.worker_id = worker.worker_id
+        task.born_ms = worker.born_ms
+        self.has_begun = True
+
+    def give_back(self, key):
+        """Make a task pending again."""
+        self._move(key, self.tasks_by_key[key], Phase.PENDING)
+
     def complete(self, key):
         """Count a task as completed."""
         task = self.tasks_by_key[key]
         if task.phase != Phase.COMPLETED:
-            task.phase = Phase.COMPLETED
-            self.open_by_step[key[0], key[1]] -= 1
-
-    @property
-    def is_running(self):
-        """Whether a task of the job is assigned to a worker."""
-        return any(t.phase == Phase.ASSIGNED for t in self.tasks_by_key.values())
+            self._move(key, task, Phase.COMPLETED)
+            self.open_by_step[key[:2]] -= 1
+
+    def _move(self, key, task, phase):
+        was_pending = task.phase == Phase.PENDING
+        is_pending = phase == Phase.PENDING
+        self.pending_by_step[key[:2]] += is_pending - was_pending
+        task.phase = phase
 
     @property
     def is_complete(self):
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -46,10 +46,9 @@
 
 def give_back(cell, job, key, checkpoint):
     """Make a task pending again after its run ended without completing."""
-    task = job.tasks_by_key[key]
-    task.phase = Phase.PENDING
+    job.give_back(key)
     if checkpoint:
-        task.checkpoint = checkpoint
+        job.tasks_by_key[key].checkpoint = checkpoint
     cell.dirty.add(job.job_id)
     if job.is_open:
         cell.set_ready(job, key)
--- a/dotterelspread/jobs/ordering.py
+++ b/dotterelspread/jobs/ordering.py
@@ -5,8 +5,6 @@
 most of them do; then those that are late, then those that are too late to be of use.
 """
 
-from .job import Phase
-
 __all__ = ["Lateness", "order_jobs", "remaining_work"]
 
 #: Multiple of the objective up to which a late job is still of some use.
@@ -37,10 +35,8 @@
 
 
 def _lateness(queue, job, now_s):
-    chain_ms = _chain_ms(job, lambda key: True)
-    objective_ms = queue.slack_factor * chain_ms + queue.objective_ms
-    left_ms = _chain_ms(job, lambda key: job.tasks_by_key[key].phase == Phase.PENDING)
-    finish_ms = (now_s - job.seen_s) * 1000 + left_ms
+    objective_ms = queue.slack_factor * _chain_ms(job, False) + queue.objective_ms
+    finish_ms = (now_s - job.seen_s) * 1000 + _chain_ms(job, True)
     if finish_ms <= objective_ms:
         return Lateness.ON_TIME
     if finish_ms <= LATE_FACTOR * objective_ms:
@@ -48,23 +44,26 @@
     return Lateness.TOO_LATE
 
 
-def _chain_ms(job, is_counted):
-    """Return the longest chain of dependent steps with counted tasks, by estimate."""
+def _chain_ms(job, is_pending):
+    """Return the longest chain of dependent steps, by estimate.
+
+    With ``is_pending`` only steps that have pending tasks add to it.
+    """
     ends_ms = []
     for number, step in enumerate(job.spec.steps):
         start_ms = max((ends_ms[earlier] for earlier in step.depends_on), default=0)
-        keys = job.keys_of_step(0, number)
+        is_counted = not is_pending or job.pending_by_step[0, number] > 0
         own_ms = step.estimate_ms or DEFAULT_ESTIMATE_MS
-        ends_ms.append(start_ms + own_ms * any(map(is_counted, keys)))
+        ends_ms.append(start_ms + own_ms * is_counted)
     return max(ends_ms, default=0)
 
 
 def remaining_work(job):
     """Return the work of the tasks that are not assigned, in core-seconds."""
     work = 0.0
-    for (_, number, _), task in job.tasks_by_key.items():
-        if task.phase == Phase.PENDING:
+    for (_, number), count in job.pending_by_step.items():
+        if count:
             step = job.spec.steps[number]
             estimate_ms = step.estimate_ms or DEFAULT_ESTIMATE_MS
-            work += estimate_ms / 1000 * step.demand.millicores / 1000
+            work += count * estimate_ms / 1000 * step.demand.millicores / 1000
     return work
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass
 
 from .cell import StartRun
-from .job import Phase
 from .lifecycle import run_of
 from .ordering import order_jobs
 from .pacing import HARMLESS_RISE, rise_budget
@@ -22,6 +21,7 @@
     "choose_worker",
     "expected_speed",
     "place",
+    "place_now",
 ]
 
 #: Least part of its full speed at which a filler is placed.
@@ -42,8 +42,52 @@
     min_speed: float
 
 
+class _Misfits:
+    """Needs for which no worker was found during one pass.
+
+    Rooms only shrink while tasks are placed, so a need that is at least as large finds
+    none either. Answers a backlog of jobs, most of which are alike.
+    """
+
+    __slots__ = ("_reserved_by_kind",)
+
+    def __init__(self):
+        self._reserved_by_kind = {}
+
+    def add(self, service, step, need=None):
+        """Note that no worker of a service takes a task of the step.
+
+        Without ``need`` because none has the room, else because none suits it.
+        """
+        kind = (service, step.required_label, need)
+        self._reserved_by_kind.setdefault(kind, []).append(step.reserved)
+
+    def covers(self, service, step, need):
+        """Tell whether a task of the step surely finds no worker."""
+        kinds = {(service, step.required_label, n) for n in (None, need)}
+        reserved = step.reserved
+        return any(
+            smaller.fits_in(reserved)
+            for kind in kinds
+            for smaller in self._reserved_by_kind.get(kind, ())
+        )
+
+
 def place(cell, now_s):
+    """Place what is due, or let it wait for an append that is under way.
+
+    A start waits for the append of its own assignment, which cannot begin before the
+    one under way is done; a single pass after that one places the same tasks.
+    """
+    if cell.is_append_under_way:
+        cell.is_placing_due = True
+        return []
+    return place_now(cell, now_s)
+
+
+def place_now(cell, now_s):
     """Give every task that fits to a worker; return the starts as effects."""
+    cell.is_placing_due = False
     if not cell.ready_by_job or now_s < cell.place_from_s:
         return []
     workers = [
@@ -51,23 +95,34 @@
     ]
     effects = []
     if workers:
+        misfits = _Misfits()
         for job in order_jobs(cell, now_s):
-            effects.extend(_place_job(cell, job, workers, now_s))
+            effects.extend(_place_job(cell, job, workers, misfits, now_s))
     return effects
 
 
-def _place_job(cell, job, workers, now_s):
-    queue = cell.queue_of(job)
+def _place_job(cell, job, workers, misfits, now_s):
+    service = cell.queue_of(job).service
     effects = []
-    eligible = [worker for worker in workers if worker.service == queue.service]
+    eligible = [worker for worker in workers if worker.service == service]
     for step_key, keys in _group_by_step(cell.ready_by_job[job.job_id]).items():
         step = job.spec.steps[step_key[1]]
+        need = _filler_need(job, step, now_s)
+        if misfits.covers(service, step, need):
+            continue
+        roomy = [worker for worker in eligible if _holds(worker, step)]
+        if not roomy:
+            misfits.add(service, step)
+            continue
         if step.is_gang:
-            effects.extend(_place_gang(cell, job, step, keys, eligible, now_s))
+            effects.extend(_place_gang(cell, job, step, keys, roomy, now_s))
             continue
         for key in keys:
-            worker = choose_worker(cell, job, key, step, eligible, now_s)
+            worker = choose_worker(cell, job, key, step, roomy, now_s)
             if worker is None:
+                # With a limit for each worker others may have tasks there instead.
+                if not step.max_per_worker:
+                    misfits.add(service, step, need)
                 break
             effects.append(_assign(cell, job, key, worker, now_s))
             job.ran_s = now_s
@@ -166,10 +221,15 @@
     return FillerNeed(step.image, step.demand.millicores, min_speed)
 
 
-def _fits(job, key, step, worker):
+def _holds(worker, step):
+    """Tell whether a worker has room and label for a task of a step."""
     if not step.reserved.fits_in(worker.room):
         return False
-    if step.required_label and step.required_label not in worker.labels:
+    return not step.required_label or step.required_label in worker.labels
+
+
+def _fits(job, key, step, worker):
+    if not _holds(worker, step):
         return False
     if step.max_per_worker:
         return _count_of_step(job, key, worker) < step.max_per_worker
@@ -227,11 +287,7 @@
 
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
-    task.phase = Phase.ASSIGNED
-    task.run = number or task.run + 1
-    task.worker_id = worker.worker_id
-    task.born_ms = worker.born_ms
-    job.has_begun = True
+    job.assign(key, worker, number or task.run + 1)
     run = run_of(job, key, task.run)
     run.is_ordering = True
     run.ordered_s = now_s
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,10 +1,10 @@
 """What time and answers to orders cause: repeats, losses, occurrences that are due."""
 
 from ..reducer import reduce
-from .cell import CellTick, DropJob, OrderSettled, StartRun
+from .cell import AppendDone, CellTick, DropJob, OrderSettled, StartRun
 from .incarnations import lose_worker, release
 from .lifecycle import release_occurrence, stop_run
-from .placing import place
+from .placing import place, place_now
 from .stragglers import move_stragglers
 
 __all__ = []
@@ -37,6 +37,11 @@
     return place(cell, event.now_s)
 
 
+@reduce.register
+def _(event: AppendDone, cell):
+    return place_now(cell, event.now_s) if cell.is_placing_due else []
+
+
 @reduce.register
 def _(event: CellTick, cell):
     effects = []
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -71,7 +71,7 @@
     worker.data_centre = report.data_centre
     worker.labels = report.labels
     worker.rack = report.rack
-    worker.capacity = report.capacity
+    worker.resize(report.capacity)
     worker.is_reachable = report.is_reachable
     worker.is_draining = report.is_draining
     if is_first:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -166,11 +166,23 @@
     failed_jobs: frozenset[str] = frozenset()
     #: Sums over the runs, kept until one of them changes.
     _sums: tuple | None = field(default=None, init=False, repr=False, compare=False)
+    #: Amount that no run has reserved.
+    room: Resources = field(default=Resources(), init=False)
+
+    def __post_init__(self):
+        self.room = self.capacity
+
+    def resize(self, capacity):
+        """Take the worker's capacity as reported."""
+        if capacity != self.capacity:
+            self.capacity = capacity
+            self.room = capacity - self.reserved
 
     def add(self, task_id, run):
         """Count a run on the worker."""
         self.runs_by_task[task_id] = run
         self.reserved = self.reserved + run.reserved
+        self.room = self.room - run.reserved
         self.serving += run.is_serving
         self._sums = None
 
@@ -179,6 +191,7 @@
         run = self.runs_by_task.pop(task_id, None)
         if run is not None:
             self.reserved = self.reserved - run.reserved
+            self.room = self.room + run.reserved
             self.serving -= run.is_serving
             self._sums = None
         return run
@@ -207,11 +220,6 @@
             self.is_reachable and not self.is_draining and now_s >= self.avoided_until_s
         )
 
-    @property
-    def room(self):
-        """Amount that no run has reserved."""
-        return self.capacity - self.reserved
-
     @property
     def idle_millicores(self):
         """Processors that nothing on the worker uses, as far as is known."""
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -1,6 +1,7 @@
 """Which worker tasks go to, and which job comes first."""
 
-from dotterelspread.jobs.cell import Cell, CellTick, Submitted
+from dotterelspread.jobs import placing
+from dotterelspread.jobs.cell import AppendDone, Cell, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
 from dotterelspread.jobs.lifecycle import run_of
@@ -289,3 +290,38 @@
     cell.workers_by_id["i-1"] = make_worker(1)
     (stop,) = move_stragglers(cell, late_s)
     assert stop.run is run
+
+
+def test_tasks_wait_for_an_append_under_way_and_are_placed_once_it_is_done():
+    cell = make_cell(make_worker(0))
+    cell.is_append_under_way = True
+    assert submit(cell, make_step()) == []
+    assert submit(cell, make_step(), number=2) == []
+    cell.is_append_under_way = False
+    assert len(reduce(AppendDone(0.1), cell)) == 2
+    assert reduce(AppendDone(0.2), cell) == []
+
+
+def test_a_backlog_of_alike_jobs_looks_at_each_full_worker_once(monkeypatch):
+    cell = make_cell(*(make_worker(number) for number in range(20)))
+    submit(cell, make_step(count=40, demand=Resources(4000, 10)))
+    looks = []
+    holds = placing._holds
+
+    def count_look(worker, step):
+        looks.append(worker.worker_id)
+        return holds(worker, step)
+
+    monkeypatch.setattr(placing, "_holds", count_look)
+    for number in range(2, 50):
+        spec = make_job(number, (make_step(count=10, demand=Resources(4000, 10)),))
+        add_job(cell, Job.from_spec(spec, 0.0), 0)
+    assert place(cell, 0.0) == []
+    assert len(looks) <= 20
+
+
+def test_a_job_that_needs_less_is_placed_behind_one_that_does_not_fit():
+    cell = make_cell(make_worker(0, capacity=Resources(3000, 16_000)))
+    assert submit(cell, make_step(demand=Resources(4000, 10))) == []
+    assert len(submit(cell, make_step(demand=Resources(3000, 10)), number=2)) == 1
+    assert submit(cell, make_step(demand=Resources(3000, 10)), number=3) == []
