Change the leader only for a reason, and read the bulk of the state before the claim

After the power loss at 36.5 there were four terms, at 39.3, 42.5, 45.2 and later.

Ruled out: a leader that was silent or turned away (its appends went through, its notices arrived).

A leader that stops says so. The claim is no longer bound to the end that was read: the state is read first, then claimed, then what was appended until the claim is read.

The test of a leader that leads on until the claim ended with a change for no reason; it now cuts that leader from the store for it, and a new test demands that there is no change otherwise.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -3342,18 +3342,21 @@
     Attributes:
      - epoch
      - address
+     - confirmed
 
     """
 
     __slots__ = (
         'epoch',
         'address',
+        'confirmed',
     )
 
 
-    def __init__(self, epoch=None, address=None,):
+    def __init__(self, epoch=None, address=None, confirmed=None,):
         self.epoch = epoch
         self.address = address
+        self.confirmed = confirmed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3374,6 +3377,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.confirmed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3392,6 +3400,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 2)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.confirmed is not None:
+            oprot.writeFieldBegin('confirmed', TType.BOOL, 3)
+            oprot.writeBool(self.confirmed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3964,6 +3976,7 @@
     None,  # 0
     (1, TType.I64, 'epoch', None, None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'confirmed', None, None, ),  # 3
 )
 all_structs.append(NoticeReply)
 NoticeReply.thrift_spec = (
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -25,6 +25,9 @@
 SMALL_SHARE = 0.7
 #: Seconds without a leader after which a far or small entry stands as well.
 PATIENCE_S = 3.0
+#: Seconds that a leader may take to be confirmed again once the store is back: the
+#: longest wait for the reply to an append.
+RETURN_S = 1.6
 #: Seconds between two looks at the list of processes, at first and later.
 YOUNG_LOOK_S = 0.7
 LOOK_S = 10.0
@@ -58,6 +61,8 @@
         #: Processors of each entry of this region, by peer address.
         self._cores_by_address = {}
         self._term = None
+        #: When the store last turned this entry away.
+        self._refused_s = float("-inf")
 
     async def run(self):
         """Stand for the lead, for good."""
@@ -92,6 +97,23 @@
         largest = max(self._cores_by_address.values(), default=0.0)
         return self.settings.cores < SMALL_SHARE * largest
 
+    @property
+    def _is_well_led(self):
+        """Whether a leader works that this entry need not replace.
+
+        The group may deal its partition anew at any time. A change of the leader costs
+        a second in which nothing starts, so it needs a reason: the leader is silent,
+        the store turns it away, or it is much smaller than this entry, or far away.
+        """
+        view = self.view
+        if not view.is_led:
+            return False
+        if not view.is_confirmed:
+            # While the store was away for both, the leader is given time to return.
+            return clock.now_s() - self._refused_s < RETURN_S
+        leader_cores = self._cores_by_address.get(view.address, 0.0)
+        return leader_cores >= SMALL_SHARE * self.settings.cores
+
     async def _look(self):
         """Learn how far the store is, and how large the other entries here are."""
         began_s = clock.now_s()
@@ -139,6 +161,7 @@
                 self._generation,
             )
         except JournalError as error:
+            self._refused_s = clock.now_s()
             log_decision("join failed", error=str(error))
             return
         self._is_member = True
@@ -147,7 +170,7 @@
             self.leader.store_heard_s = clock.now_s()
         # A leader that the group names no longer leads on until its successor's claim
         # fences it, so that nobody waits in between.
-        if membership.is_holder and self._term is None:
+        if membership.is_holder and self._term is None and not self._is_well_led:
             self._term = asyncio.ensure_future(self._lead())
 
     async def _lead(self):
@@ -171,6 +194,6 @@
     async def resign(self):
         """Give up the lead and the candidacy."""
         if self.leader is not None:
-            self.leader.depose("this process stops")
+            await self.leader.resign("this process stops")
         if self._is_member:
             await self._withdraw()
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -11,7 +11,7 @@
 from .handlers import reduce
 from .journal import JournalError, JournalTruncatedError
 from .nodes import NODES_STREAM, read_node
-from .noticing import announce_to
+from .noticing import announce_once, announce_to
 from .ordersending import OrderSender
 
 __all__ = [
@@ -28,6 +28,9 @@
 GRANTS_WITHOUT_STORE_S = 10.0
 #: Seconds since the store's last word within which the leader denies unknown jobs.
 FRESH_S = 2.0
+#: Seconds since the latest confirmation after which another entry may take over: the
+#: interval of the confirmations and an append.
+CONFIRMED_S = 1.5
 #: Seconds that a read of the list of processes waits for news.
 NODES_WAIT_S = 2.0
 #: Pause after a call to the store that failed.
@@ -114,6 +117,19 @@
         heard_s = max(self.store_heard_s, self.committer.confirmed_s)
         return clock.now_s() - heard_s < FRESH_S
 
+    @property
+    def is_confirmed(self):
+        """Whether the term goes on and the store takes its appends."""
+        silent_s = clock.now_s() - self.committer.confirmed_s
+        is_heard = silent_s < CONFIRMED_S and not self.committer.is_store_silent
+        return is_heard and not self.is_deposed
+
+    async def resign(self, reason):
+        """End the term, and let the other entries know at once."""
+        self.depose(reason)
+        entries = [a for a, link in self.links_by_address.items() if link is None]
+        await asyncio.gather(*(announce_once(self, address) for address in entries))
+
     def spawn(self, work):
         """Run a coroutine until the term ends; a fault in it ends the term."""
         task = asyncio.ensure_future(work)
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -14,6 +14,7 @@
     JournalFencedError,
     JournalMovedError,
     JournalRejectedError,
+    JournalTruncatedError,
     Snapshot,
     Writer,
 )
@@ -53,8 +54,8 @@
 async def take_over(journal, settings):
     """Return a `Term` once this process is the only one that may write.
 
-    The claim is appended only if nothing was written since the state was read, so the
-    state is whole. A claim without a reply is repeated under the same sequence number.
+    The state is read first, while the earlier leader goes on; the claim fences that
+    leader, and what it appended meanwhile is read after it.
 
     Raises
     ------
@@ -68,28 +69,61 @@
         epoch = 1 + (earlier.epoch if earlier else 0)
         # Two candidates for one epoch must not take each other's replies.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_SEQUENCE))
-        if await _claim(journal, settings, writer, snapshot.end):
+        offset = await _claim(journal, settings, writer)
+        if offset is not None:
+            snapshot = await _catch_up(journal, snapshot, offset)
             return Term(writer, _read_cell(snapshot, settings), nodes)
 
 
-async def _claim(journal, settings, writer, end):
+async def _claim(journal, settings, writer):
+    """Return the offset of the claim, or None if another process was first.
+
+    A claim without a reply is repeated under the same sequence number.
+    """
     record = LeaderRecord(writer.epoch, settings.peer_address, settings.instance_id)
     is_uncertain = False
     while True:
         try:
-            await journal.append(CELL_STREAM, [leader_record(record)], writer, end)
+            offset = await journal.append(CELL_STREAM, [leader_record(record)], writer)
         except (JournalFencedError, JournalMovedError, JournalRejectedError) as error:
             log_decision("claim lost", epoch=writer.epoch, error=str(error))
             if is_uncertain:
                 await asyncio.sleep(PAUSE_S)
-            return False
+            return None
         except JournalError as error:
             is_uncertain = True
             log_decision("claim repeated", epoch=writer.epoch, error=str(error))
             await asyncio.sleep(PAUSE_S)
             continue
-        log_decision("term begins", epoch=writer.epoch, end=end)
-        return True
+        log_decision("term begins", epoch=writer.epoch, offset=offset)
+        return offset
+
+
+async def _catch_up(journal, snapshot, claim_offset):
+    """Return the state as of the claim, after which no earlier leader appends."""
+    while snapshot.end <= claim_offset:
+        try:
+            tail = await journal.follow(CELL_STREAM, snapshot.end, 0)
+        except JournalTruncatedError:
+            snapshot = await _read_again(journal, snapshot)
+        except JournalError as error:
+            log_decision("state not read", offset=snapshot.end, error=str(error))
+            await asyncio.sleep(PAUSE_S)
+        else:
+            newer = {record.key: record for record in tail.records}
+            records_by_key = snapshot.records_by_key | newer
+            snapshot = Snapshot(records_by_key, tail.next_offset)
+    return snapshot
+
+
+async def _read_again(journal, snapshot):
+    """Return a whole new snapshot, or the one at hand if the store does not answer."""
+    try:
+        return await journal.snapshot(CELL_STREAM)
+    except JournalError as error:
+        log_decision("state not read", offset=snapshot.end, error=str(error))
+        await asyncio.sleep(PAUSE_S)
+        return snapshot
 
 
 def _read_cell(snapshot, settings):
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -142,12 +142,13 @@
     async def follow(self, stream, from_offset, wait_s):
         await self._reach()
         end_s = clock.now_s() + wait_s
-        while clock.now_s() < end_s:
+        while True:
             records = self.store.stream(stream).records[from_offset:]
             if records:
                 return Tail(tuple(records), from_offset + len(records))
+            if clock.now_s() >= end_s:
+                return Tail((), from_offset)
             await asyncio.sleep(0.05)
-        return Tail((), from_offset)
 
     async def join(self, group, member, stream, ttl_ms, generation):
         await self._reach()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,9 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs.forwarding import Verb
-from tests.builders_fleet import VirtualFleet, make_job, make_step
+from dotterelspread.jobs.takeover import take_over
+from dotterelspread.processsettings import FleetRole
+from tests.builders_fleet import VirtualFleet, make_job, make_settings, make_step
 from tests.virtualloop import run_virtually
 
 TWO_STEPS = (make_step(count=3), make_step(count=2, depends_on=(0,)))
@@ -359,24 +361,91 @@
     play(scenario)
 
 
+def name_other_holder(fleet):
+    """Let the store's group name an entry that does not lead; return both entries."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    other = fleet.entries[1 - fleet.entries.index(leader)]
+    fleet.store.members[other.settings.instance_id] = float("inf")
+    fleet.store.holder = other.settings.instance_id
+    return leader, other
+
+
 def test_a_leader_leads_on_until_its_successor_has_claimed():
     async def scenario(fleet):
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        other = fleet.entries[1 - fleet.entries.index(leader)]
+        leader, other = name_other_holder(fleet)
         fleet.store.mode_by_node[other.address] = "busy"
-        fleet.store.members[other.settings.instance_id] = float("inf")
-        fleet.store.holder = other.settings.instance_id
         await fleet.settle(1)
         reply = await fleet.submit(make_job(1, TWO_STEPS), 0)
         assert reply.result == WorkResult.DONE
-        fleet.store.mode_by_node.clear()
+        fleet.store.mode_by_node[leader.address] = "busy"
+        del fleet.store.mode_by_node[other.address]
         await expect_completed(fleet, 6)
         assert other.candidate.leader is not None
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(2)
         assert leader.candidate.leader is None
 
     play(scenario)
 
 
+def test_a_leader_that_works_stays_when_the_group_names_another():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        await fleet.settle(5)
+        assert leader.candidate.leader is not None
+        assert other.candidate.leader is None
+
+    play(scenario)
+
+
+def test_a_leader_that_stops_as_planned_is_followed_at_once():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        await fleet.settle(1)
+        await leader.candidate.resign()
+        await fleet.settle(0.7)
+        assert other.candidate.leader is not None
+
+    play(scenario)
+
+
+def test_a_leader_returns_when_the_store_was_away_for_all():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        fleet.store.mode_by_node["*"] = "silent"
+        await fleet.settle(5)
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(4)
+        assert leader.candidate.leader is not None
+        assert other.candidate.leader is None
+
+    play(scenario)
+
+
+def test_a_successor_has_all_that_was_appended_until_its_claim():
+    async def scenario(fleet):
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        journal = fleet.store.journal("successor")
+        read = journal.snapshot
+
+        async def read_slowly(stream):
+            snapshot = await read(stream)
+            await asyncio.sleep(0.5)
+            return snapshot
+
+        journal.snapshot = read_slowly
+        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
+        work = asyncio.ensure_future(take_over(journal, settings))
+        for number in range(30):
+            spec = make_job(number, (make_step(count=2, is_service=True),))
+            await fleet.submit(spec, fleet.entries.index(leader))
+            await asyncio.sleep(0.03)
+        term = await asyncio.wait_for(work, 3)
+        assert term.cell.jobs_by_id.keys() >= fleet.accepted
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("slowness", [float("inf"), 12.0])
 def test_runs_on_a_worker_that_stands_still_or_crawls_go_on_elsewhere(slowness):
     async def scenario(fleet):
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -264,6 +264,8 @@
 struct LeaderNotice {
   1: i64 epoch,
   2: string address,
+  // Whether the store confirmed the lead lately; if not, another may take over.
+  3: bool confirmed,
 }
 
 struct NoticeReply {
