Open one connection for all calls to a peer, within the time of each call

Calls to one peer queued for a lock and each tried to connect for a second of its own, beyond its own timeout: the sixth caller waited six seconds.

Ruled out: the new leader (it accepted other jobs within 11 ms from 4.37 on), the store.

Change: one attempt to connect for all who wait, each within its own time; the same for the time that the HTTP client took to connect. A call to a leader ends once another leader is known, and the request goes to that one; the time without a leader is counted from now, not from the start of the latest call.

--- a/dotterelspread/h1client.py
+++ b/dotterelspread/h1client.py
@@ -137,11 +137,12 @@
         H1LostError
             The call was sent and may have been carried out.
         """
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
         connection = await self._connection(timeout_s)
         data = self._encode(method, target, body, headers)
         waiting = connection.start(data)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(deadline_s):
                 reply = await waiting
         except TimeoutError:
             connection.transport.abort()
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -180,7 +180,7 @@
                 self.settings, self.journal, self.pool, term, self.configuration()
             )
             self.leader = leader
-            self.view.epoch = leader.epoch
+            self.view.follow(leader.epoch)
             await leader.run()
         except DeposedError:
             # Logged by the leader; the group says who is next.
--- a/dotterelspread/jobs/forwarding.py
+++ b/dotterelspread/jobs/forwarding.py
@@ -10,7 +10,7 @@
 
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import WorkReply, WorkRequest, WorkResult
-from ..peer import PeerError, PeerUnsentError
+from ..peer import PeerError, PeerLostError, PeerUnsentError
 from . import clock
 from .committing import DeposedError
 from .leader import StoreSilentError
@@ -62,20 +62,23 @@
 
     async def ask(self, request):
         """Return the `WorkReply` to a request of a caller, within its deadline."""
+        view = self._candidate.view
         began_s = clock.now_s()
         deadline_s = began_s + request.remaining_ms / 1000
         was_sent = False
         while True:
-            now_s = clock.now_s()
-            remaining_s = deadline_s - now_s
+            remaining_s = deadline_s - clock.now_s()
             if remaining_s < MIN_REMAINING_S:
                 break
             request.remaining_ms = int(remaining_s * 1000)
+            asked_epoch = view.epoch
             reply, was_tried = await self._try(request, remaining_s)
             was_sent = was_sent or was_tried
             if reply is not None and _is_final(reply, was_sent):
                 return reply
-            if not was_sent and now_s - began_s > LEADER_WAIT_S:
+            if view.epoch > asked_epoch:
+                continue
+            if not was_sent and clock.now_s() - began_s > LEADER_WAIT_S:
                 break
             await asyncio.sleep(LOOKUP_PAUSE_S)
         if was_sent and request.verb in (Verb.SUBMIT, Verb.CANCEL):
@@ -92,7 +95,7 @@
             return None, False
         timeout_s = min(remaining_s, CALL_TIMEOUT_S)
         try:
-            reply = await self._pool.call(address, "work", request, timeout_s)
+            reply = await self._call(address, request, timeout_s)
         except PeerUnsentError:
             return None, False
         except PeerError as error:
@@ -109,6 +112,27 @@
             return None, False
         return reply, reply.result == WorkResult.UNKNOWN
 
+    async def _call(self, address, request, timeout_s):
+        """Return the reply of the leader at ``address``.
+
+        Once another leader is known there is no point in waiting for this one, which
+        may be gone without a trace.
+        """
+        call = asyncio.ensure_future(
+            self._pool.call(address, "work", request, timeout_s)
+        )
+        change = asyncio.ensure_future(self._candidate.view.wait_for_change())
+        try:
+            await asyncio.wait({call, change}, return_when=asyncio.FIRST_COMPLETED)
+            if call.done():
+                return call.result()
+        finally:
+            change.cancel()
+            call.cancel()
+        if self._pool.is_open(address):
+            raise PeerLostError(f"{address}: another leader is known")
+        raise PeerUnsentError(f"{address}: another leader is known")
+
     async def handle(self, request):
         """Answer a request as the leader, or say that this process is not."""
         leader = self._candidate.leader
--- a/dotterelspread/jobs/noticing.py
+++ b/dotterelspread/jobs/noticing.py
@@ -1,7 +1,7 @@
 """How entries learn who leads: the leader tells each of them again and again."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import LeaderNotice, NoticeReply
@@ -29,6 +29,7 @@
     heard_s: float = 0.0
     #: Whether the store had confirmed the lead shortly before the latest notice.
     is_confirmed: bool = False
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def take(self, notice):
         """Take a notice and answer it with the latest epoch known."""
@@ -40,12 +41,23 @@
                 earlier_epoch=self.epoch,
             )
         if notice.epoch >= self.epoch:
-            self.epoch = notice.epoch
+            self.follow(notice.epoch)
             self.address = notice.address
             self.is_confirmed = notice.confirmed
             self.heard_s = clock.now_s()
         return NoticeReply(self.epoch)
 
+    def follow(self, epoch):
+        """Note that the leader of an epoch works, perhaps in this process."""
+        if epoch > self.epoch:
+            self.epoch = epoch
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def wait_for_change(self):
+        """Wait until another leader is known."""
+        await self._changed.wait()
+
     def current(self):
         """Return the leader's address, or an empty text if none was heard lately."""
         age_s = clock.now_s() - self.heard_s
--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -165,7 +165,8 @@
     def __init__(self, traffic=None):
         self.traffic = traffic or TrafficCount()
         self._connections_by_address = {}
-        self._locks_by_address = {}
+        #: Connections that are being opened; all calls to an address wait for one.
+        self._openings_by_address = {}
         self._call_ids = itertools.count(1)
 
     @classmethod
@@ -176,6 +177,8 @@
         try:
             yield pool
         finally:
+            for opening in list(pool._openings_by_address.values()):
+                opening.cancel()
             for address in list(pool._connections_by_address):
                 pool.renew(address, abort=True)
 
@@ -191,7 +194,7 @@
         argument : object
             The method's only argument, a generated Thrift class.
         timeout_s : float
-            Seconds to wait for the answer.
+            Seconds to wait for the answer, with the time to open a connection.
 
         Raises
         ------
@@ -202,14 +205,15 @@
         PeerFailedError
             The peer says that the call failed.
         """
-        connection = await self._connection(address)
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        connection = await self._connection(address, timeout_s)
         call_id = next(self._call_ids) & 0x7FFFFFFF
         frame = encode_call(method, call_id, argument)
         future = asyncio.get_running_loop().create_future()
         connection.waiting_by_id[call_id] = future
         connection.send(frame)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(deadline_s):
                 return await future
         except TimeoutError as error:
             detail = f"{address} {method}: no answer in {timeout_s:.3f} s"
@@ -228,17 +232,31 @@
         if abort or not connection.waiting_by_id:
             connection.transport.abort()
 
-    async def _connection(self, address):
+    def is_open(self, address):
+        """Tell whether calls to ``address`` are sent as soon as they are made."""
         connection = self._connections_by_address.get(address)
-        if connection is not None and connection.is_open:
-            return connection
-        lock = self._locks_by_address.setdefault(address, asyncio.Lock())
-        async with lock:
-            connection = self._connections_by_address.get(address)
-            if connection is None or not connection.is_open:
-                connection = await self._connect(address)
-                self._connections_by_address[address] = connection
-            return connection
+        return connection is not None and connection.is_open
+
+    async def _connection(self, address, timeout_s):
+        if self.is_open(address):
+            return self._connections_by_address[address]
+        opening = self._openings_by_address.get(address)
+        if opening is None:
+            opening = asyncio.ensure_future(self._connect(address))
+            self._openings_by_address[address] = opening
+            opening.add_done_callback(lambda done: self._opened(address, done))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(opening)
+        except TimeoutError:
+            detail = f"{address}: no connection in {timeout_s:.3f} s"
+            raise PeerUnsentError(detail) from None
+
+    def _opened(self, address, opening):
+        del self._openings_by_address[address]
+        # Those who wait get the error; nobody need be waiting.
+        if not opening.cancelled() and opening.exception() is None:
+            self._connections_by_address[address] = opening.result()
 
     async def _connect(self, address):
         host, _, port = address.rpartition(":")
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -70,6 +70,8 @@
         self.fleet = fleet
         self.handlers_by_address = {}
         self.cut = set()
+        #: Addresses of instances without power: connections to them do not open.
+        self.dark = set()
         self.loss = 0.0
 
     def is_cut(self, left, right):
@@ -87,10 +89,17 @@
     def renew(self, address, abort=False):
         """Nothing is kept open."""
 
+    def is_open(self, address):
+        """Tell whether a call is sent at once: to all that are not dark."""
+        return address not in self.network.dark
+
     async def call(self, address, method, argument, timeout_s):
         network = self.network
         rng = network.fleet.rng
         await asyncio.sleep(0.001 * (0.5 + rng.random()))
+        if address in network.dark:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnsentError("dark")
         if network.is_cut(self.address, address):
             await asyncio.sleep(timeout_s)
             raise PeerTimeoutError("cut")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dotterelspread.gen.peer.ttypes import WorkResult
+from dotterelspread.jobs import clock
 from dotterelspread.jobs.forwarding import Verb
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
@@ -346,8 +347,6 @@
 
 def test_a_caller_of_a_leader_cut_from_the_store_is_answered_by_its_successor():
     async def scenario(fleet):
-        from dotterelspread.jobs import clock
-
         leader = next(e for e in fleet.entries if e.candidate.leader)
         other = fleet.entries[1 - fleet.entries.index(leader)]
         fleet.store.mode_by_node[leader.address] = "silent"
@@ -422,6 +421,21 @@
     play(scenario)
 
 
+def test_a_caller_whose_leader_lost_power_is_answered_by_the_next_one():
+    async def scenario(fleet):
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        other = fleet.entries[1 - fleet.entries.index(leader)]
+        leader.kill()
+        fleet.network.dark.add(leader.address)
+        await fleet.settle(0.6)
+        began_s = clock.now_s()
+        reply = await fleet.submit(make_job(1), fleet.entries.index(other))
+        assert reply.result == WorkResult.DONE
+        assert clock.now_s() - began_s < 0.9
+
+    play(scenario)
+
+
 def test_a_successor_has_all_that_was_appended_until_its_claim():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -91,3 +93,31 @@
                     pass
 
     asyncio.run(main())
+
+
+def test_calls_to_a_peer_that_takes_no_connection_end_together_in_their_time():
+    async def main():
+        # A listener whose backlog is full does not answer the opening packet.
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            port = listener.getsockname()[1]
+            loop = asyncio.get_running_loop()
+            with contextlib.ExitStack() as stack:
+                for _ in range(4):
+                    filler = stack.enter_context(socket.socket())
+                    filler.setblocking(False)
+                    filler.connect_ex(("127.0.0.1", port))
+                await asyncio.sleep(0.05)
+                began_s = loop.time()
+                async with PeerPool.open() as pool:
+                    query = AnswerQuery(request_id="x")
+                    calls = [
+                        pool.call(f"127.0.0.1:{port}", "answer", query, 0.3)
+                        for _ in range(6)
+                    ]
+                    results = await asyncio.gather(*calls, return_exceptions=True)
+                assert all(isinstance(r, PeerUnsentError) for r in results), results
+                assert loop.time() - began_s < 1.0
+
+    asyncio.run(main())
