Say in each stop why the run is stopped

Cause: the log had no input of the decision to stop a run: whether its job was cancelled, had failed, or the run stood still or crawled could only be guessed from other lines.

Change: a run carries a StopReason instead of a flag, and `stop ordered` has it.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -1,7 +1,7 @@
 """Incarnations of workers: what a successor adopts, what ends, what goes on."""
 
 from .job import Phase
-from .lifecycle import give_back, run_of
+from .lifecycle import end_reason, give_back, run_of
 from .worker import Worker
 
 __all__ = ["adopt_assigned", "follow_rebirth", "is_current", "lose_worker", "release"]
@@ -26,7 +26,7 @@
             cell.workers_by_id[task.worker_id] = worker
         run = run_of(job, key, task.run)
         run.is_repeat = True
-        run.is_unwanted = not job.is_open
+        run.stop_reason = "" if job.is_open else end_reason(job)
         worker.add(job.task_id(key), run)
 
 
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -2,11 +2,12 @@
 
 from .cell import StopRun
 from .job import Phase
-from .worker import Run
+from .worker import Run, StopReason
 
 __all__ = [
     "add_due_steps",
     "end_job",
+    "end_reason",
     "give_back",
     "release_occurrence",
     "run_of",
@@ -63,19 +64,27 @@
     cell.dirty.add(job.job_id)
     cell.ready_by_job.pop(job.job_id, None)
     effects = []
+    reason = end_reason(job)
     for key, task in job.tasks_by_key.items():
         if task.phase != Phase.ASSIGNED:
             continue
         worker = cell.workers_by_id.get(task.worker_id)
         run = worker and worker.runs_by_task.get(job.task_id(key))
         if run:
-            effects.extend(stop_run(worker, run, job.task_id(key)))
+            effects.extend(stop_run(worker, run, job.task_id(key), reason))
     return effects
 
 
-def stop_run(worker, run, task_id):
-    """Have a run stopped; return effects."""
-    run.is_unwanted = True
+def end_reason(job):
+    """Return the `StopReason` of the runs of a job that has ended."""
+    if job.is_cancelled:
+        return StopReason.CANCELLED
+    return StopReason.FAILED if job.has_failed else StopReason.COMPLETED
+
+
+def stop_run(worker, run, task_id, reason):
+    """Have a run stopped for a `StopReason`; return effects."""
+    run.stop_reason = run.stop_reason or reason
     if run.is_ordering or not worker.is_reachable:
         # The tick repeats the order.
         return []
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -92,6 +92,7 @@
             run=run.run,
             worker_id=worker.worker_id,
             epoch=self._leader.epoch,
+            reason=run.stop_reason,
         )
         order = StopOrder(
             epoch=self._leader.epoch,
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -64,7 +64,7 @@
         if run.is_ordering or now_s - run.ordered_s < REORDER_S:
             continue
         if run.is_unwanted:
-            effects.extend(stop_run(worker, run, task_id))
+            effects.extend(stop_run(worker, run, task_id, run.stop_reason))
         elif not run.is_confirmed:
             effects.append(_start_again(cell, worker, run, task_id))
     return effects
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -9,7 +9,7 @@
 from .lifecycle import run_of, stop_run
 from .placing import place
 from .spec import parse_task_id
-from .worker import Run, Worker
+from .worker import Run, StopReason, Worker
 
 __all__ = []
 
@@ -103,7 +103,7 @@
             _note_progress(cell, run, event.now_s)
         _keep_checkpoint(cell, run, row)
         if run.is_unwanted:
-            effects.extend(stop_run(worker, run, row.task_id))
+            effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
     if report.is_reachable and len(report.ended) < MAX_LISTED_ENDS:
         _release_unlisted(cell, worker, listed, report.listed_ms)
     return effects
@@ -118,7 +118,7 @@
     else:
         key = parsed[1] if parsed else (0, 0, 0)
         run = Run(row.task_id.split(".")[0], key, row.run, Resources(), 0, 0)
-    run.is_unwanted = True
+    run.stop_reason = StopReason.UNKNOWN
     worker.add(row.task_id, run)
     return run
 
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -10,8 +10,9 @@
 
 from .lifecycle import stop_run
 from .placing import MIN_SPEED, FillerNeed, choose_worker, expected_speed
+from .worker import StopReason
 
-__all__ = ["FILLER_STANDSTILL_S", "is_straggler", "move_stragglers"]
+__all__ = ["FILLER_STANDSTILL_S", "find_reason", "move_stragglers"]
 
 #: Seconds without progress after which a run counts as standing still.
 STANDSTILL_S = 2.5
@@ -45,15 +46,16 @@
             job = cell.jobs_by_id.get(run.job_id)
             if job is None or not _may_move(job, run):
                 continue
-            if not is_straggler(job, run, now_s):
+            reason = find_reason(job, run, now_s)
+            if not reason:
                 continue
             if _find_other(cell, job, run, worker, now_s) is None:
                 continue
             job.tasks_by_key[run.key].failed_on = worker.worker_id
-            if not run.is_filler and now_s - run.progressed_s > STANDSTILL_S:
+            if not run.is_filler and reason == StopReason.STANDSTILL:
                 avoided_s = max(worker.avoided_until_s, now_s + AVOID_S)
                 worker.avoided_until_s = avoided_s
-            effects.extend(stop_run(worker, run, task_id))
+            effects.extend(stop_run(worker, run, task_id, reason))
     return effects
 
 
@@ -64,8 +66,8 @@
     return is_settled and is_movable and run.run <= MAX_STARTS
 
 
-def is_straggler(job, run, now_s):
-    """Tell whether a run stands still, or is far slower than its step elsewhere.
+def find_reason(job, run, now_s):
+    """Return why a run should go on elsewhere, a `StopReason`; empty if it should not.
 
     Parameters
     ----------
@@ -74,12 +76,16 @@
     now_s : float
     """
     if run.percent >= DONE_PERCENT:
-        return False
-    if run.is_filler:
-        # Fillers are slowed on purpose, and run as fast as others let them.
-        return now_s - run.progressed_s > FILLER_STANDSTILL_S
-    if now_s - run.progressed_s > STANDSTILL_S:
-        return True
+        return ""
+    # Fillers are slowed on purpose, and run as fast as others let them.
+    allowed_s = FILLER_STANDSTILL_S if run.is_filler else STANDSTILL_S
+    if now_s - run.progressed_s > allowed_s:
+        return StopReason.STANDSTILL
+    is_crawling = not run.is_filler and _is_crawling(job, run, now_s)
+    return StopReason.CRAWLING if is_crawling else ""
+
+
+def _is_crawling(job, run, now_s):
     durations = job.durations_by_step.get(run.key[:2], ())
     if len(durations) < LEAST_PEERS or not run.percent:
         return False
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -11,6 +11,7 @@
     "Run",
     "RunEnd",
     "RunningTask",
+    "StopReason",
     "Worker",
     "WorkerReport",
 ]
@@ -33,6 +34,19 @@
     ALONE = "alone"
 
 
+class StopReason:
+    """Why a run is stopped before it ends by itself."""
+
+    CANCELLED = "its job was cancelled"
+    FAILED = "its job has failed"
+    #: Another run, or another member of the gang, completed the task.
+    COMPLETED = "its task is completed"
+    #: The worker lists a run that the journal does not know as the latest one.
+    UNKNOWN = "it is not the latest run of a task"
+    STANDSTILL = "it stands still"
+    CRAWLING = "its step runs faster elsewhere"
+
+
 @dataclass(slots=True, frozen=True)
 class RunningTask:
     """A run that a worker lists as running."""
@@ -103,8 +117,8 @@
     is_listed: bool = False
     #: Whether a start or a stop is on its way to the worker.
     is_ordering: bool = False
-    #: Whether the run shall be stopped.
-    is_unwanted: bool = False
+    #: Why the run shall be stopped, one of `StopReason`; empty while it shall not.
+    stop_reason: str = ""
     #: Whether an order for the run was sent before.
     is_repeat: bool = False
     #: Leader's clock of the latest order for the run.
@@ -119,6 +133,11 @@
     #: Leader's clock when the percentage last changed.
     progressed_s: float = 0.0
 
+    @property
+    def is_unwanted(self):
+        """Whether the run shall be stopped."""
+        return bool(self.stop_reason)
+
     @property
     def is_serving(self):
         """Whether the task serves users whose latency is bounded."""
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -1,7 +1,7 @@
 """Which worker tasks go to, and which job comes first."""
 
 from dotterelspread.jobs import placing
-from dotterelspread.jobs.cell import AppendDone, Cell, CellTick, Submitted
+from dotterelspread.jobs.cell import AppendDone, Cancelled, Cell, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
 from dotterelspread.jobs.lifecycle import run_of
@@ -17,7 +17,7 @@
 from dotterelspread.jobs.records import costs_record, read_costs
 from dotterelspread.jobs.stragglers import FILLER_STANDSTILL_S, move_stragglers
 from dotterelspread.jobs.submitting import add_job
-from dotterelspread.jobs.worker import Worker
+from dotterelspread.jobs.worker import StopReason, Worker
 from dotterelspread.resources import Resources
 from tests.builders_fleet import QUEUE, make_job, make_step
 
@@ -292,6 +292,15 @@
     assert stop.run is run
 
 
+def test_a_stop_says_why():
+    cell = make_cell(make_worker(0))
+    spec = make_job(1, (make_step(),))
+    (start,) = reduce(Submitted(0.0, spec, 0), cell)
+    start.run.is_ordering = False
+    (stop,) = reduce(Cancelled(0.1, spec.job_id, 0), cell)
+    assert stop.run.stop_reason == StopReason.CANCELLED
+
+
 def test_tasks_wait_for_an_append_under_way_and_are_placed_once_it_is_done():
     cell = make_cell(make_worker(0))
     cell.is_append_under_way = True
