Count a leader's confirmation on a clock that also runs while it is suspended

Cause: found by reading. A successor waits 10 s and the lease for agents that it cannot reach, since the earlier leader grants leases for 10 s without the store. That leader counted on the event loop's clock, which stands still while its instance is suspended: after a suspension of 12 s it could, until its next append was fenced, grant leases and repeat starts to an agent that only it reached, of tasks that its successor had given to others. It also denied jobs by a state of before.

Change: the age of the confirmation is the loop's time plus the time suspended.

Shown red: the new test does not run on the parent (no such clock); with the clock there and the parent's condition, may_grant stays true.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -167,7 +167,7 @@
         self._is_member = True
         self._generation = membership.generation
         if self.leader is not None:
-            self.leader.store_heard_s = clock.now_s()
+            self.leader.store_heard_s = clock.elapsed_s()
         # A leader that the group names no longer leads on until its successor's claim
         # fences it, so that nobody waits in between.
         if membership.is_holder and self._term is None and not self._is_well_led:
--- a/dotterelspread/jobs/clock.py
+++ b/dotterelspread/jobs/clock.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-__all__ = ["boottime_ms", "now_s", "wall_ms"]
+__all__ = ["boottime_ms", "elapsed_s", "now_s", "suspended_s", "wall_ms"]
 
 
 def now_s():
@@ -11,6 +11,20 @@
     return asyncio.get_running_loop().time()
 
 
+def suspended_s():
+    """Return the seconds for which the instance was suspended, which `now_s` skips."""
+    elapsed_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return (elapsed_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) / 1e9
+
+
+def elapsed_s():
+    """Return seconds on a steady clock that also counts suspensions.
+
+    For what other processes may assume to be over after a time.
+    """
+    return now_s() + suspended_s()
+
+
 def boottime_ms():
     """Return milliseconds that also count while the instance is suspended."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -82,7 +82,8 @@
             job.job_id: job.state for job in cell.jobs_by_id.values()
         }
         #: When the latest append was sent that the store took: the term had not ended.
-        self.confirmed_s = clock.now_s()
+        #: It also counts while the instance is suspended.
+        self.confirmed_s = clock.elapsed_s()
         self._perform = perform
         self._chunk_bytes = int(settings.store.max_request_bytes * CHUNK_SHARE)
         self._leader = LeaderRecord(
@@ -97,6 +98,11 @@
         self._in_flight = None
         self._work = asyncio.Event()
 
+    @property
+    def unconfirmed_s(self):
+        """Seconds since the latest confirmation, suspensions included."""
+        return clock.elapsed_s() - self.confirmed_s
+
     @property
     def is_store_silent(self):
         """Whether an append has waited for long."""
@@ -112,7 +118,7 @@
 
     def confirm_if_due(self):
         """See to it that an append confirms the term about once a second."""
-        if clock.now_s() - self.confirmed_s > CONFIRM_INTERVAL_S:
+        if self.unconfirmed_s > CONFIRM_INTERVAL_S:
             self._is_confirmation_due = True
             self._request()
 
@@ -213,7 +219,7 @@
         self.writer.sequence += 1
         timeout_s = FIRST_REPLY_S
         while True:
-            sent_s = clock.now_s()
+            sent_s = clock.elapsed_s()
             try:
                 await self.journal.append(
                     CELL_STREAM, records, self.writer, timeout_s=timeout_s
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -62,7 +62,7 @@
         self.cell.configuration = configuration
         #: Conversation with each agent, by its peer address; None for entries.
         self.links_by_address = {}
-        self.store_heard_s = clock.now_s()
+        self.store_heard_s = clock.elapsed_s()
         self.sender = OrderSender(self)
         self.committer = Committer(
             settings, journal, term.writer, self.cell, self.sender.perform
@@ -109,20 +109,20 @@
     @property
     def may_grant(self):
         """Whether leases may be granted, as far as a successor will count on it."""
-        return clock.now_s() - self.committer.confirmed_s < GRANTS_WITHOUT_STORE_S
+        return self.committer.unconfirmed_s < GRANTS_WITHOUT_STORE_S
 
     @property
     def is_fresh(self):
         """Whether the store confirmed the term lately."""
         heard_s = max(self.store_heard_s, self.committer.confirmed_s)
-        return clock.now_s() - heard_s < FRESH_S
+        return clock.elapsed_s() - heard_s < FRESH_S
 
     @property
     def is_confirmed(self):
         """Whether the term goes on and the store takes its appends."""
-        silent_s = clock.now_s() - self.committer.confirmed_s
-        is_heard = silent_s < CONFIRMED_S and not self.committer.is_store_silent
-        return is_heard and not self.is_deposed
+        is_heard = self.committer.unconfirmed_s < CONFIRMED_S
+        is_silent = self.committer.is_store_silent
+        return is_heard and not is_silent and not self.is_deposed
 
     async def resign(self, reason):
         """End the term, and let the other entries know at once."""
@@ -221,7 +221,7 @@
                 await asyncio.sleep(STORE_PAUSE_S)
                 continue
             offset = tail.next_offset
-            self.store_heard_s = clock.now_s()
+            self.store_heard_s = clock.elapsed_s()
             for record in tail.records:
                 self._connect(record)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -436,6 +436,20 @@
     play(scenario)
 
 
+def test_a_leader_that_was_suspended_grants_nothing_until_it_is_confirmed(monkeypatch):
+    async def scenario(fleet):
+        process = next(e for e in fleet.entries if e.candidate.leader)
+        leader = process.candidate.leader
+        fleet.store.mode_by_node[process.address] = "silent"
+        await fleet.settle(0.1)
+        assert leader.may_grant
+        monkeypatch.setattr(clock, "suspended_s", lambda: 12.0)
+        assert not leader.may_grant
+        assert not leader.is_fresh
+
+    play(scenario)
+
+
 def test_a_successor_has_all_that_was_appended_until_its_claim():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
