Refuse jobs that no worker could run, and keep large jobs in several records

Cause: found by reading. A job of more than about 2,400 running tasks, with 20,000 allowed, made a record beyond the store's 256 KiB: the append was rejected and ended the leader's term, again with each retry of the caller.

Ruled out: refusing large jobs by a bound on tasks, since a repeated job of 2,500 tasks is legitimate and few of them run at a time.

Change: feasibility.py compares each step with the shapes of all workers seen in the term, from its third second on; such a job is refused with Retry-After 30 s. Progress is kept in one record for 1,000 tasks, a task always in the same one.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..reducer import Effect, Event
+from .feasibility import WorkerShape
 from .job import Job
 from .paircost import PairCosts
 from .queues import FleetConfiguration
@@ -33,6 +34,8 @@
     configuration: FleetConfiguration = FleetConfiguration()
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
+    #: Shapes of all workers that were seen in this term, by service.
+    shapes_by_service: dict[str, set[WorkerShape]] = field(default_factory=dict)
     #: Tasks that may be placed now, by job.
     ready_by_job: dict[str, dict[TaskKey, None]] = field(default_factory=dict)
     #: Occurrences that wait for their time: due time, job id and number.
@@ -57,6 +60,10 @@
         queue = job.spec.queue
         return self.configuration.queues_by_name.get(queue.name, queue)
 
+    def service_of(self, queue):
+        """Return the service whose workers run the tasks of a queue now."""
+        return self.configuration.queues_by_name.get(queue.name, queue).service
+
     def is_ready(self, job, key):
         """Tell whether a task waits to be placed."""
         return key in self.ready_by_job.get(job.job_id, ())
@@ -174,4 +181,4 @@
 class DropJob(Effect):
     """Remove a finished job from the journal."""
 
-    job_id: str
+    job: Job
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -182,7 +182,7 @@
             batch.records.append(costs_record(self.cell.costs))
         for effect in batch.effects:
             if isinstance(effect, DropJob):
-                batch.records.extend(drop_records(effect.job_id))
+                batch.records.extend(drop_records(effect.job))
         if self._is_confirmation_due and not batch.records:
             batch.records.append(leader_record(self._leader))
         self._is_confirmation_due = False
@@ -260,7 +260,7 @@
             batch.done.set_result(None)
         for effect in batch.effects:
             if isinstance(effect, DropJob):
-                self.committed_by_id.pop(effect.job_id, None)
-                self._stored.discard(effect.job_id)
+                self.committed_by_id.pop(effect.job.job_id, None)
+                self._stored.discard(effect.job.job_id)
             else:
                 self._perform(effect)
--- a/dotterelspread/jobs/forwarding.py
+++ b/dotterelspread/jobs/forwarding.py
@@ -13,7 +13,7 @@
 from ..peer import PeerError, PeerLostError, PeerUnsentError
 from . import clock
 from .committing import DeposedError
-from .leader import StoreSilentError
+from .leader import InfeasibleError, StoreSilentError
 from .records import decode_spec
 
 __all__ = ["Forwarder", "Verb", "make_request"]
@@ -28,6 +28,8 @@
 MIN_REMAINING_S = 0.02
 #: Time after which a refused caller may come back.
 RETRY_AFTER_MS = 1000
+#: The same where only a new kind of worker would help, which operators bring.
+INFEASIBLE_RETRY_AFTER_MS = 30_000
 
 
 class Verb:
@@ -156,6 +158,8 @@
             await leader.submit(spec)
         except StoreSilentError as error:
             return refuse(str(error))
+        except InfeasibleError as error:
+            return refuse(str(error), INFEASIBLE_RETRY_AFTER_MS)
         return WorkReply(WorkResult.DONE)
 
     async def _cancel(self, leader, request):
@@ -182,9 +186,9 @@
 NOT_LEADING = "not leading"
 
 
-def refuse(reason):
+def refuse(reason, retry_after_ms=RETRY_AFTER_MS):
     """Return a reply which says that nothing was done."""
-    return WorkReply(WorkResult.REFUSED, reason=reason, retry_after_ms=RETRY_AFTER_MS)
+    return WorkReply(WorkResult.REFUSED, reason=reason, retry_after_ms=retry_after_ms)
 
 
 def make_request(verb, job_id, queue_name, deadline_ms, spec=b""):
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -89,29 +89,23 @@
                     job.tasks_by_key[occurrence, number, index] = TaskState()
         return job
 
-    @classmethod
-    def from_record(cls, spec, record, now_s):
-        """Return a job as the journal knows it."""
-        job = cls.from_spec(spec, now_s)
-        job.is_cancelled = record.is_cancelled
-        job.has_failed = record.has_failed
-        job.ended_ms = record.ended_ms
+    def take_record(self, record):
+        """Take what the journal knows of a new job, or of a part of its tasks."""
+        self.is_cancelled |= record.is_cancelled
+        self.has_failed |= record.has_failed
+        self.ended_ms = max(self.ended_ms, record.ended_ms)
         for occurrence, step, index, task in record.tasks:
-            key = (occurrence, step, index)
-            job.tasks_by_key[key] = task
-            job.has_begun = True
+            self.tasks_by_key[occurrence, step, index] = task
+            self.has_begun = True
             if task.phase != Phase.PENDING:
-                job.pending_by_step[occurrence, step] -= 1
+                self.pending_by_step[occurrence, step] -= 1
             if task.phase == Phase.COMPLETED:
-                job.open_by_step[occurrence, step] -= 1
-        return job
+                self.open_by_step[occurrence, step] -= 1
 
-    def to_record(self):
-        """Return what the journal keeps of the job."""
+    def to_record(self, keys):
+        """Return what the journal keeps of the job and of some of its tasks."""
         tasks = [
-            (*key, task)
-            for key, task in self.tasks_by_key.items()
-            if task.run or task.phase != Phase.PENDING
+            (*key, self.tasks_by_key[key]) for key in keys if self.tasks_by_key[key].run
         ]
         return JobRecord(self.is_cancelled, self.has_failed, self.ended_ms, tasks)
 
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -8,6 +8,7 @@
 from .agentlink import AgentLink
 from .cell import Cancelled, CellTick, Configured, Submitted
 from .committing import Committer, DeposedError
+from .feasibility import find_obstacle
 from .handlers import reduce
 from .journal import JournalError, JournalTruncatedError
 from .nodes import NODES_STREAM, read_node
@@ -16,6 +17,7 @@
 
 __all__ = [
     "GRANTS_WITHOUT_STORE_S",
+    "InfeasibleError",
     "Leader",
     "StoreSilentError",
 ]
@@ -31,6 +33,9 @@
 #: Seconds since the latest confirmation after which another entry may take over: the
 #: interval of the confirmations and an append.
 CONFIRMED_S = 1.5
+#: Seconds of a term after which the agents have reported the shapes of their workers:
+#: one interval of workers' heartbeats, and the start of an agent.
+SHAPES_KNOWN_S = 3.0
 #: Seconds that a read of the list of processes waits for news.
 NODES_WAIT_S = 2.0
 #: Pause after a call to the store that failed.
@@ -41,6 +46,10 @@
     """The store keeps an append waiting; what is asked now is not begun."""
 
 
+class InfeasibleError(Exception):
+    """No worker could run the job; nothing was begun."""
+
+
 class Leader:
     """One term of leadership; use it through `run`.
 
@@ -69,6 +78,7 @@
         )
         self.epoch = term.writer.epoch
         self._nodes = term.nodes
+        self._began_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
         self._tasks = set()
 
@@ -158,16 +168,28 @@
         ------
         StoreSilentError
             Nothing was done, since the store does not answer.
+        InfeasibleError
+            Nothing was done, since no worker could ever run the job.
         DeposedError
             The term ended before the journal was seen to have it.
         """
         if spec.job_id not in self.cell.jobs_by_id:
             if self.committer.is_store_silent:
                 raise StoreSilentError("the store does not answer")
+            self._check_feasible(spec)
             self.apply(Submitted(clock.now_s(), spec, clock.wall_ms()))
         await self._settle()
         log_decision("job accepted", job_id=spec.job_id, queue=spec.queue.name)
 
+    def _check_feasible(self, spec):
+        if clock.now_s() - self._began_s < SHAPES_KNOWN_S:
+            return
+        service = self.cell.service_of(spec.queue)
+        shapes = self.cell.shapes_by_service.get(service, ())
+        obstacle = find_obstacle(spec, shapes)
+        if obstacle:
+            raise InfeasibleError(obstacle)
+
     async def cancel(self, job_id):
         """Cancel a job; return whether it is known."""
         if job_id not in self.cell.jobs_by_id:
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -1,5 +1,7 @@
 """Keys and values of a cell's stream in the journal."""
 
+import math
+
 import msgspec
 
 from .job import Job, JobRecord
@@ -37,6 +39,9 @@
 _costs_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 _progress_decoder = msgspec.msgpack.Decoder(JobRecord)
+#: Tasks whose progress one record keeps. A task needs about 110 bytes at most, so that
+#: a record stays far below the 256 KiB that the store takes.
+TASKS_PER_RECORD = 1000
 
 
 class LeaderRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -73,20 +78,30 @@
 
 def job_records(job, is_new):
     """Return the records that bring a job's keys up to date."""
-    progress = msgspec.msgpack.encode(job.to_record())
-    records = [KeyedRecord(PROGRESS_PREFIX + job.job_id, progress)]
+    records = []
     if is_new:
-        spec = KeyedRecord(SPEC_PREFIX + job.job_id, encode_spec(job.spec))
-        records.insert(0, spec)
+        records.append(KeyedRecord(SPEC_PREFIX + job.job_id, encode_spec(job.spec)))
+    # A task is always in the same part: the parts may come with different appends.
+    task_keys = list(job.tasks_by_key)
+    for number, key in enumerate(_progress_keys(job)):
+        first = number * TASKS_PER_RECORD
+        part = job.to_record(task_keys[first : first + TASKS_PER_RECORD])
+        if part.tasks or not number:
+            records.append(KeyedRecord(key, msgspec.msgpack.encode(part)))
     return records
 
 
-def drop_records(job_id):
+def drop_records(job):
     """Return the records that remove a job's keys."""
-    return [
-        KeyedRecord(SPEC_PREFIX + job_id, b""),
-        KeyedRecord(PROGRESS_PREFIX + job_id, b""),
-    ]
+    keys = [SPEC_PREFIX + job.job_id, *_progress_keys(job)]
+    return [KeyedRecord(key, b"") for key in keys]
+
+
+def _progress_keys(job):
+    """Return the keys of a job's progress, one for each part of its tasks."""
+    first = PROGRESS_PREFIX + job.job_id
+    parts = math.ceil(len(job.tasks_by_key) / TASKS_PER_RECORD)
+    return [first, *(f"{first}/{number}" for number in range(1, parts))]
 
 
 def worker_record(worker_id, agent_address):
@@ -131,9 +146,9 @@
         if not key.startswith(SPEC_PREFIX) or not record.value:
             continue
         spec = _spec_decoder.decode(record.value)
-        progress = records_by_key.get(PROGRESS_PREFIX + spec.job_id)
-        if progress is None or not progress.value:
-            yield Job.from_spec(spec, now_s)
-        else:
-            decoded = _progress_decoder.decode(progress.value)
-            yield Job.from_record(spec, decoded, now_s)
+        job = Job.from_spec(spec, now_s)
+        for progress_key in _progress_keys(job):
+            progress = records_by_key.get(progress_key)
+            if progress is not None and progress.value:
+                job.take_record(_progress_decoder.decode(progress.value))
+        yield job
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -93,5 +93,5 @@
         if job.ended_ms and kept_ms > cell.status_s * 1000:
             del cell.jobs_by_id[job.job_id]
             cell.dirty.discard(job.job_id)
-            effects.append(DropJob(job.job_id))
+            effects.append(DropJob(job))
     return effects
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -4,6 +4,7 @@
 from ..resources import Resources
 from .cell import AgentLost, Reported
 from .ends import apply_ends
+from .feasibility import WorkerShape
 from .figures import take_figures
 from .incarnations import follow_rebirth, lose_worker, release
 from .lifecycle import run_of, stop_run
@@ -34,6 +35,8 @@
         worker = follow_rebirth(cell, worker, report.born_ms, event.now_s)
     took_tasks = worker.takes_tasks(event.now_s)
     _update(worker, event)
+    shapes = cell.shapes_by_service.setdefault(worker.service, set())
+    shapes.add(WorkerShape(worker.labels, worker.capacity))
     effects.extend(apply_ends(cell, worker, event))
     if report.has_left:
         lose_worker(cell, worker)
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -27,8 +27,16 @@
 from tests.builders_store import VirtualStore
 from tests.builders_worker import VirtualWorker
 from tests.fleetchecker import Checker
+from tests.virtualloop import run_virtually
 
-__all__ = ["QUEUE", "VirtualFleet", "make_job", "make_settings", "make_step"]
+__all__ = [
+    "QUEUE",
+    "VirtualFleet",
+    "make_job",
+    "make_settings",
+    "make_step",
+    "play",
+]
 
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 3, 2.0, 500)
 CONFIGURATION = FleetConfiguration(1, {"q": QUEUE})
@@ -267,3 +275,17 @@
 
     async def state(self, job_id, entry=0):
         return await self.ask(Verb.STATE, job_id, entry)
+
+
+def play(scenario, seed=1, **sizes):
+    """Play a scenario on a new fleet whose leader is known, and check the promises."""
+
+    async def run():
+        fleet = VirtualFleet(seed, **sizes)
+        fleet.start()
+        await fleet.settle(3)
+        await scenario(fleet)
+        assert not fleet.checker.broken, fleet.checker.broken
+        return fleet
+
+    return run_virtually(run())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,24 +9,16 @@
 from dotterelspread.jobs.forwarding import Verb
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
-from tests.builders_fleet import VirtualFleet, make_job, make_settings, make_step
-from tests.virtualloop import run_virtually
+from tests.builders_fleet import (
+    make_job,
+    make_settings,
+    make_step,
+    play,
+)
 
 TWO_STEPS = (make_step(count=3), make_step(count=2, depends_on=(0,)))
 
 
-def play(scenario, seed=1, **sizes):
-    async def run():
-        fleet = VirtualFleet(seed, **sizes)
-        fleet.start()
-        await fleet.settle(3)
-        await scenario(fleet)
-        assert not fleet.checker.broken, fleet.checker.broken
-        return fleet
-
-    return run_virtually(run())
-
-
 async def expect_completed(fleet, within_s=20):
     for _ in range(int(within_s / 0.5)):
         await fleet.settle(0.5)
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,64 @@
+"""What the journal keeps of jobs."""
+
+from dotterelspread.jobs.job import Job, Phase, TaskState
+from dotterelspread.jobs.records import drop_records, job_records, read_jobs
+from tests.builders_fleet import make_job, make_step, play
+
+MAX_RECORD_BYTES = 262_144
+
+
+def make_large_job(count):
+    job = Job.from_spec(make_job(1, (make_step(count=count),)), 0.0)
+    worker_id, checkpoint = "i-0123456789", "c" * 40
+    for number, key in enumerate(job.tasks_by_key):
+        phase = Phase.ASSIGNED if number % 2 else Phase.COMPLETED
+        state = TaskState(phase, 300, worker_id, 2**41, 3, checkpoint, worker_id)
+        job.tasks_by_key[key] = state
+    return job
+
+
+def test_a_job_of_many_tasks_is_read_back_from_records_of_bounded_size():
+    job = make_large_job(20_000)
+    records = job_records(job, is_new=True)
+    assert max(len(r.value) + len(r.key) for r in records) < MAX_RECORD_BYTES
+    (again,) = read_jobs({record.key: record for record in records}, 0.0)
+    assert again.tasks_by_key == job.tasks_by_key
+    assert again.open_by_step == {(0, 0): 10_000}
+    assert again.pending_by_step == {(0, 0): 0}
+
+
+def test_a_task_stays_in_its_part_when_earlier_tasks_begin():
+    job = Job.from_spec(make_job(1, (make_step(count=2500),)), 0.0)
+    job.tasks_by_key[0, 0, 1500] = TaskState(Phase.ASSIGNED, 1, "i-1", 1)
+    before = {r.key: r for r in job_records(job, is_new=True)}
+    for index in range(1400):
+        job.tasks_by_key[0, 0, index] = TaskState(Phase.ASSIGNED, 1, "i-1", 1)
+    after = {r.key: r for r in job_records(job, is_new=False)}
+    first = "p/" + job.job_id
+    (again,) = read_jobs(before | {first: after[first]}, 0.0)
+    assert again.tasks_by_key[0, 0, 1500].run == 1
+    assert again.pending_by_step == {(0, 0): 1499}
+
+
+def test_all_keys_of_a_job_are_dropped():
+    job = make_large_job(2500)
+    kept = {record.key for record in job_records(job, is_new=True)}
+    dropped = drop_records(job)
+    assert {record.key for record in dropped} == kept
+    assert not any(record.value for record in dropped)
+
+
+def test_a_large_job_goes_on_under_the_next_leader():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(count=2500),))
+        fleet.durations[job.job_id] = 0.2
+        await fleet.submit(job)
+        await fleet.settle(1)
+        next(e for e in fleet.entries if e.candidate.leader).kill()
+        await fleet.settle(60)
+        assert (await fleet.state(job.job_id, 0)).state or (
+            await fleet.state(job.job_id, 1)
+        ).state
+        assert fleet.checker.runs > 1500
+
+    play(scenario)
