Soak the shipped processes of the jobs' path under random faults

Change: soak/ runs entries and agents as processes, each behind loopback relays to the store and to its worker, with 18 kinds of fault by a seed: kills of some or all at once, pauses, planned stops with requests under way, SIGHUP with changed settings, connections cut, reset, silenced, one-way or late, a store that is busy, silent, slow or loses replies, a dealt partition, changed configurations, workers that crash, are reborn or replaced, leave, carry orders out late, fail or slow down. What must hold is checked from what callers and workers see (tests/test_soak.py shows that each check can fail). It reuses the stand-ins of the tests; the worker over HTTP moved to their builders.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: env lint test demo bench thrift clean
+.PHONY: env lint test demo bench soak thrift clean
 
 env: .venv/ready
 
@@ -24,6 +24,9 @@
 bench: env
 	$(BIN)/python -m bench
 
+soak: env
+	$(BIN)/python -m soak --seeds 50 --jobs 4
+
 thrift:
 	thrift --gen py:slots -out dotterelspread/gen thrift/peer.thrift
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,89 @@
+"""Run soaks: ``python -m soak --seed 1 --seeds 50 --seconds 12 --jobs 4``."""
+
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from absl import app, flags
+
+from .callers import Callers
+from .faults import play_faults
+from .site import SoakSite
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("seed", 1, "First seed.", lower_bound=0)
+flags.DEFINE_integer("seeds", 1, "Number of seeds, one after the other.", lower_bound=1)
+flags.DEFINE_integer("jobs", 1, "Soaks at the same time.", lower_bound=1)
+flags.DEFINE_integer("seconds", 12, "Seconds of faults in each soak.", lower_bound=1)
+flags.DEFINE_integer("entries", 2, "Entries of each soak.", lower_bound=1)
+flags.DEFINE_integer("agents", 4, "Agents and workers of each soak.", lower_bound=1)
+flags.DEFINE_string("keep", "", "Folder for the logs of soaks that broke a promise.")
+
+#: Seconds for the processes to start before the first job.
+START_S = 3.0
+
+
+async def soak(folder, seed, seconds, entries, agents):
+    """Run one soak and return what was broken.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are written.
+    seed : int
+    seconds : float
+        How long faults begin.
+    entries, agents : int
+
+    Returns
+    -------
+    broken : list of str
+    summary : str
+    """
+    site = SoakSite(folder, seed, entries, agents)
+    async with site.open():
+        await asyncio.sleep(START_S)
+        callers = Callers(site)
+        await asyncio.gather(callers.run(seconds), play_faults(site, seconds))
+        await callers.check()
+    for process in site.processes:
+        for code in process.own_ends:
+            site.checker.broken.append(f"{process.name} ended by itself with {code}")
+    accepted = sum(asked.is_accepted for asked in callers.asked_by_id.values())
+    summary = f"{accepted} of {len(callers.asked_by_id)} jobs accepted"
+    return site.checker.broken, f"{summary}, {site.checker.runs} runs"
+
+
+async def _soak_seeds(limit, seeds):
+    failed = []
+
+    async def one(seed):
+        async with limit:
+            folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+            arguments = (FLAGS.seconds, FLAGS.entries, FLAGS.agents)
+            broken, summary = await soak(folder, seed, *arguments)
+            print(f"seed {seed}: {summary}; {broken or 'nothing broken'}", flush=True)
+            if broken:
+                failed.append(seed)
+                if FLAGS.keep:
+                    shutil.copytree(folder, Path(FLAGS.keep) / folder.name)
+            shutil.rmtree(folder)
+
+    await asyncio.gather(*map(one, seeds))
+    return failed
+
+
+def main(args):
+    """Run the soaks that the flags ask for; return 1 if a promise was broken."""
+    del args
+    limit = asyncio.Semaphore(FLAGS.jobs)
+    seeds = range(FLAGS.seed, FLAGS.seed + FLAGS.seeds)
+    failed = asyncio.run(_soak_seeds(limit, seeds))
+    print(f"{len(seeds)} soaks, {len(failed)} broke a promise: {sorted(failed)}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    app.run(lambda args: sys.exit(main(args)))
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,168 @@
+"""The callers of a soak, and what they hold the system to."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from dotterelspread.h1client import H1Client, H1Error
+from tests.builders_fleet import make_job, make_step
+
+from .site import FRONT_PORT
+
+__all__ = ["Callers"]
+
+PREFIX = "/lohu930/"
+HEADERS = {"Host": "nony24.example", "X-Deadline-Ms": "3000"}
+DEADLINE_S = 3.5
+#: Seconds between two jobs, at most.
+MAX_GAP_S = 0.5
+ATTEMPTS = 4
+#: Seconds after the last fault in which all accepted jobs must be complete.
+FINISH_S = 40.0
+#: Seconds in which a published version must be in force once all has healed.
+CONFIGURATION_S = 4.0
+
+
+@dataclass(slots=True)
+class _Asked:
+    """What a caller knows of its job."""
+
+    statuses: list[int] = field(default_factory=list)
+    is_accepted: bool = False
+    is_cancelled: bool = False
+    state: str = ""
+
+
+class Callers:
+    """Submit jobs while a soak runs, and check what becomes of them.
+
+    Parameters
+    ----------
+    site : SoakSite
+    """
+
+    def __init__(self, site):
+        self.site = site
+        self.asked_by_id = {}
+        # Connections are kept open until their entry is gone.
+        self._clients = [H1Client(f"{e.host}:{FRONT_PORT}") for e in site.entries]
+
+    async def run(self, seconds):
+        """Submit jobs for a time."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        tasks = []
+        while loop.time() < end_s:
+            number = len(self.asked_by_id) + 1
+            tasks.append(asyncio.ensure_future(self._play_job(number)))
+            await asyncio.sleep(self.site.rng.uniform(0.05, MAX_GAP_S))
+        await asyncio.gather(*tasks)
+
+    async def _play_job(self, number):
+        spec = self._make_spec(number)
+        self.site.specs[spec.job_id] = spec
+        asked = self.asked_by_id[spec.job_id] = _Asked()
+        body = json.dumps(_document(spec)).encode()
+        for _ in range(ATTEMPTS):
+            status = await self._call("POST", spec.job_id, body)
+            asked.statuses.append(status)
+            if status == 200:
+                asked.is_accepted = True
+                break
+            await asyncio.sleep(0.5)
+        if asked.is_accepted and self.site.rng.random() < 0.1:
+            asked.is_cancelled = True
+            await self._call("DELETE", spec.job_id)
+
+    def _make_spec(self, number):
+        rng = self.site.rng
+        steps = [make_step(count=rng.randint(1, 5))]
+        if rng.random() < 0.4:
+            steps.append(make_step(count=2, depends_on=(0,)))
+        if rng.random() < 0.1:
+            steps = [make_step(count=3, is_gang=True)]
+        spec = make_job(number, steps)
+        self.site.durations[spec.job_id] = rng.choice((0.3, 0.6, 2.0))
+        return spec
+
+    async def _call(self, method, job_id, body=b""):
+        """Return the status of a call; 0 if there was no whole answer."""
+        client = self.site.rng.choice(self._clients)
+        path = PREFIX + job_id
+        try:
+            reply = await client.call(method, path, DEADLINE_S, body, HEADERS)
+        except H1Error:
+            return 0
+        if method == "GET" and reply.status == 200:
+            self.asked_by_id[job_id].state = json.loads(reply.body)["State"]
+        return reply.status
+
+    async def check(self):
+        """Check all jobs and the configuration once all faults have healed."""
+        await self._check_configuration()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + FINISH_S
+        open_ids = {j for j, a in self.asked_by_id.items() if a.is_accepted}
+        while open_ids and loop.time() < end_s:
+            for job_id in sorted(open_ids):
+                await self._check_state(job_id, open_ids)
+            await asyncio.sleep(0.3)
+        for job_id in sorted(open_ids):
+            self._break(f"{job_id} is {self.asked_by_id[job_id].state!r} at the end")
+        self._check_refusals()
+
+    async def _check_state(self, job_id, open_ids):
+        asked = self.asked_by_id[job_id]
+        status = await self._call("GET", job_id)
+        if status == 410:
+            self._break(f"{job_id} was accepted and is not known")
+            open_ids.discard(job_id)
+        # A job may fail where a worker failed all that it started.
+        if asked.state in ("complete", "cancelled", "failed"):
+            open_ids.discard(job_id)
+        if asked.state == "complete":
+            self._check_complete(job_id)
+        if asked.state == "cancelled" and not asked.is_cancelled:
+            self._break(f"{job_id} is cancelled, which nobody asked for")
+
+    def _check_complete(self, job_id):
+        spec = self.site.specs[job_id]
+        for number, step in enumerate(spec.steps):
+            done = [
+                f"{job_id}.0.{number}.{index}" in self.site.checker.done
+                for index in range(step.count)
+            ]
+            if not (any(done) if step.is_gang else all(done)):
+                self._break(f"{job_id} is complete, step {number} is not")
+
+    def _check_refusals(self):
+        started = {task_id.split(".")[0] for task_id in self.site.checker.running_on}
+        for job_id, asked in self.asked_by_id.items():
+            if set(asked.statuses) <= {429, 503} and job_id in started:
+                self._break(f"{job_id} was refused each time and has run")
+
+    async def _check_configuration(self):
+        path = self.site.publish()
+        await asyncio.sleep(CONFIGURATION_S)
+        for client in self._clients:
+            reply = await client.call("GET", path, DEADLINE_S, headers=HEADERS)
+            if reply.status == 404:
+                self._break(f"{client.address} does not have version of {path}")
+
+    def _break(self, text):
+        self.site.checker.broken.append(text)
+
+
+def _document(spec):
+    steps = [
+        {
+            "Count": step.count,
+            "Cpu": step.demand.millicores,
+            "MemMb": step.demand.memory_mb,
+            "EstimateMs": step.estimate_ms,
+            "DependsOn": step.depends_on,
+            "Gang": step.is_gang,
+        }
+        for step in spec.steps
+    ]
+    return {"Spec": spec.program, "Steps": steps}
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,222 @@
+"""The processes and stand-ins of one soak."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from dotterelspread.h1server import listen_h1
+from dotterelspread.platform.settings import SETTINGS_VARIABLE
+from dotterelspread.processsettings import FleetBounds
+from standins.relay import Relay
+from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE, with_query
+from tests.fleetchecker import Checker
+
+from .store import SoakStore
+from .workers import SoakWorker
+
+__all__ = ["SoakProcess", "SoakSite"]
+
+LEASE_MS = 4000
+GRACE_S = 6
+#: Seconds after which a process that died is started again, as the platform does.
+RESTART_S = 0.5
+#: Ports on the host of each process or stand-in.
+STORE_PORT, WORKER_PORT, PEER_PORT, FRONT_PORT = 8169, 8165, 7720, 8161
+READY_PORT, CONTROL_PORT, RELAY_PORT = 8167, 8166, 8171
+
+
+class SoakProcess:
+    """One entry or agent; it is started again whenever it ends.
+
+    Parameters
+    ----------
+    site : SoakSite
+    role : str
+    number : int
+    """
+
+    def __init__(self, site, role, number):
+        self.site = site
+        self.role = role
+        self.name = f"{role}-{number}"
+        self.host = f"127.{site.block}.{1 if role == 'entry' else 2}.{number + 1}"
+        #: Between the process and the store.
+        self.relay = Relay(f"{site.store_host}:{STORE_PORT}")
+        #: Whether a fault is under way here; others leave the process alone.
+        self.is_troubled = False
+        #: Exit codes of ends that no fault caused.
+        self.own_ends = []
+        self._process = None
+        self._is_over = False
+
+    def write_settings(self, grace_s=GRACE_S):
+        """Write the settings file anew."""
+        self.path.write_text(
+            PROCESS_SETTINGS.format(
+                name=self.name,
+                host=self.host,
+                port=PEER_PORT,
+                worker=f"{self.host}:{WORKER_PORT}",
+                front=FRONT_PORT,
+                ready=READY_PORT,
+                control=CONTROL_PORT,
+                store=f"{self.host}:{RELAY_PORT}",
+                lease_ms=LEASE_MS,
+                grace_s=grace_s,
+            )
+        )
+
+    @property
+    def path(self):
+        """Path of the settings file."""
+        return self.site.folder / f"{self.name}.toml"
+
+    @property
+    def log_path(self):
+        """Path of the process's log."""
+        return self.site.folder / f"{self.name}.log"
+
+    async def run(self):
+        """Keep the process running until the soak ends."""
+        self.write_settings()
+        while not self._is_over:
+            with self.log_path.open("ab") as log:
+                self._process = await asyncio.create_subprocess_exec(
+                    *(sys.executable, "-m", "dotterelspread.platform", self.role),
+                    env=os.environ | {SETTINGS_VARIABLE: str(self.path)},
+                    stdout=log,
+                    stderr=log,
+                )
+            code = await self._process.wait()
+            if not self.is_troubled and not self._is_over:
+                self.own_ends.append(code)
+            await asyncio.sleep(RESTART_S)
+
+    def signal(self, number):
+        """Send a signal to the process if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def terminate(self):
+        """Stop the process as planned, and by force after the grace period."""
+        process = self._process
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), GRACE_S)
+        except TimeoutError:
+            self.site.checker.broken.append(f"{self.name} outlived its grace period")
+            process.kill()
+
+    def end(self):
+        """End the process for good."""
+        self._is_over = True
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+
+
+class SoakSite:
+    """Processes, stand-ins and what must hold; the fleet that workers report to.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are kept.
+    seed : int
+    entries, agents : int
+    """
+
+    def __init__(self, folder, seed, entries=2, agents=4):
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.block = 10 + seed % 200
+        self.store_host = f"127.{self.block}.0.1"
+        self.bounds = FleetBounds(max_lease_ms=LEASE_MS)
+        self.specs = {}
+        self.durations = {}
+        self.poison = set()
+        self.checker = Checker(self)
+        self.store = SoakStore(self.rng)
+        self.version = 0
+        self.entries = [SoakProcess(self, "entry", n) for n in range(entries)]
+        self.agents = [SoakProcess(self, "agent", n) for n in range(agents)]
+        self.workers = [
+            SoakWorker(self, n, f"{agent.host}:{CONTROL_PORT}")
+            for n, agent in enumerate(self.agents)
+        ]
+        self.publish()
+
+    @property
+    def processes(self):
+        """All processes."""
+        return [*self.entries, *self.agents]
+
+    def duration_of(self, task_id):
+        """Return the run time of a task in seconds."""
+        return self.durations.get(task_id.split(".")[0], 0.5)
+
+    def is_poison(self, task_id):
+        """Tell whether a task fails wherever it runs."""
+        return task_id.split(".")[0] in self.poison
+
+    def publish(self):
+        """Publish the next version and return the path of its own route."""
+        self.version += 1
+        path = f"/extra{self.version}/"
+        routes = [ROUTE, ROUTE | {"Name": "extra", "PathPrefix": path}]
+        document = CONFIGURATION | {"Version": self.version, "Routes": routes}
+        record = b"\x06config" + json.dumps(document).encode()
+        self.store.records_by_topic.setdefault("keyed.op", []).append(record)
+        return path
+
+    @asynccontextmanager
+    async def open(self):
+        """Run everything while the context is open."""
+        tasks = []
+        async with AsyncExitStack() as stack:
+            store = f"{self.store_host}:{STORE_PORT}"
+            await stack.enter_async_context(
+                listen_h1(store, with_query(self.store.handle))
+            )
+            for process in self.processes:
+                await _relay(stack, process.relay, process.host, RELAY_PORT)
+            for worker, agent in zip(self.workers, self.agents, strict=True):
+                inner = f"{agent.host}:{WORKER_PORT + 1000}"
+                await stack.enter_async_context(listen_h1(inner, worker.handle))
+                worker.relay = Relay(inner)
+                await _relay(stack, worker.relay, agent.host, WORKER_PORT)
+                tasks.append(asyncio.ensure_future(worker.run()))
+            tasks.append(asyncio.ensure_future(self._settle_workers()))
+            runs = [asyncio.ensure_future(process.run()) for process in self.processes]
+            try:
+                yield self
+            finally:
+                for process in self.processes:
+                    process.end()
+                await asyncio.gather(*runs)
+                for task in tasks:
+                    task.cancel()
+                for thing in (*self.processes, *self.workers):
+                    thing.relay.apply("cut")
+                # Let the relays see that their connections are gone.
+                await asyncio.sleep(0.1)
+
+    async def _settle_workers(self):
+        while True:
+            for worker in self.workers:
+                worker.settle()
+            await asyncio.sleep(0.03)
+
+    def note(self, text):
+        """Write a line on what the soak does to its own log."""
+        with (self.folder / "soak.log").open("a") as log:
+            log.write(f"{time.time():.3f} {text}\n")
+
+
+async def _relay(stack, relay, host, port):
+    server = await asyncio.start_server(relay.accept, host, port)
+    await stack.enter_async_context(server)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -43,6 +43,8 @@
         self.host, _, port = target.rpartition(":")
         self.port = int(port)
         self.mode = "pass"
+        #: Seconds by which all bytes are late.
+        self.delay_s = 0.0
         self.connections = set()
 
     async def accept(self, reader, writer):
@@ -67,6 +69,8 @@
     async def _copy(self, connection, reader, writer, is_back):
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
                 is_dropped = is_back and self.mode == "forward-only"
                 if not connection.is_silent and not is_dropped:
                     writer.write(data)
@@ -77,14 +81,18 @@
             writer.close()
 
     async def set_mode(self, request):
-        self.mode = (await request.json())["mode"]
+        self.apply((await request.json())["mode"])
+        return web.json_response({"mode": self.mode})
+
+    def apply(self, mode):
+        """Set the mode, for the connections that are open as well."""
+        self.mode = mode
         for connection in list(self.connections):
             if self.mode == "silence":
                 connection.is_silent = True
             if self.mode == "cut":
                 for writer in connection.writers:
                     writer.transport.abort()
-        return web.json_response({"mode": self.mode})
 
 
 async def serve(relay):
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -8,19 +8,30 @@
 from urllib.parse import parse_qs, urlsplit
 
 from dotterelspread.h1server import H1Response, listen_h1
+from dotterelspread.jobs.worker import RunEnd
+from dotterelspread.jobs.workeredge import StartAnswer, WorkerSilentError
 from standins.site import free_port
 
 __all__ = [
     "BEAT",
     "CONFIGURATION",
     "JOB",
+    "PROCESS_SETTINGS",
     "SETTINGS",
     "StoreStandIn",
+    "WorkerStandIn",
     "order",
     "run_on_loopback",
     "with_query",
 ]
 
+HOW_WORDS = {
+    RunEnd.COMPLETED: "done",
+    RunEnd.FAILED: "failed",
+    RunEnd.STOPPED: "stopped",
+    RunEnd.LAPSED: "lapsed",
+}
+REASON_WORDS = {StartAnswer.FENCED: "fence", StartAnswer.EXPIRED: "late"}
 #: Seconds after which a long poll is answered even without records.
 LONGEST_POLL_S = 0.2
 
@@ -95,6 +106,26 @@
 """
 
 
+#: Settings of a process on loopback, to be formatted.
+PROCESS_SETTINGS = """
+NodeName = "{name}"
+Ip = "{host}"
+Zone = "kumasi"
+Region = "ashanti"
+InternalPorts = [{port}, {port}]
+app = "{worker}"
+[ListenAddrs]
+Front = "{host}:{front}"
+Readiness = "{host}:{ready}"
+Control = "{host}:{control}"
+[Bounds]
+HoldMaxMs = {lease_ms}
+GraceS = {grace_s}
+[platform]
+Address = "{store}"
+"""
+
+
 def order():
     return SimpleNamespace(
         task_id="5c0e7a21d94b36f8.0.0.1",
@@ -197,6 +228,60 @@
         return _json(200, {})
 
 
+class WorkerStandIn:
+    """A `VirtualWorker` spoken to over HTTP."""
+
+    def __init__(self, worker):
+        self.worker = worker
+
+    async def handle(self, request):
+        body = json.loads(request.body)
+        action = request.path.rpartition("/")[2]
+        try:
+            return await getattr(self, "do_" + action.replace("-", "_"))(body)
+        except WorkerSilentError:
+            return H1Response(503)
+
+    async def do_run_start(self, body):
+        order = _order(body)
+        return _answer(*await self.worker.start("", order, body["UntilMs"]))
+
+    async def do_run_stop(self, body):
+        return _answer(*await self.worker.stop("", _order(body)))
+
+    async def do_hold(self, body):
+        listing = await self.worker.hold(
+            "",
+            body["FencingToken"],
+            body["LastSeen"],
+            body.get("UntilMs", 0),
+            body["WaitMs"],
+        )
+        running = [[r.task_id, r.run, "", r.percent, 0] for r in listing.running]
+        ended = [
+            [e.number, e.task_id, e.run, HOW_WORDS[e.how], ""] for e in listing.ended
+        ]
+        lists = {"ClockMs": listing.clock_ms, "born": listing.born_ms}
+        return _json(200, lists | {"Running": running, "Ended": ended})
+
+
+def _order(body):
+    return SimpleNamespace(
+        task_id=body["Task"],
+        run=body["RunId"],
+        epoch=body["FencingToken"],
+        program=body.get("Spec", ""),
+    )
+
+
+def _answer(answer, clock_ms):
+    if answer is StartAnswer.OTHER_INCARNATION:
+        return H1Response(421)
+    status = 200 if answer is StartAnswer.RUNNING else 409
+    reason = REASON_WORDS.get(answer, "old")
+    return _json(status, {"ClockMs": clock_ms, "Reason": reason})
+
+
 def _json(status, values):
     return H1Response(status, json.dumps(values).encode())
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -10,9 +10,7 @@
 from types import SimpleNamespace
 
 from dotterelspread.h1client import H1Client, H1Error
-from dotterelspread.h1server import H1Response, listen_h1
-from dotterelspread.jobs.worker import RunEnd
-from dotterelspread.jobs.workeredge import StartAnswer
+from dotterelspread.h1server import listen_h1
 from dotterelspread.platform.settings import SETTINGS_VARIABLE
 from dotterelspread.processsettings import FleetBounds
 from standins.site import free_port
@@ -20,30 +18,15 @@
     BEAT,
     CONFIGURATION,
     JOB,
+    PROCESS_SETTINGS,
     StoreStandIn,
+    WorkerStandIn,
     with_query,
 )
 from tests.builders_worker import VirtualWorker
 
 JOB_PATH = "/lohu930/5c0e7a21d94b36f8"
 CALLER = {"Host": "nony24.example", "X-Deadline-Ms": "3000"}
-HOW_WORDS = {RunEnd.COMPLETED: "done", RunEnd.FAILED: "failed"}
-SETTINGS = """
-NodeName = "{name}"
-Ip = "{host}"
-Zone = "kumasi"
-Region = "ashanti"
-InternalPorts = [{port}, {port}]
-app = "{worker}"
-[ListenAddrs]
-Front = "{host}:{front}"
-Readiness = "{host}:{ready}"
-Control = "{host}:{control}"
-[Bounds]
-GraceS = 6
-[platform]
-Address = "{store}"
-"""
 
 
 class _NoChecker:
@@ -66,59 +49,22 @@
         pass
 
 
-class WorkerStandIn:
-    """A worker that runs each task for 0.2 s, spoken to over HTTP."""
-
-    def __init__(self):
-        fleet = SimpleNamespace(
-            rng=random.Random(1),
-            bounds=FleetBounds(),
-            checker=_NoChecker(),
-            duration_of=lambda task_id: 0.2,
-            is_poison=lambda task_id: False,
-            workers=[],
-        )
-        self.worker = VirtualWorker(fleet, 1)
-
-    async def handle(self, request):
-        body = json.loads(request.body)
-        action = request.path.rpartition("/")[2]
-        if action == "hold":
-            return await self._hold(body)
-        order = SimpleNamespace(
-            task_id=body["Task"], run=body["RunId"], epoch=body["FencingToken"]
-        )
-        if action == "run-start":
-            answer, clock_ms = await self.worker.start("", order, body["UntilMs"])
-        else:
-            answer, clock_ms = await self.worker.stop("", order)
-        status = 200 if answer is StartAnswer.RUNNING else 409
-        return _json(status, {"ClockMs": clock_ms, "Reason": "old"})
-
-    async def _hold(self, body):
-        listing = await self.worker.hold(
-            "",
-            body["FencingToken"],
-            body["LastSeen"],
-            body.get("UntilMs", 0),
-            body["WaitMs"],
-        )
-        running = [[r.task_id, r.run, "", r.percent, 0] for r in listing.running]
-        ended = [
-            [e.number, e.task_id, e.run, HOW_WORDS[e.how], ""] for e in listing.ended
-        ]
-        lists = {"ClockMs": listing.clock_ms, "born": BEAT["born"]}
-        return _json(200, lists | {"Running": running, "Ended": ended})
-
-
-def _json(status, values):
-    return H1Response(status, json.dumps(values).encode())
+def make_worker():
+    fleet = SimpleNamespace(
+        rng=random.Random(1),
+        bounds=FleetBounds(),
+        checker=_NoChecker(),
+        duration_of=lambda task_id: 0.2,
+        is_poison=lambda task_id: False,
+        workers=[],
+    )
+    return VirtualWorker(fleet, 1)
 
 
 @asynccontextmanager
 async def open_site(folder):
     """Serve the stand-ins and start one entry and one agent."""
-    store, worker = StoreStandIn(), WorkerStandIn()
+    store, worker = StoreStandIn(), WorkerStandIn(make_worker())
     record = b"\x06config" + json.dumps(CONFIGURATION).encode()
     store.records_by_topic["keyed.op"] = [record]
     ports = SimpleNamespace(**{name: free_port() for name in "abcdefg"})
@@ -129,6 +75,8 @@
         "front": ports.d,
         "ready": ports.e,
         "control": ports.f,
+        "lease_ms": 6000,
+        "grace_s": 6,
     }
     async with (
         listen_h1(addresses["store"], with_query(store.handle)),
@@ -138,7 +86,7 @@
         processes = {}
         for role, host in hosts.items():
             path = folder / f"{role}.toml"
-            path.write_text(SETTINGS.format(name=role, host=host, **addresses))
+            path.write_text(PROCESS_SETTINGS.format(name=role, host=host, **addresses))
             processes[role] = await _start(role, path)
         try:
             yield SimpleNamespace(hosts=hosts, ports=ports, processes=processes)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,131 @@
+"""A short soak of the shipped processes, and what its checks find."""
+
+import asyncio
+import json
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from dotterelspread.h1client import H1Reply
+from dotterelspread.jobs.worker import RunEnd
+from soak.__main__ import soak
+from soak.callers import Callers
+from soak.site import SoakSite
+
+#: Seeds of soaks that broke a promise once, each with a line on the cause.
+REGRESSIONS = Path(__file__).parent.parent / "soak" / "seeds.txt"
+
+
+def listed_seeds():
+    lines = REGRESSIONS.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
+
+
+@pytest.mark.parametrize("seed", [1, *listed_seeds()])
+def test_nothing_is_broken_under_faults(tmp_path, seed):
+    broken, _ = asyncio.run(soak(tmp_path, seed, seconds=6, entries=2, agents=3))
+    assert not broken
+
+
+class FakeEntry:
+    """Answers each call of a caller with a fixed status and state."""
+
+    def __init__(self, status, state="running"):
+        self.address = "entry"
+        self.status = status
+        self.body = json.dumps({"State": state}).encode()
+
+    async def call(self, *arguments, **named):
+        return H1Reply(self.status, {}, self.body)
+
+
+def make_callers(tmp_path, entry, **asked):
+    site = SoakSite(tmp_path, 1)
+    callers = Callers(site)
+    callers._clients = [entry]
+    spec = callers._make_spec(1)
+    site.specs[spec.job_id] = spec
+    values = {"statuses": [200], "is_accepted": True, "is_cancelled": False}
+    callers.asked_by_id[spec.job_id] = SimpleNamespace(**(values | asked), state="")
+    return callers, spec.job_id
+
+
+def broken_by(tmp_path, entry, has_run=False, **asked):
+    async def check():
+        callers, job_id = make_callers(tmp_path, entry, **asked)
+        if has_run:
+            callers.site.checker.running_on[f"{job_id}.0.0.0"] = set()
+        await callers._check_state(job_id, {job_id})
+        callers._check_refusals()
+        return callers.site.checker.broken
+
+    return asyncio.run(check())
+
+
+def test_a_job_that_goes_on_breaks_nothing(tmp_path):
+    assert broken_by(tmp_path, FakeEntry(200)) == []
+
+
+def test_an_accepted_job_that_is_not_known_is_found(tmp_path):
+    assert "not known" in broken_by(tmp_path, FakeEntry(410))[0]
+
+
+def test_a_job_that_is_complete_too_soon_is_found(tmp_path):
+    assert "complete" in broken_by(tmp_path, FakeEntry(200, "complete"))[0]
+
+
+def test_a_job_that_nobody_cancelled_is_found(tmp_path):
+    assert "nobody asked" in broken_by(tmp_path, FakeEntry(200, "cancelled"))[0]
+
+
+def test_a_refused_job_that_has_run_is_found(tmp_path):
+    asked = {"statuses": [503, 503], "is_accepted": False}
+    assert "refused" in broken_by(tmp_path, FakeEntry(200), True, **asked)[0]
+
+
+def test_a_version_that_is_not_in_force_is_found(tmp_path, monkeypatch):
+    monkeypatch.setattr("soak.callers.CONFIGURATION_S", 0.0)
+
+    async def check():
+        callers, _ = make_callers(tmp_path, FakeEntry(404))
+        await callers._check_configuration()
+        return callers.site.checker.broken
+
+    assert "version" in asyncio.run(check())[0]
+
+
+def start(site, number, job_id, run=1):
+    order = SimpleNamespace(
+        task_id=f"{job_id}.0.0.0", run=run, epoch=1, program="program 1"
+    )
+    worker = site.workers[number]
+    return worker._start(worker.incarnation, order, worker.clock_ms() + 3000)
+
+
+def test_a_task_on_two_workers_or_after_its_end_is_found(tmp_path):
+    async def scenario():
+        callers, job_id = make_callers(tmp_path, FakeEntry(200))
+        site = callers.site
+        start(site, 0, job_id)
+        assert not site.checker.broken
+        start(site, 1, job_id, run=2)
+        assert "also on" in site.checker.broken.pop()
+        for worker in site.workers[:2]:
+            worker._remove(f"{job_id}.0.0.0", RunEnd.COMPLETED)
+        site.checker.noted(site.workers[0], 1)
+        start(site, 2, job_id, run=3)
+        assert "after its end" in site.checker.broken.pop()
+
+    asyncio.run(scenario())
+
+
+def test_a_start_on_a_worker_that_leaves_is_found(tmp_path):
+    async def scenario():
+        callers, job_id = make_callers(tmp_path, FakeEntry(200))
+        worker = callers.site.workers[0]
+        worker._drained_s = asyncio.get_running_loop().time() - 3.0
+        start(callers.site, 0, job_id)
+        assert "late" in callers.site.checker.broken.pop()
+
+    asyncio.run(scenario())
