Ask the policy service for permits, for queues whose policy lets some workers only

Workers with room are asked about first, at most 30 at a time and one question at a time, refused ones never again; a permit is not used in its last 0.4 s; a refused start drops it; a successor asks anew.

Result: on virtual time a two-step job on four workers costs two questions and no refused start; 40 tasks of 1 s with permits of 1.5 s none either.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -47,6 +47,8 @@
     #: Takes a `Forwarder` and a callable that returns the configuration in force, and
     #: returns the handler of callers' requests.
     make_caller_handler: Callable
+    #: The `PermitService` for queues with a policy.
+    permit_service: object
     #: Path at which the balancer asks whether callers may be sent here.
     ready_path: str
 
@@ -201,7 +203,9 @@
         on_change,
     )
     view = LeaderView()
-    candidate = Candidate(settings, node.journal, node.pool, view, configuration)
+    candidate = Candidate(
+        settings, node.journal, node.pool, view, configuration, edges.permit_service
+    )
     forwarder = Forwarder(candidate, node.pool)
     answer_caller = edges.make_caller_handler(forwarder, configuration)
 
--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2933,6 +2933,7 @@
      - repeat
      - image
      - millicores
+     - permit
 
     """
 
@@ -2950,10 +2951,11 @@
         'repeat',
         'image',
         'millicores',
+        'permit',
     )
 
 
-    def __init__(self, epoch=None, worker_id=None, born_ms=None, task_id=None, run=None, program=None, checkpoint=None, grant_until_ms=None, target_ms=None, filler=None, repeat=None, image=None, millicores=None,):
+    def __init__(self, epoch=None, worker_id=None, born_ms=None, task_id=None, run=None, program=None, checkpoint=None, grant_until_ms=None, target_ms=None, filler=None, repeat=None, image=None, millicores=None, permit=None,):
         self.epoch = epoch
         self.worker_id = worker_id
         self.born_ms = born_ms
@@ -2967,6 +2969,7 @@
         self.repeat = repeat
         self.image = image
         self.millicores = millicores
+        self.permit = permit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3042,6 +3045,11 @@
                     self.millicores = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.permit = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3104,6 +3112,10 @@
             oprot.writeFieldBegin('millicores', TType.I32, 13)
             oprot.writeI32(self.millicores)
             oprot.writeFieldEnd()
+        if self.permit is not None:
+            oprot.writeFieldBegin('permit', TType.STRING, 14)
+            oprot.writeString(self.permit.encode('utf-8') if sys.version_info[0] == 2 else self.permit)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3954,6 +3966,7 @@
     (11, TType.BOOL, 'repeat', None, None, ),  # 11
     (12, TType.STRING, 'image', 'UTF8', None, ),  # 12
     (13, TType.I32, 'millicores', None, None, ),  # 13
+    (14, TType.STRING, 'permit', 'UTF8', None, ),  # 14
 )
 all_structs.append(StopOrder)
 StopOrder.thrift_spec = (
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -44,14 +44,16 @@
     view : LeaderView
     configuration : callable
         Returns the `FleetConfiguration` in force.
+    permit_service : PermitService
     """
 
-    def __init__(self, settings, journal, pool, view, configuration):
+    def __init__(self, settings, journal, pool, view, configuration, permit_service):
         self.settings = settings
         self.journal = journal
         self.pool = pool
         self.view = view
         self.configuration = configuration
+        self.permit_service = permit_service
         self.leader = None
         self._generation = 0
         self._is_member = False
@@ -177,7 +179,12 @@
         try:
             term = await take_over(self.journal, self.settings)
             leader = Leader(
-                self.settings, self.journal, self.pool, term, self.configuration()
+                self.settings,
+                self.journal,
+                self.pool,
+                term,
+                self.configuration(),
+                self.permit_service,
             )
             self.leader = leader
             self.view.follow(leader.epoch)
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -6,6 +6,7 @@
 from .feasibility import WorkerShape
 from .job import Job
 from .paircost import PairCosts
+from .permits import Permits
 from .queues import FleetConfiguration
 from .spec import JobSpec, StepSpec, TaskKey
 from .worker import Run, Worker, WorkerReport
@@ -36,6 +37,10 @@
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     #: Shapes of all workers that were seen in this term, by service.
     shapes_by_service: dict[str, set[WorkerShape]] = field(default_factory=dict)
+    #: Permits of the steps of queues with a policy, by job, occurrence and step.
+    permits_by_job: dict[str, dict[tuple[int, int], Permits]] = field(
+        default_factory=dict
+    )
     #: Tasks that may be placed now, by job.
     ready_by_job: dict[str, dict[TaskKey, None]] = field(default_factory=dict)
     #: Occurrences that wait for their time: due time, job id and number.
@@ -64,6 +69,11 @@
         """Return the service whose workers run the tasks of a queue now."""
         return self.configuration.queues_by_name.get(queue.name, queue).service
 
+    def permits_of(self, job, step_key):
+        """Return the `Permits` of a step, kept until its job ends."""
+        by_step = self.permits_by_job.setdefault(job.job_id, {})
+        return by_step.setdefault(step_key, Permits())
+
     def is_ready(self, job, key):
         """Tell whether a task waits to be placed."""
         return key in self.ready_by_job.get(job.job_id, ())
@@ -157,6 +167,8 @@
     program: str
     checkpoint: str
     step: StepSpec
+    #: Permit of the queue's policy service; empty where none is needed.
+    permit: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/handlers.py
+++ b/dotterelspread/jobs/handlers.py
@@ -1,9 +1,9 @@
 """The reducer with all handlers of a cell's events."""
 
 from ..reducer import reduce
-from . import repeating, reporting, submitting
+from . import permits, repeating, reporting, submitting
 
 __all__ = ["MODULES", "reduce"]
 
 #: Modules that register the handlers.
-MODULES = (repeating, reporting, submitting)
+MODULES = (permits, repeating, reporting, submitting)
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -61,12 +61,14 @@
     term : Term
         What `take_over` returned.
     configuration : FleetConfiguration
+    permit_service : PermitService
     """
 
-    def __init__(self, settings, journal, pool, term, configuration):
+    def __init__(self, settings, journal, pool, term, configuration, permit_service):
         self.settings = settings
         self.journal = journal
         self.pool = pool
+        self.permit_service = permit_service
         self.cell = term.cell
         self.cell.configuration = configuration
         #: Conversation with each agent, by its peer address; None for entries.
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -1,6 +1,6 @@
 """Steps that several events share: what becomes due, what is given back, what ends."""
 
-from .cell import StopRun
+from .cell import StartRun, StopRun
 from .job import Phase
 from .worker import Run, StopReason
 
@@ -11,6 +11,7 @@
     "give_back",
     "release_occurrence",
     "run_of",
+    "start_effect",
     "stop_run",
 ]
 
@@ -30,6 +31,16 @@
     )
 
 
+def start_effect(cell, job, worker, run, task_id, now_s):
+    """Return the `StartRun` of a run."""
+    step = job.step_of(run.key)
+    checkpoint = job.tasks_by_key[run.key].checkpoint
+    permit = ""
+    if cell.queue_of(job).needs_permits:
+        permit = cell.permits_of(job, run.key[:2]).of(worker, now_s)
+    return StartRun(worker, run, task_id, job.spec.program, checkpoint, step, permit)
+
+
 def release_occurrence(cell, job, occurrence):
     """Let the steps of an occurrence that depend on nothing open be placed."""
     for number in range(len(job.spec.steps)):
@@ -63,6 +74,7 @@
     job.ended_ms = wall_ms
     cell.dirty.add(job.job_id)
     cell.ready_by_job.pop(job.job_id, None)
+    cell.permits_by_job.pop(job.job_id, None)
     effects = []
     reason = end_reason(job)
     for key, task in job.tasks_by_key.items():
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -1,5 +1,6 @@
 """Sends the leader's orders for runs to agents, and feeds back what they answer."""
 
+import asyncio
 from functools import singledispatchmethod
 
 from ..counters import counters
@@ -8,6 +9,7 @@
 from ..peer import PeerError
 from . import clock
 from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun
+from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
 __all__ = ["OrderSender"]
 
@@ -30,10 +32,12 @@
     leader : Leader
     """
 
-    __slots__ = ("_leader",)
+    __slots__ = ("_asking", "_leader")
 
     def __init__(self, leader):
         self._leader = leader
+        # The policy service takes one question of a process at a time.
+        self._asking = asyncio.Lock()
 
     @singledispatchmethod
     def perform(self, effect):
@@ -56,6 +60,34 @@
         if link is not None:
             link.acknowledge(effect.born_ms, effect.number)
 
+    @perform.register
+    def _(self, effect: AskPermits):
+        self._leader.spawn(self._ask_permits(effect))
+
+    async def _ask_permits(self, effect):
+        step_id = f"{effect.job_id}.{effect.step_key[0]}.{effect.step_key[1]}"
+        async with self._asking:
+            asked_s = clock.now_s()
+            permits, valid_ms, error = None, 0, None
+            try:
+                permits, valid_ms = await self._leader.permit_service.ask(
+                    step_id, list(effect.born_ms_by_worker)
+                )
+            except PermitServiceError as refusal:
+                error = str(refusal)
+        log_decision(
+            "permits asked",
+            step_id=step_id,
+            workers=len(effect.born_ms_by_worker),
+            permitted=len(permits or ()),
+            valid_ms=valid_ms,
+            waited_s=round(clock.now_s() - asked_s, 3),
+            error=error,
+        )
+        self._leader.apply(
+            PermitsAnswered(clock.now_s(), effect, asked_s, permits, valid_ms)
+        )
+
     async def _start(self, effect):
         worker, run, step = effect.worker, effect.run, effect.step
         link = self._leader.links_by_address.get(worker.agent_address)
@@ -81,6 +113,7 @@
             repeat=run.is_repeat,
             image=step.image,
             millicores=step.demand.millicores,
+            permit=effect.permit,
         )
         await self._send(effect, "start_run", order)
 
--- /dev/null
+++ b/dotterelspread/jobs/permits.py
@@ -0,0 +1,153 @@
+"""Permits for queues whose policy lets only some workers run a step.
+
+Answers a policy service that knows which workers a step may use, takes a while for each
+worker that it is asked about, and gives permits that expire: the workers that have room
+are asked about first, those that were refused never again, and permits that are still
+good are used before any are asked for.
+"""
+
+from dataclasses import dataclass, field
+
+from ..reducer import Effect, Event, reduce
+
+__all__ = [
+    "AskPermits",
+    "PermitService",
+    "PermitServiceError",
+    "Permits",
+    "PermitsAnswered",
+    "ask_permits",
+    "drop_permit",
+    "permitted",
+]
+
+#: Most workers that one question names, as the policy service takes time for each.
+MOST_ASKED = 30
+#: Seconds before its end from which on a permit is not used: the time of a start.
+USE_MARGIN_S = 0.4
+#: Pause after a question that was not answered.
+RETRY_PAUSE_S = 0.3
+
+
+class PermitServiceError(Exception):
+    """The policy service gave no answer, or one that makes no sense."""
+
+
+class PermitService:
+    """Base of the edges to the policy service."""
+
+    async def ask(self, step_id, worker_ids):
+        """Return ``(permits_by_worker, valid_ms)`` for some workers and a step.
+
+        Parameters
+        ----------
+        step_id : str
+        worker_ids : list of str
+            Workers that are not in the answer may not run the step.
+
+        Raises
+        ------
+        PermitServiceError
+        """
+        raise NotImplementedError
+
+
+@dataclass(slots=True, frozen=True)
+class _Permit:
+    text: str
+    born_ms: int
+    end_s: float
+
+
+@dataclass(slots=True)
+class Permits:
+    """What is known of the workers that may run one step."""
+
+    permits_by_worker: dict[str, _Permit] = field(default_factory=dict)
+    refused: set[str] = field(default_factory=set)
+    is_asking: bool = False
+    #: Leader's clock before which nothing is asked.
+    ask_from_s: float = 0.0
+
+    def of(self, worker, now_s):
+        """Return the permit that may be used on a worker, or an empty text."""
+        permit = self.permits_by_worker.get(worker.worker_id)
+        if permit is None or permit.born_ms != worker.born_ms:
+            return ""
+        return permit.text if now_s < permit.end_s - USE_MARGIN_S else ""
+
+
+@dataclass(slots=True, frozen=True)
+class AskPermits(Effect):
+    """Ask the policy service which workers may run a step."""
+
+    job_id: str
+    step_key: tuple[int, int]
+    #: Start of the incarnation that is meant, by worker.
+    born_ms_by_worker: dict[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class PermitsAnswered(Event):
+    """The policy service answered, or did not."""
+
+    asked: AskPermits
+    #: Leader's clock when the question was sent.
+    asked_s: float
+    #: None when there was no answer.
+    permits_by_worker: dict[str, str] | None
+    valid_ms: int
+
+
+def permitted(cell, job, step_key, workers, now_s):
+    """Return the workers on which the policy lets a step start now."""
+    permits = cell.permits_of(job, step_key)
+    return [worker for worker in workers if permits.of(worker, now_s)]
+
+
+def ask_permits(cell, job, step_key, workers, now_s):
+    """Return the effects that ask for permits on workers with room, if any are left."""
+    permits = cell.permits_of(job, step_key)
+    if permits.is_asking or now_s < permits.ask_from_s:
+        return []
+    unknown = [
+        worker
+        for worker in workers
+        if worker.worker_id not in permits.refused and not permits.of(worker, now_s)
+    ]
+    if not unknown:
+        return []
+    # Those that were let once will be let again.
+    unknown.sort(key=lambda w: w.worker_id not in permits.permits_by_worker)
+    permits.is_asking = True
+    born = {worker.worker_id: worker.born_ms for worker in unknown[:MOST_ASKED]}
+    return [AskPermits(job.job_id, step_key, born)]
+
+
+def drop_permit(cell, run, worker):
+    """Forget the permit with which a start was refused: it may have ended."""
+    by_step = cell.permits_by_job.get(run.job_id, {})
+    permits = by_step.get(run.key[:2])
+    if permits is not None:
+        permits.permits_by_worker.pop(worker.worker_id, None)
+
+
+@reduce.register
+def _(event: PermitsAnswered, cell):
+    job = cell.jobs_by_id.get(event.asked.job_id)
+    if job is None or not job.is_open:
+        return []
+    permits = cell.permits_of(job, event.asked.step_key)
+    permits.is_asking = False
+    if event.permits_by_worker is None:
+        permits.ask_from_s = event.now_s + RETRY_PAUSE_S
+        return []
+    end_s = event.asked_s + event.valid_ms / 1000
+    for worker_id, born_ms in event.asked.born_ms_by_worker.items():
+        text = event.permits_by_worker.get(worker_id)
+        if text:
+            permits.permits_by_worker[worker_id] = _Permit(text, born_ms, end_s)
+        else:
+            permits.refused.add(worker_id)
+    cell.is_placing_due = True
+    return []
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -8,11 +8,11 @@
 
 from dataclasses import dataclass
 
-from .cell import StartRun
-from .lifecycle import run_of
+from .lifecycle import run_of, start_effect
 from .ordering import order_jobs
 from .pacing import HARMLESS_RISE, rise_budget
 from .paircost import disturbance
+from .permits import ask_permits, permitted
 
 __all__ = [
     "MIN_SPEED",
@@ -102,7 +102,8 @@
 
 
 def _place_job(cell, job, workers, misfits, now_s):
-    service = cell.queue_of(job).service
+    queue = cell.queue_of(job)
+    service = queue.service
     effects = []
     eligible = [worker for worker in workers if worker.service == service]
     for step_key, keys in _group_by_step(cell.ready_by_job[job.job_id]).items():
@@ -114,21 +115,34 @@
         if not roomy:
             misfits.add(service, step)
             continue
-        if step.is_gang:
-            effects.extend(_place_gang(cell, job, step, keys, roomy, now_s))
+        usable = roomy
+        if queue.needs_permits:
+            usable = permitted(cell, job, step_key, roomy, now_s)
+        starts = _place_step(cell, job, step, keys, usable, now_s)
+        effects.extend(starts)
+        if len(starts) == len(keys):
             continue
-        for key in keys:
-            worker = choose_worker(cell, job, key, step, roomy, now_s)
-            if worker is None:
-                # With a limit for each worker others may have tasks there instead.
-                if not step.max_per_worker:
-                    misfits.add(service, step, need)
-                break
-            effects.append(_assign(cell, job, key, worker, now_s))
-            job.ran_s = now_s
+        if queue.needs_permits:
+            effects.extend(ask_permits(cell, job, step_key, roomy, now_s))
+        elif not step.is_gang and not step.max_per_worker:
+            # With a limit for each worker others may have tasks there instead.
+            misfits.add(service, step, need)
     return effects
 
 
+def _place_step(cell, job, step, keys, workers, now_s):
+    if step.is_gang:
+        return _place_gang(cell, job, step, keys, workers, now_s)
+    starts = []
+    for key in keys:
+        worker = choose_worker(cell, job, key, step, workers, now_s)
+        if worker is None:
+            break
+        starts.append(_assign(cell, job, key, worker, now_s))
+        job.ran_s = now_s
+    return starts
+
+
 def _group_by_step(keys):
     groups = {}
     for key in keys:
@@ -296,6 +310,4 @@
     worker.add(task_id, run)
     cell.clear_ready(job, key)
     cell.dirty.add(job.job_id)
-    return StartRun(
-        worker, run, task_id, job.spec.program, task.checkpoint, job.step_of(key)
-    )
+    return start_effect(cell, job, worker, run, task_id, now_s)
--- a/dotterelspread/jobs/queues.py
+++ b/dotterelspread/jobs/queues.py
@@ -25,6 +25,8 @@
     slack_factor: float = 1.0
     #: Part of the latency objective that does not, in milliseconds.
     objective_ms: int = 0
+    #: Whether a policy service says which workers may run a step.
+    needs_permits: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,9 +1,10 @@
 """What time and answers to orders cause: repeats, losses, occurrences that are due."""
 
 from ..reducer import reduce
-from .cell import AppendDone, CellTick, DropJob, OrderSettled, StartRun
+from .cell import AppendDone, CellTick, DropJob, OrderSettled
 from .incarnations import lose_worker, release
-from .lifecycle import release_occurrence, stop_run
+from .lifecycle import release_occurrence, start_effect, stop_run
+from .permits import drop_permit
 from .placing import place, place_now
 from .stragglers import move_stragglers
 
@@ -28,6 +29,7 @@
     run.ordered_s = event.now_s
     if event.result == "refused":
         release(cell, worker, event.task_id)
+        drop_permit(cell, run, worker)
         worker.avoided_until_s = max(
             worker.avoided_until_s, event.now_s + REFUSAL_PAUSE_S
         )
@@ -66,16 +68,14 @@
         if run.is_unwanted:
             effects.extend(stop_run(worker, run, task_id, run.stop_reason))
         elif not run.is_confirmed:
-            effects.append(_start_again(cell, worker, run, task_id))
+            effects.append(_start_again(cell, worker, run, task_id, now_s))
     return effects
 
 
-def _start_again(cell, worker, run, task_id):
+def _start_again(cell, worker, run, task_id, now_s):
     job = cell.jobs_by_id[run.job_id]
     run.is_ordering = True
-    checkpoint = job.tasks_by_key[run.key].checkpoint
-    step = job.step_of(run.key)
-    return StartRun(worker, run, task_id, job.spec.program, checkpoint, step)
+    return start_effect(cell, job, worker, run, task_id, now_s)
 
 
 def _release_timed(cell, wall_ms):
--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -30,6 +30,8 @@
     max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
     slack_factor: float = msgspec.field(name="SlackFactor", default=1.0)
     target_latency_ms: float = msgspec.field(name="TargetLatencyMs", default=0)
+    # Times of the queue's policy; any value that is not empty means that there is one.
+    advice: dict | None = msgspec.field(name="Advice", default=None)
 
 
 class _Service(msgspec.Struct):
@@ -90,4 +92,5 @@
         max_attempts=route.max_attempts,
         slack_factor=route.slack_factor,
         objective_ms=int(route.target_latency_ms),
+        needs_permits=bool(route.advice),
     )
--- a/dotterelspread/platform/daemon.py
+++ b/dotterelspread/platform/daemon.py
@@ -27,18 +27,24 @@
         read_configuration,
     )
     from .jobdocument import READY_PATH
+    from .policy import PlatformPermits
 
     def make_caller_handler(forwarder, configuration):
         return CallerEdge(forwarder, configuration).handle
 
-    yield EntryEdges(
-        CONFIGURATION_STREAM,
-        CONFIGURATION_KEY,
-        read_configuration,
-        ConfigurationFormError,
-        make_caller_handler,
-        READY_PATH,
-    )
+    permits = PlatformPermits(settings.policy_address)
+    try:
+        yield EntryEdges(
+            CONFIGURATION_STREAM,
+            CONFIGURATION_KEY,
+            read_configuration,
+            ConfigurationFormError,
+            make_caller_handler,
+            permits,
+            READY_PATH,
+        )
+    finally:
+        permits.close()
 
 
 @contextmanager
--- a/dotterelspread/platform/settings.py
+++ b/dotterelspread/platform/settings.py
@@ -61,6 +61,8 @@
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     # Where the worker of this machine takes its orders.
     app: str = ""
+    # Where the service with the policies of the queues answers.
+    advice: str = msgspec.field(name="Advice", default="")
 
 
 def read_settings(role, environment=os.environ):
@@ -106,6 +108,7 @@
         readiness_address=settings.listen.readiness,
         control_address=settings.listen.control,
         worker_address=settings.app,
+        policy_address=settings.advice,
         cores=settings.limits.cpu_share * settings.limits.cores,
         bounds=FleetBounds(
             bounds.hold_max_ms,
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -78,6 +78,8 @@
         }
         if order.checkpoint:
             body["Checkpoint"] = order.checkpoint
+        if order.permit:
+            body["Ticket"] = order.permit
         return await self._order("/api/run-start", worker_id, body)
 
     async def stop(self, worker_id, order):
--- a/dotterelspread/processsettings.py
+++ b/dotterelspread/processsettings.py
@@ -75,6 +75,8 @@
     control_address: str = ""
     #: Where the worker of this instance takes orders; empty on entries.
     worker_address: str = ""
+    #: Where the policy service answers; empty where there is none.
+    policy_address: str = ""
     #: Processors that the process may use.
     cores: float = 1.0
     bounds: FleetBounds = field(default_factory=FleetBounds)
--- a/soak/site.py
+++ b/soak/site.py
@@ -136,6 +136,7 @@
         self.block = 10 + seed % 200
         self.store_host = f"127.{self.block}.0.1"
         self.bounds = FleetBounds(max_lease_ms=LEASE_MS)
+        self.policy = None
         self.specs = {}
         self.durations = {}
         self.poison = set()
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -13,6 +13,7 @@
 from dotterelspread.jobs.nodes import NODES_STREAM, record_node
 from dotterelspread.jobs.noticing import LeaderView
 from dotterelspread.jobs.orderhandler import OrderHandler
+from dotterelspread.jobs.permits import PermitService, PermitServiceError
 from dotterelspread.jobs.queues import FleetConfiguration, Queue
 from dotterelspread.jobs.records import encode_spec
 from dotterelspread.jobs.spec import JobSpec, StepSpec
@@ -142,7 +143,12 @@
         pool = fleet.network.pool(self.address)
         self.view = LeaderView()
         self.candidate = Candidate(
-            self.settings, journal, pool, self.view, lambda: fleet.configuration
+            self.settings,
+            journal,
+            pool,
+            self.view,
+            lambda: fleet.configuration,
+            fleet.policy,
         )
         self.forwarder = Forwarder(self.candidate, pool)
 
@@ -218,6 +224,44 @@
             return
 
 
+class VirtualPolicy(PermitService):
+    """A policy that lets every other worker run a step, by the number of both."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.valid_s = 1.5
+        self.is_silent = False
+        #: When permits end, by their text.
+        self.ends_by_permit = {}
+        self.questions = 0
+        self.refused_starts = 0
+
+    def allows(self, step_id, worker_id):
+        return (int(step_id[-1]) + int(worker_id.split("-")[1])) % 2 == 0
+
+    async def ask(self, step_id, worker_ids):
+        self.questions += 1
+        await asyncio.sleep(0.04 + 0.002 * len(worker_ids))
+        if self.is_silent:
+            raise PermitServiceError("silent")
+        end_s = clock.now_s() + self.valid_s
+        permits = {w: f"{step_id} {w}" for w in worker_ids if self.allows(step_id, w)}
+        self.ends_by_permit.update(dict.fromkeys(permits.values(), end_s))
+        return permits, int(self.valid_s * 1000)
+
+    def accepts(self, worker, order):
+        """Tell whether a worker may carry out an order to start a run."""
+        spec = self.fleet.specs[order.task_id.split(".")[0]]
+        queues_by_name = self.fleet.configuration.queues_by_name
+        if not queues_by_name[spec.queue.name].needs_permits:
+            return True
+        step_id = order.task_id.rpartition(".")[0]
+        is_own = order.permit == f"{step_id} {worker.worker_id}"
+        is_good = self.ends_by_permit.get(order.permit, 0.0) > clock.now_s()
+        self.refused_starts += not (is_own and is_good)
+        return is_own and is_good
+
+
 class VirtualFleet:
     """Entries, agents, workers and a store on the running (virtual) loop."""
 
@@ -226,6 +270,7 @@
         self.bounds = FleetBounds(max_lease_ms=4000, stop_timeout_ms=200)
         self.configuration = CONFIGURATION
         self.store = VirtualStore(self.rng)
+        self.policy = VirtualPolicy(self)
         self.network = _Network(self)
         self.checker = Checker(self)
         self.specs = {}
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -133,6 +133,7 @@
         program="text",
         checkpoint="c",
         epoch=4,
+        permit="t",
     )
 
 
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -130,6 +130,8 @@
             return StartAnswer.EXPIRED
         if run is not None:
             return StartAnswer.OUTDATED
+        if self.fleet.policy is not None and not self.fleet.policy.accepts(self, order):
+            return StartAnswer.REFUSED
         duration_s = self.fleet.duration_of(order.task_id) * self.slowness
         how = RunEnd.COMPLETED
         if self.fails or self.fleet.is_poison(order.task_id):
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,155 @@
+"""Queues whose policy lets only some workers run a step."""
+
+import asyncio
+import json
+
+import msgspec
+import pytest
+
+from dotterelspread.h1server import H1Response, listen_h1
+from dotterelspread.jobs.permits import PermitServiceError
+from dotterelspread.jobs.queues import FleetConfiguration
+from dotterelspread.platform.configuration import read_configuration
+from dotterelspread.platform.policy import PlatformPermits
+from standins.site import free_port
+from tests.builders_fleet import QUEUE, make_job, make_step, play
+from tests.builders_platform import CONFIGURATION
+
+TWO_STEPS = (make_step(count=6), make_step(count=5, depends_on=(0,)))
+
+
+def play_with_policy(scenario, **sizes):
+    async def configured(fleet):
+        queue = msgspec.structs.replace(QUEUE, needs_permits=True)
+        fleet.configuration = FleetConfiguration(2, {"q": queue})
+        leader = next(e.candidate.leader for e in fleet.entries if e.candidate.leader)
+        leader.configure(fleet.configuration)
+        await scenario(fleet)
+
+    play(configured, **sizes)
+
+
+def workers_by_step(fleet, job_id):
+    by_step = {}
+    for number, incarnation in fleet.checker.ends_by_incarnation:
+        for task_id, _ in fleet.checker.ends_by_incarnation[number, incarnation]:
+            if task_id.startswith(job_id):
+                by_step.setdefault(task_id.split(".")[2], set()).add(number)
+    return by_step
+
+
+async def expect_completed(fleet, job_id, within_s):
+    for _ in range(int(within_s / 0.2)):
+        await fleet.settle(0.2)
+        if (await fleet.state(job_id)).state == "COMPLETED":
+            return
+    raise AssertionError((await fleet.state(job_id)).state)
+
+
+def test_a_step_runs_only_where_the_policy_lets_it():
+    async def scenario(fleet):
+        job = make_job(1, TWO_STEPS)
+        await fleet.submit(job)
+        await expect_completed(fleet, job.job_id, 6)
+        assert workers_by_step(fleet, job.job_id) == {"0": {0, 2}, "1": {1, 3}}
+        assert fleet.policy.refused_starts == 0
+        # One for each step: those that were let run all its tasks.
+        assert fleet.policy.questions == 2
+
+    play_with_policy(scenario, agents=4)
+
+
+def test_permits_that_ended_are_asked_for_again_before_a_start():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(count=40),))
+        fleet.durations[job.job_id] = 1.0
+        await fleet.submit(job)
+        await expect_completed(fleet, job.job_id, 12)
+        assert fleet.policy.refused_starts == 0
+        assert 2 <= fleet.policy.questions <= 8
+
+    play_with_policy(scenario, agents=4)
+
+
+def test_a_silent_policy_service_is_asked_again():
+    async def scenario(fleet):
+        fleet.policy.is_silent = True
+        job = make_job(1, TWO_STEPS)
+        await fleet.submit(job)
+        await fleet.settle(2)
+        assert fleet.checker.runs == 0
+        assert fleet.policy.questions <= 7
+        fleet.policy.is_silent = False
+        await expect_completed(fleet, job.job_id, 6)
+
+    play_with_policy(scenario, agents=4)
+
+
+def test_the_next_leader_asks_anew_and_runs_nothing_twice():
+    async def scenario(fleet):
+        job = make_job(1, TWO_STEPS)
+        fleet.durations[job.job_id] = 1.5
+        await fleet.submit(job)
+        await fleet.settle(0.5)
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        leader.kill()
+        await fleet.settle(3)
+        leader.start()
+        await expect_completed(fleet, job.job_id, 10)
+        assert fleet.checker.runs == 11
+
+    play_with_policy(scenario, agents=4)
+
+
+def test_a_crowd_of_jobs_is_served_under_a_policy():
+    async def scenario(fleet):
+        for number in range(8):
+            await fleet.submit(make_job(number, TWO_STEPS))
+        for number in range(8):
+            await expect_completed(fleet, f"{number:016x}", 20)
+        assert fleet.policy.refused_starts == 0
+
+    play_with_policy(scenario, agents=6)
+
+
+def test_the_policy_of_a_queue_is_read():
+    route = CONFIGURATION["Routes"][0]
+    policy = {"DecideMs": 40, "PeriodMs": 2, "ValidMs": 3000}
+    routes = [route | {"Advice": policy}, route | {"Name": "other"}]
+    document = json.dumps(CONFIGURATION | {"Routes": routes}).encode()
+    queues = read_configuration(document).queues_by_name
+    assert queues[route["Name"]].needs_permits
+    assert not queues["other"].needs_permits
+
+
+def test_the_policy_service_over_http():
+    address = f"127.0.0.1:{free_port()}"
+    replies = [
+        H1Response(200, b'{"Allowed":[["i-1","c81e-7a"]],"ValidMs":3000}'),
+        H1Response(429),
+        H1Response(200, b'{"Allowed":7}'),
+    ]
+    asked = []
+
+    async def answer(request):
+        asked.append((request.path, json.loads(request.body)))
+        return replies.pop(0)
+
+    async def scenario():
+        async with listen_h1(address, answer):
+            permits = PlatformPermits(address)
+            step = "5c0e7a21d94b36f8.0.1"
+            assert await permits.ask(step, ["i-1", "i-2"]) == ({"i-1": "c81e-7a"}, 3000)
+            for _ in range(2):
+                with pytest.raises(PermitServiceError):
+                    await permits.ask(step, ["i-1"])
+            permits.close()
+            body = {"Step": step, "Workers": ["i-1", "i-2"]}
+            assert asked[0] == ("/api/advise", body)
+
+    asyncio.run(scenario())
+
+
+def test_without_a_policy_service_nothing_is_permitted():
+    with pytest.raises(PermitServiceError):
+        asyncio.run(PlatformPermits("").ask("s", ["i-1"]))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -264,6 +264,7 @@
             "UntilMs": 99,
             "FencingToken": 4,
             "Checkpoint": "c",
+            "Ticket": "t",
         }
         worker.close()
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -57,6 +57,7 @@
         duration_of=lambda task_id: 0.2,
         is_poison=lambda task_id: False,
         workers=[],
+        policy=None,
     )
     return VirtualWorker(fleet, 1)
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -244,6 +244,8 @@
   11: bool repeat,
   12: string image,
   13: i32 millicores,
+  // Permit of the queue's policy service; empty where none is needed.
+  14: string permit,
 }
 
 struct StopOrder {
