--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from .lifecycle import run_of, start_effect
+from .misfits import Misfits
 from .ordering import order_jobs
 from .pacing import HARMLESS_RISE, rise_budget
 from .paircost import disturbance
@@ -42,37 +43,6 @@
     min_speed: float
 
 
-class _Misfits:
-    """Needs for which no worker was found during one pass.
-
-    Rooms only shrink while tasks are placed, so a need that is at least as large finds
-    none either. Answers a backlog of jobs, most of which are alike.
-    """
-
-    __slots__ = ("_reserved_by_kind",)
-
-    def __init__(self):
-        self._reserved_by_kind = {}
-
-    def add(self, service, step, need=None):
-        """Note that no worker of a service takes a task of the step.
-
-        Without ``need`` because none has the room, else because none suits it.
-        """
-        kind = (service, step.required_label, need)
-        self._reserved_by_kind.setdefault(kind, []).append(step.reserved)
-
-    def covers(self, service, step, need):
-        """Tell whether a task of the step surely finds no worker."""
-        kinds = {(service, step.required_label, n) for n in (None, need)}
-        reserved = step.reserved
-        return any(
-            smaller.fits_in(reserved)
-            for kind in kinds
-            for smaller in self._reserved_by_kind.get(kind, ())
-        )
-
-
 def place(cell, now_s):
     """Place what is due, or let it wait for an append that is under way.
 
@@ -95,7 +65,7 @@
     ]
     effects = []
     if workers:
-        misfits = _Misfits()
+        misfits = Misfits()
         for job in order_jobs(cell, now_s):
             effects.extend(_place_job(cell, job, workers, misfits, now_s))
     return effects
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -318,6 +318,15 @@
             self.accepted.add(spec.job_id)
         return reply
 
+    async def expect_completed(self, within_s=20):
+        """Wait until all accepted jobs are complete."""
+        for _ in range(int(within_s / 0.2)):
+            await self.settle(0.2)
+            states = [await self.state(job_id) for job_id in self.accepted]
+            if all(reply.state == "COMPLETED" for reply in states):
+                return
+        raise AssertionError([(s.state, s.reason) for s in states])
+
     async def state(self, job_id, entry=0):
         return await self.ask(Verb.STATE, job_id, entry)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,13 +5,9 @@
 import pytest
 
 from dotterelspread.gen.peer.ttypes import WorkResult
-from dotterelspread.jobs import clock
 from dotterelspread.jobs.forwarding import Verb
-from dotterelspread.jobs.takeover import take_over
-from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
     make_job,
-    make_settings,
     make_step,
     play,
 )
@@ -19,20 +15,11 @@
 TWO_STEPS = (make_step(count=3), make_step(count=2, depends_on=(0,)))
 
 
-async def expect_completed(fleet, within_s=20):
-    for _ in range(int(within_s / 0.5)):
-        await fleet.settle(0.5)
-        states = [await fleet.state(job_id) for job_id in fleet.accepted]
-        if all(reply.state == "COMPLETED" for reply in states):
-            return
-    raise AssertionError([(s.state, s.reason) for s in states])
-
-
 def test_a_job_runs_step_by_step_to_its_end():
     async def scenario(fleet):
         reply = await fleet.submit(make_job(1, TWO_STEPS))
         assert reply.result == WorkResult.DONE
-        await expect_completed(fleet, 5)
+        await fleet.expect_completed(5)
         assert fleet.checker.runs == 5
 
     play(scenario)
@@ -43,7 +30,7 @@
         job = make_job(1, TWO_STEPS)
         replies = await asyncio.gather(fleet.submit(job, 0), fleet.submit(job, 1))
         assert [reply.result for reply in replies] == [WorkResult.DONE] * 2
-        await expect_completed(fleet, 5)
+        await fleet.expect_completed(5)
         assert fleet.checker.runs == 5
 
     play(scenario)
@@ -60,20 +47,6 @@
     play(scenario)
 
 
-def test_the_next_leader_goes_on_where_a_killed_one_stopped():
-    async def scenario(fleet):
-        for number in range(6):
-            await fleet.submit(make_job(number, TWO_STEPS), number % 2)
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        leader.kill()
-        await fleet.settle(4)
-        leader.start()
-        await expect_completed(fleet)
-        assert fleet.checker.runs == 30
-
-    play(scenario)
-
-
 def test_all_entries_killed_at_once_lose_nothing_that_was_accepted():
     async def scenario(fleet):
         fleet.durations[f"{0:016x}"] = 5.0
@@ -84,7 +57,7 @@
         await fleet.settle(1)
         for entry in fleet.entries:
             entry.start()
-        await expect_completed(fleet, 30)
+        await fleet.expect_completed(30)
         assert fleet.checker.runs == 20
 
     play(scenario)
@@ -99,7 +72,7 @@
         await fleet.settle(1)
         for agent in fleet.agents:
             agent.start()
-        await expect_completed(fleet)
+        await fleet.expect_completed()
         assert fleet.checker.runs == 9
 
     play(scenario)
@@ -111,7 +84,7 @@
         await fleet.submit(make_job(1, (make_step(count=9),)))
         await fleet.settle(1)
         fleet.workers[0].crash()
-        await expect_completed(fleet, 20)
+        await fleet.expect_completed(20)
 
     play(scenario)
 
@@ -123,7 +96,7 @@
         await fleet.settle(1)
         fleet.workers[0].crash()
         fleet.workers[0].begin_incarnation()
-        await expect_completed(fleet, 9)
+        await fleet.expect_completed(9)
 
     play(scenario)
 
@@ -136,7 +109,7 @@
         fleet.network.cut.add(fleet.agents[0].address)
         await fleet.settle(9)
         fleet.network.cut.clear()
-        await expect_completed(fleet, 20)
+        await fleet.expect_completed(20)
 
     play(scenario)
 
@@ -189,7 +162,7 @@
     async def scenario(fleet):
         step = make_step(count=4, is_gang=True)
         await fleet.submit(make_job(1, (step,)))
-        await expect_completed(fleet, 5)
+        await fleet.expect_completed(5)
         assert fleet.checker.runs == 4
 
     play(scenario)
@@ -210,7 +183,7 @@
             runs.append(fleet.checker.runs)
             await fleet.settle(2)
         assert runs == [0, 1, 2, 3]
-        await expect_completed(fleet, 3)
+        await fleet.expect_completed(3)
 
     play(scenario)
 
@@ -258,7 +231,7 @@
             await fleet.settle(rng.uniform(0.1, 1.5))
         heal(fleet)
         await fleet.settle(15)
-        await expect_completed(fleet, 60)
+        await fleet.expect_completed(60)
 
     play(scenario, seed)
 
@@ -317,7 +290,7 @@
             worker.begin_incarnation()
         for process in processes:
             process.start()
-        await expect_completed(fleet, 8)
+        await fleet.expect_completed(8)
 
     play(scenario)
 
@@ -332,136 +305,7 @@
         agent.announce(worker.announcement())
         agent.leave(worker.worker_id)
         worker.crash()
-        await expect_completed(fleet, 4)
-
-    play(scenario)
-
-
-def test_a_caller_of_a_leader_cut_from_the_store_is_answered_by_its_successor():
-    async def scenario(fleet):
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        other = fleet.entries[1 - fleet.entries.index(leader)]
-        fleet.store.mode_by_node[leader.address] = "silent"
-        began_s = clock.now_s()
-        for number, entry in enumerate((leader, other)):
-            index = fleet.entries.index(entry)
-            reply = await fleet.submit(make_job(number), index, 3000)
-            assert reply.result == WorkResult.DONE
-        assert clock.now_s() - began_s < 2.0
-
-    play(scenario)
-
-
-def name_other_holder(fleet):
-    """Let the store's group name an entry that does not lead; return both entries."""
-    leader = next(e for e in fleet.entries if e.candidate.leader)
-    other = fleet.entries[1 - fleet.entries.index(leader)]
-    fleet.store.members[other.settings.instance_id] = float("inf")
-    fleet.store.holder = other.settings.instance_id
-    return leader, other
-
-
-def test_a_leader_leads_on_until_its_successor_has_claimed():
-    async def scenario(fleet):
-        leader, other = name_other_holder(fleet)
-        fleet.store.mode_by_node[other.address] = "busy"
-        await fleet.settle(1)
-        reply = await fleet.submit(make_job(1, TWO_STEPS), 0)
-        assert reply.result == WorkResult.DONE
-        fleet.store.mode_by_node[leader.address] = "busy"
-        del fleet.store.mode_by_node[other.address]
-        await expect_completed(fleet, 6)
-        assert other.candidate.leader is not None
-        fleet.store.mode_by_node.clear()
-        await fleet.settle(2)
-        assert leader.candidate.leader is None
-
-    play(scenario)
-
-
-def test_a_leader_that_works_stays_when_the_group_names_another():
-    async def scenario(fleet):
-        leader, other = name_other_holder(fleet)
-        await fleet.settle(5)
-        assert leader.candidate.leader is not None
-        assert other.candidate.leader is None
-
-    play(scenario)
-
-
-def test_a_leader_that_stops_as_planned_is_followed_at_once():
-    async def scenario(fleet):
-        leader, other = name_other_holder(fleet)
-        await fleet.settle(1)
-        await leader.candidate.resign()
-        await fleet.settle(0.7)
-        assert other.candidate.leader is not None
-
-    play(scenario)
-
-
-def test_a_leader_returns_when_the_store_was_away_for_all():
-    async def scenario(fleet):
-        leader, other = name_other_holder(fleet)
-        fleet.store.mode_by_node["*"] = "silent"
-        await fleet.settle(5)
-        fleet.store.mode_by_node.clear()
-        await fleet.settle(4)
-        assert leader.candidate.leader is not None
-        assert other.candidate.leader is None
-
-    play(scenario)
-
-
-def test_a_caller_whose_leader_lost_power_is_answered_by_the_next_one():
-    async def scenario(fleet):
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        other = fleet.entries[1 - fleet.entries.index(leader)]
-        leader.kill()
-        fleet.network.dark.add(leader.address)
-        await fleet.settle(0.6)
-        began_s = clock.now_s()
-        reply = await fleet.submit(make_job(1), fleet.entries.index(other))
-        assert reply.result == WorkResult.DONE
-        assert clock.now_s() - began_s < 0.9
-
-    play(scenario)
-
-
-def test_a_leader_that_was_suspended_grants_nothing_until_it_is_confirmed(monkeypatch):
-    async def scenario(fleet):
-        process = next(e for e in fleet.entries if e.candidate.leader)
-        leader = process.candidate.leader
-        fleet.store.mode_by_node[process.address] = "silent"
-        await fleet.settle(0.1)
-        assert leader.may_grant
-        monkeypatch.setattr(clock, "suspended_s", lambda: 12.0)
-        assert not leader.may_grant
-        assert not leader.is_fresh
-
-    play(scenario)
-
-
-def test_a_successor_has_all_that_was_appended_until_its_claim():
-    async def scenario(fleet):
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        journal = fleet.store.journal("successor")
-        read = journal.snapshot
-
-        async def read_slowly(stream):
-            snapshot = await read(stream)
-            await asyncio.sleep(0.5)
-            return snapshot
-
-        journal.snapshot = read_slowly
-        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
-        work = asyncio.ensure_future(take_over(journal, settings))
-        for number in range(30):
-            spec = make_job(number, (make_step(count=2, is_service=True),))
-            await fleet.submit(spec, fleet.entries.index(leader))
-            await asyncio.sleep(0.03)
-        term = await asyncio.wait_for(work, 3)
-        assert term.cell.jobs_by_id.keys() >= fleet.accepted
+        await fleet.expect_completed(4)
 
     play(scenario)
 
@@ -472,7 +316,7 @@
         fleet.workers[0].slowness = slowness
         fleet.durations[f"{1:016x}"] = 1.5
         await fleet.submit(make_job(1, (make_step(count=9),)))
-        await expect_completed(fleet, 9)
+        await fleet.expect_completed(9)
 
     play(scenario)
 
@@ -482,23 +326,7 @@
         for worker in fleet.workers:
             worker.slowness = 6.0
         await fleet.submit(make_job(1, (make_step(count=9),)))
-        await expect_completed(fleet, 8)
+        await fleet.expect_completed(8)
         assert fleet.checker.runs == 9
 
     play(scenario)
-
-
-def test_a_large_entry_leads_and_a_small_one_does_when_it_is_gone():
-    async def scenario(fleet):
-        small, large, other = fleet.entries
-        assert large.candidate.leader is not None
-        large.kill()
-        await fleet.settle(6)
-        assert small.candidate.leader or other.candidate.leader
-        large.start()
-        await fleet.settle(6)
-        reply = await fleet.submit(make_job(1, TWO_STEPS))
-        assert reply.result == WorkResult.DONE
-        await expect_completed(fleet, 6)
-
-    play(scenario, entries=(0.3, 2.0, 0.3))
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,175 @@
+"""Who leads a fleet on virtual time, and what a change of the leader costs."""
+
+import asyncio
+
+from dotterelspread.gen.peer.ttypes import WorkResult
+from dotterelspread.jobs import clock
+from dotterelspread.jobs.takeover import take_over
+from dotterelspread.processsettings import FleetRole
+from tests.builders_fleet import (
+    make_job,
+    make_settings,
+    make_step,
+    play,
+)
+
+TWO_STEPS = (make_step(count=3), make_step(count=2, depends_on=(0,)))
+
+
+def test_the_next_leader_goes_on_where_a_killed_one_stopped():
+    async def scenario(fleet):
+        for number in range(6):
+            await fleet.submit(make_job(number, TWO_STEPS), number % 2)
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        leader.kill()
+        await fleet.settle(4)
+        leader.start()
+        await fleet.expect_completed()
+        assert fleet.checker.runs == 30
+
+    play(scenario)
+
+
+def test_a_caller_of_a_leader_cut_from_the_store_is_answered_by_its_successor():
+    async def scenario(fleet):
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        other = fleet.entries[1 - fleet.entries.index(leader)]
+        fleet.store.mode_by_node[leader.address] = "silent"
+        began_s = clock.now_s()
+        for number, entry in enumerate((leader, other)):
+            index = fleet.entries.index(entry)
+            reply = await fleet.submit(make_job(number), index, 3000)
+            assert reply.result == WorkResult.DONE
+        assert clock.now_s() - began_s < 2.0
+
+    play(scenario)
+
+
+def name_other_holder(fleet):
+    """Let the store's group name an entry that does not lead; return both entries."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    other = fleet.entries[1 - fleet.entries.index(leader)]
+    fleet.store.members[other.settings.instance_id] = float("inf")
+    fleet.store.holder = other.settings.instance_id
+    return leader, other
+
+
+def test_a_leader_leads_on_until_its_successor_has_claimed():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        fleet.store.mode_by_node[other.address] = "busy"
+        await fleet.settle(1)
+        reply = await fleet.submit(make_job(1, TWO_STEPS), 0)
+        assert reply.result == WorkResult.DONE
+        fleet.store.mode_by_node[leader.address] = "busy"
+        del fleet.store.mode_by_node[other.address]
+        await fleet.expect_completed(6)
+        assert other.candidate.leader is not None
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(2)
+        assert leader.candidate.leader is None
+
+    play(scenario)
+
+
+def test_a_leader_that_works_stays_when_the_group_names_another():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        await fleet.settle(5)
+        assert leader.candidate.leader is not None
+        assert other.candidate.leader is None
+
+    play(scenario)
+
+
+def test_a_leader_that_stops_as_planned_is_followed_at_once():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        await fleet.settle(1)
+        await leader.candidate.resign()
+        await fleet.settle(0.7)
+        assert other.candidate.leader is not None
+
+    play(scenario)
+
+
+def test_a_leader_returns_when_the_store_was_away_for_all():
+    async def scenario(fleet):
+        leader, other = name_other_holder(fleet)
+        fleet.store.mode_by_node["*"] = "silent"
+        await fleet.settle(5)
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(4)
+        assert leader.candidate.leader is not None
+        assert other.candidate.leader is None
+
+    play(scenario)
+
+
+def test_a_caller_whose_leader_lost_power_is_answered_by_the_next_one():
+    async def scenario(fleet):
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        other = fleet.entries[1 - fleet.entries.index(leader)]
+        leader.kill()
+        fleet.network.dark.add(leader.address)
+        await fleet.settle(0.6)
+        began_s = clock.now_s()
+        reply = await fleet.submit(make_job(1), fleet.entries.index(other))
+        assert reply.result == WorkResult.DONE
+        assert clock.now_s() - began_s < 0.9
+
+    play(scenario)
+
+
+def test_a_leader_that_was_suspended_grants_nothing_until_it_is_confirmed(monkeypatch):
+    async def scenario(fleet):
+        process = next(e for e in fleet.entries if e.candidate.leader)
+        leader = process.candidate.leader
+        fleet.store.mode_by_node[process.address] = "silent"
+        await fleet.settle(0.1)
+        assert leader.may_grant
+        monkeypatch.setattr(clock, "suspended_s", lambda: 12.0)
+        assert not leader.may_grant
+        assert not leader.is_fresh
+
+    play(scenario)
+
+
+def test_a_successor_has_all_that_was_appended_until_its_claim():
+    async def scenario(fleet):
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        journal = fleet.store.journal("successor")
+        read = journal.snapshot
+
+        async def read_slowly(stream):
+            snapshot = await read(stream)
+            await asyncio.sleep(0.5)
+            return snapshot
+
+        journal.snapshot = read_slowly
+        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
+        work = asyncio.ensure_future(take_over(journal, settings))
+        for number in range(30):
+            spec = make_job(number, (make_step(count=2, is_service=True),))
+            await fleet.submit(spec, fleet.entries.index(leader))
+            await asyncio.sleep(0.03)
+        term = await asyncio.wait_for(work, 3)
+        assert term.cell.jobs_by_id.keys() >= fleet.accepted
+
+    play(scenario)
+
+
+def test_a_large_entry_leads_and_a_small_one_does_when_it_is_gone():
+    async def scenario(fleet):
+        small, large, other = fleet.entries
+        assert large.candidate.leader is not None
+        large.kill()
+        await fleet.settle(6)
+        assert small.candidate.leader or other.candidate.leader
+        large.start()
+        await fleet.settle(6)
+        reply = await fleet.submit(make_job(1, TWO_STEPS))
+        assert reply.result == WorkResult.DONE
+        await fleet.expect_completed(6)
+
+    play(scenario, entries=(0.3, 2.0, 0.3))
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -38,19 +38,11 @@
     return by_step
 
 
-async def expect_completed(fleet, job_id, within_s):
-    for _ in range(int(within_s / 0.2)):
-        await fleet.settle(0.2)
-        if (await fleet.state(job_id)).state == "COMPLETED":
-            return
-    raise AssertionError((await fleet.state(job_id)).state)
-
-
 def test_a_step_runs_only_where_the_policy_lets_it():
     async def scenario(fleet):
         job = make_job(1, TWO_STEPS)
         await fleet.submit(job)
-        await expect_completed(fleet, job.job_id, 6)
+        await fleet.expect_completed(6)
         assert workers_by_step(fleet, job.job_id) == {"0": {0, 2}, "1": {1, 3}}
         assert fleet.policy.refused_starts == 0
         # One for each step: those that were let run all its tasks.
@@ -64,7 +56,7 @@
         job = make_job(1, (make_step(count=40),))
         fleet.durations[job.job_id] = 1.0
         await fleet.submit(job)
-        await expect_completed(fleet, job.job_id, 12)
+        await fleet.expect_completed(12)
         assert fleet.policy.refused_starts == 0
         assert 2 <= fleet.policy.questions <= 8
 
@@ -80,7 +72,7 @@
         assert fleet.checker.runs == 0
         assert fleet.policy.questions <= 7
         fleet.policy.is_silent = False
-        await expect_completed(fleet, job.job_id, 6)
+        await fleet.expect_completed(6)
 
     play_with_policy(scenario, agents=4)
 
@@ -95,7 +87,7 @@
         leader.kill()
         await fleet.settle(3)
         leader.start()
-        await expect_completed(fleet, job.job_id, 10)
+        await fleet.expect_completed(10)
         assert fleet.checker.runs == 11
 
     play_with_policy(scenario, agents=4)
@@ -105,8 +97,7 @@
     async def scenario(fleet):
         for number in range(8):
             await fleet.submit(make_job(number, TWO_STEPS))
-        for number in range(8):
-            await expect_completed(fleet, f"{number:016x}", 20)
+        await fleet.expect_completed(20)
         assert fleet.policy.refused_starts == 0
 
     play_with_policy(scenario, agents=6)
