Let the soak's worker refuse orders that are meant for its predecessor

The agent had repeated the order, which names the worker that is meant, and the stand-in ignored the name. The platform's workers answer such an order with 421.

Ruled out: the leader, which rightly gave the run of a lost worker to another one, and the agent, which sends the name with each order.

Change: the stand-in checks the name.

--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -236,6 +236,9 @@
         self.worker = worker
 
     async def handle(self, request):
+        meant = request.headers.get("x-expect-instance", "")
+        if meant not in ("", self.worker.worker_id):
+            return H1Response(421)
         body = json.loads(request.body)
         action = request.path.rpartition("/")[2]
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -129,3 +129,21 @@
         assert "late" in callers.site.checker.broken.pop()
 
     asyncio.run(scenario())
+
+
+def test_a_worker_refuses_an_order_meant_for_its_predecessor(tmp_path):
+    async def scenario():
+        callers, job_id = make_callers(tmp_path, FakeEntry(200))
+        worker = callers.site.workers[0]
+        body = {"FencingToken": 1, "LastSeen": 0, "WaitMs": 0}
+        statuses = []
+        for meant in ("i-0", "i-9"):
+            request = SimpleNamespace(
+                headers={"x-expect-instance": meant},
+                path="/api/hold",
+                body=json.dumps(body).encode(),
+            )
+            statuses.append((await worker.handle(request)).status)
+        assert statuses == [200, 421]
+
+    asyncio.run(scenario())
