--- a/bench/placing.py
+++ b/bench/placing.py
@@ -8,14 +8,18 @@
 
 from dotterelspread.jobs.cell import Cell, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.queues import FleetConfiguration, Queue
 from dotterelspread.jobs.spec import JobSpec, StepSpec
+from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.worker import Worker
 from dotterelspread.resources import Resources
 
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 3, 2.0, 500)
 CAPACITY = Resources(32_000, 128_000, 0)
 TASKS_PER_JOB = 10
+#: Jobs that wait while all workers are full.
+BACKLOG = 100
 
 
 def make_cell(count):
@@ -44,12 +48,13 @@
         number += 1
         starts += len(reduce(Submitted(0.0, make_job(number, is_filler), 0), cell))
     start_s = (time.perf_counter() - began_s) / starts
-    for extra in range(20):
-        reduce(Submitted(0.0, make_job(10**6 + extra, is_filler), 0), cell)
     for _ in range(20 * count):
         number += 1
         if not reduce(Submitted(0.0, make_job(number, is_filler), 0), cell):
             break
+    for extra in range(BACKLOG):
+        job = Job.from_spec(make_job(10**6 + extra, is_filler), 0.0)
+        add_job(cell, job, 0)
     began_s = time.perf_counter()
     reduce(CellTick(0.1, 0), cell)
     return start_s, time.perf_counter() - began_s, len(cell.ready_by_job)
