Keep the relay and the soak apart from their programs' flags

Cause: the whole suite failed to collect: tests/test_soak.py imported standins.relay, whose flags clash with those of standins.backend. Only single files had been run.

Change: standins/relaycore.py and soak/run.py have the code, the programs their flags.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,9 +8,7 @@
 
 from absl import app, flags
 
-from .callers import Callers
-from .faults import play_faults
-from .site import SoakSite
+from .run import soak
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "First seed.", lower_bound=0)
@@ -21,40 +19,6 @@
 flags.DEFINE_integer("agents", 4, "Agents and workers of each soak.", lower_bound=1)
 flags.DEFINE_string("keep", "", "Folder for the logs of soaks that broke a promise.")
 
-#: Seconds for the processes to start before the first job.
-START_S = 3.0
-
-
-async def soak(folder, seed, seconds, entries, agents):
-    """Run one soak and return what was broken.
-
-    Parameters
-    ----------
-    folder : Path
-        Where settings and logs are written.
-    seed : int
-    seconds : float
-        How long faults begin.
-    entries, agents : int
-
-    Returns
-    -------
-    broken : list of str
-    summary : str
-    """
-    site = SoakSite(folder, seed, entries, agents)
-    async with site.open():
-        await asyncio.sleep(START_S)
-        callers = Callers(site)
-        await asyncio.gather(callers.run(seconds), play_faults(site, seconds))
-        await callers.check()
-    for process in site.processes:
-        for code in process.own_ends:
-            site.checker.broken.append(f"{process.name} ended by itself with {code}")
-    accepted = sum(asked.is_accepted for asked in callers.asked_by_id.values())
-    summary = f"{accepted} of {len(callers.asked_by_id)} jobs accepted"
-    return site.checker.broken, f"{summary}, {site.checker.runs} runs"
-
 
 async def _soak_seeds(limit, seeds):
     failed = []
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,7 +12,7 @@
 from dotterelspread.h1server import listen_h1
 from dotterelspread.platform.settings import SETTINGS_VARIABLE
 from dotterelspread.processsettings import FleetBounds
-from standins.relay import Relay
+from standins.relaycore import Relay
 from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE, with_query
 from tests.fleetchecker import Checker
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,8 +9,8 @@
 
 from dotterelspread.h1client import H1Reply
 from dotterelspread.jobs.worker import RunEnd
-from soak.__main__ import soak
 from soak.callers import Callers
+from soak.run import soak
 from soak.site import SoakSite
 
 #: Seeds of soaks that broke a promise once, each with a line on the cause.
