Move fillers that crawl for long to workers on which they run at full speed

Ruled out: ends that were lost on the way (the numbers of the ends that its worker listed have no gap), room, and a leader that was busy (it placed others meanwhile).

Shown red: the new test of a filler that crawls fails on the parent.

--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -25,6 +25,10 @@
 LEAST_LEFT = 3.0
 #: Seconds that a run must still last to be worth moving.
 LEAST_LEFT_S = 1.5
+#: Seconds that a filler must have run, and would still last, to count as starved: a few
+#: times what a task of the users' jobs takes at full speed.
+LEAST_FILLER_AGE_S = 8.0
+LEAST_FILLER_LEFT_S = 10.0
 #: Runs that are moved at one tick, at most.
 MAX_MOVES = 4
 #: Starts of a task after which it is not moved any more.
@@ -81,8 +85,23 @@
     allowed_s = FILLER_STANDSTILL_S if run.is_filler else STANDSTILL_S
     if now_s - run.progressed_s > allowed_s:
         return StopReason.STANDSTILL
-    is_crawling = not run.is_filler and _is_crawling(job, run, now_s)
-    return StopReason.CRAWLING if is_crawling else ""
+    if run.is_filler:
+        is_slow = _is_starved(run, now_s)
+    else:
+        is_slow = _is_crawling(job, run, now_s)
+    return StopReason.CRAWLING if is_slow else ""
+
+
+def _is_starved(run, now_s):
+    """Tell whether a filler gets so little that it would last for long where it is.
+
+    It may have to let others go first again and again without ever standing still.
+    """
+    age_s = now_s - run.began_s
+    if age_s < LEAST_FILLER_AGE_S:
+        return False
+    left_s = age_s * (DONE_PERCENT - run.percent) / max(1, run.percent)
+    return left_s > LEAST_FILLER_LEFT_S
 
 
 def _is_crawling(job, run, now_s):
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -292,6 +292,38 @@
     assert stop.run is run
 
 
+def test_a_filler_that_crawls_for_long_goes_where_it_runs_at_full_speed():
+    cell = make_cell(make_worker(0))
+    step = make_step(is_filler=True, image="f", demand=Resources(2000, 100))
+    (start,) = submit(cell, step)
+    run = start.run
+    run.is_ordering = False
+    run.is_confirmed = run.is_listed = True
+    cell.workers_by_id["i-1"] = make_worker(1)
+    for late_s in range(1, 20):
+        # It gets a little now and then, so it never stands still.
+        run.percent += 1
+        run.progressed_s = float(late_s)
+        effects = move_stragglers(cell, float(late_s))
+        if effects:
+            break
+    assert effects[0].run is run
+    assert run.stop_reason == StopReason.CRAWLING
+    assert 8 <= late_s <= 9
+
+
+def test_a_filler_that_is_slow_but_soon_done_stays():
+    cell = make_cell(make_worker(0), make_worker(1))
+    step = make_step(is_filler=True, image="f", demand=Resources(2000, 100))
+    (start,) = submit(cell, step)
+    run = start.run
+    run.is_ordering = False
+    run.is_confirmed = run.is_listed = True
+    run.percent = 60
+    run.progressed_s = 9.0
+    assert move_stragglers(cell, 9.0) == []
+
+
 def test_a_stop_says_why():
     cell = make_cell(make_worker(0))
     spec = make_job(1, (make_step(),))
