Let fillers that have run for long go before younger ones

Change: after 16 looks (8 s) a filler goes first, the oldest of them before the others; it still gets only what the serving tasks can bear, and nothing while a tail stays above its target.

--- a/dotterelspread/jobs/pacing.py
+++ b/dotterelspread/jobs/pacing.py
@@ -3,9 +3,9 @@
 Answers a load of fillers of which a few disturb the serving tasks of one image or
 another much and most hardly do, while the serving tasks' own load changes within
 seconds. Each filler gets the share that all serving images can bear, the harmless
-fillers first, and all together get the processors that the others leave; shares fall
-at once and rise step by step. A tail that stays above its target stops all fillers,
-whatever was learned.
+fillers first unless others have run for long, and all together get the processors that
+the others leave; shares fall at once and rise step by step. A tail that stays above its
+target stops all fillers, whatever was learned.
 """
 
 from dataclasses import dataclass, field
@@ -30,6 +30,8 @@
 HARMLESS_RISE = 0.02
 #: Most percent by which a filler's share rises at one look.
 RISE_STEP = 25
+#: Looks after which a filler goes before younger ones, so that none starves: 8 s.
+OLD_LOOKS = 16
 FULL_PERCENT = 100
 #: Percent below which a filler stands still.
 LEAST_PERCENT = 4
@@ -73,6 +75,8 @@
 
     #: What each filler was last told, by task id and run.
     told_by_run: dict[tuple[str, int], int] = field(default_factory=dict)
+    #: Looks at which each filler ran, by task id and run.
+    looks_by_run: dict[tuple[str, int], int] = field(default_factory=dict)
     #: Looks in a row with a tail above its target.
     looks_above: int = 0
 
@@ -111,6 +115,10 @@
             for row, traits in rows
             if traits.filler
         ]
+        self.looks_by_run = {
+            (filler.task_id, filler.run): 1 + self._looks_at(filler)
+            for filler in fillers
+        }
         cores_by_image = _filler_cores(rows)
         budgets = {
             image: rise_budget(tail / disturbance(cost, image, cores_by_image))
@@ -130,7 +138,7 @@
         if self.looks_above >= STOP_AFTER_LOOKS:
             return {(filler.task_id, filler.run): 0 for filler in fillers}
         wanted = {}
-        for filler in sorted(fillers, key=_largest_rise):
+        for filler in sorted(fillers, key=self._precedence):
             share = _affordable_share(filler.rise_by_image, budgets)
             if filler.millicores:
                 share = min(share, max(0.0, idle / filler.millicores))
@@ -141,6 +149,15 @@
             wanted[run] = self._step(run, share)
         return wanted
 
+    def _looks_at(self, filler):
+        return self.looks_by_run.get((filler.task_id, filler.run), 0)
+
+    def _precedence(self, filler):
+        """Sort fillers that have run for long first, then the harmless ones."""
+        looks = self._looks_at(filler)
+        old_looks = looks if looks >= OLD_LOOKS else 0
+        return -old_looks, *_largest_rise(filler)
+
     def _step(self, run, share):
         told = self.told_by_run.get(run, FULL_PERCENT)
         percent = min(round(FULL_PERCENT * share), told + RISE_STEP)
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -146,3 +146,28 @@
     costs.learn("w", 1, 500, {"a": {"a1": 10}}, {"f": 0.0})
     costs.learn("w", 2, 1000, {"a": {"a1": 100}}, {"f": 3.5})
     assert ("a", "f") not in costs.by_pair
+
+
+def test_a_filler_that_ran_for_long_goes_before_younger_ones():
+    """Young fillers keep coming; the old one would get nothing beside them."""
+    pacer = FillerPacer()
+    costs = {
+        ("serving", "old"): CostEstimate(0.1, 0.001),
+        ("serving", "young"): CostEstimate(0.05, 0.001),
+    }
+    traits = {"s": TaskTraits("s", TARGET_MS, False, "serving", 6400)}
+    traits["old"] = TaskTraits("old", 0, True, "old", 3500)
+    percents = []
+    for look in range(30):
+        young = [f"young{look // 4}-{number}" for number in range(4)]
+        rows = [
+            RunningTask("s", 1, "", 100, 13),
+            RunningTask("old", 1, "", 5, 0),
+            *(RunningTask(name, 1, "", 50, 0) for name in young),
+        ]
+        for name in young:
+            traits[name] = TaskTraits(name, 0, True, "young", 3500)
+        pacer.look(CAPACITY, rows, traits, costs)
+        percents.append(pacer.told_by_run["old", 1])
+    assert max(percents[4:14]) == 0
+    assert min(percents[20:]) > 0
