--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,8 @@
 """The platform's forms are read into the project's types, and refused by field."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 
@@ -358,3 +360,17 @@
             assert b"done" in await reader.read()
 
     run_on_loopback(WorkerStandIn(), scenario)
+
+
+def test_a_signal_to_read_the_settings_again_does_not_end_a_process_that_starts():
+    program = (
+        "import runpy, signal, sys\n"
+        "try:\n"
+        "    runpy.run_module('dotterelspread.platform', run_name='__main__')\n"
+        "except SystemExit:\n"
+        "    print(signal.getsignal(signal.SIGHUP).name)\n"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "SIG_IGN"
