After a lost call, use no connection that was idle when it began

Cause: the HTTP client keeps several connections to an address. When all of them go silent at one moment, a call loses its whole time on the first; the next call took the second and lost its time again. A version published meanwhile could be read after 3.5 s for each connection instead of once, above the 4 s in which it must be in force.

Change: a call that times out ends the connections that have not answered since it began. One that has answered meanwhile is kept.

Before and after: test_after_a_lost_call_no_earlier_connection_is_used failed before (second call lost after its whole timeout), passes now.

Conclusion: a silence costs one timeout an address.

--- a/dotterelspread/h1client.py
+++ b/dotterelspread/h1client.py
@@ -137,7 +137,8 @@
         H1LostError
             The call was sent and may have been carried out.
         """
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        started_s = asyncio.get_running_loop().time()
+        deadline_s = started_s + timeout_s
         connection = await self._connection(timeout_s)
         data = self._encode(method, target, body, headers)
         waiting = connection.start(data)
@@ -146,6 +147,7 @@
                 reply = await waiting
         except TimeoutError:
             connection.transport.abort()
+            self._drop_idle(started_s)
             raise H1LostError(f"{target}: no reply in {timeout_s:.2f} s") from None
         except BaseException:
             connection.transport.abort()
@@ -162,9 +164,20 @@
 
     def close(self):
         """End all idle connections."""
+        self._drop_idle(float("inf"))
+
+    def _drop_idle(self, until_s):
+        """End the idle connections that have not answered since ``until_s``.
+
+        What silenced one connection has often silenced all that were open then.
+        """
+        kept = []
         for connection in self._idle:
-            connection.transport.abort()
-        self._idle.clear()
+            if connection.idle_since_s < until_s:
+                connection.transport.abort()
+            else:
+                kept.append(connection)
+        self._idle = kept
 
     async def _connection(self, timeout_s):
         now_s = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_h1client.py
@@ -0,0 +1,75 @@
+"""The HTTP client on connections that fail."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from dotterelspread.h1client import H1Client, H1LostError
+from dotterelspread.h1server import H1Response, listen_h1
+from standins.relaycore import Relay
+from standins.site import free_port
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 0.2
+
+
+async def answer(request):
+    """Answer after a moment, so that calls of the same time need two connections."""
+    await asyncio.sleep(0.02)
+    return H1Response(200, b"{}")
+
+
+@asynccontextmanager
+async def open_relayed_client():
+    """Yield a client and the relay between it and its server."""
+    inner, port = f"{HOST}:{free_port()}", free_port()
+    relay = Relay(inner)
+    client = H1Client(f"{HOST}:{port}")
+    async with (
+        listen_h1(inner, answer),
+        await asyncio.start_server(relay.accept, HOST, port),
+    ):
+        try:
+            yield client, relay
+        finally:
+            client.close()
+            relay.apply("cut")
+            # Let the relay see that its connections are gone.
+            await asyncio.sleep(0.02)
+
+
+async def call(client):
+    return (await client.call("GET", "/", TIMEOUT_S)).status
+
+
+def test_after_a_lost_call_no_earlier_connection_is_used():
+    async def scenario():
+        async with open_relayed_client() as (client, relay):
+            assert await asyncio.gather(*(call(client) for _ in range(3))) == [200] * 3
+            # All open connections go silent for good; new ones work.
+            relay.apply("silence")
+            relay.apply("pass")
+            with pytest.raises(H1LostError):
+                await call(client)
+            assert await call(client) == 200
+
+    asyncio.run(scenario())
+
+
+def test_after_a_lost_call_a_connection_that_answered_since_is_kept():
+    async def scenario():
+        async with open_relayed_client() as (client, relay):
+            assert await call(client) == 200
+            relay.apply("silence")
+            relay.apply("pass")
+            lost = asyncio.ensure_future(call(client))
+            await asyncio.sleep(0.05)
+            assert await call(client) == 200
+            with pytest.raises(H1LostError):
+                await lost
+            opened = client.opened
+            assert await call(client) == 200
+            assert client.opened == opened
+
+    asyncio.run(scenario())
