Count an idle connection only while the next call would use it

Cause: whether the connection to a worker may reach another incarnation was told by any open idle connection, also by one that is too old (10 s) to be used again. The next hold then opened a new connection with the number of ends seen on the old one. A worker reborn under its id would forget ends that nobody has noted. It takes an agent that stands still for over 10 s while its worker is reborn and ends runs. Found by reading.

Change: one condition for both, _Connection.is_usable.

Before and after: test_an_idle_connection_that_is_too_old_does_not_count failed (is_connected was true and the call opened a connection), passes now.

Conclusion: the acknowledged number is sent only on the connection it belongs to.

--- a/dotterelspread/h1client.py
+++ b/dotterelspread/h1client.py
@@ -96,6 +96,11 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(self.reply)
 
+    def is_usable(self, now_s):
+        """Tell whether another call may be made on the idle connection."""
+        is_fresh = now_s - self.idle_since_s < MAX_IDLE_S
+        return is_fresh and not self.transport.is_closing()
+
     def _fail(self, detail):
         waiting, self.waiting = self.waiting, None
         if waiting is not None and not waiting.done():
@@ -160,7 +165,8 @@
     @property
     def is_connected(self):
         """Whether the next call goes over a connection that was used before."""
-        return any(not c.transport.is_closing() for c in self._idle)
+        now_s = asyncio.get_running_loop().time()
+        return any(connection.is_usable(now_s) for connection in self._idle)
 
     def close(self):
         """End all idle connections."""
@@ -183,8 +189,7 @@
         now_s = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
-            is_fresh = now_s - connection.idle_since_s < MAX_IDLE_S
-            if is_fresh and not connection.transport.is_closing():
+            if connection.is_usable(now_s):
                 return connection
             connection.transport.abort()
         host, _, port = self.address.rpartition(":")
--- a/tests/test_h1client.py
+++ b/tests/test_h1client.py
@@ -73,3 +73,18 @@
             assert client.opened == opened
 
     asyncio.run(scenario())
+
+
+def test_an_idle_connection_that_is_too_old_does_not_count(monkeypatch):
+    async def scenario():
+        async with open_relayed_client() as (client, _):
+            await call(client)
+            assert client.is_connected
+            monkeypatch.setattr("dotterelspread.h1client.MAX_IDLE_S", 0.0)
+            # The next call would open a connection.
+            assert not client.is_connected
+            opened = client.opened
+            await call(client)
+            assert client.opened == opened + 1
+
+    asyncio.run(scenario())
