Keep the wire fields of job documents with the stand-ins

Cause: soak/callers.py named fields of the users' job documents and of their answers; the names belong to the platform's edge and its stand-ins.

Change: builders_platform.job_document and job_state; the soak calls them.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 
 from dotterelspread.h1client import H1Client, H1Error
 from tests.builders_fleet import make_job, make_step
+from tests.builders_platform import job_document, job_state
 
 from .site import FRONT_PORT
 
@@ -62,7 +63,7 @@
         spec = self._make_spec(number)
         self.site.specs[spec.job_id] = spec
         asked = self.asked_by_id[spec.job_id] = _Asked()
-        body = json.dumps(_document(spec)).encode()
+        body = json.dumps(job_document(spec)).encode()
         for _ in range(ATTEMPTS):
             status = await self._call("POST", spec.job_id, body)
             asked.statuses.append(status)
@@ -94,7 +95,7 @@
         except H1Error:
             return 0
         if method == "GET" and reply.status == 200:
-            self.asked_by_id[job_id].state = json.loads(reply.body)["State"]
+            self.asked_by_id[job_id].state = job_state(reply.body)
         return reply.status
 
     async def check(self):
@@ -151,18 +152,3 @@
 
     def _break(self, text):
         self.site.checker.broken.append(text)
-
-
-def _document(spec):
-    steps = [
-        {
-            "Count": step.count,
-            "Cpu": step.demand.millicores,
-            "MemMb": step.demand.memory_mb,
-            "EstimateMs": step.estimate_ms,
-            "DependsOn": step.depends_on,
-            "Gang": step.is_gang,
-        }
-        for step in spec.steps
-    ]
-    return {"Spec": spec.program, "Steps": steps}
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -20,6 +20,8 @@
     "SETTINGS",
     "StoreStandIn",
     "WorkerStandIn",
+    "job_document",
+    "job_state",
     "order",
     "run_on_loopback",
     "with_query",
@@ -126,6 +128,27 @@
 """
 
 
+def job_document(spec):
+    """Return the document that a caller submits for a job."""
+    steps = [
+        {
+            "Count": step.count,
+            "Cpu": step.demand.millicores,
+            "MemMb": step.demand.memory_mb,
+            "EstimateMs": step.estimate_ms,
+            "DependsOn": step.depends_on,
+            "Gang": step.is_gang,
+        }
+        for step in spec.steps
+    ]
+    return {"Spec": spec.program, "Steps": steps}
+
+
+def job_state(body):
+    """Return the state that the answer to a caller gives."""
+    return json.loads(body)["State"]
+
+
 def order():
     return SimpleNamespace(
         task_id="5c0e7a21d94b36f8.0.0.1",
