--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,6 +1,7 @@
 """A fleet on virtual time: the real entries and agents on a faulty network."""
 
 import asyncio
+import enum
 import random
 
 from dotterelspread.jobs import clock
@@ -32,6 +33,8 @@
 
 __all__ = [
     "QUEUE",
+    "Fate",
+    "Network",
     "VirtualFleet",
     "make_job",
     "make_settings",
@@ -39,6 +42,8 @@
     "play",
 ]
 
+#: Seconds by which a late call is late: longer than a lease.
+LATE_S = 5.0
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 3, 2.0, 500)
 CONFIGURATION = FleetConfiguration(1, {"q": QUEUE})
 
@@ -72,7 +77,17 @@
     )
 
 
-class _Network:
+class Fate(enum.Enum):
+    """What becomes of a call."""
+
+    ANSWERED = enum.auto()
+    NOT_DELIVERED = enum.auto()
+    REPLY_LOST = enum.auto()
+    #: Carried out seconds later, without an answer.
+    LATE = enum.auto()
+
+
+class Network:
     """Calls between processes, with delays, cuts and losses."""
 
     def __init__(self, fleet):
@@ -83,6 +98,16 @@
         self.dark = set()
         self.loss = 0.0
 
+    def fate_of(self, method):
+        """Return what becomes of a call."""
+        is_lost = self.fleet.rng.random() < self.loss
+        return Fate.REPLY_LOST if is_lost else Fate.ANSWERED
+
+    def deliver_late(self, handler, argument):
+        """Deliver a call seconds later; nobody gets the reply."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(LATE_S, lambda: loop.create_task(handler(argument)))
+
     def is_cut(self, left, right):
         return left in self.cut or right in self.cut
 
@@ -106,6 +131,7 @@
         network = self.network
         rng = network.fleet.rng
         await asyncio.sleep(0.001 * (0.5 + rng.random()))
+        fate = network.fate_of(method)
         if address in network.dark:
             await asyncio.sleep(timeout_s)
             raise PeerUnsentError("dark")
@@ -115,8 +141,13 @@
         handlers = network.handlers_by_address.get(address)
         if handlers is None:
             raise PeerUnsentError("nobody listens")
+        if fate is Fate.LATE:
+            network.deliver_late(handlers[method], argument)
+        if fate in (Fate.NOT_DELIVERED, Fate.LATE):
+            await asyncio.sleep(timeout_s)
+            raise PeerTimeoutError("call lost")
         work = asyncio.ensure_future(handlers[method](argument))
-        if rng.random() < network.loss:
+        if fate is Fate.REPLY_LOST:
             await asyncio.sleep(timeout_s)
             raise PeerLostError("answer lost")
         try:
@@ -265,20 +296,23 @@
 class VirtualFleet:
     """Entries, agents, workers and a store on the running (virtual) loop."""
 
+    make_network = Network
+    make_worker = VirtualWorker
+
     def __init__(self, seed, entries=(1.0, 1.0), agents=3):
         self.rng = random.Random(seed)
         self.bounds = FleetBounds(max_lease_ms=4000, stop_timeout_ms=200)
         self.configuration = CONFIGURATION
         self.store = VirtualStore(self.rng)
         self.policy = VirtualPolicy(self)
-        self.network = _Network(self)
+        self.network = self.make_network(self)
         self.checker = Checker(self)
         self.specs = {}
         self.accepted = set()
         self.cancelled = set()
         self.poison = set()
         self.durations = {}
-        self.workers = [VirtualWorker(self, number) for number in range(agents)]
+        self.workers = [self.make_worker(self, number) for number in range(agents)]
         self.entries = [
             _EntryProcess(self, number, cores) for number, cores in enumerate(entries)
         ]
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
@@ -14,9 +15,11 @@
 )
 from dotterelspread.resources import Resources
 
-__all__ = ["CAPACITY", "VirtualWorker"]
+__all__ = ["CAPACITY", "SILENCE_S", "VirtualWorker"]
 
 CAPACITY = Resources(8000, 16_000, 0)
+#: Seconds after which an order without an answer is given up.
+SILENCE_S = 0.7
 
 
 @dataclass
@@ -37,6 +40,9 @@
 class VirtualWorker(WorkerEdge):
     """A worker that can crash and return; it tells the checker what it does."""
 
+    #: Seconds between looks for ends while a call to hold waits.
+    poll_s = 0.02
+
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.rng = fleet.rng
@@ -106,14 +112,17 @@
         return True
 
     async def start(self, worker_id, order, until_ms):
-        incarnation = self.incarnation
+        carry_out = partial(self._start, self.incarnation, order, until_ms)
+        return await self._carry_out(worker_id, carry_out)
+
+    async def _carry_out(self, worker_id, carry_out):
+        """Carry an order out at once, or later and without an answer."""
         if await self._arrive(worker_id, late=True):
             delay_s = self.rng.uniform(2, 6)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._start, incarnation, order, until_ms)
-            await asyncio.sleep(0.7)
+            asyncio.get_running_loop().call_later(delay_s, carry_out)
+            await asyncio.sleep(SILENCE_S)
             raise WorkerSilentError("no answer")
-        return self._start(incarnation, order, until_ms), self.clock_ms()
+        return carry_out(), self.clock_ms()
 
     def _start(self, incarnation, order, until_ms):
         if not self.is_up or incarnation != self.incarnation:
@@ -149,14 +158,8 @@
         self.until_s = max(self.until_s, min(until_s, longest_s))
 
     async def stop(self, worker_id, order):
-        incarnation = self.incarnation
-        if await self._arrive(worker_id, late=True):
-            delay_s = self.rng.uniform(2, 6)
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_s, self._stop, incarnation, order)
-            await asyncio.sleep(0.7)
-            raise WorkerSilentError("no answer")
-        return self._stop(incarnation, order), self.clock_ms()
+        carry_out = partial(self._stop, self.incarnation, order)
+        return await self._carry_out(worker_id, carry_out)
 
     def _stop(self, incarnation, order):
         if not self.is_up or incarnation != self.incarnation:
@@ -191,7 +194,7 @@
         incarnation = self.incarnation
         deadline_s = clock.now_s() + wait_ms / 1000
         while not self.ended and clock.now_s() < deadline_s:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(self.poll_s)
             self.settle()
         if not self.is_up or incarnation != self.incarnation:
             raise WorkerSilentError("gone meanwhile")
