Move a filler only if it would end sooner elsewhere

Ruled out: that no worker had room (most of it was free) and a lost assignment (each stop was followed by a start within 1.3 s).

Change: an agent reports the pace that it told each run. The leader counts the work done and the recent pace, so it knows what the whole takes at full speed. A run is moved if what is left, at its recent pace, lasts 1.5 times longer than the whole elsewhere, and over 10 s.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -1981,6 +1981,7 @@
      - checkpoint
      - percent
      - figure
+     - pace
 
     """
 
@@ -1990,15 +1991,17 @@
         'checkpoint',
         'percent',
         'figure',
+        'pace',
     )
 
 
-    def __init__(self, task_id=None, run=None, checkpoint=None, percent=None, figure=None,):
+    def __init__(self, task_id=None, run=None, checkpoint=None, percent=None, figure=None, pace=100,):
         self.task_id = task_id
         self.run = run
         self.checkpoint = checkpoint
         self.percent = percent
         self.figure = figure
+        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2034,6 +2037,11 @@
                     self.figure = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.pace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2064,6 +2072,10 @@
             oprot.writeFieldBegin('figure', TType.I32, 5)
             oprot.writeI32(self.figure)
             oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.I32, 6)
+            oprot.writeI32(self.pace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3887,6 +3899,7 @@
     (3, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 3
     (4, TType.I32, 'percent', None, None, ),  # 4
     (5, TType.I32, 'figure', None, None, ),  # 5
+    (6, TType.I32, 'pace', None, 100, ),  # 6
 )
 all_structs.append(EndedRow)
 EndedRow.thrift_spec = (
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -223,7 +223,14 @@
         has_left=bool(reply.left),
         listed_ms=reply.listed_ms,
         running=tuple(
-            RunningTask(row.task_id, row.run, row.checkpoint, row.percent, row.figure)
+            RunningTask(
+                row.task_id,
+                row.run,
+                row.checkpoint,
+                row.percent,
+                row.figure,
+                row.pace,
+            )
             for row in reply.running
         ),
         ended=tuple(
--- a/dotterelspread/jobs/describing.py
+++ b/dotterelspread/jobs/describing.py
@@ -40,7 +40,14 @@
     running = agent.listing.running
     reply.listed_ms = agent.listed_ms
     reply.running = [
-        RunningRow(row.task_id, row.run, row.checkpoint, row.percent, row.figure)
+        RunningRow(
+            row.task_id,
+            row.run,
+            row.checkpoint,
+            row.percent,
+            row.figure,
+            agent.pacer.pace_of(row.task_id, row.run),
+        )
         for row in running
     ]
     reply.ended = [
--- a/dotterelspread/jobs/pacing.py
+++ b/dotterelspread/jobs/pacing.py
@@ -80,6 +80,10 @@
     #: Looks in a row with a tail above its target.
     looks_above: int = 0
 
+    def pace_of(self, task_id, run):
+        """Return the share in percent that a run was told to work at."""
+        return self.told_by_run.get((task_id, run), FULL_PERCENT)
+
     def look(self, capacity_millicores, running, traits_by_task, costs_by_pair):
         """Return the `PaceChange`s that a listing asks for.
 
@@ -159,7 +163,7 @@
         return -old_looks, *_largest_rise(filler)
 
     def _step(self, run, share):
-        told = self.told_by_run.get(run, FULL_PERCENT)
+        told = self.pace_of(*run)
         percent = min(round(FULL_PERCENT * share), told + RISE_STEP)
         return 0 if percent < LEAST_PERCENT else percent
 
@@ -168,7 +172,7 @@
         told_by_run = {}
         for filler in fillers:
             run = (filler.task_id, filler.run)
-            told = self.told_by_run.get(run, FULL_PERCENT)
+            told = self.pace_of(*run)
             percent = wanted.get(run, FULL_PERCENT)
             is_end = percent in (0, FULL_PERCENT) and told != percent
             if is_end or abs(told - percent) >= LEAST_CHANGE:
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -29,6 +29,11 @@
 #: times what a task of the users' jobs takes at full speed.
 LEAST_FILLER_AGE_S = 8.0
 LEAST_FILLER_LEFT_S = 10.0
+#: How many times longer it must last where it is than anew elsewhere: what is known of
+#: either is rough, and the work done so far is lost.
+FILLER_GAIN = 1.5
+#: Pace that is assumed of a run that has stood still lately.
+LEAST_PACE = 0.01
 #: Runs that are moved at one tick, at most.
 MAX_MOVES = 4
 #: Starts of a task after which it is not moved any more.
@@ -93,15 +98,17 @@
 
 
 def _is_starved(run, now_s):
-    """Tell whether a filler gets so little that it would last for long where it is.
+    """Tell whether a filler would last for far longer where it is than elsewhere.
 
-    It may have to let others go first again and again without ever standing still.
+    It may have to let others go first again and again without ever standing still. One
+    that has much to do, and is let do it, is not starved.
     """
-    age_s = now_s - run.began_s
-    if age_s < LEAST_FILLER_AGE_S:
+    if now_s - run.began_s < LEAST_FILLER_AGE_S or not run.percent:
         return False
-    left_s = age_s * (DONE_PERCENT - run.percent) / max(1, run.percent)
-    return left_s > LEAST_FILLER_LEFT_S
+    whole_s = run.worked_s * DONE_PERCENT / run.percent
+    undone = (DONE_PERCENT - run.percent) / DONE_PERCENT
+    left_s = whole_s * undone / max(run.recent_pace, LEAST_PACE)
+    return left_s > max(LEAST_FILLER_LEFT_S, FILLER_GAIN * whole_s / MIN_SPEED)
 
 
 def _is_crawling(job, run, now_s):
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -1,6 +1,7 @@
 """A worker as the leader of its cell knows it."""
 
 from dataclasses import dataclass, field
+from math import exp
 
 from ..resources import Resources
 from .spec import TaskKey
@@ -18,6 +19,9 @@
 
 #: Part of its processors that a serving task uses at its busiest.
 SERVING_LOAD = 0.75
+#: Seconds over which the recent pace of a run is averaged: longer than a serving task's
+#: load stays high, shorter than most fillers run.
+RECENT_S = 4.0
 
 
 class RunEnd:
@@ -58,6 +62,8 @@
     percent: int
     #: Tail latency of a serving task in milliseconds, else millicores in use.
     figure: int
+    #: Part of its speed that the run was told to work at, in percent.
+    pace: int = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -132,6 +138,20 @@
     percent: int = 0
     #: Leader's clock when the percentage last changed.
     progressed_s: float = 0.0
+    #: Part of its speed at which it worked lately, from 0 to 1.
+    recent_pace: float = 1.0
+    #: Seconds at full speed that would have done as much as it has worked.
+    worked_s: float = 0.0
+    #: Leader's clock up to which its work is counted.
+    worked_until_s: float = 0.0
+
+    def work(self, pace, now_s):
+        """Count the work since the last report, at a part of its full speed."""
+        elapsed_s = now_s - self.worked_until_s
+        self.worked_until_s = now_s
+        self.worked_s += pace * elapsed_s
+        fading = exp(-elapsed_s / RECENT_S)
+        self.recent_pace = pace + (self.recent_pace - pace) * fading
 
     @property
     def is_unwanted(self):
