Say of a forwarded call that it was not sent only if it was not

Cause: when another leader became known while an entry waited for the old one, the entry looked at whether a connection to the old one was open to tell if its call had been sent. An earlier unanswered call to the same leader makes later ones take a new connection, while those that wait keep the old one: then none was open, and a call that the leader may have carried out counted as not sent. If the next leader refused, the caller was told that its job had not run.

Change: the pool tells when a call has been sent. The question whether a connection is open is the pool's own now.

Before and after: test_a_call_that_was_sent_is_not_refused_when_the_leader_changes got REFUSED before, UNKNOWN now.

Conclusion: 'not run' is said of calls that never left.

--- a/dotterelspread/jobs/forwarding.py
+++ b/dotterelspread/jobs/forwarding.py
@@ -120,8 +120,9 @@
         Once another leader is known there is no point in waiting for this one, which
         may be gone without a trace.
         """
+        sent = asyncio.Event()
         call = asyncio.ensure_future(
-            self._pool.call(address, "work", request, timeout_s)
+            self._pool.call(address, "work", request, timeout_s, sent.set)
         )
         change = asyncio.ensure_future(self._candidate.view.wait_for_change())
         try:
@@ -131,7 +132,7 @@
         finally:
             change.cancel()
             call.cancel()
-        if self._pool.is_open(address):
+        if sent.is_set():
             raise PeerLostError(f"{address}: another leader is known")
         raise PeerUnsentError(f"{address}: another leader is known")
 
--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -182,7 +182,7 @@
             for address in list(pool._connections_by_address):
                 pool.renew(address, abort=True)
 
-    async def call(self, address, method, argument, timeout_s):
+    async def call(self, address, method, argument, timeout_s, on_sent=None):
         """Call a method of the peer at ``address`` and return its value.
 
         Parameters
@@ -195,6 +195,8 @@
             The method's only argument, a generated Thrift class.
         timeout_s : float
             Seconds to wait for the answer, with the time to open a connection.
+        on_sent : callable, optional
+            Called once the call has been sent: it may be run from then on.
 
         Raises
         ------
@@ -212,6 +214,8 @@
         future = asyncio.get_running_loop().create_future()
         connection.waiting_by_id[call_id] = future
         connection.send(frame)
+        if on_sent is not None:
+            on_sent()
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await future
@@ -232,13 +236,12 @@
         if abort or not connection.waiting_by_id:
             connection.transport.abort()
 
-    def is_open(self, address):
-        """Tell whether calls to ``address`` are sent as soon as they are made."""
+    def _is_open(self, address):
         connection = self._connections_by_address.get(address)
         return connection is not None and connection.is_open
 
     async def _connection(self, address, timeout_s):
-        if self.is_open(address):
+        if self._is_open(address):
             return self._connections_by_address[address]
         opening = self._openings_by_address.get(address)
         if opening is None:
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -123,11 +123,7 @@
     def renew(self, address, abort=False):
         """Nothing is kept open."""
 
-    def is_open(self, address):
-        """Tell whether a call is sent at once: to all that are not dark."""
-        return address not in self.network.dark
-
-    async def call(self, address, method, argument, timeout_s):
+    async def call(self, address, method, argument, timeout_s, on_sent=None):
         network = self.network
         rng = network.fleet.rng
         await asyncio.sleep(0.001 * (0.5 + rng.random()))
@@ -135,6 +131,8 @@
         if address in network.dark:
             await asyncio.sleep(timeout_s)
             raise PeerUnsentError("dark")
+        if on_sent is not None:
+            on_sent()
         if network.is_cut(self.address, address):
             await asyncio.sleep(timeout_s)
             raise PeerTimeoutError("cut")
