--- a/bench/requestsite.py
+++ b/bench/requestsite.py
@@ -3,10 +3,10 @@
 import heapq
 import random
 from dataclasses import dataclass, field, replace
-from functools import singledispatchmethod
 from itertools import count
 
-from bench.history import History, Run, Seen, Sent
+from bench.history import History, Sent
+from bench.requestcarrier import READ_S, STREAMS, RequestCarrier
 from dotterelspread import agentevents as agent_events
 from dotterelspread import entryevents as entry_events
 from dotterelspread.agentcore import AgentState
@@ -18,15 +18,10 @@
 )
 from dotterelspread.entrycore import EntryState
 from dotterelspread.entrystate import Place
-from dotterelspread.outcome import Completed
 from dotterelspread.reducer import reduce
-from dotterelspread.requestclaim import CLAIM_STREAMS
-from dotterelspread.routing import Load
 
 SERVICE = "dispatch"
 TICK_S = 0.1
-READ_S = 0.1
-STREAMS = [f"claims.{number}" for number in range(CLAIM_STREAMS)]
 
 
 def a_service(deadline_s=6.0):
@@ -51,16 +46,7 @@
     offsets: dict = field(default_factory=lambda: dict.fromkeys(STREAMS, 0))
 
 
-@dataclass(slots=True, frozen=True)
-class Waiter:
-    """Whom an agent's answer goes to, and over which connection."""
-
-    entry_id: str
-    connection: int
-    effect: object
-
-
-class Bench:
+class Bench(RequestCarrier):
     """Runs the reducer for each process and carries their effects over.
 
     Parameters
@@ -289,192 +275,3 @@
     def outcome(self, request_id):
         found = [s.outcome for s in self.history.seen if s.request_id == request_id]
         return found[0] if found else None
-
-    # Effects
-
-    @singledispatchmethod
-    def perform(self, effect, process):
-        raise AssertionError(f"no fake performs {effect}")
-
-    @perform.register
-    def _(self, effect: entry_events.Respond, entry):
-        seen = Seen(effect.request_id, self.now_s, effect.outcome)
-        self.history.seen.append(seen)
-
-    @perform.register
-    def _(self, effect: entry_events.OpenNewConnection, entry):
-        pair = (entry.process_id, effect.instance_id)
-        self.connections[pair] = self.connections.get(pair, 0) + 1
-
-    @perform.register
-    def _(self, effect: entry_events.SendRun, entry):
-        self.sends += 1
-        self.carry(entry, effect)
-        if self.rng.random() < self.duplicates:
-            self.carry(entry, effect, extra_s=self.rng.uniform(0, 4))
-
-    @perform.register
-    def _(self, effect: entry_events.AskAnswer, entry):
-        self.carry(entry, effect)
-
-    @perform.register
-    def _(self, effect: entry_events.Append, entry):
-        delay_s = self.rng.uniform(0.5, 2) * self.append_delay_s
-        self.after(delay_s, self.append, entry, effect)
-
-    @perform.register
-    def _(self, effect: agent_events.StartRun, agent):
-        kind, answer = effect.request
-        run = Run(
-            effect.request_id,
-            agent.process_id,
-            agent.state.incarnation,
-            self.now_s,
-        )
-        self.history.runs.append(run)
-        self.after(self.duration_s(agent, kind), self.finish_run, agent, run, answer)
-
-    @perform.register
-    def _(self, effect: agent_events.SendAnswer, agent):
-        for waiter in effect.waiters:
-            self.reply(agent, waiter, effect.outcome)
-
-    @perform.register
-    def _(self, effect: agent_events.SendPending, agent):
-        # The daemon holds the reply back for a while, in case the answer comes.
-        self.after(0.2, self.reply, agent, effect.waiter, None)
-
-    @perform.register
-    def _(self, effect: agent_events.DrainCompleted, agent):
-        assert not agent.state.pending_by_id
-
-    # Network
-
-    def connection(self, entry_id, agent_id):
-        return (entry_id, agent_id, self.connections.get((entry_id, agent_id), 0))
-
-    def is_lost(self, source_id, target_id, connection):
-        return (source_id, target_id) in self.cuts or connection in self.silent
-
-    def carry(self, entry, effect, extra_s=0.0):
-        """Send a message of an entry to an agent."""
-        agent = self.agents[effect.instance_id]
-        connection = self.connection(entry.process_id, agent.process_id)
-        if not agent.is_alive:
-            lost = self.lost(effect, sent=False)
-            self.after(self.delay(), self.deliver, entry, lost)
-        elif not self.is_lost(entry.process_id, agent.process_id, connection):
-            waiter = Waiter(entry.process_id, connection, effect)
-            self.after(self.delay() + extra_s, self.receive, agent, waiter)
-
-    def receive(self, agent, waiter):
-        entry = self.entries.get(waiter.entry_id)
-        if agent.is_alive:
-            self.deliver(agent, self.request_event(waiter))
-        elif entry:
-            self.deliver(entry, self.lost(waiter.effect, sent=True))
-
-    def request_event(self, waiter):
-        effect = waiter.effect
-        if isinstance(effect, entry_events.AskAnswer):
-            return agent_events.AnswerRequested(
-                self.now_s,
-                effect.asked_id,
-                effect.incarnation,
-                effect.fence,
-                waiter,
-            )
-        return agent_events.RunRequested(
-            self.now_s,
-            effect.request_id,
-            effect.incarnation,
-            effect.service_name,
-            effect.kind,
-            effect.urgency,
-            self.now_s + effect.remaining_s,
-            effect.request,
-            effect.idempotent,
-            waiter,
-        )
-
-    def lost(self, effect, sent):
-        names = (effect.request_id, effect.attempt, effect.instance_id)
-        if isinstance(effect, entry_events.SendRun):
-            return entry_events.AttemptLost(self.now_s, *names, sent)
-        return entry_events.AskLost(self.now_s, names[0], effect.asked_id, *names[1:])
-
-    def reply(self, agent, waiter, outcome):
-        entry = self.entries.get(waiter.entry_id)
-        names = (agent.process_id, waiter.entry_id)
-        if entry is None or not agent.is_alive:
-            return
-        if self.is_lost(*names, waiter.connection):
-            return
-        event = self.answer_event(agent, waiter.effect, outcome)
-        self.after(self.delay(), self.deliver, entry, event)
-
-    def answer_event(self, agent, effect, outcome):
-        state = agent.state
-        load = Load(
-            state.running,
-            state.queued,
-            state.slots,
-            state.draining,
-            state.incarnation,
-        )
-        names = (effect.attempt, agent.process_id)
-        if isinstance(effect, entry_events.SendRun):
-            return entry_events.AnswerReceived(
-                self.now_s, effect.request_id, *names, outcome, load
-            )
-        names = (effect.request_id, effect.asked_id, *names)
-        if outcome is None:
-            return entry_events.AskPending(self.now_s, *names, load)
-        return entry_events.AskAnswered(self.now_s, *names, outcome, load)
-
-    def duration_s(self, agent, kind):
-        service_s = self.service_s[kind] * self.slow.get(agent.process_id, 1.0)
-        return service_s * self.rng.uniform(0.8, 1.2)
-
-    def finish_run(self, agent, run, answer):
-        run.end_s = self.now_s
-        event = agent_events.RunFinished(
-            self.now_s, run.request_id, Completed(200, (), answer)
-        )
-        self.deliver(agent, event)
-
-    # Store
-
-    def append(self, entry, effect):
-        if self.store_is_up:
-            self.log[effect.stream].append(effect.record)
-            return
-        self.after(0.5, self.retry_append, entry, effect)
-
-    def retry_append(self, entry, effect):
-        """Report the failed append once the store can be read again."""
-        if not self.store_is_up:
-            self.after(0.5, self.retry_append, entry, effect)
-            return
-        failed = entry_events.AppendFailed(self.now_s, effect.request_id, True)
-        self.deliver(entry, failed)
-
-    def append_late(self, seconds):
-        """Let the appends of the next while take effect long after."""
-        old_s, self.append_delay_s = self.append_delay_s, 4.0
-        self.after(seconds, setattr, self, "append_delay_s", old_s)
-
-    def read_log(self, entry):
-        if not entry.is_alive:
-            return
-        self.after(READ_S, self.read_log, entry)
-        if not self.store_is_up or entry.is_frozen:
-            return
-        for stream in STREAMS:
-            records = self.log[stream]
-            for offset in range(entry.offsets[stream], len(records)):
-                entry.offsets[stream] = offset + 1
-                event = entry_events.ClaimRead(
-                    self.now_s, stream, offset, records[offset]
-                )
-                self.deliver(entry, event)
--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -97,12 +97,15 @@
         return next(busy, self.agents[0])
 
 
+async def _restart(process):
+    process.kill()
+    await asyncio.sleep(SHORT_S)
+    process.start()
+
+
 async def kill_leader(fleet):
     """Kill the entry that leads and start it again."""
-    leader = fleet.leader
-    leader.kill()
-    await asyncio.sleep(SHORT_S)
-    leader.start()
+    await _restart(fleet.leader)
 
 
 async def isolate_leader(fleet):
@@ -117,10 +120,7 @@
 
 async def kill_agent(fleet):
     """Kill the agent of a busy worker and start it again."""
-    agent = fleet.busy_agent
-    agent.kill()
-    await asyncio.sleep(SHORT_S)
-    agent.start()
+    await _restart(fleet.busy_agent)
 
 
 async def cut_agent(fleet):
