--- a/tests/scenarios/test_tasks.py
+++ b/tests/scenarios/test_tasks.py
@@ -1,7 +1,9 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from bench.fleet import FAULTS, Fleet, job, overlaps, overloads, spec
+from bench.fleet import Fleet, job, spec
+from bench.fleetchecks import overlaps, overloads
+from bench.fleetfaults import FAULTS
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.record import JobCancelled
 from dotterelspread.taskevent import DrainRequested
--- a/tests/test_taskcore.py
+++ b/tests/test_taskcore.py
@@ -1,4 +1,5 @@
-from bench.fleet import Fleet, job, overlaps, overloads, spec
+from bench.fleet import Fleet, job, spec
+from bench.fleetchecks import overlaps, overloads
 from dotterelspread.celltask import TaskPhase
 
 
--- a/tests/test_tasks_machine.py
+++ b/tests/test_tasks_machine.py
@@ -4,7 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from bench.fleet import FAULTS, Fleet, job, overlaps, overloads, spec
+from bench.fleet import Fleet, job, spec
+from bench.fleetchecks import overlaps, overloads
+from bench.fleetfaults import FAULTS
 from dotterelspread.cell import CellState
 from dotterelspread.celltask import TaskPhase
 from dotterelspread.record import JobCancelled, TaskClaimed
