Judge a filler that another leader has begun by what it did since

Cause: the time that a filler takes in all was worked out from its percentage and from the work that this leader has counted. After a change of the leader the percentage holds more than that, so the time came out too short and a starved filler with less than 10 s left, by that figure, stayed.

Change: the percentage at which a run was first listed is kept and taken off.

Before and after: test_a_starved_filler_is_moved_also_by_a_leader_that_did_not_see_it_begin failed (moved too late), passes now.

Conclusion: a successor judges as the first leader does.

--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -95,9 +95,7 @@
         if run.run != row.run:
             continue
         if not run.is_listed:
-            run.began_s = event.now_s
-            run.progressed_s = event.now_s
-            run.worked_until_s = event.now_s
+            run.begin(row.percent, event.now_s)
         run.work(row.pace / 100, event.now_s)
         run.is_confirmed = True
         run.is_listed = True
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -103,9 +103,10 @@
     It may have to let others go first again and again without ever standing still. One
     that has much to do, and is let do it, is not starved.
     """
-    if now_s - run.began_s < LEAST_FILLER_AGE_S or not run.percent:
+    worked_percent = run.percent - run.began_percent
+    if now_s - run.began_s < LEAST_FILLER_AGE_S or worked_percent <= 0:
         return False
-    whole_s = run.worked_s * DONE_PERCENT / run.percent
+    whole_s = run.worked_s * DONE_PERCENT / worked_percent
     undone = (DONE_PERCENT - run.percent) / DONE_PERCENT
     left_s = whole_s * undone / max(run.recent_pace, LEAST_PACE)
     return left_s > max(LEAST_FILLER_LEFT_S, FILLER_GAIN * whole_s / MIN_SPEED)
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -136,15 +136,25 @@
     #: Leader's clock when it was first listed as running.
     began_s: float = 0.0
     percent: int = 0
+    #: Percentage at which it was first listed as running.
+    began_percent: int = 0
     #: Leader's clock when the percentage last changed.
     progressed_s: float = 0.0
     #: Part of its speed at which it worked lately, from 0 to 1.
     recent_pace: float = 1.0
-    #: Seconds at full speed that would have done as much as it has worked.
+    #: Seconds at full speed that would have done as much as it has since it was listed.
     worked_s: float = 0.0
     #: Leader's clock up to which its work is counted.
     worked_until_s: float = 0.0
 
+    def begin(self, percent, now_s):
+        """Note that the run is first listed as running."""
+        self.began_s = now_s
+        self.began_percent = percent
+        self.progressed_s = now_s
+        self.worked_s = 0.0
+        self.worked_until_s = now_s
+
     def work(self, pace, now_s):
         """Count the work since the last report, at a part of its full speed."""
         elapsed_s = now_s - self.worked_until_s
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -22,7 +22,7 @@
     assert stop.run is run
 
 
-def play_filler(cell, whole_s, pace_at):
+def play_filler(cell, whole_s, pace_at, worked_s=0.0):
     """Report a filler's progress twice a second until it is moved or done.
 
     Parameters
@@ -33,6 +33,8 @@
         How long the filler takes at full speed.
     pace_at : callable
         Returns the percent of its speed that it works at after so many seconds.
+    worked_s : float
+        What of that it has done when it is first reported.
 
     Returns
     -------
@@ -44,7 +46,7 @@
     run = start.run
     run.is_ordering = False
     cell.workers_by_id["i-1"] = make_worker(1)
-    late_s, worked_s = 0.0, 0.0
+    late_s = 0.0
     while worked_s < whole_s:
         pace = pace_at(late_s)
         percent = int(100 * worked_s / whole_s)
@@ -73,6 +75,13 @@
     assert 8 <= late_s <= 16
 
 
+def test_a_starved_filler_is_moved_also_by_a_leader_that_did_not_see_it_begin():
+    cell = make_cell(make_worker(0))
+    late_s, (stop,) = play_filler(cell, 20.0, lambda late_s: 10, worked_s=10.0)
+    assert stop.run.stop_reason == StopReason.CRAWLING
+    assert 8 <= late_s <= 9
+
+
 def test_a_filler_that_has_much_to_do_and_does_it_stays():
     cell = make_cell(make_worker(0))
     assert play_filler(cell, 30.0, lambda late_s: 100)[1] == []
