Put relays between the leader and agents in the soak

Cause: connections between our own processes did not go through a relay, so no soak cut, delayed, reset or silenced the path on which leases are granted and orders are sent.

Change: the store's stand-in gives out the address of a relay in place of an agent's own, in every record that holds it; the processes know nothing of it. Two new faults cut and delay that path; the ones that reset and silence connections take it too. Calls between entries still go directly: a notice names the leader's own address.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from contextlib import contextmanager
+from operator import attrgetter
 
 from dotterelspread.h1client import H1Client, H1Error
 
@@ -88,43 +89,62 @@
         process.signal(signal.SIGHUP)
 
 
-async def cut_store(site):
-    """Take the store from some processes, in one of several ways."""
+async def _cut(site, processes, relay_of):
+    """Take a path from some processes, in one of several ways."""
     mode = site.rng.choice(("cut", "silence", "forward-only"))
-    chosen = _choose(site, site.processes, 2)
+    chosen = _choose(site, processes, 2)
     with _trouble(chosen):
         for process in chosen:
-            process.relay.apply(mode)
+            relay_of(process).apply(mode)
         await asyncio.sleep(site.rng.uniform(0.5, 5.0))
         for process in chosen:
-            process.relay.apply("pass")
+            relay_of(process).apply("pass")
 
 
-async def delay_store(site):
-    """Let the store be far from some processes."""
-    chosen = _choose(site, site.processes, 3)
+async def _delay(site, processes, relay_of):
+    """Let a path of some processes be long."""
+    chosen = _choose(site, processes, 3)
     for process in chosen:
-        process.relay.delay_s = site.rng.uniform(0.02, 0.3)
+        relay_of(process).delay_s = site.rng.uniform(0.02, 0.3)
     await asyncio.sleep(site.rng.uniform(1.0, 4.0))
     for process in chosen:
-        process.relay.delay_s = 0.0
+        relay_of(process).delay_s = 0.0
+
+
+async def cut_store(site):
+    """Take the store from some processes."""
+    await _cut(site, site.processes, attrgetter("relay"))
+
+
+async def delay_store(site):
+    """Let the store be far from some processes."""
+    await _delay(site, site.processes, attrgetter("relay"))
+
+
+async def cut_agents(site):
+    """Take the leader from some agents."""
+    await _cut(site, site.agents, attrgetter("peer_relay"))
+
+
+async def delay_agents(site):
+    """Let the leader be far from some agents."""
+    await _delay(site, site.agents, attrgetter("peer_relay"))
 
 
 async def reset_connections(site):
-    """Reset all connections to the store and to workers."""
-    for thing in (*site.processes, *site.workers):
-        mode = thing.relay.mode
-        if mode == "pass":
-            thing.relay.apply("cut")
-            thing.relay.apply("pass")
+    """Reset all connections to the store, to agents and to workers."""
+    for relay in site.relays:
+        if relay.mode == "pass":
+            relay.apply("cut")
+            relay.apply("pass")
 
 
 async def silence_connections(site):
     """Let open connections go silent for good; new ones work."""
-    for thing in (*site.processes, *site.workers):
-        if thing.relay.mode == "pass":
-            thing.relay.apply("silence")
-            thing.relay.apply("pass")
+    for relay in site.relays:
+        if relay.mode == "pass":
+            relay.apply("silence")
+            relay.apply("pass")
 
 
 async def fail_store(site):
@@ -194,6 +214,8 @@
     hang_up,
     cut_store,
     delay_store,
+    cut_agents,
+    delay_agents,
     reset_connections,
     silence_connections,
     fail_store,
--- a/soak/site.py
+++ b/soak/site.py
@@ -27,6 +27,8 @@
 RESTART_S = 0.5
 #: Ports on the host of each process or stand-in.
 STORE_PORT, WORKER_PORT, PEER_PORT, FRONT_PORT = 8169, 8165, 7720, 8161
+#: An agent takes the port after the one of its settings, in which an entry listens.
+AGENT_PORT = PEER_PORT + 1
 READY_PORT, CONTROL_PORT, RELAY_PORT = 8167, 8166, 8171
 
 
@@ -47,6 +49,9 @@
         self.host = f"127.{site.block}.{1 if role == 'entry' else 2}.{number + 1}"
         #: Between the process and the store.
         self.relay = Relay(f"{site.store_host}:{STORE_PORT}")
+        #: Between an agent and the leader.
+        self.peer_relay = Relay(f"{self.host}:{AGENT_PORT}")
+        self.peer_host = f"127.{site.block}.4.{number + 1}"
         #: Whether a fault is under way here; others leave the process alone.
         self.is_troubled = False
         #: Exit codes of ends that no fault caused.
@@ -149,8 +154,19 @@
             SoakWorker(self, n, f"{agent.host}:{CONTROL_PORT}")
             for n, agent in enumerate(self.agents)
         ]
+        self.store.outer_by_address = {
+            f"{agent.host}:{AGENT_PORT}": f"{agent.peer_host}:{AGENT_PORT}"
+            for agent in self.agents
+        }
         self.publish()
 
+    @property
+    def relays(self):
+        """All relays."""
+        to_workers = [worker.relay for worker in self.workers]
+        to_agents = [agent.peer_relay for agent in self.agents]
+        return [process.relay for process in self.processes] + to_agents + to_workers
+
     @property
     def processes(self):
         """All processes."""
@@ -185,6 +201,8 @@
             )
             for process in self.processes:
                 await _relay(stack, process.relay, process.host, RELAY_PORT)
+            for agent in self.agents:
+                await _relay(stack, agent.peer_relay, agent.peer_host, AGENT_PORT)
             for worker, agent in zip(self.workers, self.agents, strict=True):
                 inner = f"{agent.host}:{WORKER_PORT + 1000}"
                 await stack.enter_async_context(listen_h1(inner, worker.handle))
@@ -201,8 +219,8 @@
                 await asyncio.gather(*runs)
                 for task in tasks:
                     task.cancel()
-                for thing in (*self.processes, *self.workers):
-                    thing.relay.apply("cut")
+                for relay in self.relays:
+                    relay.apply("cut")
                 # Let the relays see that their connections are gone.
                 await asyncio.sleep(0.1)
 
--- a/soak/store.py
+++ b/soak/store.py
@@ -27,6 +27,9 @@
         self.rng = rng
         #: ``serve``, ``busy``, ``silent``, ``lost`` or ``slow``.
         self.mode = "serve"
+        #: Addresses under which others reach processes, by the ones that they tell;
+        #: both have one length.
+        self.outer_by_address = {}
         self._ends_by_member = {}
         self._holder = ""
         self._generation = 1
@@ -40,6 +43,8 @@
             return H1Response(503)
         if self.mode == "slow":
             await asyncio.sleep(self.rng.uniform(0.1, 0.4))
+        for address, outer in self.outer_by_address.items():
+            request.body = request.body.replace(address.encode(), outer.encode())
         reply = await super().handle(request)
         is_write = request.path == "/api/log-append"
         if self.mode == "lost" and is_write and self.rng.random() < LOST_SHARE:
