Name the processes that an earlier soak left on a soak's addresses

Cause: a soak that was ended by a signal left its processes running. The next one of the same seed, or of one 200 apart, has the same addresses: its own processes ended at once, and the old ones ran its jobs.

Change: a soak checks its addresses first and says which one is in use; SIGTERM ends it with its processes.

Before and after: test_what_an_earlier_soak_left_running_is_named fails without the check (the soak begins).

Conclusion: what a soak reports is of its own processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -21,6 +22,9 @@
 
 
 async def _soak_seeds(limit, seeds):
+    # Ended as usual, so that no process of a soak is left to trouble the next one.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     failed = []
 
     async def one(seed):
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import time
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -19,7 +20,7 @@
 from .store import SoakStore
 from .workers import SoakWorker
 
-__all__ = ["SoakProcess", "SoakSite"]
+__all__ = ["SoakError", "SoakProcess", "SoakSite"]
 
 LEASE_MS = 4000
 GRACE_S = 6
@@ -32,6 +33,10 @@
 READY_PORT, CONTROL_PORT, RELAY_PORT = 8167, 8166, 8171
 
 
+class SoakError(Exception):
+    """A soak cannot be run."""
+
+
 class SoakProcess:
     """One entry or agent; it is started again whenever it ends.
 
@@ -190,9 +195,22 @@
         self.store.records_by_topic.setdefault("keyed.op", []).append(record)
         return path
 
+    def _check_addresses(self):
+        """Raise `SoakError` if processes of another soak hold this one's addresses."""
+        for process in self.processes:
+            port = PEER_PORT if process.role == "entry" else AGENT_PORT
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((process.host, port))
+                except OSError as error:
+                    text = f"{process.host}:{port} is in use by another soak: {error}"
+                    raise SoakError(text) from error
+
     @asynccontextmanager
     async def open(self):
         """Run everything while the context is open."""
+        self._check_addresses()
         tasks = []
         async with AsyncExitStack() as stack:
             store = f"{self.store_host}:{STORE_PORT}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -11,7 +12,7 @@
 from dotterelspread.jobs.worker import RunEnd
 from soak.callers import Callers
 from soak.run import soak
-from soak.site import SoakSite
+from soak.site import PEER_PORT, SoakError, SoakSite
 
 #: Seeds of soaks that broke a promise once, each with a line on the cause.
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "seeds.txt"
@@ -28,6 +29,17 @@
     assert not broken, (tmp_path / "soak.log").read_text()
 
 
+def test_what_an_earlier_soak_left_running_is_named(tmp_path):
+    async def scenario():
+        site = SoakSite(tmp_path, 150)
+        with socket.create_server((site.entries[0].host, PEER_PORT)):
+            async with site.open():
+                raise AssertionError("the soak began")
+
+    with pytest.raises(SoakError, match="in use"):
+        asyncio.run(scenario())
+
+
 class FakeEntry:
     """Answers each call of a caller with a fixed status and state."""
 
