--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -127,7 +127,6 @@
         network = self.network
         rng = network.fleet.rng
         await asyncio.sleep(0.001 * (0.5 + rng.random()))
-        fate = network.fate_of(method)
         if address in network.dark:
             await asyncio.sleep(timeout_s)
             raise PeerUnsentError("dark")
@@ -139,6 +138,7 @@
         handlers = network.handlers_by_address.get(address)
         if handlers is None:
             raise PeerUnsentError("nobody listens")
+        fate = network.fate_of(method)
         if fate is Fate.LATE:
             network.deliver_late(handlers[method], argument)
         if fate in (Fate.NOT_DELIVERED, Fate.LATE):
