Revert: expect of a filler what the agent will let it do

With the truer expectation, a job with many fillers gets fewer of them going at once on a busy fleet: they wait for a worker that would let them run at 0.7 of full speed while a slower one would do some of their work.

Ruled out: the rule of moves (both have it).

Conclusion: not kept as it is. Next: choose between workers by the truer expectation, and let the old one decide whether a filler is placed at all.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -236,12 +236,12 @@
     need : FillerNeed
     worker : Worker
     """
-    idle, cores_by_image = _left_by_fillers(costs, need, worker)
     speed = 1.0
     if need.millicores:
-        speed = min(1.0, max(0.0, idle / need.millicores))
+        speed = min(1.0, max(0.0, worker.idle_millicores / need.millicores))
+    cores_by_image = worker.filler_cores_by_image()
     for image, undisturbed in worker.undisturbed_by_image.items():
-        rise = costs.of(image, need.image).cautious * need.millicores / 1000
+        rise = costs.of(image, need.image).per_core * need.millicores / 1000
         if rise < HARMLESS_RISE:
             continue
         taken = disturbance(costs.of, image, cores_by_image) - 1.0
@@ -250,30 +250,6 @@
     return speed
 
 
-def _left_by_fillers(costs, need, worker):
-    """Return the idle millicores, and the fillers' cores by image.
-
-    Fillers that are held back get what is left before one that disturbs no less.
-    """
-    idle, cores_by_image = worker.idle_millicores, worker.filler_cores_by_image()
-    held_by_image = worker.held_back_by_image()
-    if not held_by_image:
-        return idle, cores_by_image
-    cores_by_image = dict(cores_by_image)
-    own_rise = _largest_rise(costs, worker, need.image)
-    for image, millicores in held_by_image.items():
-        if _largest_rise(costs, worker, image) <= own_rise:
-            idle -= millicores
-            cores_by_image[image] += millicores / 1000
-    return idle, cores_by_image
-
-
-def _largest_rise(costs, worker, image):
-    """Return what a core of a filler adds to the tail that it disturbs most."""
-    rises = (costs.of(other, image).per_core for other in worker.undisturbed_by_image)
-    return max(rises, default=0.0)
-
-
 def _fitness(cell, step, worker, need):
     """Return how well a worker suits, the largest best, or None if it does not."""
     if need is not None:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -22,7 +22,6 @@
 #: Seconds over which the recent pace of a run is averaged: longer than a serving task's
 #: load stays high, shorter than most fillers run.
 RECENT_S = 4.0
-FULL_PACE = 1.0
 
 
 class RunEnd:
@@ -141,10 +140,8 @@
     began_percent: int = 0
     #: Leader's clock when the percentage last changed.
     progressed_s: float = 0.0
-    #: Part of its speed that it was last told to work at, from 0 to 1.
-    pace: float = FULL_PACE
     #: Part of its speed at which it worked lately, from 0 to 1.
-    recent_pace: float = FULL_PACE
+    recent_pace: float = 1.0
     #: Seconds at full speed that would have done as much as it has since it was listed.
     worked_s: float = 0.0
     #: Leader's clock up to which its work is counted.
@@ -162,7 +159,6 @@
         """Count the work since the last report, at a part of its full speed."""
         elapsed_s = now_s - self.worked_until_s
         self.worked_until_s = now_s
-        self.pace = pace
         self.worked_s += pace * elapsed_s
         fading = exp(-elapsed_s / RECENT_S)
         self.recent_pace = pace + (self.recent_pace - pace) * fading
@@ -186,13 +182,6 @@
             return round(self.millicores * SERVING_LOAD)
         return self.millicores
 
-    @property
-    def held_back_millicores(self):
-        """Processors that a filler would use beyond what it does, if it were let."""
-        if self.pace == FULL_PACE:
-            return 0
-        return max(0, self.millicores - self.expected_millicores)
-
 
 @dataclass(slots=True)
 class Worker:
@@ -261,22 +250,17 @@
         self._sums = None
 
     def _summed(self):
-        """Return what is in use, the fillers' cores, and what they are held back by."""
+        """Return the processors in use and the fillers' cores by image."""
         if self._sums is None:
             used = 0
             cores_by_image = {}
-            held_by_image = {}
             for run in self.runs_by_task.values():
                 expected = run.expected_millicores
                 used += expected
-                if not run.is_filler:
-                    continue
-                cores = cores_by_image.get(run.image, 0.0)
-                cores_by_image[run.image] = cores + expected / 1000
-                if run.held_back_millicores:
-                    held = held_by_image.get(run.image, 0)
-                    held_by_image[run.image] = held + run.held_back_millicores
-            self._sums = used, cores_by_image, held_by_image
+                if run.is_filler:
+                    cores = cores_by_image.get(run.image, 0.0)
+                    cores_by_image[run.image] = cores + expected / 1000
+            self._sums = used, cores_by_image
         return self._sums
 
     def takes_tasks(self, now_s):
@@ -300,7 +284,3 @@
     def filler_cores_by_image(self):
         """Return the cores that fillers are expected to use, by image."""
         return self._summed()[1]
-
-    def held_back_by_image(self):
-        """Return the millicores that fillers would use beyond that if let, by image."""
-        return self._summed()[2]
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -1,14 +1,11 @@
 """Which worker tasks go to, and which job comes first."""
 
-import pytest
-
 from dotterelspread.jobs import placing
 from dotterelspread.jobs.cell import AppendDone, Cancelled, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
 from dotterelspread.jobs.lifecycle import run_of
 from dotterelspread.jobs.ordering import order_jobs
-from dotterelspread.jobs.pacing import rise_budget
 from dotterelspread.jobs.paircost import CostEstimate
 from dotterelspread.jobs.placing import (
     PATIENCE_S,
@@ -153,54 +150,6 @@
     assert 0 < expected_speed(cell.costs, need, worker) < quiet < 1
 
 
-def make_busy_worker(number, filler_pace):
-    """Return a worker on which a serving task runs beside a filler at a pace."""
-    worker = make_worker(number, undisturbed_by_image={"s": 0.4})
-    serving = make_step(is_service=True, target_ms=50, image="s")
-    filler = make_step(is_filler=True, image="f", demand=Resources(4000, 10))
-    job = Job.from_spec(make_job(9, [serving, filler]), 0.0)
-    worker.add("9.0.0.0", run_of(job, (0, 0, 0), 1))
-    run = run_of(job, (0, 1, 0), 1)
-    run.used_millicores = round(4000 * filler_pace)
-    run.pace = filler_pace
-    worker.add("9.0.1.0", run)
-    return worker
-
-
-def test_a_filler_does_not_count_on_what_others_are_held_back_by():
-    cell = make_cell()
-    cell.costs.by_pair["s", "f"] = CostEstimate(0.2, 0.0)
-    need = FillerNeed("f", 4000, 0.0)
-    at_full_speed = expected_speed(cell.costs, need, make_busy_worker(0, 1.0))
-    held_back = expected_speed(cell.costs, need, make_busy_worker(0, 0.0))
-    assert held_back == pytest.approx(at_full_speed)
-
-
-def test_a_filler_whose_cost_is_not_known_is_expected_to_run_as_its_agent_will_let_it():
-    cell = make_cell()
-    worker = make_worker(0, undisturbed_by_image={"s": 0.5})
-    need = FillerNeed("f", 4000, 0.0)
-    rise = CostEstimate().cautious * 4
-    expected = min(1.0, rise_budget(0.5) / rise)
-    assert expected < 1
-    assert expected_speed(cell.costs, need, worker) == pytest.approx(expected)
-
-
-def test_a_harmless_filler_goes_before_one_that_is_held_back():
-    cell = make_cell()
-    cell.costs.by_pair["s", "f"] = CostEstimate(0.2, 0.0)
-    need = FillerNeed("harmless", 4000, 0.0)
-    assert expected_speed(cell.costs, need, make_busy_worker(0, 0.0)) == 1.0
-
-
-def test_a_filler_goes_where_no_other_one_is_held_back():
-    held, free = make_busy_worker(0, 0.0), make_worker(1)
-    cell = make_cell(held, free)
-    cell.costs.by_pair["s", "f"] = CostEstimate(0.2, 0.0)
-    step = make_step(is_filler=True, image="f", demand=Resources(2000, 10))
-    assert workers_of(submit(cell, step)) == ["i-1"]
-
-
 def test_a_job_with_nothing_running_gets_a_filler_however_busy_the_workers_are():
     cell = make_cell(make_worker(0))
     step = make_step(count=8, is_filler=True, demand=Resources(8000, 10))
