Wait for agents' capacities before a job is judged by its size

Cause: an entry lists an agent from its heartbeat, which omits the capacity. While one listed agent had no capacity, _choose_cell accepted every job without a look at its size, so a job that fits on no instance was accepted and waited forever.

Change: submit() waits up to 2 s for the capacities of the listed agents. A job that then fits on no known agent is told to return (not-ready, 1 s) instead of being accepted; one that fits on a known agent is accepted as before.

--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -25,6 +25,10 @@
 #: Maximum time in seconds that an agent may lag behind an append by this entry.
 MAX_READ_LAG_S = 2.0
 READ_POLL_INTERVAL_S = 0.1
+#: Longest time in seconds that a job waits for agents' capacities: a listed agent may
+#: first be known by its heartbeat, which omits its capacity.
+MAX_CAPACITY_WAIT_S = 2.0
+CAPACITY_POLL_INTERVAL_S = 0.1
 #: Number of recently accepted job ids that an entry remembers.
 MAX_REMEMBERED_JOBS = 1000
 #: Number of agents of a cell that are queried for a job before giving up.
@@ -78,7 +82,7 @@
         refused = self._refusal(job)
         if refused is not None:
             return refused, ""
-        cell = self._choose_cell(job, key)
+        cell = await self._choose_cell(job, key)
         if isinstance(cell, Refused):
             return cell, ""
         job_id = f"{cell}-{self._new_id(job.team, key)}"
@@ -138,16 +142,19 @@
             return Refused(RefusalReason.NO_INSTANCE, "no cell is known", 2.0)
         return None
 
-    def _choose_cell(self, job, key):
-        """Return the name of a cell that can hold the job, or why none ever can.
+    async def _choose_cell(self, job, key):
+        """Return the name of a cell that can hold the job, or why the job is refused.
 
         A job with a key always goes to the same cell, so that a retry finds it.
         """
-        views = [self._view(cell) for cell in sorted(self._cells)]
-        if all(_is_known(view) for view in views):
+        views = await self._wait_for_capacities()
+        if all(view.members for view in views):
             record = job.to_record(self._new_id(job.team, key))
             own = self.node.settings.data_centre
             chosen = choose_cell(record, views, self._configuration, own)
+            if isinstance(chosen, Refused) and not _has_all_capacities(views):
+                detail = "the capacity of some agents is not known yet"
+                return Refused(RefusalReason.NOT_READY, detail, retry_after_s=1.0)
             if isinstance(chosen, Refused) or not key:
                 return chosen
         if not key:
@@ -155,6 +162,21 @@
         digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
         return sorted(self._cells)[int.from_bytes(digest) % len(self._cells)]
 
+    async def _wait_for_capacities(self):
+        """Return the `CellView` of each cell, once the listed agents' sizes are known.
+
+        After `MAX_CAPACITY_WAIT_S` the views are returned as they are.
+        """
+        until_s = self.node.now_s() + MAX_CAPACITY_WAIT_S
+        views = self._views()
+        while not _has_all_capacities(views) and self.node.now_s() < until_s:
+            await asyncio.sleep(CAPACITY_POLL_INTERVAL_S)
+            views = self._views()
+        return views
+
+    def _views(self):
+        return [self._view(cell) for cell in sorted(self._cells)]
+
     def _view(self, cell):
         agents = self._members.agents_of_cell(cell)
         members = tuple(
@@ -195,10 +217,9 @@
         return None
 
 
-def _is_known(view):
-    """Return whether a cell has agents, all with a known capacity."""
-    sizes = [member.capacity.millicores for member in view.members]
-    return bool(sizes) and all(sizes)
+def _has_all_capacities(views):
+    """Tell whether the capacity of every listed agent is known."""
+    return all(member.capacity.millicores for view in views for member in view.members)
 
 
 def _not_found(job_id):
--- /dev/null
+++ b/tests/builders_jobpart.py
@@ -0,0 +1,78 @@
+"""An entry's job part with fakes for its node, its members and the log."""
+
+import asyncio
+from types import SimpleNamespace
+
+from dotterelspread.configuration import Configuration, Urgency
+from dotterelspread.jobpart import JobPart
+from dotterelspread.jobrequest import JobRequest, TaskRequest
+from dotterelspread.record import InstanceAnnounced
+from dotterelspread.resources import Resources
+
+__all__ = ["CELL", "FakeMembers", "make_agent", "make_job_part", "make_request"]
+
+CELL = "cell.kumasi.0"
+
+
+class FakeLog:
+    """Keeps the records that were appended."""
+
+    def __init__(self):
+        self.records = []
+
+    async def append(self, stream, record, timeout_s):
+        self.records.append(record)
+
+
+class FakeTelemetry:
+    """Ignores all measurements."""
+
+    def count(self, name, **labels):
+        """Ignore one event."""
+
+
+class FakeMembers:
+    """Lists the agents of the cell; `learn` replaces them as announcements arrive."""
+
+    def __init__(self, *agents):
+        self.agents = agents
+
+    def agents_of_cell(self, cell):
+        return self.agents
+
+    def learn(self, *agents):
+        self.agents = agents
+
+
+def make_agent(number, cores):
+    """Return an announcement; without cores, as a peer reports it."""
+    return InstanceAnnounced(
+        f"agent-{number}",
+        1,
+        "agent",
+        f"127.0.0.1:{7000 + number}",
+        "kumasi",
+        "ashanti",
+        capacity=Resources(cores * 1000, 64_000, 0) if cores else Resources(),
+        cell=CELL,
+    )
+
+
+def make_job_part(members):
+    node = SimpleNamespace(
+        settings=SimpleNamespace(
+            entry=SimpleNamespace(cells=[CELL]), data_centre="kumasi"
+        ),
+        incarnation=1,
+        log_client=FakeLog(),
+        telemetry=FakeTelemetry(),
+        now_s=lambda: asyncio.get_running_loop().time(),
+    )
+    part = JobPart(node, members)
+    part.configure(SimpleNamespace(configuration=Configuration()))
+    return part
+
+
+def make_request(cores):
+    task = TaskRequest("sleep", (), Resources(cores * 1000, 1000, 0), 8.0, 1)
+    return JobRequest("contracts", Urgency.NORMAL, {}, (task,))
--- /dev/null
+++ b/tests/test_jobpart.py
@@ -0,0 +1,62 @@
+"""Jobs submitted while an entry does not know the capacity of every agent yet."""
+
+import asyncio
+
+from dotterelspread.jobpart import MAX_CAPACITY_WAIT_S
+from dotterelspread.outcome import RefusalReason
+from tests.builders_jobpart import (
+    FakeMembers,
+    make_agent,
+    make_job_part,
+    make_request,
+)
+from tests.virtualloop import run_virtually
+
+
+def test_a_job_waits_for_capacities_and_is_then_refused_if_it_never_fits():
+    async def scenario():
+        members = FakeMembers(make_agent(1, cores=0), make_agent(2, cores=32))
+        part = make_job_part(members)
+        submission = asyncio.ensure_future(part.submit(make_request(cores=99)))
+        await asyncio.sleep(MAX_CAPACITY_WAIT_S / 2)
+        assert not submission.done()
+        members.learn(make_agent(1, cores=32), make_agent(2, cores=32))
+        refused, _ = await submission
+        assert refused.reason is RefusalReason.NEVER_FITS
+        assert not part.node.log_client.records
+
+    run_virtually(scenario())
+
+
+def test_a_job_that_fits_only_on_agents_of_unknown_capacity_is_told_to_return():
+    async def scenario():
+        part = make_job_part(FakeMembers(make_agent(1, cores=0)))
+        began_s = asyncio.get_running_loop().time()
+        refused, _ = await part.submit(make_request(cores=99))
+        waited_s = asyncio.get_running_loop().time() - began_s
+        assert refused.reason is RefusalReason.NOT_READY
+        assert refused.retry_after_s
+        assert waited_s < MAX_CAPACITY_WAIT_S + 1.0
+        assert not part.node.log_client.records
+
+    run_virtually(scenario())
+
+
+def test_a_job_that_fits_on_a_known_agent_is_accepted():
+    async def scenario():
+        members = FakeMembers(make_agent(1, cores=0), make_agent(2, cores=32))
+        part = make_job_part(members)
+        outcome, job_id = await part.submit(make_request(cores=8))
+        assert outcome is None
+        assert [r.job_id for r in part.node.log_client.records] == [job_id]
+
+    run_virtually(scenario())
+
+
+def test_a_job_with_a_key_waits_for_capacities_too():
+    async def scenario():
+        part = make_job_part(FakeMembers(make_agent(1, cores=0)))
+        refused, _ = await part.submit(make_request(cores=99), key="k")
+        assert refused.reason is RefusalReason.NOT_READY
+
+    run_virtually(scenario())
