Let malformed messages and unexpected errors end one call only

Fields of a submitted job had no bounds: a negative Cpu freed room that was not there, and a Cpu of 2**31 could not be encoded as an order, which ended the term of every leader in turn. A deeply nested document, a deadline of 5000 digits, a read of the store that was cut short, a value not in base64 and an empty reply to a join raised errors that no caller handled; in a process's own loops they ended the process. An agent's reply without a field ended the leader's term, and the next leader's. A record in the store that cannot be read kept every entry from leading. An unexpected error was answered 500 though the request might have run.

Change: platform/decoding.py decodes all documents of the platform, with bounds. watchreport checks replies of agents. supervision restarts a loop after an unexpected error, logs and counts it; only the commit loop, the tick and the reducer end a term, since the state may then be half changed. A job whose record cannot be read is left alone, since its tasks may run. A call that cannot be encoded counts as not sent; an unexpected error is answered 504.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
-from functools import singledispatch
+from functools import partial, singledispatch
 
 from .counters import METRICS_PATH, METRICS_TYPE, counters
 from .decisionlog import log_decision
@@ -18,6 +18,7 @@
 from .jobs.nodes import NODES_STREAM, encode_node
 from .peer import PeerPool, serve_peers
 from .processsettings import ProcessSettingsError
+from .supervision import run_supervised
 
 __all__ = ["AgentAdapters", "EntryAdapters", "serve_node"]
 
@@ -75,16 +76,11 @@
         self._stop = asyncio.get_running_loop().create_future()
         self._tasks = set()
 
-    def spawn(self, coroutine):
-        """Run a coroutine in the background; an exception in it ends the process."""
-        task = asyncio.ensure_future(coroutine)
+    def spawn(self, name, run):
+        """Run a loop in the background; an unexpected error starts it again."""
+        task = asyncio.ensure_future(run_supervised(name, run))
         self._tasks.add(task)
-        task.add_done_callback(self._reap)
-
-    def _reap(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() and not self._stop.done():
-            self._stop.set_exception(task.exception())
+        task.add_done_callback(self._tasks.discard)
 
     def stop(self, name):
         """Request the shutdown of the process."""
@@ -125,7 +121,7 @@
             _open(adapters, node) as drain,
         ):
             log_decision("started", peer_address=settings.peer_address)
-            node.spawn(_register(journal, settings))
+            node.spawn("registration", partial(_register, journal, settings))
             name = await node.wait()
             log_decision("stopping", signal=name)
             await drain()
@@ -237,8 +233,8 @@
         await enter(serve_peers(settings.peer_address, handlers))
         await enter(listen_h1(settings.readiness_address, answer_ready))
         callers = await enter(listen_h1(settings.caller_address, answer_caller, limits))
-        node.spawn(follower.run())
-        node.spawn(candidate.run())
+        node.spawn("configuration", follower.run)
+        node.spawn("candidate", candidate.run)
         yield drain
 
 
@@ -265,5 +261,5 @@
         await enter(serve_peers(settings.peer_address, handlers))
         answer_worker = adapters.make_registry_handler(agent)
         await enter(listen_h1(settings.control_address, answer_worker))
-        node.spawn(agent.run())
+        node.spawn("agent", agent.run)
         yield drain
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -6,11 +6,9 @@
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import PairCost, TaskTraits, WatchQuery
 from ..peer import PeerError
-from ..resources import Resources
 from . import clock
 from .cell import AgentLost, Reported
-from .pacing import FULL_PACE_PERCENT
-from .worker import AgentReport, EndedRun, RunningTask
+from .watchreport import ReportError, check_reply, read_report
 
 __all__ = ["AgentLink", "lease_end_s"]
 
@@ -115,7 +113,8 @@
             reply = await self._leader.pool.call(
                 self._address, "watch", query, timeout_s
             )
-        except PeerError as error:
+            check_reply(reply)
+        except (PeerError, ReportError) as error:
             self._handle_poll_failure(error)
             self._leader.pool.replace_connection(self._address)
             await asyncio.sleep(RETRY_INTERVAL_S)
@@ -128,6 +127,9 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
 
     def _handle_poll_failure(self, error):
+        if isinstance(error, ReportError):
+            counters.add("rejected_reports")
+            log_decision("report rejected", agent=self._address, error=str(error))
         silent_s = clock.now_s() - self._last_reply_s
         if silent_s > AGENT_TIMEOUT_S and self._version:
             self._version = 0
@@ -161,7 +163,7 @@
         is_granted = is_first or (reply.reachable and self._leader.may_grant)
         end_s = lease_end_s(now_s, bounds.max_lease_ms) if is_granted else 0.0
         self._log_ends(reply)
-        report = _make_report(self._address, reply)
+        report = read_report(self._address, reply)
         event = Reported(now_s, report, end_s, clock.wall_ms())
         self._leader.apply(event)
 
@@ -210,35 +212,3 @@
             PairCost(*pair, costs.of(*pair).per_core, costs.of(*pair).deviation)
             for pair in sorted(pairs)
         ]
-
-
-def _make_report(address, reply):
-    return AgentReport(
-        agent_address=address,
-        worker_id=reply.worker_id,
-        born_ms=reply.born_ms,
-        service=reply.service_name,
-        data_centre=reply.data_centre,
-        labels=frozenset(reply.labels),
-        rack=reply.rack,
-        capacity=Resources(reply.millicores, reply.memory_mb, reply.accelerators),
-        is_reachable=reply.reachable,
-        is_draining=reply.draining,
-        has_left=bool(reply.left),
-        listed_ms=reply.listed_ms,
-        running=tuple(
-            RunningTask(
-                row.task_id,
-                row.run,
-                row.checkpoint,
-                row.percent,
-                row.figure,
-                FULL_PACE_PERCENT if row.pace is None else row.pace,
-            )
-            for row in reply.running
-        ),
-        ended=tuple(
-            EndedRun(row.number, row.task_id, row.run, row.how, row.checkpoint)
-            for row in reply.ended
-        ),
-    )
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -4,6 +4,7 @@
 
 from ..decisionlog import log_decision
 from ..processsettings import FleetRole
+from ..supervision import log_unexpected
 from . import clock
 from .committing import DeposedError
 from .journal import JournalError
@@ -199,6 +200,9 @@
             return
         except JournalError as error:
             log_decision("takeover failed", error=str(error))
+        except Exception as error:
+            # The group elects this or another entry again.
+            log_unexpected("term", error)
         finally:
             self.leader = None
             self._term_task = None
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -1,9 +1,11 @@
 """Leader of a cell: drives its reducer, the journal and the connections to agents."""
 
 import asyncio
+from functools import partial
 
 from ..decisionlog import log_decision
 from ..processsettings import FleetRole
+from ..supervision import log_unexpected, run_supervised
 from . import clock
 from .agentlink import AgentLink
 from .cell import Cancelled, CellTick, Configured, Submitted
@@ -94,8 +96,9 @@
         DeposedError
             Always, when the term ends.
         """
-        for coroutine in (self.committer.run(), self._tick_loop(), self._nodes_loop()):
-            self.spawn(coroutine)
+        self._spawn_vital(self.committer.run())
+        self._spawn_vital(self._tick_loop())
+        self.spawn("nodes", self._nodes_loop)
         for record in self._nodes.records_by_key.values():
             self._connect(record)
         try:
@@ -144,24 +147,48 @@
         entries = [a for a, link in self.links_by_address.items() if link is None]
         await asyncio.gather(*(announce_once(self, address) for address in entries))
 
-    def spawn(self, coroutine):
-        """Run a coroutine until the term ends; an exception in it ends the term."""
+    def spawn(self, name, run, **fields):
+        """Run a loop until the term ends; an unexpected error starts it again.
+
+        Used for all that concerns one agent, entry or order.
+        """
+        loop = run_supervised(name, run, (DeposedError,), **fields)
+        self._keep(asyncio.ensure_future(loop))
+
+    def _spawn_vital(self, coroutine):
+        """Run a coroutine without which no term is possible; an error ends the term."""
         task = asyncio.ensure_future(coroutine)
+        self._keep(task)
+        task.add_done_callback(self._end_term)
+
+    def _keep(self, task):
         self._tasks.add(task)
-        task.add_done_callback(self._reap)
+        task.add_done_callback(self._tasks.discard)
 
-    def _reap(self, task):
-        self._tasks.discard(task)
+    def _end_term(self, task):
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
-            reason = f"{type(error).__name__}: {error}"
             if not isinstance(error, DeposedError):
-                log_decision("fault", error=reason)
-            self.depose(reason)
+                log_unexpected("term", error, epoch=self.epoch)
+            self.depose(f"{type(error).__name__}: {error}")
 
     def apply(self, event):
-        """Apply an event to the cell; its effects are performed after the commit."""
-        self.committer.enqueue(reduce(event, self.cell))
+        """Apply an event to the cell; its effects are performed after the commit.
+
+        An error may leave the cell half changed, so it ends the term: the next leader
+        reads the state that was committed.
+
+        Raises
+        ------
+        DeposedError
+        """
+        try:
+            self.committer.enqueue(reduce(event, self.cell))
+        except Exception as error:
+            log_unexpected("reducer", error, on=type(event).__name__)
+            reason = f"no handling of {type(event).__name__}: {error}"
+            self.depose(reason)
+            raise DeposedError(reason) from error
 
     # Requests of callers.
 
@@ -273,7 +300,8 @@
         if node.role == FleetRole.AGENT:
             link = AgentLink(self, node.peer_address)
             self.links_by_address[node.peer_address] = link
-            self.spawn(link.run())
+            self.spawn("agent link", link.run, agent=node.peer_address)
         elif node.role == FleetRole.ENTRY:
             self.links_by_address[node.peer_address] = None
-            self.spawn(announce_periodically(self, node.peer_address))
+            announce = partial(announce_periodically, self, node.peer_address)
+            self.spawn("leader notices", announce, entry=node.peer_address)
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -1,7 +1,7 @@
 """Sends the leader's orders for runs to agents and applies the replies to the cell."""
 
 import asyncio
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from ..counters import counters
 from ..decisionlog import log_decision
@@ -46,13 +46,11 @@
 
     @perform.register
     def _(self, effect: StartRun):
-        if _is_current(effect):
-            self._leader.spawn(self._start(effect))
+        self._spawn("start", self._start, effect)
 
     @perform.register
     def _(self, effect: StopRun):
-        if _is_current(effect):
-            self._leader.spawn(self._stop(effect))
+        self._spawn("stop", self._stop, effect)
 
     @perform.register
     def _(self, effect: AcknowledgeEnds):
@@ -62,7 +60,11 @@
 
     @perform.register
     def _(self, effect: AskPermits):
-        self._leader.spawn(self._ask_permits(effect))
+        run = partial(self._ask_permits, effect)
+        self._leader.spawn("permits", run, job_id=effect.job_id)
+
+    def _spawn(self, name, send, effect):
+        self._leader.spawn(name, partial(send, effect), task_id=effect.task_id)
 
     async def _ask_permits(self, effect):
         step_id = f"{effect.job_id}.{effect.step_key[0]}.{effect.step_key[1]}"
@@ -89,6 +91,8 @@
         )
 
     async def _start(self, effect):
+        if not _is_current(effect):
+            return
         worker, run, step = effect.worker, effect.run, effect.step
         link = self._leader.links_by_address.get(worker.agent_address)
         log_decision(
@@ -118,6 +122,8 @@
         await self._send(effect, "start_run", order)
 
     async def _stop(self, effect):
+        if not _is_current(effect):
+            return
         worker, run = effect.worker, effect.run
         log_decision(
             "stop ordered",
@@ -153,7 +159,10 @@
             if reply.result == OrderResult.FENCED:
                 self._leader.depose("an agent follows a later epoch")
                 return
-            result, clock_ms = _RESULT_NAMES[reply.result], reply.clock_ms
+            result, clock_ms = (
+                _RESULT_NAMES.get(reply.result, "unknown"),
+                reply.clock_ms,
+            )
         counters.add("orders", method=method, result=result)
         self._leader.apply(
             OrderSettled(
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..counters import counters
+from ..decisionlog import log_decision
 from .job import Job, JobRecord
 from .journal import KeyedRecord
 from .paircost import CostEstimate, PairCosts
@@ -116,7 +118,7 @@
 def read_agent_addresses(records_by_key):
     """Return the agent address of each worker by the worker's id."""
     return {
-        key[len(WORKER_PREFIX) :]: record.value.decode()
+        key[len(WORKER_PREFIX) :]: record.value.decode("utf-8", "replace")
         for key, record in records_by_key.items()
         if key.startswith(WORKER_PREFIX) and record.value
     }
@@ -135,21 +137,43 @@
     """Return the `PairCosts` of a snapshot; empty if there are none."""
     costs = PairCosts()
     record = records_by_key.get(COSTS_KEY)
-    if record is not None and record.value:
-        for serving, filler, per_core, deviation in _costs_decoder.decode(record.value):
-            costs.by_pair[serving, filler] = CostEstimate(per_core, deviation)
+    if record is None or not record.value:
+        return costs
+    try:
+        rows = _costs_decoder.decode(record.value)
+    except msgspec.DecodeError as error:
+        # They are learned anew.
+        _log_unreadable(COSTS_KEY, error)
+        return costs
+    for serving, filler, per_core, deviation in rows:
+        costs.by_pair[serving, filler] = CostEstimate(per_core, deviation)
     return costs
 
 
 def read_jobs(records_by_key, now_s):
-    """Yield each `Job` of a snapshot of a cell's stream."""
+    """Yield each `Job` of a snapshot of a cell's stream.
+
+    A job with a record that cannot be read is left out, since its tasks may be running
+    and must not be started again; its records stay in the stream.
+    """
     for key, record in records_by_key.items():
         if not key.startswith(SPEC_PREFIX) or not record.value:
             continue
-        spec = _spec_decoder.decode(record.value)
-        job = Job.from_spec(spec, now_s)
-        for progress_key in _progress_keys(job):
-            progress = records_by_key.get(progress_key)
-            if progress is not None and progress.value:
-                job.apply_record(_progress_decoder.decode(progress.value))
-        yield job
+        try:
+            yield _read_job(record, records_by_key, now_s)
+        except (msgspec.DecodeError, KeyError) as error:
+            _log_unreadable(key, error)
+
+
+def _read_job(record, records_by_key, now_s):
+    job = Job.from_spec(_spec_decoder.decode(record.value), now_s)
+    for progress_key in _progress_keys(job):
+        progress = records_by_key.get(progress_key)
+        if progress is not None and progress.value:
+            job.apply_record(_progress_decoder.decode(progress.value))
+    return job
+
+
+def _log_unreadable(key, error):
+    counters.add("unreadable_records")
+    log_decision("record unreadable", key=key, error=f"{type(error).__name__}: {error}")
--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -210,7 +210,7 @@
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         connection = await self._connection(address, timeout_s)
         call_id = next(self._call_ids) & 0x7FFFFFFF
-        frame = encode_call(method, call_id, argument)
+        frame = _encode(address, method, call_id, argument)
         future = asyncio.get_running_loop().create_future()
         connection.pending_calls_by_id[call_id] = future
         connection.send(frame)
@@ -276,6 +276,15 @@
         return protocol
 
 
+def _encode(address, method, call_id, argument):
+    # On a value that does not fit its field the codec raises many types of exception.
+    try:
+        return encode_call(method, call_id, argument)
+    except Exception as error:
+        detail = f"{address} {method}: not encodable: {type(error).__name__}: {error}"
+        raise PeerUnsentError(detail) from error
+
+
 @asynccontextmanager
 async def serve_peers(address, handlers_by_method, traffic=None):
     """Serve calls at ``address`` while the context is open.
--- a/dotterelspread/platform/callers.py
+++ b/dotterelspread/platform/callers.py
@@ -9,6 +9,7 @@
 from ..h1server import H1Response
 from ..jobs.forwarding import Verb, make_request
 from ..jobs.records import encode_spec
+from ..supervision import log_unexpected
 from .jobdocument import (
     DEADLINE_HEADER,
     JobDocumentError,
@@ -25,6 +26,9 @@
 #: Part of the caller's deadline that is reserved for sending the response.
 ANSWER_MARGIN_MS = 60
 MIN_DEADLINE_MS = 50
+#: Longest deadline; a longer one in the header is cut to it.
+MAX_DEADLINE_MS = 600_000
+MAX_DEADLINE_DIGITS = 15
 _VERBS_BY_METHOD = {"POST": Verb.SUBMIT, "GET": Verb.STATE, "DELETE": Verb.CANCEL}
 
 
@@ -63,7 +67,7 @@
             verb = Verb.PENDING
         elif not is_job_id(job_id):
             return H1Response(400 if verb == Verb.SUBMIT else 410)
-        response, reason = await self._forward(request, queue, verb, job_id)
+        response, reason = await self._forward_safely(request, queue, verb, job_id)
         duration_s = time.monotonic() - started_s
         counters.add("requests", verb=verb, status=response.status)
         counters.observe("request", duration_s, verb=verb)
@@ -80,6 +84,14 @@
             )
         return response
 
+    async def _forward_safely(self, request, queue, verb, job_id):
+        try:
+            return await self._forward(request, queue, verb, job_id)
+        except Exception as error:
+            # The request may have reached the leader, so it does not count as refused.
+            log_unexpected("caller request", error, job_id=job_id, verb=verb)
+            return H1Response(504), "unexpected error"
+
     async def _forward(self, request, queue, verb, job_id):
         spec = b""
         if verb == Verb.SUBMIT:
@@ -97,7 +109,10 @@
 
 def _deadline_ms(request):
     text = request.headers.get(DEADLINE_HEADER, "")
-    deadline_ms = int(text) if text.isdecimal() else DEFAULT_DEADLINE_MS
+    deadline_ms = DEFAULT_DEADLINE_MS
+    if text.isdecimal() and text.isascii():
+        deadline_ms = int(text[:MAX_DEADLINE_DIGITS])
+    deadline_ms = min(MAX_DEADLINE_MS, deadline_ms)
     return max(MIN_DEADLINE_MS, deadline_ms - ANSWER_MARGIN_MS)
 
 
--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -4,6 +4,7 @@
 
 from ..h1server import H1Limits
 from ..jobs.queues import FleetConfiguration, Queue
+from .decoding import DecodingError, decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -63,8 +64,8 @@
         When the value is not a valid configuration document.
     """
     try:
-        document = msgspec.json.decode(value, type=_Document, strict=False)
-    except (msgspec.DecodeError, ValueError) as error:
+        document = decode_json(value, _Document, strict=False)
+    except DecodingError as error:
         raise ConfigurationFormatError(str(error)) from error
     queues = [_make_queue(route) for route in document.routes]
     limits = document.limits
--- a/dotterelspread/platform/heartbeats.py
+++ b/dotterelspread/platform/heartbeats.py
@@ -4,6 +4,7 @@
 
 from ..jobs.workeradapter import Announcement
 from ..resources import Resources
+from .decoding import Count, DecodingError, Instant, decode_json
 
 __all__ = [
     "HEARTBEAT_PREFIX",
@@ -23,9 +24,9 @@
 
 
 class _Capacity(msgspec.Struct):
-    cpu: int = msgspec.field(name="Cpu", default=0)
-    mem_mb: int = msgspec.field(name="MemMb", default=0)
-    gpu: int = msgspec.field(name="Gpu", default=0)
+    cpu: Count = msgspec.field(name="Cpu", default=0)
+    mem_mb: Count = msgspec.field(name="MemMb", default=0)
+    gpu: Count = msgspec.field(name="Gpu", default=0)
 
 
 class _Heartbeat(msgspec.Struct):
@@ -33,11 +34,11 @@
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
     state: str = msgspec.field(name="State")
-    sequence: int = msgspec.field(name="Sequence")
+    sequence: Instant = msgspec.field(name="Sequence")
     capacity: _Capacity = msgspec.field(name="Capacity")
     # The worker's kind, then its rack.
     labels: list[str] = msgspec.field(name="Labels", default_factory=list)
-    born: int = 0
+    born: Instant = 0
 
 
 def read_heartbeat(worker_id, body):
@@ -49,8 +50,8 @@
         When a field is missing, has the wrong type or an unknown value.
     """
     try:
-        heartbeat = msgspec.json.decode(body, type=_Heartbeat)
-    except (msgspec.DecodeError, ValueError) as error:
+        heartbeat = decode_json(body, _Heartbeat)
+    except DecodingError as error:
         raise HeartbeatError(str(error)) from error
     if heartbeat.state not in STATES:
         raise HeartbeatError(f"State: {heartbeat.state!r} is not a known state")
--- a/dotterelspread/platform/jobdocument.py
+++ b/dotterelspread/platform/jobdocument.py
@@ -1,11 +1,13 @@
 """Decoding of submitted jobs and encoding of the replies to callers."""
 
 import re
+from typing import Annotated
 
 import msgspec
 
 from ..jobs.spec import JobSpec, StepSpec
 from ..resources import Resources
+from .decoding import MAX_COUNT, Count, DecodingError, Instant, decode_json
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -33,6 +35,8 @@
     "FAILED": "failed",
     "CANCELLED": "cancelled",
 }
+#: A number of milliseconds that may have a fraction.
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
 
 
@@ -41,11 +45,11 @@
 
 
 class _Step(msgspec.Struct):
-    count: int = msgspec.field(name="Count", default=1)
-    cpu: int = msgspec.field(name="Cpu", default=0)
-    mem_mb: int = msgspec.field(name="MemMb", default=0)
-    gpu: int = msgspec.field(name="Gpu", default=0)
-    estimate_ms: int = msgspec.field(name="EstimateMs", default=0)
+    count: Count = msgspec.field(name="Count", default=1)
+    cpu: Count = msgspec.field(name="Cpu", default=0)
+    mem_mb: Count = msgspec.field(name="MemMb", default=0)
+    gpu: Count = msgspec.field(name="Gpu", default=0)
+    estimate_ms: Count = msgspec.field(name="EstimateMs", default=0)
     depends_on: tuple[int, ...] = msgspec.field(name="DependsOn", default=())
     checkpointing: bool = msgspec.field(name="Checkpointing", default=False)
     gang: bool = msgspec.field(name="Gang", default=False)
@@ -55,22 +59,22 @@
     # Rack that holds the input data.
     affinity: str = msgspec.field(name="Affinity", default="")
     # Maximum number of tasks of the step on one worker.
-    anti_affinity: int = msgspec.field(name="AntiAffinity", default=0)
+    anti_affinity: Count = msgspec.field(name="AntiAffinity", default=0)
     speculative: bool = msgspec.field(name="Speculative", default=False)
     long_running: bool = msgspec.field(name="LongRunning", default=False)
     image: str = msgspec.field(name="Image", default="")
-    target_ms: float = msgspec.field(name="TargetMs", default=0)
+    target_ms: Milliseconds = msgspec.field(name="TargetMs", default=0)
     fills: bool = msgspec.field(name="Fills", default=False)
-    may_miss: int = msgspec.field(name="MayMiss", default=0)
+    may_miss: Count = msgspec.field(name="MayMiss", default=0)
 
 
 class _Job(msgspec.Struct):
     # Program text that is passed to the worker with each start.
     spec: str = msgspec.field(name="Spec", default="")
     steps: tuple[_Step, ...] = msgspec.field(name="Steps", default=())
-    first_ms: int = msgspec.field(name="FirstMs", default=0)
-    interval_ms: int = msgspec.field(name="IntervalMs", default=0)
-    repeat_count: int = msgspec.field(name="RepeatCount", default=0)
+    first_ms: Instant = msgspec.field(name="FirstMs", default=0)
+    interval_ms: Instant = msgspec.field(name="IntervalMs", default=0)
+    repeat_count: Count = msgspec.field(name="RepeatCount", default=0)
 
 
 def is_job_id(text):
@@ -87,8 +91,8 @@
         When the body is not a job document or a field is out of range.
     """
     try:
-        document = msgspec.json.decode(body, type=_Job)
-    except (msgspec.DecodeError, ValueError) as error:
+        document = decode_json(body, _Job)
+    except DecodingError as error:
         raise JobDocumentError(str(error)) from error
     _check(document)
     return JobSpec(
--- a/dotterelspread/platform/policy.py
+++ b/dotterelspread/platform/policy.py
@@ -4,6 +4,7 @@
 
 from ..h1client import H1Client, H1Error
 from ..jobs.permits import PermitService, PermitServiceError
+from .decoding import Count, DecodingError, decode_json
 
 __all__ = ["PlatformPermits"]
 
@@ -15,7 +16,7 @@
 class _Allowed(msgspec.Struct):
     # Rows of a worker and the permit that a start on it must carry.
     allowed: list[tuple[str, str]] = msgspec.field(name="Allowed")
-    valid_ms: int = msgspec.field(name="ValidMs", default=0)
+    valid_ms: Count = msgspec.field(name="ValidMs", default=0)
 
 
 class PlatformPermits(PermitService):
@@ -49,7 +50,7 @@
         if reply.status != 200:
             raise PermitServiceError(f"request failed: status {reply.status}")
         try:
-            answer = msgspec.json.decode(reply.body, type=_Allowed)
-        except (msgspec.DecodeError, ValueError) as error:
+            answer = decode_json(reply.body, _Allowed)
+        except DecodingError as error:
             raise PermitServiceError(f"invalid reply: {error}") from error
         return dict(answer.allowed), answer.valid_ms
--- a/dotterelspread/platform/store.py
+++ b/dotterelspread/platform/store.py
@@ -21,6 +21,7 @@
     StreamSnapshot,
     Tail,
 )
+from .decoding import DecodingError, decode_json
 
 __all__ = ["PlatformJournal"]
 
@@ -114,8 +115,7 @@
             page = _decode(reply, _Newest)
             end = page.end if end is None else end
             for item in page.items:
-                value = base64.b64decode(item.value)
-                records[item.key] = KeyedRecord(item.key, value)
+                records[item.key] = KeyedRecord(item.key, _decode_value(item))
                 after = item.key
             if not page.truncated or not page.items:
                 return StreamSnapshot(records, end)
@@ -184,20 +184,29 @@
     """Yield the records of a read; an unkeyed record gets an empty key and value."""
     position = _EXTENT.size
     while position < len(data):
-        (length,) = _LENGTH.unpack_from(data, position)
-        position += _LENGTH.size
-        content = data[position : position + length]
-        position += length
-        yield _decode_record(content)
+        start = position + _LENGTH.size
+        end = start + int.from_bytes(data[position:start])
+        if end > len(data):
+            raise JournalUncertainError("the records of a read were cut short")
+        yield _decode_record(data[start:end])
+        position = end
 
 
 def _decode_record(content):
-    if not content or content[0] >= len(content) + 1:
+    if not content or content[0] >= len(content):
         return KeyedRecord("", b"")
     end = 1 + content[0]
     return KeyedRecord(content[1:end].decode("utf-8", "replace"), content[end:])
 
 
+def _decode_value(item):
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        detail = f"the value of {item.key} is not in base64: {error}"
+        raise JournalUncertainError(detail) from error
+
+
 def _check_status(reply):
     if reply.status != 200:
         detail = reply.body[:200].decode("utf-8", "replace")
@@ -205,13 +214,7 @@
 
 
 def _decode(reply, message_type):
-    if not reply.body:
-        return (
-            message_type()
-            if message_type is _Appended
-            else msgspec.convert({}, message_type)
-        )
     try:
-        return msgspec.json.decode(reply.body, type=message_type)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(reply.body or b"{}", message_type)
+    except DecodingError as error:
         raise JournalUncertainError(f"invalid reply: {error}") from error
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -10,6 +10,7 @@
     WorkerAdapter,
     WorkerReplyError,
 )
+from .decoding import MAX_COUNT, MAX_INSTANT_MS, DecodingError, Instant, decode_json
 
 __all__ = ["PlatformWorker"]
 
@@ -40,17 +41,17 @@
 
 
 class _Answer(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="ClockMs", default=0)
+    clock_ms: Instant = msgspec.field(name="ClockMs", default=0)
     reason: str = msgspec.field(name="Reason", default="")
 
 
 class _Lists(msgspec.Struct):
-    clock_ms: int = msgspec.field(name="ClockMs")
+    clock_ms: Instant = msgspec.field(name="ClockMs")
     # Rows of task, run, checkpoint, progress in percent and a reported figure.
     running: list[tuple] = msgspec.field(name="Running", default_factory=list)
     # Rows of sequence number, task, run, outcome and checkpoint.
     ended: list[tuple] = msgspec.field(name="Ended", default_factory=list)
-    born: int = 0
+    born: Instant = 0
 
 
 class PlatformWorker(WorkerAdapter):
@@ -124,7 +125,7 @@
         try:
             running = tuple(RunningTask(*_running_row(row)) for row in lists.running)
             ended = tuple(EndedRun(*_ended_row(row)) for row in lists.ended)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             raise WorkerReplyError(f"hold: invalid rows in reply: {error}") from error
         return Listing(lists.born, lists.clock_ms, running, ended)
 
@@ -155,17 +156,37 @@
 
 def _decode(reply, message_type):
     try:
-        return msgspec.json.decode(reply.body, type=message_type)
-    except (msgspec.DecodeError, ValueError) as error:
+        return decode_json(reply.body, message_type)
+    except DecodingError as error:
         raise WorkerReplyError(f"invalid reply: {error}") from error
 
 
 def _running_row(row):
     task_id, run, checkpoint, percent, *more = row
     figure = more[0] if more else 0
-    return str(task_id), int(run), checkpoint or "", int(percent), int(figure or 0)
+    return (
+        str(task_id),
+        _bounded(run, MAX_COUNT),
+        str(checkpoint or ""),
+        _bounded(percent, MAX_COUNT),
+        _bounded(figure or 0, MAX_COUNT),
+    )
 
 
 def _ended_row(row):
     number, task_id, run, how, checkpoint, *_ = row
-    return int(number), str(task_id), int(run), _RUN_ENDS_BY_NAME[how], checkpoint or ""
+    return (
+        _bounded(number, MAX_INSTANT_MS),
+        str(task_id),
+        _bounded(run, MAX_COUNT),
+        _RUN_ENDS_BY_NAME[how],
+        str(checkpoint or ""),
+    )
+
+
+def _bounded(value, maximum):
+    """Return a number of a row as an integer from 0 to ``maximum``."""
+    number = int(value)
+    if not 0 <= number <= maximum:
+        raise ValueError(f"{number} is not between 0 and {maximum}")
+    return number
