Keep a worker that answers when a stranger's heartbeat arrives

Cause: a heartbeat with another worker id and a later start displaced the worker of the instance at once. A heartbeat of another writer thus made the agent lose a worker that was well, and the worker's own heartbeats were then refused as older: its work was given up when its lease ended.

Change: a heartbeat of another worker is kept until the current one fails to answer; a worker that has never answered gives way to any other.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -48,6 +48,8 @@
         self.clock_ms = clock_ms
         #: Latest `Announcement` of the worker; None before the first.
         self.announcement = None
+        #: Latest heartbeat of another worker than the current one; None if none.
+        self._successor = None
         #: Start time of the incarnation of `listing` and `ended_by_number`.
         self.born_ms = 0
         self.listing = None
@@ -75,10 +77,24 @@
     # Heartbeats and replies of the worker.
 
     def announce(self, announcement):
-        """Apply a heartbeat; return False if it is older than the latest one."""
+        """Apply a heartbeat; return False if it does not take effect now."""
         current = self.announcement
-        if current is not None and not _is_newer(announcement, current):
+        if current is not None and announcement.worker_id != current.worker_id:
+            if self.is_reachable:
+                # Taken up once the current worker fails: it may come from a stranger.
+                self._successor = announcement
+                return False
+            is_newer = announcement.born_ms >= current.born_ms
+            has_answered = self.listing is not None
+            if has_answered and not is_newer:
+                return False
+        elif current is not None and not _is_newer(announcement, current):
             return False
+        self._adopt(announcement)
+        return True
+
+    def _adopt(self, announcement):
+        current = self.announcement
         is_new_incarnation = current is None or (
             (current.worker_id, current.born_ms)
             != (announcement.worker_id, announcement.born_ms)
@@ -96,7 +112,6 @@
                 is_draining=announcement.is_draining,
             )
             self._increment_version()
-        return True
 
     def leave(self, worker_id):
         """Record that the worker is shutting down; a failed call confirms its end."""
@@ -131,6 +146,7 @@
 
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
+        self._successor = None
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
@@ -220,6 +236,8 @@
             self.is_reachable = False
             log_decision("worker unreachable", silent_ms=silent_ms, error=str(error))
             self._increment_version()
+        if self._successor is not None:
+            self._adopt(self._successor)
 
     def lease_until_ms(self):
         """Return the granted end of the lease on the worker's clock; 0 if unknown."""
@@ -279,8 +297,6 @@
 
 
 def _is_newer(announcement, current):
-    if announcement.worker_id != current.worker_id:
-        return announcement.born_ms >= current.born_ms
     return (announcement.born_ms, announcement.sequence) > (
         current.born_ms,
         current.sequence,
