Open a worker for serving tasks only when the used ones are full

A serving task went first to a worker with few fillers; since fillers keep the packed workers busy, that is a worker without serving tasks, and soon all had some.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -31,6 +31,8 @@
 IDLE_JOB_TIMEOUT_S = 1.5
 #: Resolution at which expected speeds are compared; smaller differences are ignored.
 SPEED_STEP_RATIO = 0.1
+#: Resolution at which numbers of fillers are compared for a serving task.
+FILLERS_PER_SERVING_CHOICE = 3
 
 
 @dataclass(slots=True, frozen=True)
@@ -269,16 +271,30 @@
             worker.idle_millicores,
         )
     if step.target_ms:
-        # Packs serving tasks onto few workers, those of one image together, to leave
-        # workers without serving tasks for fillers.
-        runs = worker.runs_by_task.values()
-        fillers = sum(run.is_filler for run in runs)
-        has_same_image = any(run.is_serving and run.image == step.image for run in runs)
-        return -(fillers // 3), has_same_image, -worker.available.millicores
+        return _serving_score(step, worker)
     # Other batch tasks leave workers without serving tasks to the fillers.
     return 0, bool(worker.serving_count), worker.idle_millicores
 
 
+def _serving_score(step, worker):
+    """Return a sort key of a worker for a serving task, larger is better.
+
+    Serving tasks are packed onto few workers, those of one image together. The other
+    workers are left to fillers that no serving task tolerates. This comes before the
+    number of fillers on the worker, which change within seconds: by that, serving tasks
+    would spread over all workers while fillers keep the packed ones busy.
+    """
+    runs = worker.runs_by_task.values()
+    fillers = sum(run.is_filler for run in runs)
+    has_same_image = any(run.is_serving and run.image == step.image for run in runs)
+    return (
+        bool(worker.serving_count),
+        -(fillers // FILLERS_PER_SERVING_CHOICE),
+        has_same_image,
+        -worker.available.millicores,
+    )
+
+
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
