Count only observed time before a run is moved

Cause: a run counted as stalled, starved or slow by the leader's clock. A leader that was paused for some seconds, or a worker or agent that stood still together with its runs, thus had healthy running work stopped and started elsewhere at the first tick after the pause, before the reports that waited were read.

Change: a run's age and its time without progress are added up over consecutive listings, on the agent's clock; a gap of more than 1.6 s between two listings is evidence of nothing. Run times at which steps end are as before.

The test that set the clock by hand now plays reports.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -301,7 +301,6 @@
     run = make_run(job, key, task.run)
     run.is_order_in_flight = True
     run.last_order_s = now_s
-    run.progressed_s = now_s
     task_id = job.task_id(key)
     worker.add(task_id, run)
     cell.clear_ready(job, key)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -8,6 +8,7 @@
 from .incarnations import release_run, remove_worker, replace_incarnation
 from .lifecycle import make_run, stop_run
 from .measurements import apply_measurements
+from .pacing import FULL_PACE_PERCENT
 from .placing import place
 from .spec import parse_task_id
 from .worker import RunStopReason, TaskRun, Worker
@@ -88,6 +89,7 @@
     report = event.report
     effects = []
     listed = set()
+    covered_s = worker.cover_until(report.listed_ms)
     for row in report.running:
         listed.add(row.task_id)
         run = worker.runs_by_task.get(row.task_id)
@@ -97,14 +99,11 @@
             continue
         if not run.is_listed:
             run.mark_listed(row.percent, event.now_s)
-        run.record_work(row.pace / 100, event.now_s)
+        elif run.observe(row.percent, row.pace / FULL_PACE_PERCENT, covered_s):
+            _record_activity(cell, run, event.now_s)
         run.is_confirmed = True
         run.is_listed = True
         run.last_answer_ms = max(run.last_answer_ms, report.listed_ms)
-        if row.percent != run.percent:
-            run.percent = row.percent
-            run.progressed_s = event.now_s
-            _record_progress(cell, run, event.now_s)
         _record_checkpoint(cell, run, row)
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
@@ -127,7 +126,7 @@
     return run
 
 
-def _record_progress(cell, run, now_s):
+def _record_activity(cell, run, now_s):
     job = cell.jobs_by_id.get(run.job_id)
     if job is not None:
         job.last_active_s = now_s
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -2,7 +2,9 @@
 
 Tasks may stall, or run many times slower than the other tasks of their step, while
 their workers look healthy. A run is moved when it stalls, or when its remaining time is
-far above the usual run time of its step, and another worker can host the task.
+far above the usual run time of its step, and another worker can host the task. Only
+time that consecutive listings of the worker cover is counted, so that no run is stopped
+because its worker, its agent or the leader was silent for a while.
 """
 
 from statistics import median
@@ -55,7 +57,7 @@
             job = cell.jobs_by_id.get(run.job_id)
             if job is None or not _can_move(job, run):
                 continue
-            reason = find_move_reason(job, run, now_s)
+            reason = find_move_reason(job, run)
             if not reason:
                 continue
             if _find_alternative(cell, job, run, worker, now_s) is None:
@@ -77,36 +79,35 @@
     return is_settled and is_movable and run.run <= MAX_STARTS_PER_TASK
 
 
-def find_move_reason(job, run, now_s):
+def find_move_reason(job, run):
     """Return the `RunStopReason` for which to move a run, or an empty string.
 
     Parameters
     ----------
     job : Job
     run : TaskRun
-    now_s : float
     """
     if run.percent >= DONE_PERCENT:
         return ""
     # Fillers are throttled on purpose, so they get a longer timeout.
     allowed_s = FILLER_STALL_TIMEOUT_S if run.is_filler else STALL_TIMEOUT_S
-    if now_s - run.progressed_s > allowed_s:
+    if run.unchanged_s > allowed_s:
         return RunStopReason.STALLED
     if run.is_filler:
-        is_slow = _is_starved(run, now_s)
+        is_slow = _is_starved(run)
     else:
-        is_slow = _is_straggler(job, run, now_s)
+        is_slow = _is_straggler(job, run)
     return RunStopReason.STRAGGLER if is_slow else ""
 
 
-def _is_starved(run, now_s):
+def _is_starved(run):
     """Tell whether a filler would finish far sooner on another worker.
 
     A filler may be throttled again and again without ever stalling. A long filler that
     runs near its full speed is not starved.
     """
     worked_percent = run.percent - run.first_listed_percent
-    if now_s - run.first_listed_s < MIN_FILLER_AGE_S or worked_percent <= 0:
+    if run.observed_s < MIN_FILLER_AGE_S or worked_percent <= 0:
         return False
     full_run_s = run.work_done_s * DONE_PERCENT / worked_percent
     remaining_ratio = (DONE_PERCENT - run.percent) / DONE_PERCENT
@@ -119,14 +120,13 @@
     )
 
 
-def _is_straggler(job, run, now_s):
+def _is_straggler(job, run):
     durations = job.durations_by_step.get(run.key[:2], ())
     if len(durations) < MIN_COMPLETED_PEERS or not run.percent:
         return False
     usual_s = median(durations)
-    age_s = now_s - run.first_listed_s
-    remaining_s = age_s * (DONE_PERCENT - run.percent) / run.percent
-    is_old = age_s > MIN_AGE_RATIO * usual_s
+    remaining_s = run.observed_s * (DONE_PERCENT - run.percent) / run.percent
+    is_old = run.observed_s > MIN_AGE_RATIO * usual_s
     return is_old and remaining_s > max(MIN_REMAINING_S, MIN_REMAINING_RATIO * usual_s)
 
 
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -22,6 +22,10 @@
 #: Time constant of the exponential smoothing of a run's pace: longer than load peaks of
 #: serving tasks, shorter than the run time of most fillers.
 PACE_SMOOTHING_S = 4.0
+#: Longest time between two listings of a worker during which its runs count as
+#: observed. Over a longer gap the worker, its agent or the leader was silent, which
+#: says nothing about the runs.
+MAX_LISTING_GAP_S = 1.6
 
 
 class RunEnd:
@@ -138,30 +142,45 @@
     percent: int = 0
     #: Percentage at which it was first listed as running.
     first_listed_percent: int = 0
-    #: Leader's clock when the percentage last changed.
-    progressed_s: float = 0.0
+    #: Time that the listings cover since the run was first listed.
+    observed_s: float = 0.0
+    #: Part of `observed_s` since the percentage last changed.
+    unchanged_s: float = 0.0
     #: Smoothed pace as a share of full speed, from 0 to 1.
     recent_pace_ratio: float = 1.0
     #: Work since the run was first listed, in seconds at full speed.
     work_done_s: float = 0.0
-    #: Leader's clock up to which `work_done_s` is counted.
-    work_counted_until_s: float = 0.0
 
     def mark_listed(self, percent, now_s):
         """Record the first time that the worker lists the run as running."""
         self.first_listed_s = now_s
         self.first_listed_percent = percent
-        self.progressed_s = now_s
+        self.percent = percent
+        self.observed_s = 0.0
+        self.unchanged_s = 0.0
         self.work_done_s = 0.0
-        self.work_counted_until_s = now_s
-
-    def record_work(self, pace, now_s):
-        """Add the work since the last report, done at ``pace`` times the full speed."""
-        elapsed_s = now_s - self.work_counted_until_s
-        self.work_counted_until_s = now_s
-        self.work_done_s += pace * elapsed_s
-        decay = exp(-elapsed_s / PACE_SMOOTHING_S)
+
+    def observe(self, percent, pace, covered_s):
+        """Apply a later listing of the run; return whether the run has progressed.
+
+        Parameters
+        ----------
+        percent : int
+        pace : float
+            Pace since the previous listing, as a share of full speed.
+        covered_s : float
+            Time since the previous listing; see `Worker.cover_until`.
+        """
+        self.observed_s += covered_s
+        self.work_done_s += pace * covered_s
+        decay = exp(-covered_s / PACE_SMOOTHING_S)
         self.recent_pace_ratio = pace + (self.recent_pace_ratio - pace) * decay
+        if percent == self.percent:
+            self.unchanged_s += covered_s
+            return False
+        self.percent = percent
+        self.unchanged_s = 0.0
+        return True
 
     @property
     def is_stop_requested(self):
@@ -206,6 +225,8 @@
     serving_count: int = 0
     #: Highest ratio of tail to target without fillers, by serving image.
     baseline_tail_by_image: dict[str, float] = field(default_factory=dict)
+    #: Agent's clock at the latest listing; 0 before the first.
+    listed_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
     #: Leader's clock until which the worker gets no new tasks.
@@ -262,6 +283,16 @@
             self._usage = used, cores_by_image
         return self._usage
 
+    def cover_until(self, listed_ms):
+        """Return the seconds between the previous listing and one at ``listed_ms``.
+
+        It is 0 if the gap is longer than `MAX_LISTING_GAP_S`. Counted on the agent's
+        clock, so that neither a paused leader nor delayed reports matter.
+        """
+        gap_s = (listed_ms - self.listed_ms) / 1000
+        self.listed_ms = max(self.listed_ms, listed_ms)
+        return gap_s if 0 < gap_s <= MAX_LISTING_GAP_S else 0.0
+
     def accepts_tasks(self, now_s):
         """Tell whether new tasks may be assigned to the worker."""
         return (
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,5 +1,8 @@
 """Tests of which runs are stopped to restart on another worker."""
 
+from dataclasses import replace
+
+from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.stragglers import FILLER_STALL_TIMEOUT_S, move_stragglers
 from dotterelspread.jobs.worker import RunningTask, RunStopReason
@@ -8,18 +11,83 @@
 from tests.builders_fleet import make_step
 
 
-def test_a_stalled_filler_moves_to_a_worker_with_idle_processors():
-    cell = make_cell(make_worker(0))
+def start_filler(cell):
+    """Start a filler on the only worker of a cell and return its start order."""
     step = make_step(is_filler=True, image="f", demand=Resources(4000, 10))
     (start,) = submit(cell, step)
-    run = start.run
-    run.is_order_in_flight = False
-    run.is_confirmed = run.is_listed = True
+    start.run.is_order_in_flight = False
+    return start
+
+
+def start_batch_task(cell):
+    (start,) = submit(cell, make_step(demand=Resources(4000, 10)))
+    start.run.is_order_in_flight = False
+    return start
+
+
+def report_until(cell, start, begin_s, end_s, percent=10):
+    """Report twice a second, from the first time on, that a run stands still."""
+    now_s = begin_s
+    while now_s <= end_s:
+        row = RunningTask(start.task_id, start.run.run, "", percent, 0)
+        reduce(make_report(0, now_s, row), cell)
+        now_s += 0.5
+
+
+def test_a_stalled_filler_moves_to_a_worker_with_idle_processors():
+    cell = make_cell(make_worker(0))
+    start = start_filler(cell)
     elapsed_s = FILLER_STALL_TIMEOUT_S + 1
+    report_until(cell, start, 0.0, elapsed_s)
     assert move_stragglers(cell, elapsed_s) == []
     cell.workers_by_id["i-1"] = make_worker(1)
     (stop,) = move_stragglers(cell, elapsed_s)
-    assert stop.run is run
+    assert stop.run is start.run
+
+
+def test_runs_stay_when_the_leader_was_paused():
+    for begin in (start_filler, start_batch_task):
+        cell = make_cell(make_worker(0))
+        start = begin(cell)
+        cell.workers_by_id["i-1"] = make_worker(1)
+        report_until(cell, start, 0.0, 1.0)
+        # The first tick after a pause comes before the reports that wait meanwhile.
+        for now_s in (9.0, 9.1):
+            assert reduce(CellTick(now_s, 0), cell) == []
+        # A report from the time of the pause that shows the same percentage.
+        row = RunningTask(start.task_id, start.run.run, "", 10, 0)
+        late = replace(make_report(0, 1.5, row), now_s=9.2, lease_end_s=13.0)
+        reduce(late, cell)
+        assert move_stragglers(cell, 9.3) == []
+
+
+def test_runs_stay_when_their_worker_was_silent():
+    for begin in (start_filler, start_batch_task):
+        cell = make_cell(make_worker(0))
+        start = begin(cell)
+        cell.workers_by_id["i-1"] = make_worker(1)
+        report_until(cell, start, 0.0, 1.0)
+        # Worker and agent stood still together, so the run made no progress either.
+        report_until(cell, start, 9.0, 9.5)
+        assert move_stragglers(cell, 9.5) == []
+        report_until(cell, start, 10.0, 16.0)
+        (stop,) = move_stragglers(cell, 16.0)
+        assert stop.run.stop_reason == RunStopReason.STALLED
+
+
+def test_a_run_is_no_straggler_for_the_time_of_a_pause():
+    cell = make_cell(make_worker(0))
+    starts = submit(cell, make_step(count=3))
+    for start in starts:
+        start.run.is_order_in_flight = False
+    job = cell.jobs_by_id[starts[0].run.job_id]
+    job.durations_by_step[0, 0] = [1.0, 1.0]
+    rows = [RunningTask(start.task_id, 1, "", 20, 0) for start in starts]
+    reduce(make_report(0, 0.0, *rows), cell)
+    rows = [replace(row, percent=40) for row in rows]
+    reduce(make_report(0, 0.3, *rows), cell)
+    cell.workers_by_id["i-1"] = make_worker(1)
+    assert reduce(CellTick(6.0, 0), cell) == []
 
 
 def simulate_filler(cell, full_run_s, pace_at, worked_s=0.0):
