Repeat a start only while its own order is valid

Cause: an agent checked that an order had not expired when the order arrived, but not before it repeated a start that the worker had not answered, and it sent the start with the end of the newest grant. An agent that was paused for longer than the lease, and whose first start was lost, then started a run that the leader had given to another worker meanwhile.

Change: each attempt checks the order's own end, and the start carries that end to the worker, which refuses it afterwards. The agent's other leases are extended as before.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -241,9 +241,13 @@
 
     def lease_until_ms(self):
         """Return the granted end of the lease on the worker's clock; 0 if unknown."""
-        if self.clock_offset_ms is None or not self.grant_until_ms:
+        return self.to_worker_clock(self.grant_until_ms)
+
+    def to_worker_clock(self, until_ms):
+        """Convert a time from the agent's to the worker's clock; 0 if unknown."""
+        if self.clock_offset_ms is None or not until_ms:
             return 0
-        return max(0, self.grant_until_ms + self.clock_offset_ms)
+        return max(0, until_ms + self.clock_offset_ms)
 
     def observe_clock(self, worker_clock_ms):
         """Update the clock offset from a reply that has just arrived."""
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -15,6 +15,9 @@
 #: Attempts to send an order before its outcome is reported as unknown.
 MAX_ORDER_ATTEMPTS = 3
 
+#: Detail of the reply to an order that was delayed beyond its lease.
+ORDER_EXPIRED = "the order has expired"
+
 #: An outdated start has already ended or been stopped; the lists of runs tell which.
 _RESULTS_BY_ANSWER = {
     StartAnswer.RUNNING: OrderResult.CONFIRMED,
@@ -42,9 +45,8 @@
         """Execute an order to start a run; see `OrderResult`."""
         if not self._agent.accepts(order.epoch):
             return self._order_reply(OrderResult.FENCED, "epoch")
-        if order.grant_until_ms <= self._agent.clock_ms():
-            # The order was delayed; the leader may have assigned the run elsewhere.
-            return self._order_reply(OrderResult.UNKNOWN, "the order has expired")
+        if self._has_expired(order):
+            return self._order_reply(OrderResult.UNKNOWN, ORDER_EXPIRED)
         self._agent.extend_grant(order.grant_until_ms)
         self._agent.traits_by_task[order.task_id] = TaskTraits(
             order.task_id,
@@ -72,6 +74,8 @@
         for _ in range(MAX_ORDER_ATTEMPTS):
             if not self._is_same_incarnation(order):
                 return OrderResult.GONE, "another incarnation"
+            if self._has_expired(order):
+                return OrderResult.UNKNOWN, ORDER_EXPIRED
             if self._agent.announcement.is_draining:
                 answer, detail = StartAnswer.REFUSED, "draining"
             else:
@@ -87,8 +91,17 @@
             return _RESULTS_BY_ANSWER[answer], detail
         return OrderResult.UNKNOWN, detail
 
+    def _has_expired(self, order):
+        """Tell whether the leader may have assigned the run to another worker.
+
+        A later grant does not renew the order: it may come from a leader that has given
+        the run up meanwhile.
+        """
+        return order.grant_until_ms <= self._agent.clock_ms()
+
     async def _send_start(self, order):
-        until_ms = self._agent.lease_until_ms()
+        # The worker refuses the start once the order itself has expired.
+        until_ms = self._agent.to_worker_clock(order.grant_until_ms)
         try:
             answer, clock_ms = await self._agent.adapter.start(
                 order.worker_id, order, until_ms
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -6,26 +6,13 @@
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.workeradapter import (
-    Announcement,
     Listing,
     WorkerAdapter,
     WorkerReplyError,
 )
-from dotterelspread.resources import Resources
+from tests.builders_agent import HEARTBEAT
 from tests.virtualloop import run_virtually
 
-HEARTBEAT = Announcement(
-    worker_id="i-1",
-    born_ms=1000,
-    sequence=1,
-    service="svc",
-    address="10.0.0.1:1",
-    data_centre="dc",
-    labels=frozenset({"a", "r1"}),
-    rack="r1",
-    capacity=Resources(8000, 16_000, 0),
-    is_draining=False,
-)
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
 
 
--- /dev/null
+++ b/tests/test_orderhandler.py
@@ -0,0 +1,84 @@
+"""Orders of a leader that an agent executes late."""
+
+import asyncio
+
+from dotterelspread.gen.peer.ttypes import OrderResult, StartOrder, WatchQuery
+from dotterelspread.jobs import clock
+from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.orderhandler import OrderHandler
+from dotterelspread.jobs.workeradapter import (
+    Listing,
+    StartAnswer,
+    WorkerAdapter,
+    WorkerReplyError,
+)
+from tests.builders_agent import HEARTBEAT
+from tests.virtualloop import run_virtually
+
+LEASE_MS = 4000
+
+
+def clock_ms():
+    return int(clock.now_s() * 1000)
+
+
+class PausedWorker(WorkerAdapter):
+    """Leaves the first start without a reply, while its agent is paused."""
+
+    def __init__(self, pause_s):
+        self.pause_s = pause_s
+        self.lease_ends_ms = []
+
+    async def start(self, worker_id, order, until_ms):
+        self.lease_ends_ms.append(until_ms)
+        if len(self.lease_ends_ms) == 1:
+            await asyncio.sleep(self.pause_s)
+            raise WorkerReplyError("no reply")
+        return StartAnswer.RUNNING, clock_ms()
+
+
+def start_with_pause(pause_s):
+    """Return the order of a start before a pause, the reply and the worker."""
+
+    async def run():
+        worker = PausedWorker(pause_s)
+        agent = Agent(worker, LEASE_MS, clock_ms)
+        agent.announce(HEARTBEAT)
+        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
+        order = StartOrder(
+            epoch=1,
+            worker_id=HEARTBEAT.worker_id,
+            born_ms=HEARTBEAT.born_ms,
+            task_id="t",
+            run=1,
+            program="p",
+            checkpoint="",
+            grant_until_ms=clock_ms() + LEASE_MS,
+            repeat=False,
+        )
+        starting = asyncio.ensure_future(OrderHandler(agent).start_run(order))
+        await asyncio.sleep(pause_s - 0.01)
+        # The leader has given up the run, but grants the worker's lease anew.
+        query = WatchQuery(1, 0, 0, 0, 0, clock_ms() + LEASE_MS, [], [])
+        await agent.watch(query)
+        return order, await starting, worker
+
+    return run_virtually(run())
+
+
+def test_a_start_is_repeated_while_its_order_is_valid():
+    _, reply, worker = start_with_pause(LEASE_MS / 1000 - 1)
+    assert reply.result == OrderResult.CONFIRMED
+    assert len(worker.lease_ends_ms) == 2
+
+
+def test_a_start_is_not_repeated_after_its_order_has_expired():
+    _, reply, worker = start_with_pause(LEASE_MS / 1000 + 1)
+    assert reply.result == OrderResult.UNKNOWN
+    assert len(worker.lease_ends_ms) == 1
+
+
+def test_a_start_carries_the_end_of_its_own_order():
+    order, _, worker = start_with_pause(LEASE_MS / 1000 - 1)
+    # A start that the worker executes later than this is refused there.
+    assert worker.lease_ends_ms == [order.grant_until_ms] * 2
