Deny a job only once the store has confirmed the term since the question

Cause: a leader answered that a job does not exist if the store had answered any of its calls within 2 s, counted from the arrival of the answer. Such an answer says nothing about the term: a leader that was paused, or that a successor had just replaced, denied jobs which the successor had accepted, and a caller would hand its job in anew.

Change: an unknown job is denied after an append under the leader's epoch that began after the question. If the store does not answer within 0.6 s, the question is refused with a time to return.

Result: two new tests of test_leadership.py failed before and pass now; the check of the suspended leader asks for an unknown job in place of the removed property.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -170,8 +170,6 @@
             return
         self._is_member = True
         self._generation = membership.generation
-        if self.leader is not None:
-            self.leader.store_contact_s = clock.elapsed_s()
         # A leader that no longer holds the partition continues until the claim of its
         # successor fences it, so that there is no gap between the two.
         if (
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -29,7 +29,7 @@
     worker_record,
 )
 
-__all__ = ["Committer", "DeposedError"]
+__all__ = ["STORE_TIMEOUT_S", "Committer", "DeposedError"]
 
 #: Time after which the store counts as unresponsive if an append is still waiting.
 STORE_TIMEOUT_S = 0.6
@@ -124,8 +124,12 @@
     def confirm_if_due(self):
         """Request an append if the last confirmation is about a second old."""
         if self.unconfirmed_s > CONFIRM_INTERVAL_S:
-            self._is_confirmation_due = True
-            self._request_commit()
+            self.request_confirmation()
+
+    def request_confirmation(self):
+        """Request an append that begins after this call; it confirms the term."""
+        self._is_confirmation_due = True
+        self._request_commit()
 
     async def wait_committed(self):
         """Wait until all changes made so far are in the journal.
--- a/dotterelspread/jobs/forwarding.py
+++ b/dotterelspread/jobs/forwarding.py
@@ -167,21 +167,24 @@
     async def _cancel(self, leader, request):
         if await leader.cancel(request.job_id):
             return WorkReply(WorkResult.DONE)
-        return self._reply_not_found(leader)
+        return await self._deny(leader)
 
     async def _state(self, leader, request):
         state = leader.state_of(request.job_id)
         if state is None:
-            return self._reply_not_found(leader)
+            return await self._deny(leader)
         return WorkReply(WorkResult.DONE, state=state.name)
 
     async def _pending(self, leader, request):
         return WorkReply(WorkResult.DONE, pending=leader.count_pending(request.queue))
 
-    def _reply_not_found(self, leader):
-        if leader.has_recent_store_contact:
-            return WorkReply(WorkResult.NOT_FOUND)
-        return refuse("the store has not confirmed the lead lately")
+    async def _deny(self, leader):
+        """Reply that a job does not exist, or refuse if this is not certain."""
+        try:
+            await leader.confirm_term()
+        except StoreUnresponsiveError as error:
+            return refuse(str(error))
+        return WorkReply(WorkResult.NOT_FOUND)
 
 
 #: Reason of a refusal by a process that is not the leader.
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -9,7 +9,7 @@
 from . import clock
 from .agentlink import AgentLink
 from .cell import Cancelled, CellTick, Configured, Submitted
-from .committing import Committer, DeposedError
+from .committing import STORE_TIMEOUT_S, Committer, DeposedError
 from .feasibility import find_infeasible_step
 from .handlers import reduce
 from .journal import JournalError, JournalTruncatedError
@@ -30,9 +30,6 @@
 #: the store outage that runs survive. A successor that cannot reach an agent waits for
 #: the same time in addition to the lease.
 MAX_UNCONFIRMED_GRANT_S = 10.0
-#: Longest time since the last reply of the store for which the leader may report that a
-#: job does not exist.
-MAX_STORE_CONTACT_AGE_S = 2.0
 #: Longest time since the last confirmation before another entry may take over: the
 #: confirmation interval and the duration of an append.
 MAX_CONFIRMATION_AGE_S = 1.5
@@ -77,7 +74,6 @@
         self.cell.configuration = configuration
         #: `AgentLink` of each agent by its peer address; None for entries.
         self.links_by_address = {}
-        self.store_contact_s = clock.elapsed_s()
         self.sender = OrderSender(self)
         self.committer = Committer(
             settings, journal, term.writer, self.cell, self.sender.perform
@@ -128,12 +124,6 @@
         """Whether leases may be granted within the time that a successor allows for."""
         return self.committer.unconfirmed_s < MAX_UNCONFIRMED_GRANT_S
 
-    @property
-    def has_recent_store_contact(self):
-        """Whether the store answered within `MAX_STORE_CONTACT_AGE_S`."""
-        contact_s = max(self.store_contact_s, self.committer.confirmed_s)
-        return clock.elapsed_s() - contact_s < MAX_STORE_CONTACT_AGE_S
-
     @property
     def is_confirmed(self):
         """Whether the term is active and the store accepts its appends."""
@@ -230,6 +220,28 @@
         log_decision("job cancelled", job_id=job_id)
         return True
 
+    async def confirm_term(self):
+        """Return once the store has confirmed that the term lasted until this call.
+
+        Only then does a job that this leader does not know not exist: a successor may
+        have accepted it while this process was paused or cut off.
+
+        Raises
+        ------
+        StoreUnresponsiveError
+            The store did not answer within `STORE_TIMEOUT_S`.
+        DeposedError
+            The term has ended.
+        """
+        if self.committer.is_store_unresponsive:
+            raise StoreUnresponsiveError("the store does not answer")
+        self.committer.request_confirmation()
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                await self._wait_committed()
+        except TimeoutError as error:
+            raise StoreUnresponsiveError("the term is not confirmed") from error
+
     async def _wait_committed(self):
         if self.is_deposed:
             raise DeposedError("the term is over")
@@ -276,7 +288,6 @@
                 await asyncio.sleep(STORE_RETRY_INTERVAL_S)
                 continue
             offset = tail.next_offset
-            self.store_contact_s = clock.elapsed_s()
             for record in tail.records:
                 self._connect(record)
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,6 +4,7 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.forwarding import Verb, make_request
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
@@ -13,6 +14,8 @@
     run_scenario,
 )
 
+#: Id of a job that nobody has submitted.
+ID = "0" * 16
 TWO_STEPS = (make_step(count=3), make_step(count=2, depends_on=(0,)))
 
 
@@ -130,7 +133,36 @@
         assert leader.may_grant
         monkeypatch.setattr(clock, "suspended_s", lambda: 12.0)
         assert not leader.may_grant
-        assert not leader.has_recent_store_contact
+        reply = await process.forwarder.handle(make_request(Verb.STATE, ID, "q", 3000))
+        assert reply.result == WorkResult.REFUSED
+
+    run_scenario(scenario)
+
+
+def test_a_leader_with_a_successor_denies_no_job():
+    async def scenario(fleet):
+        process = next(e for e in fleet.entries if e.candidate.leader)
+        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
+        await take_over(fleet.store.journal("successor"), settings)
+        # The successor may have accepted any job without this leader knowing it.
+        for verb in (Verb.STATE, Verb.CANCEL):
+            request = make_request(verb, ID, "q", 3000)
+            reply = await process.forwarder.handle(request)
+            assert reply.result != WorkResult.NOT_FOUND
+
+    run_scenario(scenario)
+
+
+def test_an_unknown_job_is_neither_denied_nor_held_while_the_store_is_silent():
+    async def scenario(fleet):
+        process = next(e for e in fleet.entries if e.candidate.leader)
+        fleet.store.mode_by_node["*"] = "silent"
+        began_s = clock.now_s()
+        for _ in range(2):
+            request = make_request(Verb.STATE, ID, "q", 3000)
+            reply = await process.forwarder.handle(request)
+            assert reply.result == WorkResult.REFUSED
+        assert clock.now_s() - began_s < 1.0
 
     run_scenario(scenario)
 
