Refuse submissions that the store cannot have seen when it stops answering

Cause: submissions that arrived between the start of an append that the store did not answer and 0.6 s later, when the store counted as unresponsive, waited for the next append until their callers' deadlines and were answered 504, though no append had carried them. A repeat of a job that was already in the store waited as well.

Change: once the store is unresponsive, a job that no append has carried is withdrawn from the cell and its caller is refused with a time to return; nothing of it was started, since starts follow the append. A repeat of a stored job is accepted at once.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -25,6 +25,7 @@
     "StartRun",
     "StopRun",
     "Submitted",
+    "Withdrawn",
 ]
 
 
@@ -99,6 +100,13 @@
     wall_ms: int
 
 
+@dataclass(slots=True, frozen=True)
+class Withdrawn(Event):
+    """A submitted job is refused, since no append with it has been sent."""
+
+    job_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class Cancelled(Event):
     """A caller cancelled a job."""
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -139,9 +139,18 @@
         DeposedError
             The term ended first; the changes may or may not be in the journal.
         """
+        commit = self.current_commit()
+        if commit is not None:
+            await asyncio.shield(commit)
+
+    def current_commit(self):
+        """Return the future of the commit of all changes so far; None if it is done."""
         batch = self._pending or self._in_flight
-        if batch is not None:
-            await asyncio.shield(batch.done)
+        return None if batch is None else batch.done
+
+    def has_sent(self, job_id):
+        """Whether an append with the job may have reached the store."""
+        return job_id in self._stored
 
     def abandon(self, reason):
         """Fail all waiting callers; only the next leader knows what was committed."""
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -8,7 +8,7 @@
 from ..supervision import log_unexpected, run_supervised
 from . import clock
 from .agentlink import AgentLink
-from .cell import Cancelled, CellTick, Configured, Submitted
+from .cell import Cancelled, CellTick, Configured, Submitted, Withdrawn
 from .committing import STORE_TIMEOUT_S, Committer, DeposedError
 from .feasibility import find_infeasible_step
 from .handlers import reduce
@@ -199,9 +199,41 @@
                 raise StoreUnresponsiveError("the store does not answer")
             self._check_feasible(spec)
             self.apply(Submitted(clock.now_s(), spec, clock.wall_ms()))
-        await self._wait_committed()
+        if self.state_of(spec.job_id) is None:
+            await self._wait_accepted(spec.job_id)
         log_decision("job accepted", job_id=spec.job_id, queue=spec.queue.name)
 
+    async def _wait_accepted(self, job_id):
+        """Wait until a job is committed; withdraw it if the store stops answering.
+
+        Only a job that no append has carried yet can be withdrawn. The others may be in
+        the store, so their callers wait.
+        """
+        if self.is_deposed:
+            raise DeposedError("the term is over")
+        commit = self.committer.current_commit()
+        while commit is not None and not commit.done():
+            await asyncio.wait({commit}, timeout=TICK_INTERVAL_S)
+            if self.committer.is_store_unresponsive:
+                self._withdraw(job_id)
+        if commit is not None:
+            commit.result()
+
+    def _withdraw(self, job_id):
+        """Withdraw a job, or return if an append may have carried it.
+
+        Raises
+        ------
+        StoreUnresponsiveError
+            The job is withdrawn.
+        """
+        if self.committer.has_sent(job_id):
+            return
+        self.apply(Withdrawn(clock.now_s(), job_id))
+        if job_id not in self.cell.jobs_by_id:
+            log_decision("job withdrawn", job_id=job_id, epoch=self.epoch)
+            raise StoreUnresponsiveError("the store does not answer")
+
     def _check_feasible(self, spec):
         if clock.now_s() - self._started_s < FEASIBILITY_CHECK_DELAY_S:
             return
--- a/dotterelspread/jobs/submitting.py
+++ b/dotterelspread/jobs/submitting.py
@@ -1,7 +1,7 @@
-"""Handlers of submissions, cancellations and configuration changes."""
+"""Handlers of submissions, withdrawals, cancellations and configuration changes."""
 
 from ..reducer import reduce
-from .cell import Cancelled, Configured, Submitted
+from .cell import Cancelled, Configured, Submitted, Withdrawn
 from .job import Job
 from .lifecycle import end_job, release_occurrence
 from .placing import place
@@ -33,6 +33,23 @@
     return place(cell, event.now_s)
 
 
+@reduce.register
+def _(event: Withdrawn, cell):
+    job = cell.jobs_by_id.get(event.job_id)
+    if job is None or job.has_begun:
+        return []
+    del cell.jobs_by_id[job.job_id]
+    cell.dirty_job_ids.discard(job.job_id)
+    cell.ready_by_job.pop(job.job_id, None)
+    cell.permits_by_job.pop(job.job_id, None)
+    cell.scheduled_occurrences = [
+        occurrence
+        for occurrence in cell.scheduled_occurrences
+        if occurrence[1] != job.job_id
+    ]
+    return []
+
+
 @reduce.register
 def _(event: Cancelled, cell):
     job = cell.jobs_by_id.get(event.job_id)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -139,6 +139,50 @@
     run_scenario(scenario)
 
 
+def test_submissions_that_the_store_cannot_have_seen_are_refused_at_once():
+    async def scenario(fleet):
+        fleet.store.mode_by_node["*"] = "silent"
+        began_s = clock.now_s()
+        work = []
+        for number in range(6):
+            spec = make_job(number, TWO_STEPS)
+            work.append(asyncio.ensure_future(fleet.submit(spec, number % 2)))
+            work.append(asyncio.ensure_future(fleet.submit(spec, (number + 1) % 2)))
+            await asyncio.sleep(0.05)
+        first, _, *others = work
+        for reply in await asyncio.gather(*others):
+            assert reply.result == WorkResult.REFUSED
+            assert reply.retry_after_ms
+        assert clock.now_s() - began_s < 1.0
+        # The append under way may reach the store.
+        assert not first.done()
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(4)
+        assert (await first).result == WorkResult.DONE
+        assert fleet.checker.runs == 5
+        for number in range(6):
+            reply = await fleet.submit(make_job(number, TWO_STEPS), number % 2)
+            assert reply.result == WorkResult.DONE
+        await fleet.expect_completed()
+        assert fleet.checker.runs == 30
+
+    run_scenario(scenario)
+
+
+def test_a_repeat_of_an_accepted_job_is_accepted_while_the_store_is_silent():
+    async def scenario(fleet):
+        await fleet.submit(make_job(1, TWO_STEPS))
+        fleet.store.mode_by_node["*"] = "silent"
+        began_s = clock.now_s()
+        for entry in (0, 1):
+            reply = await fleet.submit(make_job(1, TWO_STEPS), entry)
+            assert reply.result == WorkResult.DONE
+            await fleet.settle(1)
+        assert clock.now_s() - began_s < 2.5
+
+    run_scenario(scenario)
+
+
 def test_a_leader_with_a_successor_denies_no_job():
     async def scenario(fleet):
         process = next(e for e in fleet.entries if e.candidate.leader)
