Take a worker out of use whose restarted agent does not know it

Cause: an agent process that restarts knows no worker until its next heartbeat. The leader took such a reply for a sign of life: if the restart took less than 1.2 s and the worker had gone meanwhile, the worker stayed in use for good. New tasks were placed on it, and its runs were never given to others.

Change: a reply without a worker counts as silence. After 1.2 s the worker gets no new tasks, and its runs go elsewhere when its lease has ended, as when the agent is lost.

Result: the new test of test_fleet.py failed before (the second job never ended) and passes now.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -18,7 +18,7 @@
 WATCH_TIMEOUT_MARGIN_S = 0.8
 #: Delay before a failed poll is retried.
 RETRY_INTERVAL_S = 0.2
-#: Time without a reply after which an agent gets no new tasks.
+#: Time without a report on its worker after which an agent gets no new tasks.
 AGENT_TIMEOUT_S = 1.2
 #: Largest factor by which a slow worker clock may stretch a lease.
 MAX_CLOCK_DRIFT_RATIO = 1.03
@@ -57,7 +57,7 @@
         "_agent_clock_ms",
         "_born_ms",
         "_is_granting",
-        "_last_reply_s",
+        "_last_report_s",
         "_leader",
         "_logged_number",
         "_needs_traits",
@@ -73,9 +73,10 @@
         self._acknowledged_number = 0
         #: Number of the latest logged end of a run.
         self._logged_number = 0
-        #: Agent's clock in its latest reply, and when that reply arrived.
+        #: Agent's clock in its latest reply.
         self._agent_clock_ms = 0
-        self._last_reply_s = clock.now_s()
+        #: When the latest reply that tells of a worker arrived.
+        self._last_report_s = clock.now_s()
         self._is_granting = False
         self._was_known = False
         self._needs_traits = False
@@ -115,7 +116,10 @@
             )
             check_reply(reply)
         except (PeerError, ReportError) as error:
-            self._handle_poll_failure(error)
+            if isinstance(error, ReportError):
+                counters.add("rejected_reports")
+                log_decision("report rejected", agent=self._address, error=str(error))
+            self._handle_missing_report(str(error))
             self._leader.pool.replace_connection(self._address)
             await asyncio.sleep(RETRY_INTERVAL_S)
             return
@@ -126,29 +130,28 @@
         if not reply.known:
             await asyncio.sleep(RETRY_INTERVAL_S)
 
-    def _handle_poll_failure(self, error):
-        if isinstance(error, ReportError):
-            counters.add("rejected_reports")
-            log_decision("report rejected", agent=self._address, error=str(error))
-        silent_s = clock.now_s() - self._last_reply_s
+    def _handle_missing_report(self, reason):
+        silent_s = clock.now_s() - self._last_report_s
         if silent_s > AGENT_TIMEOUT_S and self._version:
             self._version = 0
             log_decision(
                 "agent unreachable",
                 agent=self._address,
                 silent_s=round(silent_s, 3),
-                error=str(error),
+                error=reason,
             )
             self._leader.apply(AgentLost(clock.now_s(), self._address))
 
     def _apply_reply(self, reply):
         now_s = clock.now_s()
-        self._last_reply_s = now_s
         self._agent_clock_ms = reply.clock_ms
         self._needs_traits = bool(reply.needs_traits)
         if not reply.known:
+            # The agent has restarted; its worker may have gone meanwhile.
             self._is_granting = False
+            self._handle_missing_report("the agent knows no worker")
             return
+        self._last_report_s = now_s
         self._version = reply.version
         if reply.born_ms != self._born_ms:
             self._born_ms = reply.born_ms
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -89,6 +89,25 @@
     run_scenario(scenario)
 
 
+def test_a_worker_that_left_while_its_agent_restarted_is_not_used():
+    async def scenario(fleet):
+        fleet.durations[f"{1:016x}"] = 3.0
+        await fleet.submit(make_job(1, (make_step(count=9),)))
+        await fleet.settle(1)
+        # The new agent process never hears of the worker.
+        fleet.agents[0].kill()
+        fleet.workers[0].crash()
+        await fleet.settle(0.3)
+        fleet.agents[0].start()
+        await fleet.settle(2)
+        await fleet.submit(make_job(2, (make_step(count=3),)))
+        await fleet.settle(2)
+        assert (await fleet.state(f"{2:016x}")).state == "COMPLETED"
+        await fleet.expect_completed(12)
+
+    run_scenario(scenario)
+
+
 def test_runs_of_a_restarted_worker_are_rescheduled():
     async def scenario(fleet):
         fleet.durations[f"{1:016x}"] = 3.0
