Count a new leader's confirmation from the sending of its claim

Cause: a process that had claimed the leadership counted its term as confirmed from the moment at which it had read the state. If it was paused in between, it granted leases for 10 s on a claim that a successor had replaced, and that successor had waited for earlier grants only.

Change: the term carries the time at which the claim was sent; the committer counts from there.

Result: the new test of test_leadership.py failed before and passes now; the tests of the fleet, of the leadership and the bounded check pass.

--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -67,27 +67,26 @@
     ----------
     settings : ProcessSettings
     journal : Journal
-    writer : Writer
-    cell : Cell
+    term : Term
     perform : callable
         Called with each effect after its commit.
     """
 
-    def __init__(self, settings, journal, writer, cell, perform):
+    def __init__(self, settings, journal, term, perform):
         self.journal = journal
-        self.writer = writer
-        self.cell = cell
+        self.writer = term.writer
+        self.cell = term.cell
         #: Committed state of each job.
         self.committed_by_id = {
-            job.job_id: job.state for job in cell.jobs_by_id.values()
+            job.job_id: job.state for job in self.cell.jobs_by_id.values()
         }
         #: When the latest successful append was sent. The term was still valid then.
         #: On `clock.elapsed_s`, which includes suspensions of the instance.
-        self.confirmed_s = clock.elapsed_s()
+        self.confirmed_s = term.claimed_s
         self._perform = perform
         self._chunk_bytes = int(settings.store.max_request_bytes * MAX_CHUNK_RATIO)
         self._leader = LeaderRecord(
-            writer.epoch, settings.peer_address, settings.instance_id
+            self.writer.epoch, settings.peer_address, settings.instance_id
         )
         self._stored = set(self.committed_by_id)
         self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -75,9 +75,7 @@
         #: `AgentLink` of each agent by its peer address; None for entries.
         self.links_by_address = {}
         self.sender = OrderSender(self)
-        self.committer = Committer(
-            settings, journal, term.writer, self.cell, self.sender.perform
-        )
+        self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
         self._nodes = term.nodes
         self._started_s = clock.now_s()
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -50,6 +50,17 @@
     writer: Writer
     cell: Cell
     nodes: StreamSnapshot
+    #: When the claim was sent, on `clock.elapsed_s`; the term was valid then.
+    claimed_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class _Claim:
+    """A claim of the leadership that the store has accepted."""
+
+    offset: int
+    #: On `clock.elapsed_s`.
+    sent_s: float
 
 
 async def take_over(journal, settings):
@@ -72,20 +83,22 @@
         # With the same sequence number, two candidates for one epoch would get each
         # other's replies, and both would see a successful claim.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_INITIAL_SEQUENCE))
-        offset = await _claim(journal, settings, writer)
-        if offset is not None:
-            snapshot = await _catch_up(journal, snapshot, offset)
-            return Term(writer, _read_cell(snapshot, settings), nodes)
+        claim = await _claim(journal, settings, writer)
+        if claim is not None:
+            snapshot = await _catch_up(journal, snapshot, claim.offset)
+            cell = _read_cell(snapshot, settings)
+            return Term(writer, cell, nodes, claim.sent_s)
 
 
 async def _claim(journal, settings, writer):
-    """Return the offset of the claim, or None if another process was first.
+    """Return the `_Claim`, or None if another process was first.
 
     A claim without a reply is retried with the same sequence number.
     """
     record = LeaderRecord(writer.epoch, settings.peer_address, settings.instance_id)
     is_uncertain = False
     while True:
+        sent_s = clock.elapsed_s()
         try:
             offset = await journal.append(CELL_STREAM, [leader_record(record)], writer)
         except (JournalFencedError, JournalMovedError, JournalRejectedError) as error:
@@ -103,7 +116,7 @@
             await asyncio.sleep(RETRY_INTERVAL_S)
             continue
         log_decision("term begins", epoch=writer.epoch, offset=offset)
-        return offset
+        return _Claim(offset, sent_s)
 
 
 async def _catch_up(journal, snapshot, claim_offset):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,6 +5,7 @@
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.forwarding import Verb, make_request
+from dotterelspread.jobs.leader import Leader
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
@@ -211,6 +212,31 @@
     run_scenario(scenario)
 
 
+def test_a_process_that_was_paused_after_its_claim_grants_no_leases():
+    async def scenario(fleet):
+        journal = fleet.store.journal("successor")
+        append = journal.append
+
+        async def append_before_a_pause(*arguments, **options):
+            offset = await append(*arguments, **options)
+            await asyncio.sleep(12)
+            return offset
+
+        journal.append = append_before_a_pause
+        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
+        term = await take_over(journal, settings)
+        pool = fleet.network.pool(settings.peer_address)
+        leader = Leader(
+            settings, journal, pool, term, fleet.configuration, fleet.policy
+        )
+        # A further successor may have waited for the leases that it knows of.
+        assert not leader.may_grant
+        assert not leader.is_confirmed
+        leader.stop()
+
+    run_scenario(scenario)
+
+
 def test_a_successor_reads_all_records_appended_before_its_claim():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
