Deny a job only when an agent of its cell has answered

Cause: an entry of the other path answered that a job does not exist when no agent of its cell replied in time, so after lost replies a caller was told that its job was unknown though it ran.

Change: without any answer the query is refused with a time to return.

Result: the new test of test_jobpart.py failed before (NOT_FOUND) and passes now.

--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -115,18 +115,22 @@
     async def _query_cell(self, job_id):
         cell = cell_of_job(job_id)
         agents = self._members.agents_of_cell(cell)
+        has_answer = False
         for member in agents[:MAX_QUERIED_AGENTS]:
             try:
                 reply = await self.node.pool.call(
                     member.peer_address, "job", JobQuery(job_id), QUERY_TIMEOUT_S
                 )
             except PeerError:
+                # Only the agents that answer tell whether the job exists.
                 continue
+            has_answer = True
             if reply.found:
                 return JobView.from_message(reply)
-        if agents:
+        if has_answer:
             return _not_found(job_id)
-        detail = f"no agent of {cell or 'its cell'} is known"
+        problem = "answers" if agents else "is known"
+        detail = f"no agent of {cell or 'its cell'} {problem}"
         return Refused(RefusalReason.NO_INSTANCE, detail, retry_after_s=2.0)
 
     def _refusal(self, job):
--- a/tests/builders_jobpart.py
+++ b/tests/builders_jobpart.py
@@ -4,8 +4,10 @@
 from types import SimpleNamespace
 
 from dotterelspread.configuration import Configuration, Urgency
+from dotterelspread.gen.peer.ttypes import JobReply
 from dotterelspread.jobpart import JobPart
 from dotterelspread.jobrequest import JobRequest, TaskRequest
+from dotterelspread.peer import PeerTimeoutError
 from dotterelspread.record import InstanceAnnounced
 from dotterelspread.resources import Resources
 
@@ -24,6 +26,18 @@
         self.records.append(record)
 
 
+class FakePool:
+    """Answers queries for jobs; agents at `silent_addresses` do not answer."""
+
+    def __init__(self):
+        self.silent_addresses = set()
+
+    async def call(self, address, method, query, timeout_s):
+        if address in self.silent_addresses:
+            raise PeerTimeoutError(f"{address}: no reply")
+        return JobReply(found=False)
+
+
 class FakeTelemetry:
     """Ignores all measurements."""
 
@@ -65,6 +79,7 @@
         ),
         incarnation=1,
         log_client=FakeLog(),
+        pool=FakePool(),
         telemetry=FakeTelemetry(),
         now_s=lambda: asyncio.get_running_loop().time(),
     )
--- a/tests/test_jobpart.py
+++ b/tests/test_jobpart.py
@@ -1,10 +1,11 @@
-"""Jobs submitted while an entry does not know the capacity of every agent yet."""
+"""Jobs at an entry that does not know or reach every agent."""
 
 import asyncio
 
 from dotterelspread.jobpart import MAX_CAPACITY_WAIT_S
 from dotterelspread.outcome import RefusalReason
 from tests.builders_jobpart import (
+    CELL,
     FakeMembers,
     make_agent,
     make_job_part,
@@ -60,3 +61,19 @@
         assert refused.reason is RefusalReason.NOT_READY
 
     run_virtually(scenario())
+
+
+def test_a_job_is_not_denied_while_no_agent_answers():
+    async def scenario():
+        agents = [make_agent(number, cores=8) for number in (1, 2)]
+        part = make_job_part(FakeMembers(*agents))
+        silent_addresses = part.node.pool.silent_addresses
+        silent_addresses.update(agent.peer_address for agent in agents)
+        refused = await part.show(f"{CELL}-1")
+        assert refused.reason is RefusalReason.NO_INSTANCE
+        assert refused.retry_after_s
+        silent_addresses.remove(agents[1].peer_address)
+        refused = await part.show(f"{CELL}-1")
+        assert refused.reason is RefusalReason.NOT_FOUND
+
+    run_virtually(scenario())
