Refuse every caller of a withdrawn job

Cause: of two callers that handed in the same job, the first one's withdrawal left the second one waiting for a commit without the job. If the store returned within 0.1 s, that caller was told that the job was accepted.

Change: a caller is told so only if the job is committed.

--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -216,6 +216,9 @@
                 self._withdraw(job_id)
         if commit is not None:
             commit.result()
+        if self.state_of(job_id) is None:
+            # Another caller with the same job has withdrawn it.
+            raise StoreUnresponsiveError("the store did not answer in time")
 
     def _withdraw(self, job_id):
         """Withdraw a job, or return if an append may have carried it.
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,7 +5,7 @@
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.forwarding import Verb, make_request
-from dotterelspread.jobs.leader import Leader
+from dotterelspread.jobs.leader import Leader, StoreUnresponsiveError
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
@@ -170,6 +170,35 @@
     run_scenario(scenario)
 
 
+def test_both_callers_of_a_withdrawn_job_are_refused_though_the_store_returns():
+    async def scenario(fleet):
+        process = next(e for e in fleet.entries if e.candidate.leader)
+        leader = process.candidate.leader
+        append = leader.journal.append
+        is_store_back = asyncio.Event()
+
+        async def append_when_back(*arguments, **options):
+            await is_store_back.wait()
+            return await append(*arguments, **options)
+
+        leader.journal.append = append_when_back
+        work = [asyncio.ensure_future(fleet.submit(make_job(1)))]
+        await asyncio.sleep(0.55)
+        for _ in range(2):
+            work.append(asyncio.ensure_future(leader.submit(make_job(2))))
+            await asyncio.sleep(0.04)
+        # The first caller of job 2 has been refused, the second one still waits.
+        await asyncio.sleep(0.03)
+        is_store_back.set()
+        accepted, *refused = await asyncio.gather(*work, return_exceptions=True)
+        assert accepted.result == WorkResult.DONE
+        assert [type(error) for error in refused] == [StoreUnresponsiveError] * 2
+        await fleet.settle(2)
+        assert fleet.checker.runs == 1
+
+    run_scenario(scenario)
+
+
 def test_a_repeat_of_an_accepted_job_is_accepted_while_the_store_is_silent():
     async def scenario(fleet):
         await fleet.submit(make_job(1, TWO_STEPS))
