Let the percentage of a long task stand still for longer

Cause: a run counted as stalled when its percentage did not change for 2.5 s. That of a task which takes more than 250 s changes less often, so a healthy long task was stopped and started elsewhere up to four times.

Change: the percentage may stay the same for 5 % of the estimated run time, at least for the former time.

Result: the new test of test_stragglers.py failed before and passes now. Tasks of the users' deployments are estimated at a few seconds, so nothing changes there.

--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -19,6 +19,9 @@
 STALL_TIMEOUT_S = 2.5
 #: The same for a filler, which may be paused on purpose for a while.
 FILLER_STALL_TIMEOUT_S = 5.0
+#: Share of the estimated run time for which a percentage may stay the same: several
+#: percent, since estimates are rough.
+MIN_UNCHANGED_RATIO = 0.05
 #: Minimum number of completed tasks of the step to estimate its usual run time.
 MIN_COMPLETED_PEERS = 2
 #: Minimum age and remaining time of a run to be moved, in multiples of the usual run
@@ -89,9 +92,7 @@
     """
     if run.percent >= DONE_PERCENT:
         return ""
-    # Fillers are throttled on purpose, so they get a longer timeout.
-    allowed_s = FILLER_STALL_TIMEOUT_S if run.is_filler else STALL_TIMEOUT_S
-    if run.unchanged_s > allowed_s:
+    if run.unchanged_s > _stall_timeout_s(job, run):
         return RunStopReason.STALLED
     if run.is_filler:
         is_slow = _is_starved(run)
@@ -100,6 +101,16 @@
     return RunStopReason.STRAGGLER if is_slow else ""
 
 
+def _stall_timeout_s(job, run):
+    """Return how long the percentage of a run may stay the same.
+
+    That of a long task changes rarely, and fillers are throttled on purpose.
+    """
+    base_s = FILLER_STALL_TIMEOUT_S if run.is_filler else STALL_TIMEOUT_S
+    estimate_s = job.step_of(run.key).estimate_ms / 1000
+    return max(base_s, MIN_UNCHANGED_RATIO * estimate_s)
+
+
 def _is_starved(run):
     """Tell whether a filler would finish far sooner on another worker.
 
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -45,6 +45,17 @@
     assert stop.run is start.run
 
 
+def test_a_long_task_whose_percentage_changes_rarely_stays():
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step(demand=Resources(4000, 10), estimate_ms=900_000))
+    start.run.is_order_in_flight = False
+    cell.workers_by_id["i-1"] = make_worker(1)
+    report_until(cell, start, 0.0, 9.0)
+    assert move_stragglers(cell, 9.0) == []
+    report_until(cell, start, 9.5, 50.0)
+    assert len(move_stragglers(cell, 50.0)) == 1
+
+
 def test_runs_stay_when_the_leader_was_paused():
     for begin in (start_filler, start_batch_task):
         cell = make_cell(make_worker(0))
