--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -45,6 +45,13 @@
     assert listed == code(r'\.count\("(\w+)"')
 
 
+def test_each_message_of_the_decision_log_is_listed():
+    messages = code(r'log_decision\(\s*"([^"]+)"')
+    assert len(messages) > 40
+    listed = set(re.findall(r"`([^`]+)`", TEXT))
+    assert messages - listed == set()
+
+
 def test_each_header_is_listed():
     headers = re.findall(r"^\| `([A-Za-z-]+)` \|", TEXT, re.MULTILINE)
     read = code(r'_HEADER = "([a-z-]+)"', "callerrequest.py")
