Split the leader's connections and the runs of tasks into modules of their own

Change: connecting.py connects a leader to registered processes, taskrun.py holds the run of a task.

Result: the tests of the jobs' path pass unchanged but for two imports.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -16,8 +16,6 @@
 
 __all__ = ["Agent"]
 
-#: Attempts to send an order before its outcome is reported as unknown.
-MAX_ORDER_ATTEMPTS = 3
 #: Longest time that a worker waits for the end of a run before it lists its runs.
 LISTING_POLL_TIMEOUT_MS = 500
 #: Delay before a failed call to the worker is retried.
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -9,7 +9,8 @@
 from .permits import Permits
 from .queues import FleetConfiguration
 from .spec import JobSpec, StepSpec, TaskKey
-from .worker import AgentReport, TaskRun, Worker
+from .taskrun import TaskRun
+from .worker import AgentReport, Worker
 
 __all__ = [
     "AcknowledgeEnds",
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -3,7 +3,8 @@
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
 from .lifecycle import add_due_steps, end_job, requeue, stop_run
-from .worker import RunEnd, RunStopReason
+from .taskrun import RunStopReason
+from .worker import RunEnd
 
 __all__ = ["apply_ends"]
 
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -1,20 +1,16 @@
 """Leader of a cell: drives its reducer, the journal and the connections to agents."""
 
 import asyncio
-from functools import partial
 
 from ..decisionlog import log_decision
-from ..processsettings import FleetRole
 from ..supervision import log_unexpected, run_supervised
 from . import clock
-from .agentlink import AgentLink
 from .cell import Cancelled, CellTick, Configured, Submitted, Withdrawn
 from .committing import STORE_TIMEOUT_S, Committer, DeposedError
+from .connecting import NodeConnector
 from .feasibility import find_infeasible_step
 from .handlers import reduce
-from .journal import JournalError, JournalTruncatedError
-from .leadernotices import announce_once, announce_periodically
-from .nodes import NODES_STREAM, decode_node
+from .leadernotices import announce_once
 from .ordersending import OrderSender
 
 __all__ = [
@@ -37,10 +33,6 @@
 #: agents have reported the shapes of their workers: it covers one heartbeat interval of
 #: the workers and the start of an agent.
 FEASIBILITY_CHECK_DELAY_S = 3.0
-#: Longest time that a read of the node stream waits for new records.
-NODES_POLL_TIMEOUT_S = 2.0
-#: Delay before a failed call to the store is retried.
-STORE_RETRY_INTERVAL_S = 0.3
 
 
 class StoreUnresponsiveError(Exception):
@@ -77,7 +69,7 @@
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
-        self._nodes = term.nodes
+        self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
         self._tasks = set()
@@ -92,9 +84,8 @@
         """
         self._spawn_vital(self.committer.run())
         self._spawn_vital(self._tick_loop())
-        self.spawn("nodes", self._nodes_loop)
-        for record in self._nodes.records_by_key.values():
-            self._connect(record)
+        self._connector.connect_known()
+        self.spawn("nodes", self._connector.run)
         try:
             await self._deposed
         finally:
@@ -298,54 +289,8 @@
         """Apply a published version of the configuration."""
         self.apply(Configured(clock.now_s(), configuration))
 
-    # Ticks and connections to other processes.
-
     async def _tick_loop(self):
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.apply(CellTick(clock.now_s(), clock.wall_ms()))
             self.committer.confirm_if_due()
-
-    async def _nodes_loop(self):
-        offset = self._nodes.end
-        while True:
-            try:
-                tail = await self.journal.follow(
-                    NODES_STREAM, offset, NODES_POLL_TIMEOUT_S
-                )
-            except JournalTruncatedError:
-                offset = await self._reread_nodes(offset)
-                continue
-            except JournalError as error:
-                log_decision("nodes not read", error=str(error))
-                await asyncio.sleep(STORE_RETRY_INTERVAL_S)
-                continue
-            offset = tail.next_offset
-            for record in tail.records:
-                self._connect(record)
-
-    async def _reread_nodes(self, offset):
-        try:
-            snapshot = await self.journal.snapshot(NODES_STREAM)
-        except JournalError as error:
-            log_decision("nodes not read", error=str(error))
-            await asyncio.sleep(STORE_RETRY_INTERVAL_S)
-            return offset
-        for record in snapshot.records_by_key.values():
-            self._connect(record)
-        return snapshot.end
-
-    def _connect(self, record):
-        node = decode_node(record)
-        if node is None or node.peer_address in self.links_by_address:
-            return
-        if node.peer_address == self.settings.peer_address:
-            return
-        if node.role == FleetRole.AGENT:
-            link = AgentLink(self, node.peer_address)
-            self.links_by_address[node.peer_address] = link
-            self.spawn("agent link", link.run, agent=node.peer_address)
-        elif node.role == FleetRole.ENTRY:
-            self.links_by_address[node.peer_address] = None
-            announce = partial(announce_periodically, self, node.peer_address)
-            self.spawn("leader notices", announce, entry=node.peer_address)
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -2,7 +2,7 @@
 
 from .cell import StartRun, StopRun
 from .job import Phase
-from .worker import RunStopReason, TaskRun
+from .taskrun import RunStopReason, TaskRun
 
 __all__ = [
     "add_due_steps",
--- a/dotterelspread/jobs/pacing.py
+++ b/dotterelspread/jobs/pacing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from .paircost import CostEstimate, interference_factor
-from .worker import SERVING_PEAK_CPU_RATIO
+from .taskrun import SERVING_PEAK_CPU_RATIO
 
 __all__ = [
     "FULL_PACE_PERCENT",
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -11,7 +11,8 @@
 from .pacing import FULL_PACE_PERCENT
 from .placing import place
 from .spec import parse_task_id
-from .worker import RunStopReason, TaskRun, Worker
+from .taskrun import RunStopReason, TaskRun
+from .worker import Worker
 
 __all__ = []
 
@@ -22,7 +23,8 @@
 @reduce.register
 def _(event: Reported, cell):
     report = event.report
-    effects = _lose_replaced_workers(cell, report)
+    _remove_replaced_workers(cell, report)
+    effects = []
     worker = cell.workers_by_id.get(report.worker_id)
     if worker is not None and worker.born_ms > report.born_ms:
         return effects + place(cell, event.now_s)
@@ -58,13 +60,12 @@
     return []
 
 
-def _lose_replaced_workers(cell, report):
-    """Mark previous workers of an instance as lost; it runs one at a time."""
+def _remove_replaced_workers(cell, report):
+    """Remove previous workers of an instance; it runs one at a time."""
     for worker in list(cell.workers_by_id.values()):
         is_same = worker.worker_id == report.worker_id
         if worker.agent_address == report.agent_address and not is_same:
             remove_worker(cell, worker)
-    return []
 
 
 def _update(worker, event):
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -11,7 +11,7 @@
 
 from .lifecycle import stop_run
 from .placing import MIN_FILLER_SPEED_RATIO, FillerDemand, choose_worker, expected_speed
-from .worker import RunStopReason
+from .taskrun import RunStopReason
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
 
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -1,27 +1,18 @@
 """The leader's view of a worker and of the runs on it."""
 
 from dataclasses import dataclass, field
-from math import exp
 
 from ..resources import Resources
-from .spec import TaskKey
+from .taskrun import TaskRun
 
 __all__ = [
-    "SERVING_PEAK_CPU_RATIO",
     "AgentReport",
     "EndedRun",
     "RunEnd",
-    "RunStopReason",
     "RunningTask",
-    "TaskRun",
     "Worker",
 ]
 
-#: Share of its requested processors that a serving task uses at peak load.
-SERVING_PEAK_CPU_RATIO = 0.75
-#: Time constant of the exponential smoothing of a run's pace: longer than load peaks of
-#: serving tasks, shorter than the run time of most fillers.
-PACE_SMOOTHING_S = 4.0
 #: Longest time between two listings of a worker during which its runs count as
 #: observed. Over a longer gap the worker, its agent or the leader was silent, which
 #: says nothing about the runs.
@@ -42,19 +33,6 @@
     GANG_TIMED_OUT = "alone"
 
 
-class RunStopReason:
-    """Why a run is stopped before it ends by itself."""
-
-    CANCELLED = "job cancelled"
-    FAILED = "job failed"
-    #: Another run, or another member of the gang, completed the task.
-    COMPLETED = "task already completed"
-    #: The worker lists a run that the journal does not know as the latest one.
-    UNKNOWN = "not the latest run of its task"
-    STALLED = "no progress"
-    STRAGGLER = "expected to finish sooner on another worker"
-
-
 @dataclass(slots=True, frozen=True)
 class RunningTask:
     """An entry of a worker's list of running tasks."""
@@ -106,102 +84,6 @@
     ended: tuple[EndedRun, ...]
 
 
-@dataclass(slots=True)
-class TaskRun:
-    """A run that was assigned to a worker and is not known to have ended."""
-
-    job_id: str
-    key: TaskKey
-    run: int
-    reserved: Resources
-    #: Processors that the task requests.
-    millicores: int
-    #: Target tail latency of a serving task; 0 for other tasks.
-    target_ms: int
-    is_filler: bool = False
-    #: Image that the task runs; tasks of one image behave alike.
-    image: str = ""
-    #: Whether the worker has confirmed that it runs.
-    is_confirmed: bool = False
-    #: Whether this incarnation of the worker has listed it as running.
-    is_listed: bool = False
-    #: Whether a start or stop order awaits its reply from the worker.
-    is_order_in_flight: bool = False
-    #: A `RunStopReason`, or empty while the run is to continue.
-    stop_reason: str = ""
-    #: Whether an order for the run may have been sent before.
-    is_repeat: bool = False
-    #: Leader's clock of the latest order for the run.
-    last_order_s: float = 0.0
-    #: Agent's clock at the worker's latest confirmation of the run; 0 before the first.
-    last_answer_ms: int = 0
-    #: Processors that the run last reported to use; -1 until the first report.
-    used_millicores: int = -1
-    #: Leader's clock when it was first listed as running.
-    first_listed_s: float = 0.0
-    percent: int = 0
-    #: Percentage at which it was first listed as running.
-    first_listed_percent: int = 0
-    #: Time that the listings cover since the run was first listed.
-    observed_s: float = 0.0
-    #: Part of `observed_s` since the percentage last changed.
-    unchanged_s: float = 0.0
-    #: Smoothed pace as a share of full speed, from 0 to 1.
-    recent_pace_ratio: float = 1.0
-    #: Work since the run was first listed, in seconds at full speed.
-    work_done_s: float = 0.0
-
-    def mark_listed(self, percent, now_s):
-        """Record the first time that the worker lists the run as running."""
-        self.first_listed_s = now_s
-        self.first_listed_percent = percent
-        self.percent = percent
-        self.observed_s = 0.0
-        self.unchanged_s = 0.0
-        self.work_done_s = 0.0
-
-    def observe(self, percent, pace, covered_s):
-        """Apply a later listing of the run; return whether the run has progressed.
-
-        Parameters
-        ----------
-        percent : int
-        pace : float
-            Pace since the previous listing, as a share of full speed.
-        covered_s : float
-            Time since the previous listing; see `Worker.cover_until`.
-        """
-        self.observed_s += covered_s
-        self.work_done_s += pace * covered_s
-        decay = exp(-covered_s / PACE_SMOOTHING_S)
-        self.recent_pace_ratio = pace + (self.recent_pace_ratio - pace) * decay
-        if percent == self.percent:
-            self.unchanged_s += covered_s
-            return False
-        self.percent = percent
-        self.unchanged_s = 0.0
-        return True
-
-    @property
-    def is_stop_requested(self):
-        """Whether the run is to be stopped."""
-        return bool(self.stop_reason)
-
-    @property
-    def is_serving(self):
-        """Whether the run is a serving task with a latency target."""
-        return self.target_ms > 0
-
-    @property
-    def expected_millicores(self):
-        """Processors in use as reported, or estimated from the request."""
-        if self.used_millicores >= 0:
-            return self.used_millicores
-        if self.is_serving:
-            return round(self.millicores * SERVING_PEAK_CPU_RATIO)
-        return self.millicores
-
-
 @dataclass(slots=True)
 class Worker:
     """One incarnation of a worker, with the runs that may be active on it."""
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -16,7 +16,7 @@
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.records import costs_record, read_costs
 from dotterelspread.jobs.submitting import add_job
-from dotterelspread.jobs.worker import RunStopReason
+from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.resources import Resources
 from tests.builders_cell import (
     CAPACITY,
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -5,7 +5,8 @@
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.stragglers import FILLER_STALL_TIMEOUT_S, move_stragglers
-from dotterelspread.jobs.worker import RunningTask, RunStopReason
+from dotterelspread.jobs.taskrun import RunStopReason
+from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_step
