Play the pauses of leader and worker once for each kind of run

Cause: two tests looped over the same two kinds.

Change: they are parametrized; what they check is the same.

--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.stragglers import FILLER_STALL_TIMEOUT_S, move_stragglers
@@ -57,34 +59,34 @@
     assert len(move_stragglers(cell, 50.0)) == 1
 
 
-def test_runs_stay_when_the_leader_was_paused():
-    for begin in (start_filler, start_batch_task):
-        cell = make_cell(make_worker(0))
-        start = begin(cell)
-        cell.workers_by_id["i-1"] = make_worker(1)
-        report_until(cell, start, 0.0, 1.0)
-        # The first tick after a pause comes before the reports that wait meanwhile.
-        for now_s in (9.0, 9.1):
-            assert reduce(CellTick(now_s, 0), cell) == []
-        # A report from the time of the pause that shows the same percentage.
-        row = RunningTask(start.task_id, start.run.run, "", 10, 0)
-        late = replace(make_report(0, 1.5, row), now_s=9.2, lease_end_s=13.0)
-        reduce(late, cell)
-        assert move_stragglers(cell, 9.3) == []
-
-
-def test_runs_stay_when_their_worker_was_silent():
-    for begin in (start_filler, start_batch_task):
-        cell = make_cell(make_worker(0))
-        start = begin(cell)
-        cell.workers_by_id["i-1"] = make_worker(1)
-        report_until(cell, start, 0.0, 1.0)
-        # Worker and agent stood still together, so the run made no progress either.
-        report_until(cell, start, 9.0, 9.5)
-        assert move_stragglers(cell, 9.5) == []
-        report_until(cell, start, 10.0, 16.0)
-        (stop,) = move_stragglers(cell, 16.0)
-        assert stop.run.stop_reason == RunStopReason.STALLED
+@pytest.mark.parametrize("start_task", [start_filler, start_batch_task])
+def test_a_run_stays_when_the_leader_was_paused(start_task):
+    cell = make_cell(make_worker(0))
+    start = start_task(cell)
+    cell.workers_by_id["i-1"] = make_worker(1)
+    report_until(cell, start, 0.0, 1.0)
+    # The first tick after a pause comes before the reports that wait meanwhile.
+    for now_s in (9.0, 9.1):
+        assert reduce(CellTick(now_s, 0), cell) == []
+    # A report from the time of the pause that shows the same percentage.
+    row = RunningTask(start.task_id, start.run.run, "", 10, 0)
+    late = replace(make_report(0, 1.5, row), now_s=9.2, lease_end_s=13.0)
+    reduce(late, cell)
+    assert move_stragglers(cell, 9.3) == []
+
+
+@pytest.mark.parametrize("start_task", [start_filler, start_batch_task])
+def test_a_run_stays_when_its_worker_was_silent(start_task):
+    cell = make_cell(make_worker(0))
+    start = start_task(cell)
+    cell.workers_by_id["i-1"] = make_worker(1)
+    report_until(cell, start, 0.0, 1.0)
+    # Worker and agent stood still together, so the run made no progress either.
+    report_until(cell, start, 9.0, 9.5)
+    assert move_stragglers(cell, 9.5) == []
+    report_until(cell, start, 10.0, 16.0)
+    (stop,) = move_stragglers(cell, 16.0)
+    assert stop.run.stop_reason == RunStopReason.STALLED
 
 
 def test_a_run_is_no_straggler_for_the_time_of_a_pause():
