Keep a listed task that no job has from ending every leader's term

Cause: a leader added a run that a worker listed under the job id in its task id, also if that job has no such task. The next look at the run (its removal, its end, the search for stragglers) raised KeyError or IndexError in the reducer, which ends the term. The worker lists the run to the next leader too, so all entries lost their terms in turn and no job was served. Found by a fuzz test of the reducer.

Change: such a run belongs to no job. It is stopped and counted as before.

Result: tests/test_reports_fuzz.py failed before (KeyError in is_current) and passes now, also with 4,000 random examples by hand.

--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -16,6 +16,9 @@
 
 __all__ = []
 
+#: Job id of a run whose task no job has; the id that its worker lists may be that of a
+#: job with other tasks.
+NO_JOB_ID = ""
 #: Largest number of ended runs in a listing. A listing of this size may be truncated.
 MAX_LISTED_ENDS = 500
 
@@ -120,8 +123,7 @@
     if job and parsed[1] in job.tasks_by_key:
         run = make_run(job, parsed[1], row.run)
     else:
-        key = parsed[1] if parsed else (0, 0, 0)
-        run = TaskRun(row.task_id.split(".")[0], key, row.run, Resources(), 0, 0)
+        run = TaskRun(NO_JOB_ID, (0, 0, 0), row.run, Resources(), 0, 0)
     run.stop_reason = RunStopReason.UNKNOWN
     worker.add(row.task_id, run)
     return run
