--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: env lint test demo bench soak thrift clean
+.PHONY: env lint test demo bench fleet-check soak thrift clean
 
 env: .venv/ready
 
@@ -24,6 +24,11 @@
 bench: env
 	$(BIN)/python -m bench
 
+# BENCH is the program of the users' bench, SITES the folder of the site files.
+fleet-check: env
+	$(BIN)/python -m bench.regression $(if $(BENCH),--bench $(BENCH)) \
+		$(if $(SITES),--sites $(SITES))
+
 soak: env
 	$(BIN)/python -m soak --seeds 50 --jobs 4
 
