--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -256,7 +256,7 @@
 
 
 #: Seeds of the mixed faults: the first ones, and each that ever broke a promise.
-#: 1089: a start after a long store outage extended a lease, and the leader did not know.
+#: 1089: a start after a long store outage extended a lease that was not counted.
 MIXED_SEEDS = [*range(12), 1089]
 
 
