Play long outages, slow and failing workers and draining in the virtual fleet

Change: a second kind of mixed run with pauses of up to 13 s, workers that are six times slower, fail all they start or drain, and fillers.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -352,10 +352,17 @@
 
     async def expect_completed(self, within_s=20):
         """Wait until all accepted jobs have completed."""
+        await self._expect_states({"COMPLETED"}, within_s)
+
+    async def expect_ended(self, within_s=20):
+        """Wait until all accepted jobs have completed or failed."""
+        await self._expect_states({"COMPLETED", "FAILED"}, within_s)
+
+    async def _expect_states(self, expected, within_s):
         for _ in range(int(within_s / 0.2)):
             await self.settle(0.2)
             states = [await self.state(job_id) for job_id in self.accepted]
-            if all(reply.state == "COMPLETED" for reply in states):
+            if all(reply.state in expected for reply in states):
                 return
         raise AssertionError([(s.state, s.reason) for s in states])
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -282,6 +282,39 @@
     run_scenario(scenario, seed)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_invariants_hold_under_long_and_slow_faults(seed):
+    async def scenario(fleet):
+        rng = fleet.rng
+        fleet.store.loss = rng.choice([0.0, 0.2])
+        for worker in fleet.workers:
+            worker.late_ratio = rng.choice([0.0, 0.2])
+        for number in range(10):
+            first = make_step(count=rng.randint(1, 4), is_filler=rng.random() < 0.5)
+            steps = (first, make_step(count=2, depends_on=(0,)))
+            fleet.durations[f"{number:016x}"] = rng.choice([0.3, 1.0, 4.0])
+            await fleet.submit(make_job(number, steps), rng.randrange(2), 2500)
+            await inject_fault(fleet, rng)
+            inject_slowness(fleet, rng)
+            await fleet.settle(rng.choice([0.3, 1.5, 6.0, 13.0]))
+        clear_faults(fleet)
+        for worker in fleet.workers:
+            worker.slowness = 1.0
+            worker.is_failing = worker.is_draining = False
+        await fleet.settle(15)
+        await fleet.expect_ended(90)
+
+    run_scenario(scenario, seed)
+
+
+def inject_slowness(fleet, rng):
+    """Change how a worker runs tasks, or whether it takes any."""
+    worker = rng.choice(fleet.workers)
+    worker.slowness = rng.choice([1.0, 1.0, 6.0])
+    worker.is_failing = rng.random() < 0.1
+    worker.is_draining = rng.random() < 0.1
+
+
 async def inject_fault(fleet, rng):
     fault = rng.choice(
         [
