Ignore a grant that counts from the clock before a reboot

Cause: a leader grants leases up to a time on the agent's clock, which starts anew when the instance boots. Until the leader hears from the rebooted agent, its polls and orders carry times on the earlier, larger clock. The agent took them: it would have extended its worker's lease on its own for as long as the earlier boot had lasted, also after it was cut off and its runs had been started elsewhere. Found by reading.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -9,6 +9,7 @@
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
+from .leasegrant import LeaseGrant
 from .pacing import FillerPacer
 from .paircost import CostEstimate
 from .watchreply import build_watch_reply
@@ -42,7 +43,6 @@
 
     def __init__(self, adapter, max_lease_ms, clock_ms=clock.boottime_ms):
         self.adapter = adapter
-        self.max_lease_ms = max_lease_ms
         self.clock_ms = clock_ms
         #: Latest `Announcement` of the worker; None before the first.
         self.announcement = None
@@ -56,8 +56,7 @@
         #: Number up to which the leader has acknowledged ended runs.
         self.seen = 0
         self.epoch = 0
-        #: Time on the agent's clock up to which the leader grants leases.
-        self.grant_until_ms = 0
+        self.grant = LeaseGrant(max_lease_ms, clock_ms)
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
@@ -239,7 +238,7 @@
 
     def lease_until_ms(self):
         """Return the granted end of the lease on the worker's clock; 0 if unknown."""
-        return self.to_worker_clock(self.grant_until_ms)
+        return self.to_worker_clock(self.grant.until_ms)
 
     def to_worker_clock(self, until_ms):
         """Convert a time from the agent's to the worker's clock; 0 if unknown."""
@@ -266,7 +265,7 @@
         """Answer the leader's long poll after a change or at the end of the wait."""
         if not self.accepts(query.epoch):
             return self._reply()
-        self.extend_grant(query.grant_until_ms)
+        self.grant.extend(query.grant_until_ms)
         if query.born_ms == self.born_ms and query.seen > self.seen:
             self._discard_acknowledged_ends(query.seen)
         for traits in query.traits or ():
@@ -284,10 +283,6 @@
                 return self._reply()
         return self._reply()
 
-    def extend_grant(self, grant_until_ms):
-        """Raise the limit up to which leases may be extended, on the agent's clock."""
-        self.grant_until_ms = max(self.grant_until_ms, grant_until_ms)
-
     def _discard_acknowledged_ends(self, seen):
         self.seen = seen
         for number in [n for n in self.ended_by_number if n <= seen]:
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -47,7 +47,7 @@
             return self._order_reply(OrderResult.FENCED, "epoch")
         if self._has_expired(order):
             return self._order_reply(OrderResult.UNKNOWN, ORDER_EXPIRED)
-        self._agent.extend_grant(order.grant_until_ms)
+        self._agent.grant.extend(order.grant_until_ms)
         self._agent.traits_by_task[order.task_id] = TaskTraits(
             order.task_id,
             order.target_ms,
@@ -95,9 +95,11 @@
         """Tell whether the leader may have assigned the run to another worker.
 
         A later grant does not renew the order: it may come from a leader that has given
-        the run up meanwhile.
+        the run up meanwhile. Nothing is known of an order from before a boot.
         """
-        return order.grant_until_ms <= self._agent.clock_ms()
+        until_ms = order.grant_until_ms
+        is_over = until_ms <= self._agent.clock_ms()
+        return is_over or self._agent.grant.is_on_other_clock(until_ms)
 
     async def _send_start(self, order):
         # The worker refuses the start once the order itself has expired.
--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -82,3 +82,57 @@
     order, _, worker = start_with_pause(LEASE_MS / 1000 - 1)
     # A start that the worker executes later than this is refused there.
     assert worker.lease_ends_ms == [order.grant_until_ms] * 2
+
+
+def start_with_grant(ahead_ms):
+    """Return the reply to a start, and the agent; the grant ends ``ahead_ms`` from now.
+
+    The agent's instance has just booted, so its clock is near zero.
+    """
+
+    async def run():
+        worker = PausedWorker(0.0)
+        agent = Agent(worker, LEASE_MS, clock_ms)
+        agent.announce(HEARTBEAT)
+        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
+        order = StartOrder(
+            epoch=1,
+            worker_id=HEARTBEAT.worker_id,
+            born_ms=HEARTBEAT.born_ms,
+            task_id="t",
+            run=1,
+            program="p",
+            checkpoint="",
+            grant_until_ms=clock_ms() + ahead_ms,
+            repeat=False,
+        )
+        return await OrderHandler(agent).start_run(order), agent
+
+    return run_virtually(run())
+
+
+def test_a_start_with_a_grant_on_an_earlier_boots_clock_is_not_executed():
+    reply, agent = start_with_grant(3_600_000)
+    assert reply.result == OrderResult.UNKNOWN
+    assert agent.adapter.lease_ends_ms == []
+    assert agent.grant.until_ms == 0
+
+
+def test_a_start_with_a_grant_on_the_present_clock_is_executed():
+    reply, agent = start_with_grant(LEASE_MS)
+    assert reply.result == OrderResult.CONFIRMED
+    assert agent.grant.until_ms > 0
+
+
+def test_a_poll_with_a_grant_on_an_earlier_boots_clock_extends_no_lease():
+    async def run():
+        agent = Agent(PausedWorker(0.0), LEASE_MS, clock_ms)
+        agent.announce(HEARTBEAT)
+        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
+        await agent.watch(WatchQuery(1, 0, 0, 0, 0, clock_ms() + 3_600_000, [], []))
+        assert agent.lease_until_ms() == 0
+        until_ms = clock_ms() + LEASE_MS
+        await agent.watch(WatchQuery(1, 0, 0, 0, 0, until_ms, [], []))
+        assert agent.lease_until_ms() == until_ms
+
+    run_virtually(run())
