--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -37,25 +37,35 @@
         return StartAnswer.RUNNING, clock_ms()
 
 
+def make_agent(worker):
+    """Return an agent whose worker has announced itself and listed its runs."""
+    agent = Agent(worker, LEASE_MS, clock_ms)
+    agent.announce(HEARTBEAT)
+    agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
+    return agent
+
+
+def make_start(grant_until_ms):
+    return StartOrder(
+        epoch=1,
+        worker_id=HEARTBEAT.worker_id,
+        born_ms=HEARTBEAT.born_ms,
+        task_id="t",
+        run=1,
+        program="p",
+        checkpoint="",
+        grant_until_ms=grant_until_ms,
+        repeat=False,
+    )
+
+
 def start_with_pause(pause_s):
     """Return the order of a start before a pause, the reply and the worker."""
 
     async def run():
         worker = PausedWorker(pause_s)
-        agent = Agent(worker, LEASE_MS, clock_ms)
-        agent.announce(HEARTBEAT)
-        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
-        order = StartOrder(
-            epoch=1,
-            worker_id=HEARTBEAT.worker_id,
-            born_ms=HEARTBEAT.born_ms,
-            task_id="t",
-            run=1,
-            program="p",
-            checkpoint="",
-            grant_until_ms=clock_ms() + LEASE_MS,
-            repeat=False,
-        )
+        agent = make_agent(worker)
+        order = make_start(clock_ms() + LEASE_MS)
         starting = asyncio.ensure_future(OrderHandler(agent).start_run(order))
         await asyncio.sleep(pause_s - 0.01)
         # The leader has given up the run, but grants the worker's lease anew.
@@ -92,20 +102,8 @@
 
     async def run():
         worker = PausedWorker(0.0)
-        agent = Agent(worker, LEASE_MS, clock_ms)
-        agent.announce(HEARTBEAT)
-        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
-        order = StartOrder(
-            epoch=1,
-            worker_id=HEARTBEAT.worker_id,
-            born_ms=HEARTBEAT.born_ms,
-            task_id="t",
-            run=1,
-            program="p",
-            checkpoint="",
-            grant_until_ms=clock_ms() + ahead_ms,
-            repeat=False,
-        )
+        agent = make_agent(worker)
+        order = make_start(clock_ms() + ahead_ms)
         return await OrderHandler(agent).start_run(order), agent
 
     return run_virtually(run())
@@ -126,9 +124,7 @@
 
 def test_a_poll_with_a_grant_on_an_earlier_boots_clock_extends_no_lease():
     async def run():
-        agent = Agent(PausedWorker(0.0), LEASE_MS, clock_ms)
-        agent.announce(HEARTBEAT)
-        agent.apply_listing(Listing(HEARTBEAT.born_ms, clock_ms(), (), ()), clock_ms())
+        agent = make_agent(PausedWorker(0.0))
         await agent.watch(WatchQuery(1, 0, 0, 0, 0, clock_ms() + 3_600_000, [], []))
         assert agent.lease_until_ms() == 0
         until_ms = clock_ms() + LEASE_MS
