Log the runs that a new leader adopts and the workers that a leader gives up

Cause: no line told when a leader starts the runs of a silent worker elsewhere, nor how long a new leader waits for that, so the logs could not tell a long wait for leases from a task that was forgotten.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -27,6 +27,7 @@
     "StopRun",
     "Submitted",
     "Withdrawn",
+    "WorkerGivenUp",
 ]
 
 
@@ -198,6 +199,14 @@
     number: int
 
 
+@dataclass(slots=True, frozen=True)
+class WorkerGivenUp(Effect):
+    """Report that a silent worker's lease is over and that its runs start elsewhere."""
+
+    worker: Worker
+    task_ids: tuple[str, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class DropJob(Effect):
     """Remove a finished job from the journal."""
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -8,13 +8,15 @@
 from ..gen.peer.ttypes import OrderResult, StartOrder, StopOrder
 from ..peer import PeerError
 from . import clock
-from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun
+from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun, WorkerGivenUp
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
 __all__ = ["OrderSender"]
 
 #: Timeout of an order, during which the agent retries it on the worker.
 ORDER_TIMEOUT_S = 2.5
+#: Largest number of task ids in one log line.
+MAX_LOGGED_TASKS = 20
 
 _RESULT_NAMES = {
     OrderResult.CONFIRMED: "confirmed",
@@ -58,6 +60,18 @@
         if link is not None:
             link.acknowledge(effect.born_ms, effect.number)
 
+    @perform.register
+    def _(self, effect: WorkerGivenUp):
+        counters.add("workers_given_up")
+        log_decision(
+            "worker given up",
+            worker_id=effect.worker.worker_id,
+            agent=effect.worker.agent_address,
+            epoch=self._leader.epoch,
+            runs=len(effect.task_ids),
+            task_ids=effect.task_ids[:MAX_LOGGED_TASKS],
+        )
+
     @perform.register
     def _(self, effect: AskPermits):
         run = partial(self._ask_permits, effect)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,7 +1,7 @@
 """Handlers of ticks and order replies: retries, lost workers, due occurrences."""
 
 from ..reducer import reduce
-from .cell import AppendDone, CellTick, DropJob, OrderSettled
+from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
 from .incarnations import release_run, remove_worker
 from .lifecycle import release_occurrence, start_effect, stop_run
 from .permits import drop_permit
@@ -49,6 +49,7 @@
     effects = []
     for worker in list(cell.workers_by_id.values()):
         if event.now_s > worker.lease_end_s and not worker.is_reachable:
+            effects.append(WorkerGivenUp(worker, tuple(worker.runs_by_task)))
             remove_worker(cell, worker)
             continue
         effects.extend(_retry_orders(cell, worker, event.now_s))
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -157,4 +157,10 @@
     for job in read_jobs(snapshot.records_by_key, now_s):
         add_job(cell, job, clock.wall_ms())
         adopt_assigned(cell, job, end_s, addresses)
+    log_decision(
+        "runs adopted",
+        workers=len(cell.workers_by_id),
+        runs=sum(len(w.runs_by_task) for w in cell.workers_by_id.values()),
+        lease_wait_s=round(end_s - now_s, 3),
+    )
     return cell
