Ask the earlier leaders before waiting for the leases that they may have granted

Callers saw: a serving task without a run for 17 s and more after its instance was lost, though other workers had room (LOST).

Cause: a leader that the store does not reach goes on granting leases for 10 s, so its successor waited that time and a lease (16.7 s) before it started the runs of agents that it could not reach elsewhere. It did so without asking whether the earlier leader still ran; most often that had been killed and was back within a second. The class: a bound for the worst case is waited for where the answer can be had.

Change: a process that gets a notice of a later epoch ends its own term before it replies, and the reply says so (thrift field has_ended_terms; a process of an older version does not set it and is waited for). Once all earlier leaders have replied, the runs of agents that have not reported are given up after one lease from then. The leader's record names the earlier leaders that have not replied, so that a chain of short terms stays safe; a record without the names, of an older version, counts as unknown. A term that was claimed while a later leader became known does not begin.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -212,7 +212,7 @@
         return H1Response(200 if is_asked and is_ready else 503)
 
     async def take_notice(notice):
-        return view.receive(notice)
+        return candidate.receive_notice(notice)
 
     async def drain():
         nonlocal is_stopping
--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -3457,16 +3457,19 @@
     """
     Attributes:
      - epoch
+     - has_ended_terms
 
     """
 
     __slots__ = (
         'epoch',
+        'has_ended_terms',
     )
 
 
-    def __init__(self, epoch=None,):
+    def __init__(self, epoch=None, has_ended_terms=None,):
         self.epoch = epoch
+        self.has_ended_terms = has_ended_terms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3482,6 +3485,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.has_ended_terms = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3496,6 +3504,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 1)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.has_ended_terms is not None:
+            oprot.writeFieldBegin('has_ended_terms', TType.BOOL, 2)
+            oprot.writeBool(self.has_ended_terms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4008,6 +4020,7 @@
 NoticeReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'epoch', None, None, ),  # 1
+    (2, TType.BOOL, 'has_ended_terms', None, None, ),  # 2
 )
 all_structs.append(WorkRequest)
 WorkRequest.thrift_spec = (
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -118,6 +118,17 @@
         leader_cores = self._cores_by_address.get(view.address, 0.0)
         return leader_cores >= MIN_CORES_RATIO * self.settings.cores
 
+    def receive_notice(self, notice):
+        """Process a `LeaderNotice`; own terms of earlier epochs end before the reply.
+
+        A term whose claim is under way ends as well, since it never begins.
+        """
+        if self.leader is not None and notice.epoch > self.leader.epoch:
+            self.leader.depose("a notice of a later epoch")
+        reply = self.view.receive(notice)
+        reply.has_ended_terms = True
+        return reply
+
     async def _refresh_nodes(self):
         """Read the sizes of the region's entries and measure the round trip."""
         began_s = clock.now_s()
@@ -182,6 +193,9 @@
     async def _lead(self):
         try:
             term = await take_over(self.journal, self.settings)
+            if self.view.epoch > term.writer.epoch:
+                log_decision("term not begun", epoch=term.writer.epoch)
+                return
             leader = Leader(
                 self.settings,
                 self.journal,
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -21,6 +21,7 @@
     "CellTick",
     "Configured",
     "DropJob",
+    "EarlierTermsEnded",
     "OrderSettled",
     "Reported",
     "StartRun",
@@ -162,6 +163,14 @@
     wall_ms: int
 
 
+@dataclass(slots=True, frozen=True)
+class EarlierTermsEnded(Event):
+    """No earlier leader grants leases any more."""
+
+    #: Leader's clock after which every lease granted by them has expired.
+    lease_end_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class AppendDone(Event):
     """The append for which starts were waiting is done."""
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -7,6 +7,8 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
@@ -86,8 +88,12 @@
         self._perform = perform
         self._chunk_bytes = int(settings.store.max_request_bytes * MAX_CHUNK_RATIO)
         self._leader = LeaderRecord(
-            self.writer.epoch, settings.peer_address, settings.instance_id
+            self.writer.epoch,
+            settings.peer_address,
+            settings.instance_id,
+            term.earlier_leaders.to_record(),
         )
+        self._is_leader_record_due = False
         self._stored = set(self.committed_by_id)
         self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
         self._append_since_s = None
@@ -130,6 +136,14 @@
         self._is_confirmation_due = True
         self._request_commit()
 
+    def update_earlier_leaders(self, earlier_leaders):
+        """Append a new record of this leader with the given `EarlierLeaders`."""
+        self._leader = msgspec.structs.replace(
+            self._leader, earlier_addresses=earlier_leaders.to_record()
+        )
+        self._is_leader_record_due = True
+        self._request_commit()
+
     async def wait_committed(self):
         """Wait until all changes made so far are in the journal.
 
@@ -200,9 +214,11 @@
         for effect in batch.effects:
             if isinstance(effect, DropJob):
                 batch.records.extend(drop_records(effect.job))
-        if self._is_confirmation_due and not batch.records:
+        is_confirmation = self._is_confirmation_due and not batch.records
+        if is_confirmation or self._is_leader_record_due:
             batch.records.append(leader_record(self._leader))
         self._is_confirmation_due = False
+        self._is_leader_record_due = False
         return batch
 
     def _add_jobs(self, batch):
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -5,7 +5,15 @@
 from ..decisionlog import log_decision
 from ..supervision import log_unexpected, run_supervised
 from . import clock
-from .cell import Cancelled, CellTick, Configured, Submitted, Withdrawn
+from .agentlink import MAX_CLOCK_DRIFT_RATIO, lease_end_s
+from .cell import (
+    Cancelled,
+    CellTick,
+    Configured,
+    EarlierTermsEnded,
+    Submitted,
+    Withdrawn,
+)
 from .committing import STORE_TIMEOUT_S, Committer, DeposedError
 from .connecting import NodeConnector
 from .feasibility import find_infeasible_step
@@ -69,6 +77,8 @@
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
+        self.earlier_leaders = term.earlier_leaders
+        self._claimed_s = term.claimed_s
         self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
@@ -111,7 +121,8 @@
     @property
     def may_grant(self):
         """Whether leases may be granted within the time that a successor allows for."""
-        return self.committer.unconfirmed_s < MAX_UNCONFIRMED_GRANT_S
+        is_recent = self.committer.unconfirmed_s < MAX_UNCONFIRMED_GRANT_S
+        return is_recent and not self.is_deposed
 
     @property
     def is_confirmed(self):
@@ -120,6 +131,25 @@
         is_unresponsive = self.committer.is_store_unresponsive
         return is_recent and not is_unresponsive and not self.is_deposed
 
+    def end_earlier_term(self, address):
+        """Record that the process at an address grants no leases of earlier terms."""
+        if not self.earlier_leaders.end(address):
+            return
+        log_decision("earlier leader ended", epoch=self.epoch, address=address)
+        self.committer.update_earlier_leaders(self.earlier_leaders)
+        if self.earlier_leaders.have_all_ended:
+            now_s = clock.now_s()
+            end_s = lease_end_s(now_s, self.settings.bounds.max_lease_ms)
+            self.apply(EarlierTermsEnded(now_s, end_s))
+
+    def _expire_earlier_leaders(self):
+        """Forget earlier leaders that may not grant leases any more."""
+        age_s = clock.elapsed_s() - self._claimed_s
+        is_over = age_s > MAX_UNCONFIRMED_GRANT_S * MAX_CLOCK_DRIFT_RATIO
+        if is_over and not self.earlier_leaders.have_all_ended:
+            self.earlier_leaders.end_all()
+            self.committer.update_earlier_leaders(self.earlier_leaders)
+
     async def resign(self, reason):
         """End the term and notify the other entries at once."""
         self.depose(reason)
@@ -294,3 +324,4 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.apply(CellTick(clock.now_s(), clock.wall_ms()))
             self.committer.confirm_if_due()
+            self._expire_earlier_leaders()
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -92,3 +92,5 @@
     else:
         if reply.epoch > leader.epoch:
             leader.depose("an entry knows a later epoch")
+        elif reply.has_ended_terms:
+            leader.end_earlier_term(address)
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -52,6 +52,8 @@
     epoch: int
     peer_address: str
     instance_id: str
+    #: Peer addresses of earlier leaders that may still grant leases; None if unknown.
+    earlier_addresses: list[str] | None = None
 
 
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,7 +1,14 @@
 """Handlers of ticks and order replies: retries, lost workers, due occurrences."""
 
 from ..reducer import reduce
-from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
+from .cell import (
+    AppendDone,
+    CellTick,
+    DropJob,
+    EarlierTermsEnded,
+    OrderSettled,
+    WorkerGivenUp,
+)
 from .incarnations import release_run, remove_worker
 from .lifecycle import release_occurrence, start_effect, stop_run
 from .permits import drop_permit
@@ -44,6 +51,14 @@
     return place_now(cell, event.now_s) if cell.is_placing_due else []
 
 
+@reduce.register
+def _(event: EarlierTermsEnded, cell):
+    for worker in cell.workers_by_id.values():
+        if not worker.has_reported:
+            worker.lease_end_s = min(worker.lease_end_s, event.lease_end_s)
+    return []
+
+
 @reduce.register
 def _(event: CellTick, cell):
     effects = []
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -73,7 +73,7 @@
 
 def _update(worker, event):
     report = event.report
-    is_first = not worker.service
+    is_first = not worker.has_reported
     worker.agent_address = report.agent_address
     worker.service = report.service
     worker.data_centre = report.data_centre
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -8,6 +8,7 @@
 from . import clock
 from .agentlink import lease_end_s
 from .cell import Cell
+from .earlierleaders import EarlierLeaders
 from .incarnations import adopt_assigned
 from .journal import (
     JournalError,
@@ -52,6 +53,7 @@
     nodes: StreamSnapshot
     #: When the claim was sent, on `clock.elapsed_s`; the term was valid then.
     claimed_s: float
+    earlier_leaders: EarlierLeaders
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,19 +85,25 @@
         # With the same sequence number, two candidates for one epoch would get each
         # other's replies, and both would see a successful claim.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_INITIAL_SEQUENCE))
-        claim = await _claim(journal, settings, writer)
+        earlier_leaders = EarlierLeaders.from_record(earlier, settings.peer_address)
+        record = LeaderRecord(
+            epoch,
+            settings.peer_address,
+            settings.instance_id,
+            earlier_leaders.to_record(),
+        )
+        claim = await _claim(journal, record, writer)
         if claim is not None:
             snapshot = await _catch_up(journal, snapshot, claim.offset)
-            cell = _read_cell(snapshot, settings)
-            return Term(writer, cell, nodes, claim.sent_s)
+            cell = _read_cell(snapshot, settings, earlier_leaders)
+            return Term(writer, cell, nodes, claim.sent_s, earlier_leaders)
 
 
-async def _claim(journal, settings, writer):
+async def _claim(journal, record, writer):
     """Return the `_Claim`, or None if another process was first.
 
     A claim without a reply is retried with the same sequence number.
     """
-    record = LeaderRecord(writer.epoch, settings.peer_address, settings.instance_id)
     is_uncertain = False
     while True:
         sent_s = clock.elapsed_s()
@@ -146,12 +154,15 @@
         return snapshot
 
 
-def _read_cell(snapshot, settings):
+def _read_cell(snapshot, settings, earlier_leaders):
     now_s = clock.now_s()
     bounds = settings.bounds
     cell = Cell(placing_start_s=now_s + PLACEMENT_DELAY_S, status_s=bounds.status_s)
     # A previous leader that has not noticed the failover may still grant leases.
-    end_s = lease_end_s(now_s + MAX_UNCONFIRMED_GRANT_S, bounds.max_lease_ms)
+    grants_end_s = now_s
+    if not earlier_leaders.have_all_ended:
+        grants_end_s += MAX_UNCONFIRMED_GRANT_S
+    end_s = lease_end_s(grants_end_s, bounds.max_lease_ms)
     cell.costs = read_costs(snapshot.records_by_key)
     addresses = read_agent_addresses(snapshot.records_by_key)
     for job in read_jobs(snapshot.records_by_key, now_s):
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -123,6 +123,11 @@
     def __post_init__(self):
         self.available = self.capacity
 
+    @property
+    def has_reported(self):
+        """Whether the worker's agent has reported in this term."""
+        return bool(self.service)
+
     def set_capacity(self, capacity):
         """Update the capacity to the reported one."""
         if capacity != self.capacity:
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -4,6 +4,7 @@
 import enum
 import random
 
+from dotterelspread.gen.peer.ttypes import LeaderNotice
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.candidate import LeaderCandidate
@@ -36,10 +37,12 @@
     "CallOutcome",
     "Network",
     "VirtualFleet",
+    "kill_leader",
     "make_job",
     "make_settings",
     "make_step",
     "run_scenario",
+    "worker_that_runs",
 ]
 
 #: Delay of a late call, which is longer than a lease.
@@ -94,6 +97,8 @@
         self.fleet = fleet
         self.handlers_by_address = {}
         self.partitioned = set()
+        #: Pairs of addresses, as frozensets, that cannot reach each other.
+        self.cut_pairs = set()
         #: Addresses of instances without power, to which no connection can be opened.
         self.powered_off = set()
         self.loss = 0.0
@@ -109,7 +114,8 @@
         loop.call_later(LATE_DELIVERY_S, lambda: loop.create_task(handler(argument)))
 
     def is_partitioned(self, left, right):
-        return left in self.partitioned or right in self.partitioned
+        is_cut = frozenset({left, right}) in self.cut_pairs
+        return is_cut or left in self.partitioned or right in self.partitioned
 
     def pool(self, address):
         return _VirtualPool(self, address)
@@ -182,7 +188,7 @@
         self.forwarder = Forwarder(self.candidate, pool)
 
         async def lead(notice):
-            return self.view.receive(notice)
+            return self.candidate.receive_notice(notice)
 
         fleet.network.handlers_by_address[self.address] = {
             "lead": lead,
@@ -329,6 +335,10 @@
         for process in (*self.entries, *self.agents):
             process.start()
 
+    def cut(self, process, other):
+        """Cut the connection between two processes."""
+        self.network.cut_pairs.add(frozenset({process.address, other.address}))
+
     async def settle(self, seconds):
         """Advance the time, with workers ending runs that are over."""
         end_s = clock.now_s() + seconds
@@ -366,10 +376,27 @@
                 return
         raise AssertionError([(s.state, s.reason) for s in states])
 
+    def make_notice(self, epoch, address):
+        """Return the notice of a leader."""
+        return LeaderNotice(epoch, address, True)
+
     async def state(self, job_id, entry=0):
         return await self.ask(Verb.STATE, job_id, entry)
 
 
+def kill_leader(fleet):
+    """Kill the entry that leads and return it."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    leader.kill()
+    return leader
+
+
+def worker_that_runs(fleet, task_id):
+    """Return the worker that runs a task, or None."""
+    running = (worker for worker in fleet.workers if task_id in worker.running)
+    return next(running, None)
+
+
 def run_scenario(scenario, seed=1, **sizes):
     """Run a scenario on a new fleet with a leader, and check the fleet's invariants."""
 
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -274,6 +274,8 @@
 
 struct NoticeReply {
   1: i64 epoch,
+  // Whether this process grants no leases under an epoch before that of the notice.
+  2: bool has_ended_terms,
 }
 
 enum WorkResult {
