Record to which workers no leases are granted, so that a successor need not wait

Cause: the leader knew that a worker was silent and granted it nothing, but its successor did not, and had to allow for 10 s of grants and a lease.

Change: after 1 s of silence the leader suspends the grants to a worker and records that with its epoch; it resumes them only after a newer record is committed. A successor waits for one lease for the workers that the last epoch had suspended. A leader suspends nothing while an earlier leader may still grant. jobs/leasesuspension.py.

Result: test_a_task_of_an_instance_lost_before_its_leader_is_not_stranded fails without the suspension (None is not a worker after 11 s); with grants resumed at once, or with all workers counted as suspended, test_a_task_is_not_started_twice_while_an_unreachable_leader_may_grant_leases fails.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -9,6 +9,7 @@
 from . import clock
 from .cell import AgentLost, Reported
 from .watchreport import ReportError, check_reply, read_report
+from .worker import LeaseGrants
 
 __all__ = ["AgentLink", "lease_end_s"]
 
@@ -63,12 +64,15 @@
         "_needs_traits",
         "_version",
         "_was_known",
+        "_worker_id",
     )
 
     def __init__(self, leader, address):
         self._leader = leader
         self._address = address
         self._version = 0
+        #: Worker of the latest report, and the start of its incarnation.
+        self._worker_id = ""
         self._born_ms = 0
         self._acknowledged_number = 0
         #: Number of the latest logged end of a run.
@@ -90,6 +94,9 @@
         """Return the agent's time up to which it may extend leases; 0 if it may not."""
         if not self._is_granting or not self._leader.may_grant:
             return 0
+        worker = self._leader.cell.workers_by_id.get(self._worker_id)
+        if worker is not None and worker.grants is not LeaseGrants.ALLOWED:
+            return 0
         return self._agent_clock_ms + self._leader.settings.bounds.max_lease_ms
 
     async def run(self):
@@ -153,6 +160,7 @@
             return
         self._last_report_s = now_s
         self._version = reply.version
+        self._worker_id = reply.worker_id
         if reply.born_ms != self._born_ms:
             self._born_ms = reply.born_ms
             self._acknowledged_number = 0
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -22,8 +22,10 @@
     "Configured",
     "DropJob",
     "EarlierTermsEnded",
+    "GrantsResumed",
     "OrderSettled",
     "Reported",
+    "ResumeGrants",
     "StartRun",
     "StopRun",
     "Submitted",
@@ -55,6 +57,8 @@
     dirty_worker_ids: set[str] = field(default_factory=set)
     #: Learned interference costs of fillers on serving tasks.
     costs: PairCosts = field(default_factory=PairCosts)
+    #: Whether no earlier leader grants leases any more.
+    are_earlier_terms_over: bool = True
     #: Leader's clock before which nothing is placed, so that all workers report first.
     placing_start_s: float = 0.0
     #: Whether an append to the journal is in progress, for which starts would wait.
@@ -171,6 +175,13 @@
     lease_end_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class GrantsResumed(Event):
+    """The journal says that grants to a worker are resumed."""
+
+    worker_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class AppendDone(Event):
     """The append for which starts were waiting is done."""
@@ -208,6 +219,13 @@
     number: int
 
 
+@dataclass(slots=True, frozen=True)
+class ResumeGrants(Effect):
+    """Grant leases to a worker again; performed once the journal says so."""
+
+    worker: Worker
+
+
 @dataclass(slots=True, frozen=True)
 class WorkerGivenUp(Effect):
     """Report that a silent worker's lease is over and that its runs start elsewhere."""
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -28,8 +28,10 @@
     drop_records,
     job_records,
     leader_record,
+    suspension_record,
     worker_record,
 )
+from .worker import LeaseGrants
 
 __all__ = ["STORE_TIMEOUT_S", "Committer", "DeposedError"]
 
@@ -94,6 +96,8 @@
             term.earlier_leaders.to_record(),
         )
         self._is_leader_record_due = False
+        #: Workers with a record that their grants are suspended.
+        self._suspended_worker_ids = set(term.suspended_worker_ids)
         self._stored = set(self.committed_by_id)
         self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
         self._append_since_s = None
@@ -235,6 +239,18 @@
             worker = self.cell.workers_by_id.get(worker_id)
             address = worker.agent_address if worker else ""
             batch.records.append(worker_record(worker_id, address))
+            self._add_suspension(batch, worker_id, worker)
+
+    def _add_suspension(self, batch, worker_id, worker):
+        is_suspended = worker is not None and worker.grants is LeaseGrants.SUSPENDED
+        if not is_suspended and worker_id not in self._suspended_worker_ids:
+            return
+        epoch = self.writer.epoch if is_suspended else 0
+        batch.records.append(suspension_record(worker_id, epoch))
+        if is_suspended:
+            self._suspended_worker_ids.add(worker_id)
+        else:
+            self._suspended_worker_ids.remove(worker_id)
 
     def _chunks(self, records):
         chunk, size = [], 0
--- a/dotterelspread/jobs/handlers.py
+++ b/dotterelspread/jobs/handlers.py
@@ -1,9 +1,9 @@
 """The reducer, with the handlers of all events of a cell registered."""
 
 from ..reducer import reduce
-from . import permits, repeating, reporting, submitting
+from . import leasesuspension, permits, repeating, reporting, submitting
 
 __all__ = ["MODULES", "reduce"]
 
 #: Modules that register handlers on import.
-MODULES = (permits, repeating, reporting, submitting)
+MODULES = (leasesuspension, permits, repeating, reporting, submitting)
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -13,10 +13,20 @@
 ]
 
 
-def adopt_assigned(cell, job, lease_end_s, agent_addresses):
+def adopt_assigned(cell, job, agent_addresses, lease_end_s_of, now_s):
     """Restore the runs that the journal records as assigned to workers.
 
     Workers are placeholders until their agents report.
+
+    Parameters
+    ----------
+    cell : Cell
+    job : Job
+    agent_addresses : dict of str to str
+        Address of each worker's agent by worker id.
+    lease_end_s_of : callable
+        Returns the time by which the leases of a worker, given by its id, have expired.
+    now_s : float
     """
     for key, task in job.tasks_by_key.items():
         if task.phase != Phase.ASSIGNED:
@@ -27,7 +37,8 @@
                 task.worker_id,
                 task.born_ms,
                 agent_addresses.get(task.worker_id, ""),
-                lease_end_s=lease_end_s,
+                unreachable_since_s=now_s,
+                lease_end_s=lease_end_s_of(task.worker_id),
             )
             cell.workers_by_id[task.worker_id] = worker
         run = make_run(job, key, task.run)
@@ -61,7 +72,12 @@
     Both have the same id, so a start that is not known to have run in the earlier
     incarnation may have reached the new one or may still do so: it is retried there.
     """
-    worker = Worker(earlier.worker_id, born_ms)
+    worker = Worker(
+        earlier.worker_id,
+        born_ms,
+        unreachable_since_s=now_s,
+        grants=earlier.grants,
+    )
     for task_id, run in list(earlier.runs_by_task.items()):
         if run.is_listed and not run.is_repeat:
             continue
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -8,7 +8,15 @@
 from ..gen.peer.ttypes import OrderResult, StartOrder, StopOrder
 from ..peer import PeerError
 from . import clock
-from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun, WorkerGivenUp
+from .cell import (
+    AcknowledgeEnds,
+    GrantsResumed,
+    OrderSettled,
+    ResumeGrants,
+    StartRun,
+    StopRun,
+    WorkerGivenUp,
+)
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
 __all__ = ["OrderSender"]
@@ -60,6 +68,11 @@
         if link is not None:
             link.acknowledge(effect.born_ms, effect.number)
 
+    @perform.register
+    def _(self, effect: ResumeGrants):
+        worker_id = effect.worker.worker_id
+        self._leader.apply(GrantsResumed(clock.now_s(), worker_id))
+
     @perform.register
     def _(self, effect: WorkerGivenUp):
         counters.add("workers_given_up")
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -25,6 +25,8 @@
     "read_costs",
     "read_jobs",
     "read_leader",
+    "read_suspended_workers",
+    "suspension_record",
     "worker_record",
 ]
 
@@ -37,6 +39,8 @@
 PROGRESS_PREFIX = "p/"
 #: Prefix of the keys that hold the agent address of a worker.
 WORKER_PREFIX = "w/"
+#: Prefix of the keys of workers to which no leases are granted.
+SUSPENSION_PREFIX = "u/"
 
 _costs_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
@@ -126,6 +130,30 @@
     }
 
 
+def suspension_record(worker_id, epoch):
+    """Return the record that the leader of an epoch grants a worker no leases.
+
+    With 0 as epoch the record is removed.
+    """
+    value = msgspec.msgpack.encode(epoch) if epoch else b""
+    return KeyedRecord(SUSPENSION_PREFIX + worker_id, value)
+
+
+def read_suspended_workers(records_by_key):
+    """Return the latest epoch in which each worker's grants were suspended, by id."""
+    epoch_by_id = {}
+    for key, record in records_by_key.items():
+        if not key.startswith(SUSPENSION_PREFIX) or not record.value:
+            continue
+        try:
+            epoch = msgspec.msgpack.decode(record.value, type=int)
+        except msgspec.DecodeError as error:
+            _log_unreadable(key, error)
+            continue
+        epoch_by_id[key[len(SUSPENSION_PREFIX) :]] = epoch
+    return epoch_by_id
+
+
 def costs_record(costs):
     """Return the learned `PairCosts` as a keyed record."""
     rows = [
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -5,11 +5,11 @@
     AppendDone,
     CellTick,
     DropJob,
-    EarlierTermsEnded,
     OrderSettled,
     WorkerGivenUp,
 )
 from .incarnations import release_run, remove_worker
+from .leasesuspension import suspend_if_silent
 from .lifecycle import release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
@@ -51,14 +51,6 @@
     return place_now(cell, event.now_s) if cell.is_placing_due else []
 
 
-@reduce.register
-def _(event: EarlierTermsEnded, cell):
-    for worker in cell.workers_by_id.values():
-        if not worker.has_reported:
-            worker.lease_end_s = min(worker.lease_end_s, event.lease_end_s)
-    return []
-
-
 @reduce.register
 def _(event: CellTick, cell):
     effects = []
@@ -67,6 +59,7 @@
             effects.append(WorkerGivenUp(worker, tuple(worker.runs_by_task)))
             remove_worker(cell, worker)
             continue
+        suspend_if_silent(cell, worker, event.now_s)
         effects.extend(_retry_orders(cell, worker, event.now_s))
     effects.extend(move_stragglers(cell, event.now_s))
     _release_scheduled(cell, event.wall_ms)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -6,6 +6,7 @@
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
+from .leasesuspension import resume_grants
 from .lifecycle import make_run, stop_run
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
@@ -41,6 +42,8 @@
         worker = replace_incarnation(cell, worker, report.born_ms, event.now_s)
     took_tasks_before = worker.accepts_tasks(event.now_s)
     _update(worker, event)
+    if worker.is_reachable:
+        effects.extend(resume_grants(cell, worker))
     shapes = cell.shapes_by_service.setdefault(worker.service, set())
     shapes.add(WorkerShape(worker.labels, worker.capacity))
     effects.extend(apply_ends(cell, worker, event))
@@ -59,7 +62,7 @@
 def _(event: AgentLost, cell):
     for worker in cell.workers_by_id.values():
         if worker.agent_address == event.agent_address:
-            worker.is_reachable = False
+            worker.set_reachable(False, event.now_s)
     return []
 
 
@@ -80,7 +83,7 @@
     worker.labels = report.labels
     worker.rack = report.rack
     worker.set_capacity(report.capacity)
-    worker.is_reachable = report.is_reachable
+    worker.set_reachable(report.is_reachable, event.now_s)
     worker.is_draining = report.is_draining
     if is_first:
         # The agent now follows this leader, so the end assumed at the failover is
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -29,6 +29,7 @@
     read_costs,
     read_jobs,
     read_leader,
+    read_suspended_workers,
 )
 from .submitting import add_job
 
@@ -54,6 +55,8 @@
     #: When the claim was sent, on `clock.elapsed_s`; the term was valid then.
     claimed_s: float
     earlier_leaders: EarlierLeaders
+    #: Workers with a record that their grants are suspended, of whatever term.
+    suspended_worker_ids: set[str]
 
 
 @dataclass(slots=True, frozen=True)
@@ -95,8 +98,11 @@
         claim = await _claim(journal, record, writer)
         if claim is not None:
             snapshot = await _catch_up(journal, snapshot, claim.offset)
-            cell = _read_cell(snapshot, settings, earlier_leaders)
-            return Term(writer, cell, nodes, claim.sent_s, earlier_leaders)
+            cell = _read_cell(snapshot, settings, earlier_leaders, epoch - 1)
+            suspended = read_suspended_workers(snapshot.records_by_key)
+            return Term(
+                writer, cell, nodes, claim.sent_s, earlier_leaders, set(suspended)
+            )
 
 
 async def _claim(journal, record, writer):
@@ -154,24 +160,37 @@
         return snapshot
 
 
-def _read_cell(snapshot, settings, earlier_leaders):
+def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
     now_s = clock.now_s()
     bounds = settings.bounds
     cell = Cell(placing_start_s=now_s + PLACEMENT_DELAY_S, status_s=bounds.status_s)
+    cell.are_earlier_terms_over = earlier_leaders.have_all_ended
+    ended_s = lease_end_s(now_s, bounds.max_lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
-    grants_end_s = now_s
-    if not earlier_leaders.have_all_ended:
-        grants_end_s += MAX_UNCONFIRMED_GRANT_S
-    end_s = lease_end_s(grants_end_s, bounds.max_lease_ms)
+    granted_s = lease_end_s(now_s + MAX_UNCONFIRMED_GRANT_S, bounds.max_lease_ms)
+    epoch_by_id = read_suspended_workers(snapshot.records_by_key)
+    suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
+
+    def lease_end_s_of(worker_id):
+        has_no_grants = cell.are_earlier_terms_over or worker_id in suspended_ids
+        return ended_s if has_no_grants else granted_s
+
     cell.costs = read_costs(snapshot.records_by_key)
     addresses = read_agent_addresses(snapshot.records_by_key)
     for job in read_jobs(snapshot.records_by_key, now_s):
         add_job(cell, job, clock.wall_ms())
-        adopt_assigned(cell, job, end_s, addresses)
+        adopt_assigned(cell, job, addresses, lease_end_s_of, now_s)
+    _log_adopted(cell, suspended_ids, now_s)
+    return cell
+
+
+def _log_adopted(cell, suspended_ids, now_s):
+    workers = cell.workers_by_id.values()
+    end_s = max((worker.lease_end_s for worker in workers), default=now_s)
     log_decision(
         "runs adopted",
-        workers=len(cell.workers_by_id),
-        runs=sum(len(w.runs_by_task) for w in cell.workers_by_id.values()),
+        workers=len(workers),
+        suspended_workers=len(suspended_ids & cell.workers_by_id.keys()),
+        runs=sum(len(worker.runs_by_task) for worker in workers),
         lease_wait_s=round(end_s - now_s, 3),
     )
-    return cell
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -1,5 +1,6 @@
 """The leader's view of a worker and of the runs on it."""
 
+import enum
 from dataclasses import dataclass, field
 
 from ..resources import Resources
@@ -8,6 +9,7 @@
 __all__ = [
     "AgentReport",
     "EndedRun",
+    "LeaseGrants",
     "RunEnd",
     "RunningTask",
     "Worker",
@@ -33,6 +35,16 @@
     GANG_TIMED_OUT = "alone"
 
 
+class LeaseGrants(enum.Enum):
+    """Whether a leader grants leases to a worker."""
+
+    ALLOWED = enum.auto()
+    #: Not granted; the journal may say so.
+    SUSPENDED = enum.auto()
+    #: Not granted until the journal no longer says that they are suspended.
+    RESUMING = enum.auto()
+
+
 @dataclass(slots=True, frozen=True)
 class RunningTask:
     """An entry of a worker's list of running tasks."""
@@ -99,6 +111,9 @@
     capacity: Resources = Resources()
     is_reachable: bool = False
     is_draining: bool = False
+    #: Leader's clock since when it has been unreachable.
+    unreachable_since_s: float = 0.0
+    grants: LeaseGrants = LeaseGrants.ALLOWED
     #: Leader's clock after which every lease granted to the worker has expired.
     lease_end_s: float = 0.0
     runs_by_task: dict[str, TaskRun] = field(default_factory=dict)
@@ -128,6 +143,12 @@
         """Whether the worker's agent has reported in this term."""
         return bool(self.service)
 
+    def set_reachable(self, is_reachable, now_s):
+        """Record whether the worker and its agent answer."""
+        if self.is_reachable and not is_reachable:
+            self.unreachable_since_s = now_s
+        self.is_reachable = is_reachable
+
     def set_capacity(self, capacity):
         """Update the capacity to the reported one."""
         if capacity != self.capacity:
@@ -184,6 +205,7 @@
         """Tell whether new tasks may be assigned to the worker."""
         return (
             self.is_reachable
+            and self.grants is LeaseGrants.ALLOWED
             and not self.is_draining
             and now_s >= self.cooldown_until_s
         )
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -48,22 +48,47 @@
     run_scenario(scenario)
 
 
-def test_a_task_is_not_started_twice_while_an_unreachable_leader_may_grant_leases():
+def test_a_task_of_an_instance_lost_before_its_leader_is_not_stranded():
+    async def scenario(fleet):
+        await lose_instance(fleet)
+        await fleet.settle(3)
+        leader = kill_leader(fleet)
+        fleet.network.powered_off.add(leader.address)
+        await fleet.settle(MAX_WAIT_S)
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario)
+
+
+async def cut_off_leader(fleet, agent):
+    """Leave the leader with one agent, which no other entry reaches."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    other = fleet.entries[1 - fleet.entries.index(leader)]
+    fleet.store.mode_by_node[leader.address] = "silent"
+    fleet.cut(other, leader)
+    fleet.cut(other, agent)
+    for reachable in set(fleet.agents) - {agent}:
+        fleet.cut(leader, reachable)
+    return other
+
+
+@pytest.mark.parametrize("silence_s", [0, 3])
+def test_a_task_is_not_started_twice_while_an_unreachable_leader_may_grant_leases(
+    silence_s,
+):
     async def scenario(fleet):
         fleet.durations[SERVING_JOB.job_id] = LONG_S
         await fleet.submit(SERVING_JOB)
         await fleet.settle(2)
         worker = worker_that_runs(fleet, TASK_ID)
-        leader = next(e for e in fleet.entries if e.candidate.leader)
-        other = fleet.entries[1 - fleet.entries.index(leader)]
         agent = fleet.agents[worker.number]
-        fleet.store.mode_by_node[leader.address] = "silent"
-        fleet.cut(other, leader)
-        fleet.cut(other, agent)
-        for reachable in set(fleet.agents) - {agent}:
-            fleet.cut(leader, reachable)
+        fleet.network.partitioned.add(agent.address)
+        await fleet.settle(silence_s)
+        fleet.network.partitioned.clear()
+        await fleet.settle(1.5)
+        successor = await cut_off_leader(fleet, agent)
         await fleet.settle(9)
-        assert other.candidate.leader is not None
+        assert successor.candidate.leader is not None
         assert worker_that_runs(fleet, TASK_ID) is worker
         await fleet.settle(20)
         assert worker_that_runs(fleet, TASK_ID) not in (None, worker)
