Start serving tasks on workers in cooldown when no other worker fits

Cause: cooldown excluded a worker from everything. In a wave of jobs that always fail, all workers are in cooldown again and again, each failure that was still under way prolongs it, and a serving task whose run has ended waits although every worker has room for it.

Change: for serving tasks, cooldown is a preference; workers outside it come first. Batch work still waits, so that a worker that fails everything does not empty a queue. The half second after a refused start stays an exclusion for all tasks, in a field of its own.

--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -11,7 +11,7 @@
 #: Number of different jobs that must fail on a worker, with no completion between,
 #: before it enters cooldown.
 MIN_FAILED_JOBS = 2
-#: Time for which a worker on which several jobs failed in a row gets no new tasks.
+#: Time for which a worker on which several jobs failed in a row is in cooldown.
 FAILING_WORKER_COOLDOWN_S = 4.0
 
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -40,7 +40,9 @@
     if not cell.ready_by_job or now_s < cell.placing_start_s:
         return []
     workers = [
-        worker for worker in cell.workers_by_id.values() if worker.accepts_tasks(now_s)
+        worker
+        for worker in cell.workers_by_id.values()
+        if worker.accepts_serving_tasks(now_s)
     ]
     effects = []
     if workers:
@@ -60,7 +62,12 @@
         filler_demand = _filler_demand(job, step, now_s)
         if unplaceable.covers(service, step, filler_demand):
             continue
-        feasible = [worker for worker in eligible if _can_host(worker, step)]
+        feasible = [
+            worker
+            for worker in eligible
+            if (step.is_service or not worker.cools_down(now_s))
+            and _can_host(worker, step)
+        ]
         if not feasible:
             unplaceable.add(service, step)
             continue
@@ -170,7 +177,13 @@
             continue
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
         has_failed = worker.worker_id == avoided_worker_id
-        score = (not has_failed, is_near, *suitability, worker.worker_id)
+        score = (
+            not worker.cools_down(now_s),
+            not has_failed,
+            is_near,
+            *suitability,
+            worker.worker_id,
+        )
         if best is None or score > best_score:
             best, best_score = worker, score
     return best
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -13,7 +13,7 @@
 #: Interval at which an order is retried until it takes effect.
 ORDER_RETRY_INTERVAL_S = 0.5
 #: Time for which a worker that refused a start gets no new tasks.
-REFUSAL_COOLDOWN_S = 0.5
+REFUSAL_BACKOFF_S = 0.5
 
 
 @reduce.register
@@ -30,9 +30,7 @@
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
-        worker.cooldown_until_s = max(
-            worker.cooldown_until_s, event.now_s + REFUSAL_COOLDOWN_S
-        )
+        worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
     elif event.result == "confirmed":
         run.is_confirmed = True
         run.last_answer_ms = max(run.last_answer_ms, event.clock_ms)
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -44,7 +44,7 @@
 MAX_MOVES_PER_TICK = 4
 #: Number of starts of a task after which it is no longer moved.
 MAX_STARTS_PER_TASK = 4
-#: Time for which a worker on which a run stalled gets no new tasks.
+#: Time for which a worker on which a run stalled is in cooldown.
 STALLED_WORKER_COOLDOWN_S = 3.0
 DONE_PERCENT = 100
 
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -111,7 +111,10 @@
     listed_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
-    #: Leader's clock until which the worker gets no new tasks.
+    #: Leader's clock until which the worker gets no new tasks, after a refused start.
+    backoff_until_s: float = 0.0
+    #: Leader's clock until which the worker gets serving tasks only, and those only if
+    #: no other worker fits, after failed or stalled runs.
     cooldown_until_s: float = 0.0
     #: Jobs with failed runs on the worker since a task last completed there.
     failed_job_ids: frozenset[str] = frozenset()
@@ -175,14 +178,20 @@
         self.listed_ms = max(self.listed_ms, listed_ms)
         return gap_s if 0 < gap_s <= MAX_LISTING_GAP_S else 0.0
 
-    def accepts_tasks(self, now_s):
-        """Tell whether new tasks may be assigned to the worker."""
+    def accepts_serving_tasks(self, now_s):
+        """Tell whether new serving tasks may be assigned to the worker."""
         return (
-            self.is_reachable
-            and not self.is_draining
-            and now_s >= self.cooldown_until_s
+            self.is_reachable and not self.is_draining and now_s >= self.backoff_until_s
         )
 
+    def cools_down(self, now_s):
+        """Tell whether other workers are preferred after failures on this one."""
+        return now_s < self.cooldown_until_s
+
+    def accepts_tasks(self, now_s):
+        """Tell whether new tasks of any kind may be assigned to the worker."""
+        return self.accepts_serving_tasks(now_s) and not self.cools_down(now_s)
+
     @property
     def idle_millicores(self):
         """Processors that no run is expected to use; negative if oversubscribed."""
