Place services whose runs have ended before waiting batch work

Cause: jobs are placed by priority, lateness and remaining work. A service has no latency objective, but counted as too late some seconds after its submission, so when one of its runs ended under overload, the same pass gave the freed resources to small batch jobs, and the service waited for the end of the backlog.

Change: services with a task that has run before come first, since they only take back what they held; new services come first within their priority and count as on time.

--- a/dotterelspread/jobs/ordering.py
+++ b/dotterelspread/jobs/ordering.py
@@ -1,11 +1,15 @@
 """The order in which jobs are placed when there is more work than capacity.
 
-The queue with the highest priority comes first; within a queue, jobs that can still
-meet their latency objective, then late jobs, then jobs too late to be useful. Within
-each of these classes the job with the least remaining work comes first, so that more
-jobs meet their objective.
+Services whose runs have ended come first: otherwise waiting batch work would take their
+resources, and a service would not run again until the backlog is done. Then the queue
+with the highest priority comes first; within a priority, new services, then jobs that
+can still meet their latency objective, then late jobs, then jobs too late to be useful.
+Within each of these classes the job with the least remaining work comes first, so that
+more jobs meet their objective.
 """
 
+import enum
+
 __all__ = ["Lateness", "order_jobs", "remaining_work"]
 
 #: Multiple of the objective up to which a late job is still useful.
@@ -22,6 +26,15 @@
     TOO_LATE = 2
 
 
+class ServiceClass(enum.IntEnum):
+    """Class of a job by its serving tasks that are to be placed."""
+
+    #: A serving task has run before.
+    INTERRUPTED = 0
+    NEW = 1
+    NONE = 2
+
+
 def order_jobs(cell, now_s):
     """Return the jobs with tasks to place, in the order of placement."""
     jobs = [cell.jobs_by_id[job_id] for job_id in cell.ready_by_job]
@@ -31,8 +44,26 @@
 def _order_key(cell, job, now_s):
     queue = cell.queue_of(job)
     work = remaining_work(job)
-    lateness = _lateness(queue, job, now_s)
-    return queue.priority, lateness, work, job.first_seen_s, job.job_id
+    service = _service_class(job, cell.ready_by_job[job.job_id])
+    # A service has no latency objective.
+    lateness = _lateness(queue, job, now_s) if service == ServiceClass.NONE else 0
+    return (
+        service != ServiceClass.INTERRUPTED,
+        queue.priority,
+        service,
+        lateness,
+        work,
+        job.first_seen_s,
+        job.job_id,
+    )
+
+
+def _service_class(job, keys):
+    """Return the `ServiceClass` of a job by its tasks to place."""
+    service_keys = [key for key in keys if job.step_of(key).is_service]
+    if any(job.tasks_by_key[key].run for key in service_keys):
+        return ServiceClass.INTERRUPTED
+    return ServiceClass.NEW if service_keys else ServiceClass.NONE
 
 
 def _lateness(queue, job, now_s):
