Do not retry a start on a worker that has no room for it any more

Cause: a start without a confirmation was sent again every half second with no look at its worker. The worker may have shrunk since, or may be a new incarnation under the same id, of another kind: all unconfirmed starts of the earlier one and all runs that a new leader adopted move to it. A worker that does not enforce its capacity then runs over it, and one without the label or of another service gets the task as well.

Change: a start that no longer suits its worker is stopped, which rules out an earlier attempt, and its task is placed again.

Failures before: assert StartRun not in [StartRun, StartRun, ...] (8 of 1000 millicores, 2000 left) assert [StartRun] == [StopRun] (label, service, shrunk capacity)

--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -8,6 +8,7 @@
     "add_due_steps",
     "end_job",
     "end_reason",
+    "is_suitable",
     "make_run",
     "release_occurrence",
     "requeue",
@@ -31,6 +32,17 @@
     )
 
 
+def is_suitable(cell, job, worker, run):
+    """Tell whether the worker of an assigned run may still start it.
+
+    Since the assignment the worker may have shrunk or returned as another kind.
+    """
+    label = job.step_of(run.key).required_label
+    has_room = run.reserved.fits_in(worker.available + run.reserved)
+    has_label = not label or label in worker.labels
+    return has_room and has_label and worker.service == cell.queue_of(job).service
+
+
 def start_effect(cell, job, worker, run, task_id, now_s):
     """Return the `StartRun` effect for a run."""
     step = job.step_of(run.key)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -3,10 +3,11 @@
 from ..reducer import reduce
 from .cell import AppendDone, CellTick, DropJob, OrderSettled
 from .incarnations import release_run, remove_worker
-from .lifecycle import release_occurrence, start_effect, stop_run
+from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
 from .stragglers import move_stragglers
+from .taskrun import RunStopReason
 
 __all__ = []
 
@@ -66,14 +67,17 @@
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, task_id, run.stop_reason))
         elif not run.is_confirmed:
-            effects.append(_retry_start(cell, worker, run, task_id, now_s))
+            effects.extend(_retry_start(cell, worker, run, task_id, now_s))
     return effects
 
 
 def _retry_start(cell, worker, run, task_id, now_s):
     job = cell.jobs_by_id[run.job_id]
+    if not is_suitable(cell, job, worker, run):
+        # An earlier attempt may have reached the worker, so that a stop comes first.
+        return stop_run(worker, run, task_id, RunStopReason.UNSUITABLE)
     run.is_order_in_flight = True
-    return start_effect(cell, job, worker, run, task_id, now_s)
+    return [start_effect(cell, job, worker, run, task_id, now_s)]
 
 
 def _release_scheduled(cell, wall_ms):
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -24,6 +24,8 @@
     COMPLETED = "task already completed"
     #: The worker lists a run that the journal does not know as the latest one.
     UNKNOWN = "not the latest run of its task"
+    #: The start is not confirmed, and the worker has changed since the assignment.
+    UNSUITABLE = "the worker has no room for it any more"
     STALLED = "no progress"
     STRAGGLER = "expected to finish sooner on another worker"
 
