Check a start against its worker again after the append

While the store is slow that takes seconds, and the worker may have shrunk or changed in the meantime.

Change: the order is not sent then; the next tick stops the run and places its task again, as for a retried start.

--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -9,6 +9,7 @@
 from ..peer import PeerError
 from . import clock
 from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun
+from .lifecycle import is_suitable
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
 __all__ = ["OrderSender"]
@@ -94,6 +95,10 @@
         if not _is_current(effect):
             return
         worker, run, step = effect.worker, effect.run, effect.step
+        if not self._is_suitable(effect):
+            # The next tick stops it, in case that this is a repeat.
+            self._settle(effect, "unknown")
+            return
         link = self._leader.links_by_address.get(worker.agent_address)
         log_decision(
             "start ordered",
@@ -121,6 +126,11 @@
         )
         await self._send(effect, "start_run", order)
 
+    def _is_suitable(self, effect):
+        cell = self._leader.cell
+        job = cell.jobs_by_id.get(effect.run.job_id)
+        return job is not None and is_suitable(cell, job, effect.worker, effect.run)
+
     async def _stop(self, effect):
         if not _is_current(effect):
             return
@@ -164,6 +174,9 @@
                 reply.clock_ms,
             )
         counters.add("orders", method=method, result=result)
+        self._settle(effect, result, clock_ms)
+
+    def _settle(self, effect, result, clock_ms=0):
         self._leader.apply(
             OrderSettled(
                 clock.now_s(),
--- /dev/null
+++ b/tests/test_ordersending.py
@@ -0,0 +1,60 @@
+"""Tests of the orders that the leader sends for runs after their commit."""
+
+import asyncio
+
+from dotterelspread.gen.peer.ttypes import OrderReply, OrderResult
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.ordersending import OrderSender
+from dotterelspread.resources import Resources
+from tests.builders_cell import make_cell, make_worker, submit
+from tests.builders_fleet import make_step
+
+
+class FakeLeader:
+    """Leader that records the calls to agents and runs its tasks at once."""
+
+    epoch = 1
+
+    def __init__(self, cell):
+        self.cell = cell
+        self.links_by_address = {}
+        self.pool = self
+        self.calls = []
+        self.coroutines = []
+
+    async def call(self, address, method, order, timeout_s):
+        self.calls.append((method, order.task_id))
+        return OrderReply(OrderResult.CONFIRMED, 1000, "")
+
+    def spawn(self, name, run, **fields):
+        self.coroutines.append(run())
+
+    def apply(self, event):
+        reduce(event, self.cell)
+
+
+def perform_start(change_worker):
+    """Return the calls for a start whose worker changes during its append."""
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step(demand=Resources(4000, 10)))
+    change_worker(start.worker)
+    leader = FakeLeader(cell)
+    OrderSender(leader).perform(start)
+
+    async def run():
+        await asyncio.gather(*leader.coroutines)
+
+    asyncio.run(run())
+    return leader.calls, start.run
+
+
+def test_a_start_is_not_sent_to_a_worker_that_shrank_during_the_append():
+    calls, run = perform_start(lambda w: w.set_capacity(Resources(2000, 16_000)))
+    assert calls == []
+    assert not run.is_order_in_flight and not run.is_confirmed
+
+
+def test_a_start_is_sent_to_a_worker_that_has_kept_its_room():
+    calls, run = perform_start(lambda w: w.set_capacity(Resources(4000, 16_000)))
+    assert calls == [("start_run", f"{1:016x}.0.0.0")]
+    assert run.is_confirmed
