Choose no worker that still has an earlier run of the task

Cause: when a worker listed a run that the leader had given up, the run was counted there until its stop was confirmed, but its task was ready and could be assigned to the same worker. The new run replaced the earlier one in the account of the worker without freeing what that had reserved, so the worker lost that room for the rest of the term, and the earlier run was no longer stopped.

Change: such a worker is not a choice for that task until the earlier run is gone.

Failure before: assert Resources(millicores=4000, memory_mb=20, ...) == Resources(millicores=2000, memory_mb=10, ...)

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -169,8 +169,10 @@
     best_score = None
     avoided_worker_id = job.tasks_by_key[key].avoided_worker_id
     filler_demand = _filler_demand(job, step, now_s)
+    task_id = job.task_id(key)
     for worker in workers:
-        if not _fits(job, key, step, worker):
+        # An earlier run may still be there until it has been stopped.
+        if task_id in worker.runs_by_task or not _fits(job, key, step, worker):
             continue
         suitability = placement_score(cell, step, worker, filler_demand)
         if suitability is None:
--- /dev/null
+++ b/tests/test_reservations.py
@@ -0,0 +1,43 @@
+"""Tests of the leader's account of the runs on a worker and of what they reserve."""
+
+from dataclasses import replace
+
+from dotterelspread.jobs.cell import CellTick, OrderSettled
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
+from dotterelspread.resources import Resources
+from tests.builders_cell import CAPACITY, make_cell, make_report, make_worker, submit
+from tests.builders_fleet import make_step
+
+
+def settle(cell, start, result, now_s, clock_ms):
+    worker = start.worker
+    run = start.run.run
+    event = OrderSettled(
+        now_s, worker.worker_id, worker.born_ms, start.task_id, run, result, clock_ms
+    )
+    return reduce(event, cell)
+
+
+def refuse(cell, start, now_s):
+    return settle(cell, start, "refused", now_s, int(now_s * 1000))
+
+
+def test_a_late_run_of_a_task_that_is_placed_again_leaks_no_reservation():
+    cell = make_cell(make_worker(0))
+    (first,) = submit(cell, make_step(is_service=True, demand=Resources(2000, 10)))
+    refuse(cell, first, 0.1)
+    # The refused start runs after all, and the leader has it stopped.
+    late = RunningTask(first.task_id, 1, "", 0, 0)
+    reduce(make_report(0, 0.3, late), cell)
+    reduce(CellTick(0.7, 0), cell)
+    end = EndedRun(1, first.task_id, 1, RunEnd.STOPPED, "")
+    event = make_report(0, 0.9)
+    reduce(replace(event, report=replace(event.report, ended=(end,))), cell)
+    reduce(CellTick(1.5, 0), cell)
+    worker = cell.workers_by_id["i-0"]
+    total = Resources()
+    for run in worker.runs_by_task.values():
+        total = total + run.reserved
+    assert worker.reserved == total
+    assert worker.available == CAPACITY - total
