--- a/tests/test_service_restart.py
+++ b/tests/test_service_restart.py
@@ -8,7 +8,7 @@
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
-from tests.builders_fleet import QUEUE, make_job, make_step
+from tests.builders_fleet import QUEUE, make_job, make_step, run_scenario
 
 URGENT = Queue("u", "host", "/u/", "svc", 0, 3, 2.0, 500)
 LATER = Queue("l", "host", "/l/", "svc", 2, 3, 2.0, 500)
@@ -70,3 +70,23 @@
     submit(cell, SERVING, number=1)
     effects = reduce(end_run(other, 1.0, RunEnd.COMPLETED), cell)
     assert f"{1:016x}.0.0.0" in tasks_started(effects)
+
+
+def test_a_serving_task_finds_room_among_small_batch_tasks_after_a_crash():
+    async def scenario(fleet):
+        service = make_job(1, (SERVING,))
+        fleet.durations[service.job_id] = 1000.0
+        await fleet.submit(service)
+        await fleet.settle(1)
+        (host,) = [worker for worker in fleet.workers if worker.running]
+        for number in range(2, 62):
+            backlog = make_job(number, (make_step(count=10),))
+            fleet.durations[backlog.job_id] = fleet.rng.uniform(0.4, 1.2)
+            await fleet.submit(backlog)
+        host.crash()
+        # The lease, the time until a lost worker is given up, and some batch tasks.
+        await fleet.settle(8)
+        others = [worker for worker in fleet.workers if worker is not host]
+        assert any(t.startswith(service.job_id) for w in others for t in w.running)
+
+    run_scenario(scenario)
