--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -10,17 +10,18 @@
 )
 from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
-from .lifecycle import release_occurrence, start_effect, stop_run
+from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
 from .stragglers import move_stragglers
+from .taskrun import RunStopReason
 
 __all__ = []
 
 #: Interval at which an order is retried until it takes effect.
 ORDER_RETRY_INTERVAL_S = 0.5
 #: Time for which a worker that refused a start gets no new tasks.
-REFUSAL_COOLDOWN_S = 0.5
+REFUSAL_BACKOFF_S = 0.5
 
 
 @reduce.register
@@ -37,9 +38,7 @@
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
-        worker.cooldown_until_s = max(
-            worker.cooldown_until_s, event.now_s + REFUSAL_COOLDOWN_S
-        )
+        worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
     elif event.result == "confirmed":
         run.is_confirmed = True
         run.last_answer_ms = max(run.last_answer_ms, event.clock_ms)
@@ -77,14 +76,17 @@
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, task_id, run.stop_reason))
         elif not run.is_confirmed:
-            effects.append(_retry_start(cell, worker, run, task_id, now_s))
+            effects.extend(_retry_start(cell, worker, run, task_id, now_s))
     return effects
 
 
 def _retry_start(cell, worker, run, task_id, now_s):
     job = cell.jobs_by_id[run.job_id]
+    if not is_suitable(cell, job, worker, run):
+        # An earlier attempt may have reached the worker, so that a stop comes first.
+        return stop_run(worker, run, task_id, RunStopReason.UNSUITABLE)
     run.is_order_in_flight = True
-    return start_effect(cell, job, worker, run, task_id, now_s)
+    return [start_effect(cell, job, worker, run, task_id, now_s)]
 
 
 def _release_scheduled(cell, wall_ms):
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -10,7 +10,8 @@
 from statistics import median
 
 from .lifecycle import stop_run
-from .placing import MIN_FILLER_SPEED_RATIO, FillerDemand, choose_worker, expected_speed
+from .placing import choose_worker
+from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
 from .taskrun import RunStopReason
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
@@ -43,7 +44,7 @@
 MAX_MOVES_PER_TICK = 4
 #: Number of starts of a task after which it is no longer moved.
 MAX_STARTS_PER_TASK = 4
-#: Time for which a worker on which a run stalled gets no new tasks.
+#: Time for which a worker on which a run stalled is in cooldown.
 STALLED_WORKER_COOLDOWN_S = 3.0
 DONE_PERCENT = 100
 
