Check the leader's cell after every event of the virtual fleet

The checker of the virtual fleet saw only what workers report. A task that the leader has lost track of showed up as a job that does not complete in time, if at all. Now after each event every task of an open job has to be ready, scheduled or waiting for a step, or assigned with exactly one current run, and each worker has to reserve what its runs need.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -28,6 +28,7 @@
 from dotterelspread.resources import Resources
 from tests.builders_store import VirtualStore
 from tests.builders_worker import VirtualWorker
+from tests.cellchecker import check_every_event
 from tests.fleetchecker import Checker
 from tests.virtualloop import run_virtually
 
@@ -377,7 +378,8 @@
         fleet = VirtualFleet(seed, **sizes)
         fleet.start()
         await fleet.settle(3)
-        await scenario(fleet)
+        with check_every_event(fleet.checker.add_violation):
+            await scenario(fleet)
         assert not fleet.checker.violations, fleet.checker.violations
         return fleet
 
--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -6,6 +6,7 @@
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from tests.builders_fleet import CallOutcome, Network, VirtualFleet, make_job, make_step
 from tests.builders_worker import ORDER_TIMEOUT_S, VirtualWorker
+from tests.cellchecker import check_every_event
 from tests.virtualloop import run_virtually
 
 __all__ = ["EVENT_TIMES_S", "run_order_scenario"]
@@ -233,10 +234,11 @@
         events = asyncio.ensure_future(_run_events(fleet))
         job = make_job(1, STEPS)
         fleet.durations[job.job_id] = TASK_DURATION_S
-        await asyncio.gather(
-            _submit_until_accepted(fleet, job), _advance_until_done(fleet, events)
-        )
-        await fleet.expect_completed(COMPLETION_TIMEOUT_S)
+        with check_every_event(fleet.checker.add_violation):
+            await asyncio.gather(
+                _submit_until_accepted(fleet, job), _advance_until_done(fleet, events)
+            )
+            await fleet.expect_completed(COMPLETION_TIMEOUT_S)
         assert not fleet.checker.violations, fleet.checker.violations
         assert len(fleet.checker.done) == sum(step.count for step in STEPS)
 
--- a/tests/fleetchecker.py
+++ b/tests/fleetchecker.py
@@ -23,7 +23,7 @@
         self.void_ends_by_incarnation = {}
         self.runs = 0
 
-    def _add_violation(self, text):
+    def add_violation(self, text):
         self.violations.append(f"{clock.now_s():.3f} {text}")
 
     def count_ends(self, worker):
@@ -38,14 +38,14 @@
             other.end_due_runs()
         others = self.worker_ids_by_task_id.setdefault(task_id, set())
         if others:
-            self._add_violation(f"{task_id} run {order.run} also on {others}")
+            self.add_violation(f"{task_id} run {order.run} also on {others}")
         others.add(worker.worker_id)
         if task_id in self.acknowledged_done:
-            self._add_violation(f"{task_id} starts after its end was acknowledged")
+            self.add_violation(f"{task_id} starts after its end was acknowledged")
         job_id, key = parse_task_id(task_id)
         spec = self.fleet.specs.get(job_id)
         if spec is None or order.program != spec.program:
-            self._add_violation(f"{task_id} was not submitted")
+            self.add_violation(f"{task_id} was not submitted")
             return
         self._check_dependencies(task_id, spec, key)
         self._check_capacity(worker)
@@ -55,7 +55,7 @@
             for index in range(spec.steps[earlier].count):
                 other = f"{spec.job_id}.{key[0]}.{earlier}.{index}"
                 if other not in self.done:
-                    self._add_violation(f"{task_id} starts before {other} has ended")
+                    self.add_violation(f"{task_id} starts before {other} has ended")
 
     def _check_capacity(self, worker):
         total = Resources()
@@ -63,7 +63,7 @@
             job_id, key = parse_task_id(task_id)
             total = total + self.fleet.specs[job_id].steps[key[1]].reserved
         if not total.fits_in(CAPACITY):
-            self._add_violation(f"{worker.worker_id} is over its capacity: {total}")
+            self.add_violation(f"{worker.worker_id} is over its capacity: {total}")
 
     def record_end(self, worker, task_id, run, how):
         self.worker_ids_by_task_id.setdefault(task_id, set()).discard(worker.worker_id)
