Play lives of workers and reboots against serving tasks in the virtual fleet

The mixed faults had no serving tasks, no worker replaced by one of another id and no reboot of an instance, whose clock starts anew. The simulated worker executed orders that were addressed to another worker id; it now refuses them, as a worker of the platform does.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -211,13 +211,15 @@
         self.worker = worker
         self.settings = make_settings(FleetRole.AGENT, number, fleet.bounds)
         self.address = self.settings.peer_address
+        #: Start of the clock of the agent's instance.
+        self.booted_s = 0.0
         self.tasks = []
 
     def start(self):
         self.agent = Agent(
             self.worker,
             self.fleet.bounds.max_lease_ms,
-            lambda: int(clock.now_s() * 1000),
+            lambda: int((clock.now_s() - self.booted_s) * 1000),
         )
         order_handler = OrderHandler(self.agent)
         self.fleet.network.handlers_by_address[self.address] = {
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -124,8 +124,12 @@
             raise WorkerReplyError("no reply")
         return execute(), self.clock_ms()
 
+    def _is_addressed(self, incarnation, order):
+        is_same = incarnation == self.incarnation and order.worker_id == self.worker_id
+        return self.is_up and is_same
+
     def _start(self, incarnation, order, until_ms):
-        if not self.is_up or incarnation != self.incarnation:
+        if not self._is_addressed(incarnation, order):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
@@ -162,7 +166,7 @@
         return await self._execute(worker_id, execute)
 
     def _stop(self, incarnation, order):
-        if not self.is_up or incarnation != self.incarnation:
+        if not self._is_addressed(incarnation, order):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
--- /dev/null
+++ b/tests/test_fleet_services.py
@@ -0,0 +1,111 @@
+"""Serving tasks of the virtual fleet run again soon after any mix of faults."""
+
+import pytest
+
+from dotterelspread.jobs import clock
+from tests.builders_fleet import make_job, make_step, run_scenario
+
+#: Time without faults after which every serving task has to run: a lease and the
+#: margins that the leader adds to it.
+RECOVERY_S = 6.0
+SERVICE_DURATION_S = 1e6
+
+
+def kill_leader(fleet, rng):
+    leading = [e for e in fleet.entries if e.candidate.leader is not None]
+    entry = (leading or fleet.entries)[0]
+    entry.kill()
+    entry.start()
+
+
+def restart_worker(fleet, rng):
+    worker = rng.choice(fleet.workers)
+    worker.crash()
+    worker.begin_incarnation()
+
+
+def replace_worker(fleet, rng):
+    worker = rng.choice(fleet.workers)
+    worker.crash()
+    worker.worker_id = f"i-{worker.number}-{worker.incarnation}"
+    worker.begin_incarnation()
+
+
+def crash_worker(fleet, rng):
+    rng.choice(fleet.workers).crash()
+
+
+def restart_agent(fleet, rng):
+    agent = rng.choice(fleet.agents)
+    agent.kill()
+    agent.start()
+
+
+def kill_agent(fleet, rng):
+    rng.choice(fleet.agents).kill()
+
+
+def reboot_instance(fleet, rng):
+    agent = rng.choice(fleet.agents)
+    agent.kill()
+    agent.worker.crash()
+    if rng.random() < 0.5:
+        agent.worker.worker_id = f"i-{agent.worker.number}-{agent.worker.incarnation}"
+    agent.booted_s = clock.now_s() - 1.0
+    agent.worker.begin_incarnation()
+    agent.start()
+
+
+def partition(fleet, rng):
+    everyone = [p.address for p in (*fleet.entries, *fleet.agents)]
+    fleet.network.partitioned.add(rng.choice(everyone))
+
+
+def heal(fleet, rng):
+    fleet.network.partitioned.clear()
+    for worker in fleet.workers:
+        if not worker.is_up:
+            worker.begin_incarnation()
+
+
+FAULTS = (
+    kill_leader,
+    restart_worker,
+    replace_worker,
+    crash_worker,
+    restart_agent,
+    kill_agent,
+    reboot_instance,
+    partition,
+    heal,
+)
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_serving_tasks_run_again_after_mixed_faults(seed):
+    async def scenario(fleet):
+        rng = fleet.rng
+        fleet.network.loss = rng.choice([0.0, 0.05])
+        for worker in fleet.workers:
+            worker.late_ratio = rng.choice([0.0, 0.3])
+        job = make_job(1, (make_step(count=5, is_service=True, target_ms=100),))
+        fleet.durations[job.job_id] = SERVICE_DURATION_S
+        await fleet.submit(job)
+        for _ in range(4):
+            for _ in range(rng.randint(1, 4)):
+                rng.choice(FAULTS)(fleet, rng)
+                await fleet.settle(rng.choice([0.0, 0.1, 0.7, 2.0]))
+            heal(fleet, rng)
+            for agent in fleet.agents:
+                agent.kill()
+                agent.start()
+            await fleet.settle(RECOVERY_S)
+            assert len(running_tasks(fleet)) == 5, running_tasks(fleet)
+            await fleet.settle(rng.uniform(0.0, 2.0))
+            assert len(running_tasks(fleet)) == 5, running_tasks(fleet)
+
+    run_scenario(scenario, seed)
+
+
+def running_tasks(fleet):
+    return {task_id for worker in fleet.workers for task_id in worker.running}
