--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -10,6 +10,7 @@
 from ..decisionlog import log_decision
 from . import clock
 from .leasegrant import LeaseGrant
+from .pacesending import send_paces
 from .pacing import FillerPacer
 from .paircost import CostEstimate
 from .watchreply import build_watch_reply
@@ -180,7 +181,7 @@
         if worker_id and self.announcement.worker_id != worker_id:
             return
         self.apply_listing(listing, listed_ms)
-        await self._pace()
+        await send_paces(self)
         if self.ended_by_number:
             self._acknowledged.clear()
             try:
@@ -190,37 +191,6 @@
                 # No leader has acknowledged the ends in time; list the runs again.
                 return
 
-    async def _pace(self):
-        changes = self.pacer.update(
-            self.announcement.capacity.millicores if self.announcement else 0,
-            self.listing.running,
-            self.traits_by_task,
-            self.costs_by_pair,
-        )
-        if not changes:
-            return
-        counters.add("paces", len(changes))
-        log_decision(
-            "fillers paced",
-            changes=[[c.task_id, c.run, c.percent] for c in changes],
-            looks_above=self.pacer.samples_above_target,
-        )
-        worker_id = self.announcement.worker_id if self.announcement else ""
-        calls = [
-            self.adapter.pace(worker_id, self.epoch, c.task_id, c.run, c.percent)
-            for c in changes
-        ]
-        for result in await asyncio.gather(*calls, return_exceptions=True):
-            if isinstance(result, WorkerReplyError):
-                log_decision(
-                    "worker did not confirm a new pace; all paces will be sent again",
-                    error=str(result),
-                )
-                # Forces all paces to be sent again.
-                self.pacer.pace_by_run.clear()
-            elif isinstance(result, BaseException):
-                raise result
-
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
         if self.is_leaving and not self.has_left:
