Discard the last reply of a worker's life that its next life overtook

An agent that reads a heartbeat of the next life of its worker before a reply of the earlier one, which both wait while it is paused, applied that reply to the new life: ends of the earlier life counted as ends of the new one. Their numbers were acknowledged to the new life, which discards its own ends up to them, so that the leader never learns of those. A reply counts only if the life that the request was made in lasts, or if it names the current one.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -135,6 +135,9 @@
             self._increment_version()
         self._discard_idle_traits()
 
+    def _is_of_other_incarnation(self, listing):
+        return listing.born_ms not in (0, self.born_ms)
+
     def _discard_idle_traits(self):
         if len(self.traits_by_task) <= MAX_IDLE_TASK_TRAITS + len(self.listing.running):
             return
@@ -168,6 +171,7 @@
 
     async def _hold_once(self):
         worker_id = self.announcement.worker_id if self.announcement else ""
+        born_ms = self.born_ms
         listed_ms = self.clock_ms()
         until_ms = self.lease_until_ms()
         try:
@@ -180,6 +184,9 @@
             return
         if worker_id and self.announcement.worker_id != worker_id:
             return
+        if born_ms != self.born_ms and self._is_of_other_incarnation(listing):
+            # The reply may be the last one of an incarnation that has ended meanwhile.
+            return
         self.apply_listing(listing, listed_ms)
         await send_paces(self)
         if self.ended_by_number:
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -5,6 +5,7 @@
 
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.jobs.workeradapter import (
     Listing,
     WorkerAdapter,
@@ -22,12 +23,14 @@
     def __init__(self):
         self.worker_id = HEARTBEAT.worker_id
         self.born_ms = HEARTBEAT.born_ms
+        self.ended = ()
 
     async def hold(self, worker_id, epoch, seen, until_ms, wait_ms):
+        listing = Listing(self.born_ms, int(clock.now_s() * 1000), (), self.ended)
         await asyncio.sleep(wait_ms / 1000)
         if worker_id != self.worker_id:
             raise WorkerReplyError("another incarnation")
-        return Listing(self.born_ms, int(clock.now_s() * 1000), (), ())
+        return listing
 
 
 def run_agent(scenario):
@@ -93,3 +96,19 @@
         assert agent.is_reachable
 
     run_agent(scenario)
+
+
+def test_the_last_reply_of_an_earlier_life_is_not_taken_for_the_new_life():
+    async def scenario(agent, worker):
+        worker.ended = (EndedRun(1, "earlier", 1, RunEnd.COMPLETED, ""),)
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(1.0)
+        # The agent reads the heartbeat before the reply, which arrived earlier.
+        agent.announce(replace(HEARTBEAT, born_ms=5000))
+        worker.born_ms, worker.ended = 5000, ()
+        await asyncio.sleep(2)
+        assert agent.born_ms == 5000
+        assert agent.is_reachable
+        assert not agent.ended_by_number
+
+    run_agent(scenario)
