Follow a worker into a life whose start time is earlier than the last

A worker that starts again under its id after its clock was set back says an earlier start time. The agent ignored its heartbeats and took its lists as those of the life before, and the leader ignored every report of it, so that tasks assigned there were never released. Of the worker that answers, the agent now takes the start time as it is, since its requests follow one another; the leader ignores an earlier start time only from another address, since the reports of one agent arrive in order. A late heartbeat is overruled by the next reply.

The tests failed with: assert 1000 == 500 (agent.born_ms); assert 9 == 5 (born_ms of the leader's worker).

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from ..counters import counters
 from ..decisionlog import log_decision
@@ -86,7 +87,7 @@
             has_answered = self.listing is not None
             if has_answered and not is_newer:
                 return False
-        elif current is not None and not _is_newer(announcement, current):
+        elif current is not None and not announcement.is_newer_than(current):
             return False
         self._adopt(announcement)
         return True
@@ -119,7 +120,12 @@
 
     def apply_listing(self, listing, listed_ms):
         """Apply the lists of running and ended runs, requested at ``listed_ms``."""
-        if self.announcement is not None and listing.born_ms > self.born_ms:
+        if self.announcement is not None and self._is_of_other_incarnation(listing):
+            # The worker that answers is the current one, whatever its start time.
+            if self.announcement.born_ms:
+                self.announcement = replace(
+                    self.announcement, born_ms=listing.born_ms, sequence=0
+                )
             self._begin_incarnation(listing.born_ms)
         self.answered_ms = self.clock_ms()
         self.observe_clock(listing.clock_ms)
@@ -268,10 +274,3 @@
 
     def _reply(self):
         return build_watch_reply(self)
-
-
-def _is_newer(announcement, current):
-    return (announcement.born_ms, announcement.sequence) > (
-        current.born_ms,
-        current.sequence,
-    )
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -29,7 +29,7 @@
     _remove_replaced_workers(cell, report)
     effects = []
     worker = cell.workers_by_id.get(report.worker_id)
-    if worker is not None and worker.born_ms > report.born_ms:
+    if worker is not None and _is_outdated(worker, report):
         return effects + place(cell, event.now_s)
     if worker is None and report.has_left:
         return effects
@@ -63,6 +63,16 @@
     return []
 
 
+def _is_outdated(worker, report):
+    """Tell whether a report is of an earlier incarnation, at another address.
+
+    The reports of one agent arrive in order, so that the latest counts even if the
+    clock that gives the start times of its workers was set back.
+    """
+    is_earlier = report.born_ms < worker.born_ms
+    return is_earlier and report.agent_address != worker.agent_address
+
+
 def _remove_replaced_workers(cell, report):
     """Remove previous workers of an instance; it runs one at a time."""
     for worker in list(cell.workers_by_id.values()):
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -112,3 +112,19 @@
         assert not agent.ended_by_number
 
     run_agent(scenario)
+
+
+def test_a_worker_whose_clock_was_set_back_is_followed_into_its_new_life():
+    async def scenario(agent, worker):
+        agent.announce(replace(HEARTBEAT, sequence=40))
+        await asyncio.sleep(2)
+        worker.born_ms = 500
+        heartbeat = replace(HEARTBEAT, born_ms=500, is_draining=True)
+        agent.announce(heartbeat)
+        await asyncio.sleep(2)
+        assert agent.born_ms == 500
+        assert agent.is_reachable
+        agent.announce(replace(heartbeat, sequence=5))
+        assert agent.announcement.is_draining
+
+    run_agent(scenario)
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,45 @@
+"""Tasks of workers that start again under their id, and of those that move."""
+
+from dataclasses import replace
+
+from dotterelspread.jobs.cell import OrderSettled
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.spec import task_id_of
+from dotterelspread.jobs.worker import RunningTask
+from tests.builders_cell import make_cell, make_report, submit
+from tests.builders_fleet import make_job, make_step
+from tests.cellchecker import find_violations
+
+SERVICE = make_step(is_service=True, target_ms=100, image="s")
+TASK_ID = task_id_of(make_job(1).job_id, (0, 0, 0))
+RUNNING = RunningTask(TASK_ID, 1, "", 10, 0)
+
+
+def report(now_s, *running, **changes):
+    event = make_report(0, now_s, *running)
+    return replace(event, report=replace(event.report, **changes))
+
+
+def settle(cell, now_s, result="confirmed", born_ms=1):
+    event = OrderSettled(now_s, "i-0", born_ms, TASK_ID, 1, result, int(now_s * 1000))
+    return reduce(event, cell)
+
+
+def test_a_worker_whose_clock_was_set_back_is_heard_in_its_new_life():
+    cell = make_cell()
+    reduce(report(0.0, born_ms=9), cell)
+    submit(cell, SERVICE)
+    reduce(report(1.0, RUNNING, born_ms=9), cell)
+    settle(cell, 1.0, born_ms=9)
+    reduce(report(2.0, born_ms=5), cell)
+    assert cell.workers_by_id["i-0"].born_ms == 5
+    assert not find_violations(cell)
+
+
+def test_a_report_of_an_earlier_life_at_another_address_is_ignored():
+    cell = make_cell()
+    reduce(report(0.0, born_ms=9), cell)
+    submit(cell, SERVICE)
+    reduce(report(2.0, born_ms=5, agent_address="agent9:1"), cell)
+    assert cell.workers_by_id["i-0"].born_ms == 9
+    assert cell.workers_by_id["i-0"].agent_address == "agent0:1"
