Start no second run beside one whose start may reach the worker's next life

A run that its worker listed while its order was still under way counted as known to have run in that life, and was requeued when the worker started again under its id. But the agent may repeat the order until it hears of the next life, which then runs the first run beside the second. That branch was taken only while an order was under way, as any answer to an order marks the run as repeated. Now all runs move to the next life.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -58,13 +58,11 @@
 def replace_incarnation(cell, earlier, born_ms, now_s):
     """Replace a worker by its new incarnation, and return that.
 
-    Both have the same id, so a start that is not known to have run in the earlier
-    incarnation may have reached the new one or may still do so: it is retried there.
+    Both have the same id, so a copy of a start may have reached the new incarnation or
+    may still do so, even if the run was listed in the earlier one: it is retried there.
     """
     worker = Worker(earlier.worker_id, born_ms)
     for task_id, run in list(earlier.runs_by_task.items()):
-        if run.is_listed and not run.is_repeat:
-            continue
         earlier.remove(task_id)
         run.is_confirmed = False
         run.is_listed = False
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -2,11 +2,11 @@
 
 from dataclasses import replace
 
-from dotterelspread.jobs.cell import OrderSettled
+from dotterelspread.jobs.cell import OrderSettled, StartRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.spec import task_id_of
 from dotterelspread.jobs.worker import RunningTask
-from tests.builders_cell import make_cell, make_report, submit
+from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
 from tests.cellchecker import find_violations
 
@@ -25,6 +25,17 @@
     return reduce(event, cell)
 
 
+def test_a_run_whose_order_is_under_way_is_not_started_beside_it_in_a_new_life():
+    cell = make_cell(make_worker(0))
+    submit(cell, SERVICE)
+    reduce(make_report(1, 0.5), cell)
+    # A first attempt has started the run; the agent may repeat it in the new life.
+    reduce(report(1.0, RUNNING), cell)
+    effects = reduce(report(2.0, born_ms=2), cell)
+    assert not [e for e in effects if isinstance(e, StartRun)]
+    assert not find_violations(cell)
+
+
 def test_a_worker_whose_clock_was_set_back_is_heard_in_its_new_life():
     cell = make_cell()
     reduce(report(0.0, born_ms=9), cell)
