Adopt the tasks of one worker that are recorded in two of its lives

The change of a worker's life is recorded with each of its jobs. If these need several appends and the leader dies between two, its successor reads two lives of one worker. It adopted the life of the first task; the runs of the others were never current, and neither their end nor their loss freed their tasks, which stayed assigned for ever. All tasks of a worker id are now adopted in one life, as after a change of it: nothing was started elsewhere, since orders wait for the last append.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -30,6 +30,11 @@
                 lease_end_s=lease_end_s,
             )
             cell.workers_by_id[task.worker_id] = worker
+        if task.born_ms != worker.born_ms:
+            # The last append of an earlier leader told of the new incarnation, but not
+            # for all jobs. Until the agent reports, either may be the current one.
+            task.born_ms = worker.born_ms
+            cell.dirty_job_ids.add(job.job_id)
         run = make_run(job, key, task.run)
         run.is_repeat = True
         run.stop_reason = "" if job.is_open else end_reason(job)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -4,6 +4,7 @@
 
 from dotterelspread.jobs.cell import OrderSettled, StartRun
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.incarnations import adopt_assigned
 from dotterelspread.jobs.spec import task_id_of
 from dotterelspread.jobs.worker import RunningTask
 from tests.builders_cell import make_cell, make_report, make_worker, submit
@@ -54,3 +55,16 @@
     reduce(report(2.0, born_ms=5, agent_address="agent9:1"), cell)
     assert cell.workers_by_id["i-0"].born_ms == 9
     assert cell.workers_by_id["i-0"].agent_address == "agent0:1"
+
+
+def test_tasks_recorded_in_two_lives_of_a_worker_are_all_adopted():
+    cell = make_cell(make_worker(0))
+    submit(cell, SERVICE, number=1)
+    submit(cell, SERVICE, number=2)
+    # An append held only one of the two jobs when its leader died.
+    first, second = cell.jobs_by_id.values()
+    first.tasks_by_key[0, 0, 0].born_ms = 2
+    cell.workers_by_id.clear()
+    for job in (first, second):
+        adopt_assigned(cell, job, 20.0, {})
+    assert not find_violations(cell)
