Record the new address when a worker's agent moves

When another worker is reported at that address, a successor takes the recorded one for replaced and starts its tasks elsewhere though it may run on; without an address it waits for the longest lease instead of noticing the replacement.

The test failed with: assert set() == {'i-0'} (workers to record).

--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -40,7 +40,7 @@
     elif worker.born_ms != report.born_ms:
         worker = replace_incarnation(cell, worker, report.born_ms, event.now_s)
     took_tasks_before = worker.accepts_tasks(event.now_s)
-    _update(worker, event)
+    _update(cell, worker, event)
     shapes = cell.shapes_by_service.setdefault(worker.service, set())
     shapes.add(WorkerShape(worker.labels, worker.capacity))
     effects.extend(apply_ends(cell, worker, event))
@@ -81,9 +81,11 @@
             remove_worker(cell, worker)
 
 
-def _update(worker, event):
+def _update(cell, worker, event):
     report = event.report
     is_first = not worker.service
+    if worker.agent_address != report.agent_address:
+        cell.dirty_worker_ids.add(worker.worker_id)
     worker.agent_address = report.agent_address
     worker.service = report.service
     worker.data_centre = report.data_centre
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -68,3 +68,10 @@
     for job in (first, second):
         adopt_assigned(cell, job, 20.0, {})
     assert not find_violations(cell)
+
+
+def test_a_worker_that_moves_is_recorded_at_its_new_address():
+    cell = make_cell(make_worker(0))
+    cell.dirty_worker_ids.clear()
+    reduce(report(1.0, agent_address="agent9:1"), cell)
+    assert cell.dirty_worker_ids == {"i-0"}
