Start no run of a task while a worker lists a stray of it

A worker may list a run that the leader gave up: a start that was carried out late, in a later life under the same id. The leader ordered it to stop, but placed the task at once, beside the stray or on the same worker. Tasks with a stray on a worker that answers now wait for its end.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -13,6 +13,7 @@
 from .pacing import NEGLIGIBLE_INCREASE_RATIO, tail_increase_budget
 from .paircost import interference_factor
 from .permits import ask_permits, permitted_workers
+from .strays import find_strays, ready_by_step
 from .unplaceable import UnplaceableDemands
 
 __all__ = [
@@ -69,17 +70,19 @@
     effects = []
     if workers:
         unplaceable = UnplaceableDemands()
+        strays = find_strays(cell)
         for job in order_jobs(cell, now_s):
-            effects.extend(_place_job(cell, job, workers, unplaceable, now_s))
+            groups = ready_by_step(cell, job, strays)
+            effects.extend(_place_job(cell, job, groups, workers, unplaceable, now_s))
     return effects
 
 
-def _place_job(cell, job, workers, unplaceable, now_s):
+def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s):
     queue = cell.queue_of(job)
     service = queue.service
     effects = []
     eligible = [worker for worker in workers if worker.service == service]
-    for step_key, keys in _group_by_step(cell.ready_by_job[job.job_id]).items():
+    for step_key, keys in keys_by_step.items():
         step = job.spec.steps[step_key[1]]
         filler_demand = _filler_demand(job, step, now_s)
         if unplaceable.covers(service, step, filler_demand):
@@ -117,13 +120,6 @@
     return starts
 
 
-def _group_by_step(keys):
-    groups = {}
-    for key in keys:
-        groups.setdefault(key[:2], []).append(key)
-    return groups
-
-
 def _place_gang(cell, job, step, keys, workers, now_s):
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -109,6 +109,11 @@
         """Whether the run is to be stopped."""
         return bool(self.stop_reason)
 
+    @property
+    def is_stray(self):
+        """Whether the worker lists it though it is not the latest run of its task."""
+        return self.stop_reason == RunStopReason.UNKNOWN
+
     @property
     def is_serving(self):
         """Whether the run is a serving task with a latency target."""
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -105,6 +105,8 @@
     reserved: Resources = Resources()
     #: Number of serving tasks on the worker.
     serving_count: int = 0
+    #: Number of runs on the worker that are not the latest run of their task.
+    stray_count: int = 0
     #: Highest ratio of tail to target without fillers, by serving image.
     baseline_tail_by_image: dict[str, float] = field(default_factory=dict)
     #: Agent's clock at the latest listing; 0 before the first.
@@ -135,6 +137,7 @@
         self.reserved = self.reserved + run.reserved
         self.available = self.available - run.reserved
         self.serving_count += run.is_serving
+        self.stray_count += run.is_stray
         self._usage = None
 
     def remove(self, task_id):
@@ -144,6 +147,7 @@
             self.reserved = self.reserved - run.reserved
             self.available = self.available + run.reserved
             self.serving_count -= run.is_serving
+            self.stray_count -= run.is_stray
             self._usage = None
         return run
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -2,11 +2,11 @@
 
 from dataclasses import replace
 
-from dotterelspread.jobs.cell import OrderSettled, StartRun
+from dotterelspread.jobs.cell import OrderSettled, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.incarnations import adopt_assigned
 from dotterelspread.jobs.spec import task_id_of
-from dotterelspread.jobs.worker import RunningTask
+from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
 from tests.cellchecker import find_violations
@@ -75,3 +75,27 @@
     cell.dirty_worker_ids.clear()
     reduce(report(1.0, agent_address="agent9:1"), cell)
     assert cell.dirty_worker_ids == {"i-0"}
+
+
+def test_a_task_with_a_stray_run_starts_only_after_the_end_of_that():
+    cell = make_cell(make_worker(0))
+    cell.workers_by_id["i-0"].is_reachable = False
+    submit(cell, SERVICE)
+    # A late start of a run that the leader gave up is executed in a new life.
+    effects = reduce(report(1.0, RUNNING), cell)
+    assert [type(effect) for effect in effects] == [StopRun]
+    assert reduce(make_report(1, 1.5), cell) == []
+    assert not find_violations(cell)
+    end = EndedRun(1, TASK_ID, 1, RunEnd.STOPPED, "")
+    effects = reduce(report(2.0, ended=(end,)), cell)
+    assert StartRun in [type(effect) for effect in effects]
+    assert not find_violations(cell)
+
+
+def test_a_stray_in_the_last_lists_of_a_silent_worker_delays_no_start():
+    cell = make_cell()
+    submit(cell, SERVICE)
+    reduce(report(1.0, RUNNING, is_reachable=False), cell)
+    effects = reduce(make_report(1, 1.5), cell)
+    assert [type(effect) for effect in effects] == [StartRun]
+    assert not find_violations(cell)
