--- a/tests/test_fleet_services.py
+++ b/tests/test_fleet_services.py
@@ -1,8 +1,12 @@
 """Serving tasks of the virtual fleet run again soon after any mix of faults."""
 
+import asyncio
+
 import pytest
 
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.records import CELL_STREAM, PROGRESS_PREFIX
+from dotterelspread.processsettings import StoreSettings
 from tests.builders_fleet import make_job, make_step, run_scenario
 
 #: Time without faults after which every serving task has to run: a lease and the
@@ -109,3 +113,41 @@
 
 def running_tasks(fleet):
     return {task_id for worker in fleet.workers for task_id in worker.running}
+
+
+@pytest.mark.parametrize("appends", range(1, 9))
+def test_serving_tasks_survive_a_leader_that_dies_between_two_appends(appends):
+    async def scenario(fleet):
+        for entry in fleet.entries:
+            # Each record needs an append of its own.
+            entry.settings.store = StoreSettings("store:1", max_request_bytes=2)
+        kill_leader(fleet, fleet.rng)
+        await fleet.settle(4)
+        for number in range(6):
+            job = make_job(number, (make_step(is_service=True, target_ms=100),))
+            fleet.durations[job.job_id] = SERVICE_DURATION_S
+            await fleet.submit(job)
+        await fleet.settle(2)
+        (worker,) = [worker for worker in fleet.workers if worker.running]
+        worker.crash()
+        worker.begin_incarnation()
+        await kill_after_appends(fleet, appends)
+        await fleet.settle(RECOVERY_S + 3)
+        assert len(running_tasks(fleet)) == 6, running_tasks(fleet)
+
+    run_scenario(scenario)
+
+
+async def kill_after_appends(fleet, count):
+    """Kill the leader once it has appended this many records, and restart it."""
+    leader = next(e for e in fleet.entries if e.candidate.leader is not None)
+    records = fleet.store.stream(CELL_STREAM).records
+    known = len(records)
+    end_s = clock.now_s() + 3
+    progress = [r for r in records[known:] if r.key.startswith(PROGRESS_PREFIX)]
+    while len(progress) < count and clock.now_s() < end_s:
+        await asyncio.sleep(0.0005)
+        progress = [r for r in records[known:] if r.key.startswith(PROGRESS_PREFIX)]
+    leader.kill()
+    await fleet.settle(0.5)
+    leader.start()
