--- a/tests/test_fleet_services.py
+++ b/tests/test_fleet_services.py
@@ -151,3 +151,20 @@
     leader.kill()
     await fleet.settle(0.5)
     leader.start()
+
+
+def test_a_serving_task_leaves_a_worker_that_drains_in_its_next_life():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(is_service=True, target_ms=100),))
+        fleet.durations[job.job_id] = SERVICE_DURATION_S
+        await fleet.submit(job)
+        await fleet.settle(2)
+        (worker,) = [worker for worker in fleet.workers if worker.running]
+        worker.crash()
+        worker.begin_incarnation()
+        worker.is_draining = True
+        await fleet.settle(4)
+        assert running_tasks(fleet)
+        assert not worker.running
+
+    run_scenario(scenario)
