Take up a successor whose clock was set back once its heartbeats go on

When a worker had been silent for over a second, an agent took up one of another id only if that had started later, as an earlier worker's heartbeat may be late. A successor whose clock was set back was refused for ever, and its instance ran nothing. It is now taken up at its second heartbeat.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -50,6 +50,8 @@
         self.announcement = None
         #: Latest heartbeat of another worker than the current one; None if none.
         self._successor = None
+        #: Latest heartbeat of one that started before the current one, which is silent.
+        self._candidate = None
         #: Start time of the incarnation of `listing` and `ended_by_number`.
         self.born_ms = 0
         self.listing = None
@@ -85,13 +87,23 @@
                 return False
             is_newer = announcement.born_ms >= current.born_ms
             has_answered = self.listing is not None
-            if has_answered and not is_newer:
+            if has_answered and not is_newer and not self._is_repeated(announcement):
+                # Taken up at its next heartbeat: this one may be late.
+                self._candidate = announcement
                 return False
         elif current is not None and not announcement.is_newer_than(current):
             return False
         self._adopt(announcement)
         return True
 
+    def _is_repeated(self, announcement):
+        earlier = self._candidate
+        return (
+            earlier is not None
+            and earlier.worker_id == announcement.worker_id
+            and announcement.is_newer_than(earlier)
+        )
+
     def _adopt(self, announcement):
         current = self.announcement
         is_new_incarnation = current is None or (
@@ -154,6 +166,7 @@
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
         self._successor = None
+        self._candidate = None
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -128,3 +128,24 @@
         assert agent.announcement.is_draining
 
     run_agent(scenario)
+
+
+def test_a_successor_whose_clock_was_set_back_is_taken_up_after_the_worker():
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(2)
+        worker.worker_id, worker.born_ms = "i-2", 500
+        await asyncio.sleep(2)
+        assert not agent.is_reachable
+        successor = replace(HEARTBEAT, worker_id="i-2", born_ms=500)
+        # A single heartbeat may be a late one of an earlier worker.
+        agent.announce(successor)
+        assert agent.announcement.worker_id == "i-1"
+        agent.announce(successor)
+        assert agent.announcement.worker_id == "i-1"
+        agent.announce(replace(successor, sequence=2))
+        await asyncio.sleep(1)
+        assert agent.announcement.worker_id == "i-2"
+        assert agent.is_reachable
+
+    run_agent(scenario)
