--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -58,11 +58,14 @@
         #: Ratio of orders that are executed late and get no reply.
         self.late_ratio = 0.0
         self.is_failing = False
+        #: By how much the time of day of the instance was set forward.
+        self.time_of_day_step_s = 0.0
         self.begin_incarnation()
 
     def begin_incarnation(self):
         self.incarnation += 1
         self.born_s = clock.now_s()
+        self.born_ms = int((self.born_s + self.time_of_day_step_s) * 1000)
         self.sequence = 0
         self.token = 0
         self.lease_end_s = 0.0
@@ -71,10 +74,6 @@
         self.highest_run_by_task_id = {}
         self.is_up = True
 
-    @property
-    def born_ms(self):
-        return int(self.born_s * 1000)
-
     def clock_ms(self):
         return int((clock.now_s() - self.born_s) * 1000) + 5000
 
--- a/tests/test_fleet_services.py
+++ b/tests/test_fleet_services.py
@@ -25,6 +25,7 @@
 def restart_worker(fleet, rng):
     worker = rng.choice(fleet.workers)
     worker.crash()
+    worker.time_of_day_step_s = rng.choice([0.0, 0.0, -60.0])
     worker.begin_incarnation()
 
 
@@ -101,8 +102,8 @@
                 await fleet.settle(rng.choice([0.0, 0.1, 0.7, 2.0]))
             heal(fleet, rng)
             for agent in fleet.agents:
-                agent.kill()
-                agent.start()
+                if agent.address not in fleet.network.handlers_by_address:
+                    agent.start()
             await fleet.settle(RECOVERY_S)
             assert len(running_tasks(fleet)) == 5, running_tasks(fleet)
             await fleet.settle(rng.uniform(0.0, 2.0))
