--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
 from .leasegrant import LeaseGrant
+from .pacesending import send_paces
 from .pacing import FillerPacer
 from .paircost import CostEstimate
 from .watchreply import build_watch_reply
@@ -48,6 +50,8 @@
         self.announcement = None
         #: Latest heartbeat of another worker than the current one; None if none.
         self._successor = None
+        #: Latest heartbeat of one that started before the current one, which is silent.
+        self._candidate = None
         #: Start time of the incarnation of `listing` and `ended_by_number`.
         self.born_ms = 0
         self.listing = None
@@ -83,13 +87,23 @@
                 return False
             is_newer = announcement.born_ms >= current.born_ms
             has_answered = self.listing is not None
-            if has_answered and not is_newer:
+            if has_answered and not is_newer and not self._is_repeated(announcement):
+                # Taken up at its next heartbeat: this one may be late.
+                self._candidate = announcement
                 return False
-        elif current is not None and not _is_newer(announcement, current):
+        elif current is not None and not announcement.is_newer_than(current):
             return False
         self._adopt(announcement)
         return True
 
+    def _is_repeated(self, announcement):
+        earlier = self._candidate
+        return (
+            earlier is not None
+            and earlier.worker_id == announcement.worker_id
+            and announcement.is_newer_than(earlier)
+        )
+
     def _adopt(self, announcement):
         current = self.announcement
         is_new_incarnation = current is None or (
@@ -118,7 +132,12 @@
 
     def apply_listing(self, listing, listed_ms):
         """Apply the lists of running and ended runs, requested at ``listed_ms``."""
-        if self.announcement is not None and listing.born_ms > self.born_ms:
+        if self.announcement is not None and self._is_of_other_incarnation(listing):
+            # The worker that answers is the current one, whatever its start time.
+            if self.announcement.born_ms:
+                self.announcement = replace(
+                    self.announcement, born_ms=listing.born_ms, sequence=0
+                )
             self._begin_incarnation(listing.born_ms)
         self.answered_ms = self.clock_ms()
         self.observe_clock(listing.clock_ms)
@@ -134,6 +153,9 @@
             self._increment_version()
         self._discard_idle_traits()
 
+    def _is_of_other_incarnation(self, listing):
+        return listing.born_ms not in (0, self.born_ms)
+
     def _discard_idle_traits(self):
         if len(self.traits_by_task) <= MAX_IDLE_TASK_TRAITS + len(self.listing.running):
             return
@@ -144,6 +166,7 @@
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
         self._successor = None
+        self._candidate = None
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
@@ -167,6 +190,7 @@
 
     async def _hold_once(self):
         worker_id = self.announcement.worker_id if self.announcement else ""
+        born_ms = self.born_ms
         listed_ms = self.clock_ms()
         until_ms = self.lease_until_ms()
         try:
@@ -179,8 +203,11 @@
             return
         if worker_id and self.announcement.worker_id != worker_id:
             return
+        if born_ms != self.born_ms and self._is_of_other_incarnation(listing):
+            # The reply may be the last one of an incarnation that has ended meanwhile.
+            return
         self.apply_listing(listing, listed_ms)
-        await self._pace()
+        await send_paces(self)
         if self.ended_by_number:
             self._acknowledged.clear()
             try:
@@ -190,37 +217,6 @@
                 # No leader has acknowledged the ends in time; list the runs again.
                 return
 
-    async def _pace(self):
-        changes = self.pacer.update(
-            self.announcement.capacity.millicores if self.announcement else 0,
-            self.listing.running,
-            self.traits_by_task,
-            self.costs_by_pair,
-        )
-        if not changes:
-            return
-        counters.add("paces", len(changes))
-        log_decision(
-            "fillers paced",
-            changes=[[c.task_id, c.run, c.percent] for c in changes],
-            looks_above=self.pacer.samples_above_target,
-        )
-        worker_id = self.announcement.worker_id if self.announcement else ""
-        calls = [
-            self.adapter.pace(worker_id, self.epoch, c.task_id, c.run, c.percent)
-            for c in changes
-        ]
-        for result in await asyncio.gather(*calls, return_exceptions=True):
-            if isinstance(result, WorkerReplyError):
-                log_decision(
-                    "worker did not confirm a new pace; all paces will be sent again",
-                    error=str(result),
-                )
-                # Forces all paces to be sent again.
-                self.pacer.pace_by_run.clear()
-            elif isinstance(result, BaseException):
-                raise result
-
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
         if self.is_leaving and not self.has_left:
@@ -291,10 +287,3 @@
 
     def _reply(self):
         return build_watch_reply(self)
-
-
-def _is_newer(announcement, current):
-    return (announcement.born_ms, announcement.sequence) > (
-        current.born_ms,
-        current.sequence,
-    )
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -41,6 +41,11 @@
                 lease_end_s=lease_end_s_of(task.worker_id),
             )
             cell.workers_by_id[task.worker_id] = worker
+        if task.born_ms != worker.born_ms:
+            # The last append of an earlier leader told of the new incarnation, but not
+            # for all jobs. Until the agent reports, either may be the current one.
+            task.born_ms = worker.born_ms
+            cell.dirty_job_ids.add(job.job_id)
         run = make_run(job, key, task.run)
         run.is_repeat = True
         run.stop_reason = "" if job.is_open else end_reason(job)
@@ -69,8 +74,8 @@
 def replace_incarnation(cell, earlier, born_ms, now_s):
     """Replace a worker by its new incarnation, and return that.
 
-    Both have the same id, so a start that is not known to have run in the earlier
-    incarnation may have reached the new one or may still do so: it is retried there.
+    Both have the same id, so a copy of a start may have reached the new incarnation or
+    may still do so, even if the run was listed in the earlier one: it is retried there.
     """
     worker = Worker(
         earlier.worker_id,
@@ -79,8 +84,6 @@
         grants=earlier.grants,
     )
     for task_id, run in list(earlier.runs_by_task.items()):
-        if run.is_listed and not run.is_repeat:
-            continue
         earlier.remove(task_id)
         run.is_confirmed = False
         run.is_listed = False
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -30,7 +30,7 @@
     _remove_replaced_workers(cell, report)
     effects = []
     worker = cell.workers_by_id.get(report.worker_id)
-    if worker is not None and worker.born_ms > report.born_ms:
+    if worker is not None and _is_outdated(worker, report):
         return effects + place(cell, event.now_s)
     if worker is None and report.has_left:
         return effects
@@ -41,7 +41,7 @@
     elif worker.born_ms != report.born_ms:
         worker = replace_incarnation(cell, worker, report.born_ms, event.now_s)
     took_tasks_before = worker.accepts_tasks(event.now_s)
-    _update(worker, event)
+    _update(cell, worker, event)
     if worker.is_reachable:
         effects.extend(resume_grants(cell, worker))
     shapes = cell.shapes_by_service.setdefault(worker.service, set())
@@ -66,6 +66,16 @@
     return []
 
 
+def _is_outdated(worker, report):
+    """Tell whether a report is of an earlier incarnation, at another address.
+
+    The reports of one agent arrive in order, so that the latest counts even if the
+    clock that gives the start times of its workers was set back.
+    """
+    is_earlier = report.born_ms < worker.born_ms
+    return is_earlier and report.agent_address != worker.agent_address
+
+
 def _remove_replaced_workers(cell, report):
     """Remove previous workers of an instance; it runs one at a time."""
     for worker in list(cell.workers_by_id.values()):
@@ -74,9 +84,11 @@
             remove_worker(cell, worker)
 
 
-def _update(worker, event):
+def _update(cell, worker, event):
     report = event.report
     is_first = not worker.has_reported
+    if worker.agent_address != report.agent_address:
+        cell.dirty_worker_ids.add(worker.worker_id)
     worker.agent_address = report.agent_address
     worker.service = report.service
     worker.data_centre = report.data_centre
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -29,6 +29,7 @@
 from dotterelspread.resources import Resources
 from tests.builders_store import VirtualStore
 from tests.builders_worker import VirtualWorker
+from tests.cellchecker import check_every_event
 from tests.fleetchecker import Checker
 from tests.virtualloop import run_virtually
 
@@ -216,13 +217,15 @@
         self.worker = worker
         self.settings = make_settings(FleetRole.AGENT, number, fleet.bounds)
         self.address = self.settings.peer_address
+        #: Start of the clock of the agent's instance.
+        self.booted_s = 0.0
         self.tasks = []
 
     def start(self):
         self.agent = Agent(
             self.worker,
             self.fleet.bounds.max_lease_ms,
-            lambda: int(clock.now_s() * 1000),
+            lambda: int((clock.now_s() - self.booted_s) * 1000),
         )
         order_handler = OrderHandler(self.agent)
         self.fleet.network.handlers_by_address[self.address] = {
@@ -404,7 +407,8 @@
         fleet = VirtualFleet(seed, **sizes)
         fleet.start()
         await fleet.settle(3)
-        await scenario(fleet)
+        with check_every_event(fleet.checker.add_violation):
+            await scenario(fleet)
         assert not fleet.checker.violations, fleet.checker.violations
         return fleet
 
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -66,11 +66,14 @@
         self.capacity = CAPACITY
         #: (time until which it counts, capacity) of earlier capacities.
         self._earlier_capacities = []
+        #: By how much the time of day of the instance was set forward.
+        self.time_of_day_step_s = 0.0
         self.begin_incarnation()
 
     def begin_incarnation(self):
         self.incarnation += 1
         self.born_s = clock.now_s()
+        self.born_ms = int((self.born_s + self.time_of_day_step_s) * 1000)
         self.sequence = 0
         self.token = 0
         self.lease_end_s = 0.0
@@ -79,10 +82,6 @@
         self.highest_run_by_task_id = {}
         self.is_up = True
 
-    @property
-    def born_ms(self):
-        return int(self.born_s * 1000)
-
     def clock_ms(self):
         return int((clock.now_s() - self.born_s) * 1000) + 5000
 
@@ -147,8 +146,12 @@
             raise WorkerReplyError("no reply")
         return execute(), self.clock_ms()
 
+    def _is_addressed(self, incarnation, order):
+        is_same = incarnation == self.incarnation and order.worker_id == self.worker_id
+        return self.is_up and is_same
+
     def _start(self, incarnation, order, until_ms):
-        if not self.is_up or incarnation != self.incarnation:
+        if not self._is_addressed(incarnation, order):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
@@ -185,7 +188,7 @@
         return await self._execute(worker_id, execute)
 
     def _stop(self, incarnation, order):
-        if not self.is_up or incarnation != self.incarnation:
+        if not self._is_addressed(incarnation, order):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
