Leave out records that are nested too deeply or out of range

Seen: with one node record whose ignored element was nested 100,000 deep, no entry ever led: the election loop failed and started again every half second. A leader that met it during its term followed no process that registered later. An unreadable leader record kept every entry from leading, and a deep specification or deep costs ended each takeover. A node record with the address of another process, under another key, displaced that process.

Cause: the decoder raises RecursionError, which is no ValueError, and the leader record was decoded without handling. Key, port and cores of a node record were not checked.

Change: jobs/unreadable.py names the errors of a record that is left out, logged and counted. A node record counts only under its own address, with a valid port and a finite number of cores. Without a readable leader record the takeover doubles its epoch until the store no longer fences the claim.

--- a/dotterelspread/jobs/nodes.py
+++ b/dotterelspread/jobs/nodes.py
@@ -1,15 +1,17 @@
 """Discovery of the fleet's processes through a stream with a record for each."""
 
-from contextlib import suppress
+import math
 
 import msgspec
 
 from .journal import KeyedRecord
+from .unreadable import UNREADABLE_ERRORS, log_unreadable
 
 __all__ = ["NODES_STREAM", "NodeRecord", "decode_node", "encode_node"]
 
 #: Stream of `NodeRecord` values, keyed by peer address.
 NODES_STREAM = "nodes"
+MAX_PORT = 65_535
 
 
 class NodeRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -25,6 +27,9 @@
     cores: float = 0.0
 
 
+_node_decoder = msgspec.msgpack.Decoder(NodeRecord)
+
+
 def encode_node(settings):
     """Return the stream record of a process."""
     node = NodeRecord(
@@ -39,7 +44,23 @@
 
 
 def decode_node(record):
-    """Return the `NodeRecord` in a stream record, or None if it cannot be decoded."""
-    with suppress(msgspec.DecodeError, ValueError):
-        return msgspec.msgpack.decode(record.value, type=NodeRecord)
-    return None
+    """Return the `NodeRecord` in a stream record, or None if it names no process."""
+    if not record.value:
+        return None
+    try:
+        node = _node_decoder.decode(record.value)
+        _check(node, record.key)
+    except UNREADABLE_ERRORS as error:
+        log_unreadable(record.key, error)
+        return None
+    return node
+
+
+def _check(node, key):
+    if node.peer_address != key:
+        raise ValueError("peer_address: not the key of the record")
+    port = node.peer_address.rpartition(":")[2]
+    if not (port.isascii() and port.isdecimal() and 0 < int(port[:6]) <= MAX_PORT):
+        raise ValueError("peer_address: no valid port")
+    if not (math.isfinite(node.cores) and node.cores >= 0):
+        raise ValueError("cores: not a number of cores")
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -1,15 +1,15 @@
 """Encoding of a cell's state as keyed records of its journal stream."""
 
 import math
+from typing import Annotated
 
 import msgspec
 
-from ..counters import counters
-from ..decisionlog import log_decision
 from .job import Job, JobRecord
 from .journal import KeyedRecord
 from .paircost import CostEstimate, PairCosts
 from .spec import JobSpec
+from .unreadable import UNREADABLE_ERRORS, log_unreadable
 
 __all__ = [
     "CELL_STREAM",
@@ -44,12 +44,14 @@
 #: Number of tasks in one progress record. A task needs about 110 bytes at most, so a
 #: record stays well below the store's limit of 256 KiB.
 TASKS_PER_RECORD = 1000
+#: Largest epoch that every peer and worker represents exactly.
+MAX_EPOCH = 2**53
 
 
 class LeaderRecord(msgspec.Struct, array_like=True, frozen=True):
     """Address, instance and epoch of the leader."""
 
-    epoch: int
+    epoch: Annotated[int, msgspec.Meta(ge=0, le=MAX_EPOCH)]
     peer_address: str
     instance_id: str
 
@@ -73,9 +75,15 @@
 
 
 def read_leader(records_by_key):
-    """Return the `LeaderRecord` of a snapshot, or None."""
+    """Return the `LeaderRecord` of a snapshot; None without one that can be read."""
     record = records_by_key.get(LEADER_KEY)
-    return _leader_decoder.decode(record.value) if record else None
+    if record is None:
+        return None
+    try:
+        return _leader_decoder.decode(record.value)
+    except UNREADABLE_ERRORS as error:
+        log_unreadable(LEADER_KEY, error)
+        return None
 
 
 def job_records(job, is_new):
@@ -141,9 +149,9 @@
         return costs
     try:
         rows = _costs_decoder.decode(record.value)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_ERRORS as error:
         # They are learned anew.
-        _log_unreadable(COSTS_KEY, error)
+        log_unreadable(COSTS_KEY, error)
         return costs
     for serving, filler, per_core, deviation in rows:
         costs.by_pair[serving, filler] = CostEstimate(per_core, deviation)
@@ -161,8 +169,8 @@
             continue
         try:
             yield _read_job(record, records_by_key, now_s)
-        except (msgspec.DecodeError, KeyError) as error:
-            _log_unreadable(key, error)
+        except (*UNREADABLE_ERRORS, KeyError) as error:
+            log_unreadable(key, error)
 
 
 def _read_job(record, records_by_key, now_s):
@@ -172,8 +180,3 @@
         if progress is not None and progress.value:
             job.apply_record(_progress_decoder.decode(progress.value))
     return job
-
-
-def _log_unreadable(key, error):
-    counters.add("unreadable_records")
-    log_decision("record unreadable", key=key, error=f"{type(error).__name__}: {error}")
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -76,10 +76,12 @@
         The initial read of the nodes or of the state failed.
     """
     nodes = await journal.snapshot(NODES_STREAM)
+    epoch = 0
     while True:
         snapshot = await journal.snapshot(CELL_STREAM)
         earlier = read_leader(snapshot.records_by_key)
-        epoch = 1 + (earlier.epoch if earlier else 0)
+        # Without a readable record, doubling soon finds an epoch that is not fenced.
+        epoch = 1 + (earlier.epoch if earlier else 2 * epoch)
         # With the same sequence number, two candidates for one epoch would get each
         # other's replies, and both would see a successful claim.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_INITIAL_SEQUENCE))
