Keep odd heartbeats and deregistrations from taking a worker out of use

Seen: one heartbeat with the worker's id and a huge or later start time made the agent report a new incarnation, so that its tasks were started elsewhere while they ran, and hid every true heartbeat after it: draining and the next start of the worker went unnoticed. A huge sequence number hid draining as well, and an unknown service or no capacity took effect at once. A deregistration from another writer or an earlier incarnation made the next refused call count as the end of the worker, which then stayed out of use for good. After one refused call the agent turned to any stranger it had heard before, and gave a stranger the lists that its first call returned.

Cause: the greatest start time and sequence number won, whoever named them, and any failed call after a deregistration was taken for the end of the worker.

The lists that the agent reads from the worker itself decide which incarnation runs; a heartbeat of another one waits for them. A deregistered worker has left when nothing or another incarnation runs at its address, or after a second of silence; one that answers is in use. Another worker is taken up on the same signs. WorkerGoneError tells them from other failures; the simulated workers raise it for what is a refused connection or status 421 of a real one. Sending of paces moved to jobs/pacesending.py, unchanged.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -5,15 +5,19 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
+from .announcements import AnnouncementFilter
+from .departure import Departure
 from .leasegrant import LeaseGrant
+from .pacesending import send_paces
 from .pacing import FillerPacer
 from .paircost import CostEstimate
 from .watchreply import build_watch_reply
-from .workeradapter import WorkerReplyError
+from .workeradapter import WorkerGoneError, WorkerReplyError
 
 __all__ = ["Agent"]
 
@@ -44,10 +48,7 @@
     def __init__(self, adapter, max_lease_ms, clock_ms=clock.boottime_ms):
         self.adapter = adapter
         self.clock_ms = clock_ms
-        #: Latest `Announcement` of the worker; None before the first.
-        self.announcement = None
-        #: Latest heartbeat of another worker than the current one; None if none.
-        self._successor = None
+        self._announcements = AnnouncementFilter()
         #: Start time of the incarnation of `listing` and `ended_by_number`.
         self.born_ms = 0
         self.listing = None
@@ -60,9 +61,7 @@
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
-        #: Whether the worker has announced its shutdown, and whether it has ended.
-        self.is_leaving = False
-        self.has_left = False
+        self._departure = Departure()
         self.answered_ms = clock_ms()
         self.version = 1
         self.traits_by_task = {}
@@ -75,56 +74,73 @@
 
     def announce(self, announcement):
         """Apply a heartbeat; return False if it does not take effect now."""
-        current = self.announcement
-        if current is not None and announcement.worker_id != current.worker_id:
-            if self.is_reachable:
-                # Taken up once the current worker fails: it may come from a stranger.
-                self._successor = announcement
-                return False
-            is_newer = announcement.born_ms >= current.born_ms
-            has_answered = self.listing is not None
-            if has_answered and not is_newer:
-                return False
-        elif current is not None and not _is_newer(announcement, current):
-            return False
-        self._adopt(announcement)
-        return True
+        listed_born_ms = self.listing.born_ms if self.listing else None
+        takes_effect = self._announcements.accepts(announcement, listed_born_ms)
+        if takes_effect:
+            self._adopt(announcement)
+        return takes_effect
+
+    @property
+    def announcement(self):
+        """Latest `Announcement` of the worker; None before the first."""
+        return self._announcements.current
+
+    @property
+    def has_left(self):
+        """Whether this incarnation of the worker has ended."""
+        return self._departure.has_left
+
+    @property
+    def _worker_id(self):
+        return self.announcement.worker_id if self.announcement else ""
 
     def _adopt(self, announcement):
         current = self.announcement
+        born_ms = announcement.born_ms or self.born_ms
         is_new_incarnation = current is None or (
-            (current.worker_id, current.born_ms)
-            != (announcement.worker_id, announcement.born_ms)
+            (current.worker_id, self.born_ms) != (announcement.worker_id, born_ms)
         )
-        was_draining = current is not None and current.is_draining
-        self.announcement = announcement
+        self._announcements.adopt(announcement)
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
-        if is_new_incarnation or announcement.is_draining != was_draining:
+        if current is None or replace(current, sequence=0) != replace(
+            announcement, sequence=0
+        ):
             log_decision(
                 "worker announced",
                 worker_id=announcement.worker_id,
                 born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
+                service=announcement.service,
                 is_draining=announcement.is_draining,
             )
             self._increment_version()
 
-    def leave(self, worker_id):
-        """Record that the worker is shutting down; a failed call confirms its end."""
-        if self.announcement is not None and self.announcement.worker_id == worker_id:
-            self.is_leaving = True
+    def leave(self, worker_id, born_ms=0):
+        """Record that the worker says that it shuts down; it may live on.
+
+        Parameters
+        ----------
+        worker_id : str
+        born_ms : int
+            Start time of the incarnation that shuts down; 0 if unknown.
+        """
+        is_known = self.announcement and self.announcement.worker_id == worker_id
+        if is_known and born_ms in (0, self.born_ms):
+            self._departure.announce(self.clock_ms())
             log_decision("worker leaves", worker_id=worker_id, born_ms=self.born_ms)
+        else:
+            log_decision("shutdown ignored", worker_id=worker_id, born_ms=born_ms)
 
     def apply_listing(self, listing, listed_ms):
         """Apply the lists of running and ended runs, requested at ``listed_ms``."""
-        if self.announcement is not None and listing.born_ms > self.born_ms:
-            self._begin_incarnation(listing.born_ms)
+        self._apply_born(listing.born_ms)
         self.answered_ms = self.clock_ms()
         self.observe_clock(listing.clock_ms)
         self.listing = listing
         self.listed_ms = listed_ms
-        is_changed = not self.is_reachable
+        has_returned = self._departure.observe_answer(listed_ms)
+        is_changed = has_returned or not self.is_reachable
         self.is_reachable = True
         for end in listing.ended:
             if end.number > self.seen and end.number not in self.ended_by_number:
@@ -134,6 +150,22 @@
             self._increment_version()
         self._discard_idle_traits()
 
+    def _apply_born(self, born_ms):
+        """Begin the incarnation that a list of the worker names."""
+        if self.announcement is None or not born_ms:
+            return
+        if born_ms > self.born_ms or (self.listing is None and born_ms < self.born_ms):
+            self._begin_incarnation(born_ms)
+        successor = self._announcements.successor
+        if successor is not None and self._is_this_incarnation(successor):
+            self._adopt(successor)
+
+    def _is_this_incarnation(self, announcement):
+        return (
+            announcement.worker_id == self.announcement.worker_id
+            and announcement.born_ms == self.born_ms
+        )
+
     def _discard_idle_traits(self):
         if len(self.traits_by_task) <= MAX_IDLE_TASK_TRAITS + len(self.listing.running):
             return
@@ -143,7 +175,6 @@
 
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
-        self._successor = None
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
@@ -151,8 +182,7 @@
         self.seen = 0
         self.clock_offset_ms = None
         self.is_reachable = False
-        self.is_leaving = False
-        self.has_left = False
+        self._departure = Departure()
         self._increment_version()
 
     def _increment_version(self):
@@ -166,7 +196,7 @@
             await self._hold_once()
 
     async def _hold_once(self):
-        worker_id = self.announcement.worker_id if self.announcement else ""
+        worker_id = self._worker_id
         listed_ms = self.clock_ms()
         until_ms = self.lease_until_ms()
         try:
@@ -177,10 +207,10 @@
             self._handle_hold_failure(error)
             await asyncio.sleep(HOLD_RETRY_INTERVAL_S)
             return
-        if worker_id and self.announcement.worker_id != worker_id:
+        if worker_id != self._worker_id:
             return
         self.apply_listing(listing, listed_ms)
-        await self._pace()
+        await send_paces(self)
         if self.ended_by_number:
             self._acknowledged.clear()
             try:
@@ -190,51 +220,27 @@
                 # No leader has acknowledged the ends in time; list the runs again.
                 return
 
-    async def _pace(self):
-        changes = self.pacer.update(
-            self.announcement.capacity.millicores if self.announcement else 0,
-            self.listing.running,
-            self.traits_by_task,
-            self.costs_by_pair,
-        )
-        if not changes:
-            return
-        counters.add("paces", len(changes))
-        log_decision(
-            "fillers paced",
-            changes=[[c.task_id, c.run, c.percent] for c in changes],
-            looks_above=self.pacer.samples_above_target,
-        )
-        worker_id = self.announcement.worker_id if self.announcement else ""
-        calls = [
-            self.adapter.pace(worker_id, self.epoch, c.task_id, c.run, c.percent)
-            for c in changes
-        ]
-        for result in await asyncio.gather(*calls, return_exceptions=True):
-            if isinstance(result, WorkerReplyError):
-                log_decision(
-                    "worker did not confirm a new pace; all paces will be sent again",
-                    error=str(result),
-                )
-                # Forces all paces to be sent again.
-                self.pacer.pace_by_run.clear()
-            elif isinstance(result, BaseException):
-                raise result
-
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
-        if self.is_leaving and not self.has_left:
-            self.has_left = True
+        now_ms = self.clock_ms()
+        if self._departure.observe_failure(error, self.answered_ms, now_ms):
             self.is_reachable = False
             log_decision("worker left", born_ms=self.born_ms, error=str(error))
             self._increment_version()
-        silent_ms = self.clock_ms() - self.answered_ms
+        silent_ms = now_ms - self.answered_ms
         if self.is_reachable and silent_ms > WORKER_TIMEOUT_S * 1000:
             self.is_reachable = False
             log_decision("worker unreachable", silent_ms=silent_ms, error=str(error))
             self._increment_version()
-        if self._successor is not None:
-            self._adopt(self._successor)
+        successor = self._announcements.successor
+        is_gone = isinstance(error, WorkerGoneError) or not self.is_reachable
+        if successor is not None and is_gone:
+            self._adopt_other(successor)
+
+    def _adopt_other(self, successor):
+        # The same worker's next incarnation is taken up when it answers.
+        if successor.worker_id != self._worker_id:
+            self._adopt(successor)
 
     def lease_until_ms(self):
         """Return the granted end of the lease on the worker's clock; 0 if unknown."""
@@ -291,10 +297,3 @@
 
     def _reply(self):
         return build_watch_reply(self)
-
-
-def _is_newer(announcement, current):
-    return (announcement.born_ms, announcement.sequence) > (
-        current.born_ms,
-        current.sequence,
-    )
--- /dev/null
+++ b/dotterelspread/jobs/pacesending.py
@@ -0,0 +1,43 @@
+"""Sends the paces of fillers to the worker of an agent."""
+
+import asyncio
+
+from ..counters import counters
+from ..decisionlog import log_decision
+from .workeradapter import WorkerReplyError
+
+__all__ = ["send_paces"]
+
+
+async def send_paces(agent):
+    """Adjust the paces to the latest list of runs, and send those that changed."""
+    worker = agent.announcement
+    changes = agent.pacer.update(
+        worker.capacity.millicores if worker else 0,
+        agent.listing.running,
+        agent.traits_by_task,
+        agent.costs_by_pair,
+    )
+    if not changes:
+        return
+    counters.add("paces", len(changes))
+    log_decision(
+        "fillers paced",
+        changes=[[c.task_id, c.run, c.percent] for c in changes],
+        looks_above=agent.pacer.samples_above_target,
+    )
+    worker_id = worker.worker_id if worker else ""
+    calls = [
+        agent.adapter.pace(worker_id, agent.epoch, c.task_id, c.run, c.percent)
+        for c in changes
+    ]
+    for result in await asyncio.gather(*calls, return_exceptions=True):
+        if isinstance(result, WorkerReplyError):
+            log_decision(
+                "worker did not confirm a new pace; all paces will be sent again",
+                error=str(result),
+            )
+            # Forces all paces to be sent again.
+            agent.pacer.pace_by_run.clear()
+        elif isinstance(result, BaseException):
+            raise result
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -11,6 +11,7 @@
     "Listing",
     "StartAnswer",
     "WorkerAdapter",
+    "WorkerGoneError",
     "WorkerReplyError",
 ]
 
@@ -19,6 +20,10 @@
     """The worker did not reply, or its reply is invalid."""
 
 
+class WorkerGoneError(WorkerReplyError):
+    """Nothing or another incarnation runs at the worker's address."""
+
+
 class StartAnswer(enum.Enum):
     """Reply of a worker to an order to start or stop a run."""
 
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -8,6 +8,7 @@
     Listing,
     StartAnswer,
     WorkerAdapter,
+    WorkerGoneError,
     WorkerReplyError,
 )
 from .decoding import MAX_COUNT, MAX_INSTANT_MS, DecodingError, Instant, decode_json
@@ -119,6 +120,8 @@
         reply = await self._call(
             self._hold_client, "/api/hold", worker_id, body, timeout_s
         )
+        if reply.status == STATUS_OTHER_INCARNATION:
+            raise WorkerGoneError("hold failed: another incarnation answered")
         if reply.status != 200:
             raise WorkerReplyError(f"hold failed: status {reply.status}")
         lists = _decode(reply, _Lists)
@@ -151,6 +154,8 @@
         try:
             return await client.call("POST", target, timeout_s, data, headers)
         except H1Error as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise WorkerGoneError(str(error)) from error
             raise WorkerReplyError(str(error)) from error
 
 
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -11,6 +11,7 @@
     Listing,
     StartAnswer,
     WorkerAdapter,
+    WorkerGoneError,
     WorkerReplyError,
 )
 from dotterelspread.resources import Resources
@@ -101,7 +102,7 @@
     async def _receive(self, worker_id, can_be_late=False):
         await asyncio.sleep(0.0005)
         if not self.is_up:
-            raise WorkerReplyError("worker is down")
+            raise WorkerGoneError("worker is down")
         return can_be_late and self.rng.random() < self.late_ratio
 
     def _accept_token(self, token):
@@ -180,7 +181,7 @@
     async def hold(self, worker_id, epoch, seen, until_ms, wait_ms):
         await self._receive(worker_id)
         if worker_id and worker_id != self.worker_id:
-            raise WorkerReplyError("another incarnation")
+            raise WorkerGoneError("another incarnation")
         if not self._accept_token(epoch):
             raise WorkerReplyError("fenced")
         if until_ms:
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -3,44 +3,11 @@
 import asyncio
 from dataclasses import replace
 
-from dotterelspread.jobs import clock
-from dotterelspread.jobs.agentpart import Agent
-from dotterelspread.jobs.workeradapter import (
-    Listing,
-    WorkerAdapter,
-    WorkerReplyError,
-)
-from tests.builders_agent import HEARTBEAT
-from tests.virtualloop import run_virtually
+from tests.builders_agent import HEARTBEAT, run_agent
 
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
 
 
-class AnsweringWorker(WorkerAdapter):
-    """Answers calls that name the worker that currently runs on the instance."""
-
-    def __init__(self):
-        self.worker_id = HEARTBEAT.worker_id
-        self.born_ms = HEARTBEAT.born_ms
-
-    async def hold(self, worker_id, epoch, seen, until_ms, wait_ms):
-        await asyncio.sleep(wait_ms / 1000)
-        if worker_id != self.worker_id:
-            raise WorkerReplyError("another incarnation")
-        return Listing(self.born_ms, int(clock.now_s() * 1000), (), ())
-
-
-def run_agent(scenario):
-    async def run():
-        worker = AnsweringWorker()
-        agent = Agent(worker, 4000, lambda: int(clock.now_s() * 1000))
-        loop = asyncio.ensure_future(agent.run())
-        await scenario(agent, worker)
-        loop.cancel()
-
-    run_virtually(run())
-
-
 def test_a_stranger_does_not_displace_a_worker_that_answers():
     async def scenario(agent, worker):
         agent.announce(HEARTBEAT)
