Refuse heartbeats whose id, address or labels no worker has

Seen: a heartbeat without an id was taken for the worker: calls that name no worker are answered by any, so the true worker stayed a mere successor and its draining was not noticed. An id outside Latin-1 ended the agent's loop at each call to the worker, until the true worker's next heartbeat, and left a connection open each time; one with a line break added a header to the calls. More than 65,536 labels made a report that no leader reads. A log line repeated an unknown state of any length. A late deregistration of an earlier incarnation counted for the current one.

Cause: the id was taken from the path and texts were taken at any length, unchecked.

Change: an id is 1 to 128 characters of printable ASCII, a text at most 256 characters, there are at most 64 labels, the address has a valid port; otherwise status 400 and a log line of bounded length. The start time in a deregistration is passed on.

--- a/dotterelspread/platform/heartbeats.py
+++ b/dotterelspread/platform/heartbeats.py
@@ -1,5 +1,8 @@
 """Decoding of a worker's calls to the registry on its instance."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from ..jobs.workeradapter import Announcement
@@ -10,6 +13,8 @@
     "HEARTBEAT_PREFIX",
     "DEREGISTER_PREFIX",
     "HeartbeatError",
+    "check_worker_id",
+    "read_deregistration",
     "read_heartbeat",
 ]
 
@@ -17,10 +22,15 @@
 HEARTBEAT_PREFIX = "/api/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/api/Instances.Deregister/"
 STATES = frozenset({"ready", "draining"})
+MAX_LABELS = 64
+MAX_PORT = 65_535
+#: A worker's ID becomes a header of calls to it and part of a key in the log store.
+_WORKER_ID = re.compile(r"[!-~]{1,128}\Z")
+Name = Annotated[str, msgspec.Meta(max_length=256)]
 
 
 class HeartbeatError(Exception):
-    """A heartbeat is malformed or has a state that is not known."""
+    """A worker's call is malformed or has a value that is not known."""
 
 
 class _Capacity(msgspec.Struct):
@@ -30,31 +40,56 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    service: str = msgspec.field(name="Service")
-    address: str = msgspec.field(name="Address")
-    zone: str = msgspec.field(name="Zone")
-    state: str = msgspec.field(name="State")
+    service: Name = msgspec.field(name="Service")
+    address: Name = msgspec.field(name="Address")
+    zone: Name = msgspec.field(name="Zone")
+    state: Name = msgspec.field(name="State")
     sequence: Instant = msgspec.field(name="Sequence")
     capacity: _Capacity = msgspec.field(name="Capacity")
     # The worker's kind, then its rack.
-    labels: list[str] = msgspec.field(name="Labels", default_factory=list)
+    labels: Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)] = msgspec.field(
+        name="Labels", default_factory=list
+    )
     born: Instant = 0
 
 
+class _Deregistration(msgspec.Struct):
+    born: Instant = 0
+
+
+def check_worker_id(worker_id):
+    """Raise `HeartbeatError` unless a text can be the ID of a worker."""
+    if not _WORKER_ID.match(worker_id):
+        raise HeartbeatError("worker ID: empty, too long or not printable ASCII")
+
+
+def read_deregistration(body):
+    """Return the start time in a deregistration; 0 if it names none."""
+    if not body:
+        return 0
+    try:
+        return decode_json(body, _Deregistration).born
+    except DecodingError as error:
+        raise HeartbeatError(str(error)) from error
+
+
 def read_heartbeat(worker_id, body):
     """Return the `Announcement` in a heartbeat.
 
     Raises
     ------
     HeartbeatError
-        When a field is missing, has the wrong type or an unknown value.
+        When the ID is none, or a field is missing, has the wrong type, is out of range
+        or has an unknown value.
     """
+    check_worker_id(worker_id)
     try:
         heartbeat = decode_json(body, _Heartbeat)
     except DecodingError as error:
         raise HeartbeatError(str(error)) from error
     if heartbeat.state not in STATES:
         raise HeartbeatError(f"State: {heartbeat.state!r} is not a known state")
+    _check_address(heartbeat.address)
     return Announcement(
         worker_id=worker_id,
         born_ms=heartbeat.born,
@@ -69,3 +104,9 @@
         ),
         is_draining=heartbeat.state == "draining",
     )
+
+
+def _check_address(address):
+    port = address.rpartition(":")[2]
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= MAX_PORT):
+        raise HeartbeatError("Address: no valid port")
--- a/dotterelspread/platform/registry.py
+++ b/dotterelspread/platform/registry.py
@@ -6,11 +6,16 @@
     DEREGISTER_PREFIX,
     HEARTBEAT_PREFIX,
     HeartbeatError,
+    check_worker_id,
+    read_deregistration,
     read_heartbeat,
 )
 
 __all__ = ["RegistryHandler"]
 
+#: Longest part of the path and query of a rejected call that is logged.
+MAX_LOGGED_TARGET = 200
+
 
 class RegistryHandler:
     """Handles the registry requests of the worker on the agent's instance.
@@ -28,19 +33,28 @@
     async def handle(self, request):
         """Return the `H1Response` to an `H1Request`."""
         if request.path.startswith(HEARTBEAT_PREFIX):
-            return self._handle_heartbeat(request)
+            worker_id = request.path[len(HEARTBEAT_PREFIX) :]
+            return _answer("heartbeat", self._apply_heartbeat, worker_id, request)
         if request.path.startswith(DEREGISTER_PREFIX):
             worker_id = request.path[len(DEREGISTER_PREFIX) :]
-            self._agent.leave(worker_id)
-            return H1Response(200, b"{}")
+            return _answer(
+                "deregistration", self._apply_deregistration, worker_id, request
+            )
         return H1Response(404)
 
-    def _handle_heartbeat(self, request):
-        worker_id = request.path[len(HEARTBEAT_PREFIX) :]
-        try:
-            announcement = read_heartbeat(worker_id, request.body)
-        except HeartbeatError as error:
-            log_decision("heartbeat rejected", worker_id=worker_id, error=str(error))
-            return H1Response(400)
-        self._agent.announce(announcement)
-        return H1Response(200, b"{}")
+    def _apply_heartbeat(self, worker_id, body):
+        self._agent.announce(read_heartbeat(worker_id, body))
+
+    def _apply_deregistration(self, worker_id, body):
+        check_worker_id(worker_id)
+        self._agent.leave(worker_id, read_deregistration(body))
+
+
+def _answer(name, apply, worker_id, request):
+    try:
+        apply(worker_id, request.body)
+    except HeartbeatError as error:
+        target = request.target[:MAX_LOGGED_TARGET]
+        log_decision(f"{name} rejected", target=target, error=str(error))
+        return H1Response(400)
+    return H1Response(200, b"{}")
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -16,6 +16,7 @@
     "HEARTBEAT",
     "CONFIGURATION",
     "JOB",
+    "HoldStandIn",
     "PROCESS_SETTINGS",
     "SETTINGS",
     "StoreStandIn",
@@ -297,6 +298,21 @@
         return _json_response(200, lists | {"Running": running, "Ended": ended})
 
 
+class HoldStandIn:
+    """A worker that runs nothing and lists nothing."""
+
+    def __init__(self, worker_id, born_ms):
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+
+    async def handle(self, request):
+        expected_id = request.headers.get("x-expect-instance", "")
+        if expected_id not in ("", self.worker_id):
+            return H1Response(421)
+        await asyncio.sleep(0.05)
+        return _json_response(200, {"ClockMs": 5000, "born": self.born_ms})
+
+
 def _decode_order(body):
     return SimpleNamespace(
         task_id=body["Task"],
