Refuse configurations with numbers that are not finite or too large

Seen: a configuration with a latency objective of "NaN" or "inf" ended the loop that follows the configuration, which started again and met it again for as long as it was the newest. Versions, priorities and numbers of attempts of hundreds of digits came into force.

Cause: only what the decoder refused counted as an invalid configuration.

Change: numbers of a configuration have bounds, as those of jobs and heartbeats have.

--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -1,10 +1,12 @@
 """Decoding of the configuration that operators write to the log store."""
 
+from typing import Annotated
+
 import msgspec
 
 from ..h1server import H1Limits
 from ..jobs.queues import FleetConfiguration, Queue
-from .decoding import DecodingError, decode_json
+from .decoding import MAX_COUNT, Count, DecodingError, Instant, decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -18,6 +20,10 @@
 CONFIGURATION_KEY = "config"
 
 
+#: A finite number that is not negative.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
 class ConfigurationFormatError(Exception):
     """A record is not a valid configuration."""
 
@@ -27,10 +33,10 @@
     host: str = msgspec.field(name="Host")
     path_prefix: str = msgspec.field(name="PathPrefix")
     service: str = msgspec.field(name="Service")
-    priority: int = msgspec.field(name="Priority", default=0)
-    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
-    slack_factor: float = msgspec.field(name="SlackFactor", default=1.0)
-    target_latency_ms: float = msgspec.field(name="TargetLatencyMs", default=0)
+    priority: Count = msgspec.field(name="Priority", default=0)
+    max_attempts: Count = msgspec.field(name="MaxAttempts", default=1)
+    slack_factor: Amount = msgspec.field(name="SlackFactor", default=1.0)
+    target_latency_ms: Amount = msgspec.field(name="TargetLatencyMs", default=0)
     # Timing of the queue's policy; a value that is not empty means that starts need
     # permits of the policy service.
     advice: dict | None = msgspec.field(name="Advice", default=None)
@@ -42,14 +48,14 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = msgspec.field(name="MaxHeaderBytes", default=16_384)
-    max_body_bytes: int = msgspec.field(name="MaxBodyBytes", default=262_144)
-    header_timeout_ms: int = msgspec.field(name="HeaderTimeoutMs", default=3000)
-    idle_timeout_ms: int = msgspec.field(name="IdleTimeoutMs", default=15_000)
+    max_header_bytes: Count = msgspec.field(name="MaxHeaderBytes", default=16_384)
+    max_body_bytes: Count = msgspec.field(name="MaxBodyBytes", default=262_144)
+    header_timeout_ms: Count = msgspec.field(name="HeaderTimeoutMs", default=3000)
+    idle_timeout_ms: Count = msgspec.field(name="IdleTimeoutMs", default=15_000)
 
 
 class _Document(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
+    version: Instant = msgspec.field(name="Version")
     routes: list[_Route] = msgspec.field(name="Routes", default_factory=list)
     services: list[_Service] = msgspec.field(name="Services", default_factory=list)
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
