Write log lines with any field, at a bounded length

Seen: a field with a lone surrogate or an object made the log line raise, in the loop or call that logged. A line that quotes input of others could have megabytes.

Cause: the line was encoded without handling, and texts were written whole.

Change: a text is cut at 2,000 characters; a line that cannot be encoded has its fields as text.

--- a/dotterelspread/decisionlog.py
+++ b/dotterelspread/decisionlog.py
@@ -19,6 +19,8 @@
 #: Token bucket of the rate limit: refill rate and capacity.
 MAX_LINES_PER_S = 200.0
 MAX_BURST_LINES = 1000.0
+#: Longest text of a field; input of others may be quoted there.
+MAX_FIELD_CHARACTERS = 2000
 
 
 class DecisionLog:
@@ -72,7 +74,7 @@
         if self.lost:
             line["lost_lines"] = self.lost
         try:
-            self._write(msgspec.json.encode(line) + b"\n")
+            self._write(_encode(line) + b"\n")
         except BlockingIOError:
             self.lost += 1
             counters.add("lost_log_lines")
@@ -80,6 +82,20 @@
             self.lost = 0
 
 
+def _encode(line):
+    """Return a line as JSON; a field that cannot be encoded is written as text."""
+    for name, value in line.items():
+        if isinstance(value, str) and len(value) > MAX_FIELD_CHARACTERS:
+            line[name] = value[:MAX_FIELD_CHARACTERS]
+    try:
+        return msgspec.json.encode(line)
+    except (ValueError, TypeError, OverflowError):
+        shown = {name: ascii(value) for name, value in line.items()}
+        return msgspec.json.encode(
+            {name: value[:MAX_FIELD_CHARACTERS] for name, value in shown.items()}
+        )
+
+
 _current = DecisionLog(lambda data: None)
 
 
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from dotterelspread.counters import Counters
 from dotterelspread.decisionlog import MAX_BURST_LINES, MAX_LINES_PER_S, DecisionLog
 
@@ -60,3 +62,19 @@
     assert 'dotterelspread_append_seconds_bucket{le="0.005"} 1' in text
     assert 'dotterelspread_append_seconds_bucket{le="+Inf"} 2' in text
     assert "dotterelspread_append_seconds_count 2" in text
+
+
+@pytest.mark.parametrize("value", [2**64, 10**400, "\ud800", b"\xff", object()])
+def test_a_field_of_another_writer_does_not_make_a_line_fail(value):
+    lines = []
+    log = DecisionLog(lines.append, Clock(), lambda: 0.0)
+    log.write("odd", {"value": value, "job_id": "a"})
+    assert "a" in json.loads(lines[0])["job_id"]
+    assert len(lines[0]) < 3000
+
+
+def test_a_field_of_any_length_makes_a_line_of_bounded_length():
+    lines = []
+    log = DecisionLog(lines.append, Clock(), lambda: 0.0)
+    log.write("odd", {"value": "x" * 2**21})
+    assert len(lines[0]) < 3000
