Count a call to an address with an impossible port as not sent

Seen: a call to a peer with port 70000 or -1, from a record or a notice of the leader, raised an OverflowError, which no caller of the pool expects.

Cause: opening a connection raises OverflowError on such a port; it is no OSError.

Change: it is handled as other connections that cannot be opened.

Result: 6 tests more in tests/test_peer.py; 3 of them failed before.

--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -271,7 +271,7 @@
                 _, protocol = await loop.create_connection(
                     lambda: _ClientProtocol(self.traffic), host.strip("[]"), int(port)
                 )
-        except (OSError, ValueError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError, TimeoutError) as error:
             raise PeerUnsentError(f"{address}: {error or 'no connection'}") from error
         return protocol
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -121,3 +121,16 @@
                 assert loop.time() - started_s < 1.0
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["10.0.0.1:70000", "10.0.0.1:-1", "x", "", "a\0:1", "127.0.0.1:" + "9" * 99],
+)
+def test_a_call_to_an_odd_address_was_not_sent(address):
+    async def run():
+        async with PeerPool.open() as pool:
+            with pytest.raises(PeerUnsentError):
+                await pool.call(address, "lead", None, 0.5)
+
+    asyncio.run(run())
