Call a worker that shuts down again soon after a lost call

Seen: the end of a worker that had deregistered was reported 0.2 s after its last call was lost, since a lost call alone no longer counts as its end. Its tasks waited.

Cause: the next call, which finds that nothing runs at the address, waited for the usual delay.

Change: the delay is 20 ms from the deregistration to the end.

Result: the new test failed before.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -23,8 +23,6 @@
 
 #: Longest time that a worker waits for the end of a run before it lists its runs.
 LISTING_POLL_TIMEOUT_MS = 500
-#: Delay before a failed call to the worker is retried.
-HOLD_RETRY_INTERVAL_S = 0.2
 #: Time without a reply after which the worker is reported as unreachable.
 WORKER_TIMEOUT_S = 1.0
 #: Longest wait for the leader to acknowledge ended runs before they are listed again.
@@ -205,7 +203,7 @@
             )
         except WorkerReplyError as error:
             self._handle_hold_failure(error)
-            await asyncio.sleep(HOLD_RETRY_INTERVAL_S)
+            await asyncio.sleep(self._departure.retry_interval_s)
             return
         if worker_id != self._worker_id:
             return
--- a/dotterelspread/jobs/departure.py
+++ b/dotterelspread/jobs/departure.py
@@ -10,6 +10,10 @@
 SHUTDOWN_TIMEOUT_MS = 2000
 #: Silence after which a worker that has announced its shutdown counts as ended.
 SILENCE_TIMEOUT_MS = 1000
+#: Delay before a failed call to the worker is retried, and that of one to a worker
+#: that has announced its shutdown.
+RETRY_INTERVAL_S = 0.2
+LEAVING_RETRY_INTERVAL_S = 0.02
 
 
 class Departure:
@@ -22,6 +26,12 @@
         self._announced_ms = None
         self.has_left = False
 
+    @property
+    def retry_interval_s(self):
+        """Delay before a failed call to the worker is retried."""
+        is_leaving = self._announced_ms is not None and not self.has_left
+        return LEAVING_RETRY_INTERVAL_S if is_leaving else RETRY_INTERVAL_S
+
     def announce(self, now_ms):
         """Record that the worker says that it shuts down."""
         self._announced_ms = now_ms
--- a/tests/builders_agent.py
+++ b/tests/builders_agent.py
@@ -42,20 +42,26 @@
         self.is_paused = False
         #: Whether calls are refused, as a worker that is unhealthy does.
         self.is_unhealthy = False
+        self.refused_calls = 0
         self.running = ()
 
     async def hold(self, worker_id, epoch, seen, until_ms, wait_ms):
+        self._check(worker_id)
         await asyncio.sleep(wait_ms / 1000)
         if self.is_paused:
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise WorkerReplyError("no reply")
+        self._check(worker_id)
+        return Listing(self.born_ms, int(clock.now_s() * 1000), self.running, ())
+
+    def _check(self, worker_id):
         if self.is_unhealthy:
+            self.refused_calls += 1
             raise WorkerReplyError("status 503")
         if not self.is_up:
             raise WorkerGoneError("connection refused")
         if worker_id not in ("", self.worker_id):
             raise WorkerGoneError("another incarnation")
-        return Listing(self.born_ms, int(clock.now_s() * 1000), self.running, ())
 
 
 def run_agent(scenario):
--- a/tests/test_odd_heartbeats.py
+++ b/tests/test_odd_heartbeats.py
@@ -251,3 +251,18 @@
         assert build_watch_reply(agent).left
 
     run_agent(scenario)
+
+
+def test_the_end_of_a_deregistered_worker_is_known_at_once_after_a_lost_call():
+    async def scenario(agent, worker):
+        await send(agent, 1, 2)
+        agent.leave("i-1", 1000)
+        worker.is_unhealthy = True
+        while not worker.refused_calls:
+            await asyncio.sleep(0.005)
+        worker.is_unhealthy = False
+        worker.is_up = False
+        await asyncio.sleep(0.1)
+        assert agent.has_left
+
+    run_agent(scenario)
