Count a deeply nested answer of the log or a worker as a failed call

Seen: an answer with a deeply nested value in an ignored field raised a RecursionError in the agent, where a failed call would have been retried.

Cause: only the decoder's own errors counted as a failed call.

Change: RecursionError counts too, as it does for records and configurations.

--- a/dotterelspread/logs/http.py
+++ b/dotterelspread/logs/http.py
@@ -131,5 +131,5 @@
 def _decode(decoder, data, error_class):
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise error_class(f"malformed reply from the log: {error}") from error
--- a/dotterelspread/workers/http.py
+++ b/dotterelspread/workers/http.py
@@ -25,6 +25,8 @@
 
 #: Timeout in seconds of a request to the worker.
 REQUEST_TIMEOUT_S = 5.0
+#: Raised on an answer that is malformed, out of range or nested too deeply.
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
 
 
 class Ended(msgspec.Struct):
@@ -162,5 +164,5 @@
                 if response.status not in (200, 409):
                     raise WorkerError(f"{url}: status {response.status}")
                 return msgspec.json.decode(content, type=answer_type)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, TimeoutError, *DECODE_ERRORS) as error:
             raise WorkerError(f"{url}: {error}") from error
