Leave out jobs whose records contradict themselves at a takeover

Seen: with a specification in the cell's stream whose step depends on a step that does not exist, no entry ever led again; with 2**40 tasks or occurrences a takeover took all the time and memory that it was given.

Cause: a specification that could be decoded was taken as it was.

Change: a takeover checks counts, dependencies, the job id and the tasks that a progress record names, and leaves out what does not fit, as it does with unreadable records.

--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -90,11 +90,19 @@
         return job
 
     def apply_record(self, record):
-        """Apply a journal record of all or some of the tasks to a new job."""
+        """Apply a journal record of all or some of the tasks to a new job.
+
+        Raises
+        ------
+        ValueError
+            The record names a task that the job does not have.
+        """
         self.is_cancelled |= record.is_cancelled
         self.has_failed |= record.has_failed
         self.ended_ms = max(self.ended_ms, record.ended_ms)
         for occurrence, step, index, task in record.tasks:
+            if (occurrence, step, index) not in self.tasks_by_key:
+                raise ValueError(f"tasks: no task {occurrence}.{step}.{index}")
             self.tasks_by_key[occurrence, step, index] = task
             self.has_begun = True
             if task.phase != Phase.PENDING:
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -8,7 +8,7 @@
 from .job import Job, JobRecord
 from .journal import KeyedRecord
 from .paircost import CostEstimate, PairCosts
-from .spec import JobSpec
+from .spec import JobSpec, check_spec
 from .unreadable import UNREADABLE_ERRORS, log_unreadable
 
 __all__ = [
@@ -174,7 +174,11 @@
 
 
 def _read_job(record, records_by_key, now_s):
-    job = Job.from_spec(_spec_decoder.decode(record.value), now_s)
+    spec = _spec_decoder.decode(record.value)
+    if SPEC_PREFIX + spec.job_id != record.key:
+        raise ValueError("job_id: not that of the key")
+    check_spec(spec)
+    job = Job.from_spec(spec, now_s)
     for progress_key in _progress_keys(job):
         progress = records_by_key.get(progress_key)
         if progress is not None and progress.value:
--- a/dotterelspread/jobs/spec.py
+++ b/dotterelspread/jobs/spec.py
@@ -5,7 +5,17 @@
 from ..resources import Resources
 from .queues import Queue
 
-__all__ = ["JobSpec", "StepSpec", "TaskKey", "parse_task_id", "task_id_of"]
+__all__ = [
+    "JobSpec",
+    "StepSpec",
+    "TaskKey",
+    "check_spec",
+    "parse_task_id",
+    "task_id_of",
+]
+
+#: Most tasks of a job that a process has room for; entries accept fewer.
+MAX_TASKS = 100_000
 
 #: A task within its job: occurrence, step and index, each counted from 0.
 TaskKey = tuple[int, int, int]
@@ -81,6 +91,24 @@
         return self.first_ms + occurrence * self.interval_ms
 
 
+def check_spec(spec):
+    """Raise ValueError if no job can have a specification; the message names a field.
+
+    Used on specifications that this process has not made itself.
+    """
+    if not spec.steps:
+        raise ValueError("steps: none")
+    tasks = 0
+    for number, step in enumerate(spec.steps):
+        if step.count < 1:
+            raise ValueError(f"steps[{number}].count: below 1")
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            raise ValueError(f"steps[{number}].depends_on: not an earlier step")
+        tasks += step.count * spec.occurrences
+    if tasks > MAX_TASKS:
+        raise ValueError(f"steps: over {MAX_TASKS} tasks")
+
+
 def task_id_of(job_id, key):
     """Return the id that identifies a task to workers."""
     occurrence, step, index = key
--- a/tests/builders_odd.py
+++ b/tests/builders_odd.py
@@ -4,13 +4,17 @@
 
 import msgspec
 
+from dotterelspread.jobs.job import JobRecord, TaskProgress
 from dotterelspread.jobs.journal import KeyedRecord
+from dotterelspread.jobs.records import encode_spec
+from tests.builders_fleet import make_job, make_step
 
 __all__ = [
     "DEEP_JSON",
     "DEEP_MSGPACK",
     "HUGE_INTEGERS",
     "node_record",
+    "odd_jobs",
     "odd_records",
     "with_deep_extra",
 ]
@@ -55,3 +59,33 @@
         "not a list": KeyedRecord("odd-7:7000", json.dumps({"a": 1}).encode()),
         "unknown role": node_record("odd-8:7000", role="other"),
     }
+
+
+def odd_jobs():
+    """Return the records of jobs by what is odd about each."""
+    return {
+        "billions of tasks": [_job_record(make_step(count=2**40))],
+        "billions of occurrences": [_job_record(make_step(), repeat_count=2**40)],
+        "negative count": [_job_record(make_step(count=-1))],
+        "unknown dependency": [_job_record(make_step(depends_on=(7,)))],
+        "dependency on itself": [_job_record(make_step(depends_on=(0,)))],
+        "key of another job": [KeyedRecord(f"s/{8:016x}", encode_spec(make_job(9)))],
+        "progress of other tasks": [
+            _job_record(make_step()),
+            _progress_record((0, 3, 0), TaskProgress(1, 4, "i-0", 1000)),
+        ],
+        "progress of a task beyond the count": [
+            _job_record(make_step()),
+            _progress_record((0, 0, 9), TaskProgress(1, 4, "i-0", 1000)),
+        ],
+    }
+
+
+def _job_record(step, **changes):
+    spec = make_job(99, (step,), **changes)
+    return KeyedRecord(f"s/{spec.job_id}", encode_spec(spec))
+
+
+def _progress_record(key, progress):
+    record = JobRecord(False, False, 0, [(*key, progress)])
+    return KeyedRecord(f"p/{99:016x}", msgspec.msgpack.encode(record))
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -13,7 +13,13 @@
     encode_spec,
 )
 from tests.builders_fleet import VirtualFleet, make_job, make_step, run_scenario
-from tests.builders_odd import DEEP_MSGPACK, node_record, odd_records, with_deep_extra
+from tests.builders_odd import (
+    DEEP_MSGPACK,
+    node_record,
+    odd_jobs,
+    odd_records,
+    with_deep_extra,
+)
 from tests.virtualloop import run_virtually
 
 ODD_RECORDS = odd_records()
@@ -25,6 +31,7 @@
     "empty": KeyedRecord(LEADER_KEY, b""),
     "huge": KeyedRecord(LEADER_KEY, msgspec.msgpack.encode([2**64 - 1, "a:1", "a"])),
 }
+ODD_JOBS = odd_jobs()
 
 
 def current_leader(fleet):
@@ -92,6 +99,15 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("name", ODD_JOBS)
+def test_an_odd_job_is_left_out_by_a_new_leader(name):
+    async def scenario(fleet):
+        fleet.store.stream(CELL_STREAM).records.extend(ODD_JOBS[name])
+        await expect_work_after_failover(fleet)
+
+    run_scenario(scenario)
+
+
 def test_deep_records_of_a_cell_do_not_stop_a_new_leader():
     async def scenario(fleet):
         spec = KeyedRecord(f"s/{99:016x}", encode_spec(make_job(99)))
