--- a/dotterelspread/jobs/earlierleaders.py
+++ b/dotterelspread/jobs/earlierleaders.py
@@ -27,18 +27,20 @@
         self._are_all_known = are_all_known
 
     @classmethod
-    def from_record(cls, record, own_address):
+    def from_record(cls, record, own_address, is_first=False):
         """Return the earlier leaders of a new term in the process at ``own_address``.
 
         Parameters
         ----------
         record : LeaderRecord or None
-            Record of the latest term; None if this is the first one.
+            Record of the latest term; None if there is none that can be read.
         own_address : str
             A process begins a term only when its own earlier ones have ended.
+        is_first : bool
+            Whether there is no record.
         """
         if record is None:
-            return cls()
+            return cls(are_all_known=is_first)
         addresses = {record.peer_address, *(record.earlier_addresses or ())}
         return cls(addresses - {own_address}, record.earlier_addresses is not None)
 
--- a/dotterelspread/jobs/pacesending.py
+++ b/dotterelspread/jobs/pacesending.py
@@ -1,4 +1,4 @@
-"""Sends the paces of fillers from an agent to its worker."""
+"""Sends the paces of fillers to the worker of an agent."""
 
 import asyncio
 
@@ -10,9 +10,10 @@
 
 
 async def send_paces(agent):
-    """Order the paces that have changed with the latest listing of an `Agent`."""
+    """Adjust the paces to the latest list of runs, and send those that changed."""
+    worker = agent.announcement
     changes = agent.pacer.update(
-        agent.announcement.capacity.millicores if agent.announcement else 0,
+        worker.capacity.millicores if worker else 0,
         agent.listing.running,
         agent.traits_by_task,
         agent.costs_by_pair,
@@ -25,7 +26,7 @@
         changes=[[c.task_id, c.run, c.percent] for c in changes],
         looks_above=agent.pacer.samples_above_target,
     )
-    worker_id = agent.announcement.worker_id if agent.announcement else ""
+    worker_id = worker.worker_id if worker else ""
     calls = [
         agent.adapter.pace(worker_id, agent.epoch, c.task_id, c.run, c.percent)
         for c in changes
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -23,6 +23,7 @@
 from .nodes import NODES_STREAM
 from .records import (
     CELL_STREAM,
+    LEADER_KEY,
     LeaderRecord,
     leader_record,
     read_agent_addresses,
@@ -81,14 +82,19 @@
         The initial read of the nodes or of the state failed.
     """
     nodes = await journal.snapshot(NODES_STREAM)
+    epoch = 0
     while True:
         snapshot = await journal.snapshot(CELL_STREAM)
         earlier = read_leader(snapshot.records_by_key)
-        epoch = 1 + (earlier.epoch if earlier else 0)
+        # Without a readable record, doubling soon finds an epoch that is not fenced.
+        epoch = 1 + (earlier.epoch if earlier else 2 * epoch)
         # With the same sequence number, two candidates for one epoch would get each
         # other's replies, and both would see a successful claim.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_INITIAL_SEQUENCE))
-        earlier_leaders = EarlierLeaders.from_record(earlier, settings.peer_address)
+        is_first = LEADER_KEY not in snapshot.records_by_key
+        earlier_leaders = EarlierLeaders.from_record(
+            earlier, settings.peer_address, is_first
+        )
         record = LeaderRecord(
             epoch,
             settings.peer_address,
@@ -98,7 +104,8 @@
         claim = await _claim(journal, record, writer)
         if claim is not None:
             snapshot = await _catch_up(journal, snapshot, claim.offset)
-            cell = _read_cell(snapshot, settings, earlier_leaders, epoch - 1)
+            earlier_epoch = earlier.epoch if earlier else 0
+            cell = _read_cell(snapshot, settings, earlier_leaders, earlier_epoch)
             suspended = read_suspended_workers(snapshot.records_by_key)
             return Term(
                 writer, cell, nodes, claim.sent_s, earlier_leaders, set(suspended)
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -136,4 +136,8 @@
 
 
 def test_the_first_leader_has_no_earlier_ones():
-    assert EarlierLeaders.from_record(None, "own:1").have_all_ended
+    assert EarlierLeaders.from_record(None, "own:1", is_first=True).have_all_ended
+
+
+def test_an_unreadable_record_leaves_the_earlier_leaders_unknown():
+    assert not EarlierLeaders.from_record(None, "own:1").have_all_ended
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -66,7 +66,7 @@
     first.tasks_by_key[0, 0, 0].born_ms = 2
     cell.workers_by_id.clear()
     for job in (first, second):
-        adopt_assigned(cell, job, 20.0, {})
+        adopt_assigned(cell, job, {}, lambda worker_id: 20.0, 0.0)
     assert not find_violations(cell)
 
 
