Release a stopped run that never ran, however late the listings are

Cause: a run is released when a listing that was requested after the worker's latest answer omits it. A stop is retried every half second until then, and each answer moved that time on, while a listing reaches the leader more than half a second after its request. So the stop of a run that the worker does not have went on and on, its room stayed reserved and its task was not placed again.

Change: the first answer counts. Nothing can start the run after it, so any later listing without it shows that it is gone.

Failure of the new test before: assert Resources(millicores=0, ...) == Resources(millicores=8000, ...)

--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -34,7 +34,8 @@
         worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
     elif event.result == "confirmed":
         run.is_confirmed = True
-        run.last_answer_ms = max(run.last_answer_ms, event.clock_ms)
+        # The first answer counts: retried stops would outrun the listings.
+        run.last_answer_ms = run.last_answer_ms or event.clock_ms
     return place(cell, event.now_s)
 
 
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -57,7 +57,8 @@
     is_repeat: bool = False
     #: Leader's clock of the latest order for the run.
     last_order_s: float = 0.0
-    #: Agent's clock at the worker's latest confirmation of the run; 0 before the first.
+    #: Agent's clock at the first answer to an order for the run, or at the latest
+    #: listing with it; 0 before. A later listing without it shows that it is gone.
     last_answer_ms: int = 0
     #: Processors that the run last reported to use; -1 until the first report.
     used_millicores: int = -1
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from dotterelspread.jobs.cell import CellTick, OrderSettled
+from dotterelspread.jobs.cell import Cancelled, CellTick, OrderSettled
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
@@ -41,3 +41,19 @@
         total = total + run.reserved
     assert worker.reserved == total
     assert worker.available == CAPACITY - total
+
+
+def test_a_stopped_run_that_never_ran_is_released_however_late_listings_are():
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step(demand=Resources(8000, 10)))
+    settle(cell, start, "unknown", 0.1, 0)
+    (stop,) = reduce(Cancelled(0.2, start.run.job_id, 0), cell)
+    settle(cell, stop, "unknown", 0.2, 0)
+    # Each listing was requested 0.7 s before it arrives, and stops are retried sooner.
+    for tick in range(3, 50):
+        now_s = tick / 10
+        for stop in reduce(CellTick(now_s, 0), cell):
+            settle(cell, stop, "confirmed", now_s, tick * 100)
+        if tick % 7 == 0:
+            reduce(replace(make_report(0, now_s - 0.7), now_s=now_s), cell)
+    assert cell.workers_by_id["i-0"].available == CAPACITY
