--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -1,48 +1,24 @@
 """Placement: chooses a worker for each task that is due.
 
 Several tasks share a worker, and fillers use the processors that the other tasks leave
-idle; `ordering` decides the order of the jobs. Serving tasks are packed onto few
-workers. A filler goes where it is expected to run fastest, which sends fillers that
-interfere with serving tasks to workers without serving tasks.
+idle; `ordering` decides the order of the jobs, `scoring` compares the workers.
 """
 
-from dataclasses import dataclass
-
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
-from .pacing import NEGLIGIBLE_INCREASE_RATIO, tail_increase_budget
-from .paircost import interference_factor
 from .permits import ask_permits, permitted_workers
+from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, placement_score
 from .unplaceable import UnplaceableDemands
 
 __all__ = [
     "IDLE_JOB_TIMEOUT_S",
-    "MIN_FILLER_SPEED_RATIO",
-    "FillerDemand",
     "choose_worker",
-    "expected_speed",
     "place",
     "place_now",
 ]
 
-#: Minimum expected share of its full speed at which a filler is placed.
-MIN_FILLER_SPEED_RATIO = 0.7
 #: Time without progress after which the fillers of a job are placed at any speed.
 IDLE_JOB_TIMEOUT_S = 1.5
-#: Resolution at which expected speeds are compared; smaller differences are ignored.
-SPEED_STEP_RATIO = 0.1
-#: Resolution at which numbers of fillers are compared for a serving task.
-FILLERS_PER_SERVING_CHOICE = 3
-
-
-@dataclass(slots=True, frozen=True)
-class FillerDemand:
-    """The properties of a filler that determine its speed on a worker."""
-
-    image: str
-    millicores: int
-    #: Minimum expected share of its full speed at which it is placed.
-    min_speed_ratio: float
 
 
 def place(cell, now_s):
@@ -189,12 +165,12 @@
     for worker in workers:
         if not _fits(job, key, step, worker):
             continue
-        placement_score = _placement_score(cell, step, worker, filler_demand)
-        if placement_score is None:
+        own_score = placement_score(cell, step, worker, filler_demand)
+        if own_score is None:
             continue
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
         has_failed = worker.worker_id == avoided_worker_id
-        score = (not has_failed, is_near, *placement_score, worker.worker_id)
+        score = (not has_failed, is_near, *own_score, worker.worker_id)
         if best is None or score > best_score:
             best, best_score = worker, score
     return best
@@ -231,70 +207,6 @@
     )
 
 
-def expected_speed(costs, filler_demand, worker):
-    """Return the share of its full speed at which a filler would run on a worker.
-
-    Parameters
-    ----------
-    costs : PairCosts
-    filler_demand : FillerDemand
-    worker : Worker
-    """
-    speed = 1.0
-    if filler_demand.millicores:
-        speed = min(1.0, max(0.0, worker.idle_millicores / filler_demand.millicores))
-    cores_by_image = worker.filler_cores_by_image()
-    for image, baseline in worker.baseline_tail_by_image.items():
-        increase = (
-            costs.of(image, filler_demand.image).per_core
-            * filler_demand.millicores
-            / 1000
-        )
-        if increase < NEGLIGIBLE_INCREASE_RATIO:
-            continue
-        current_increase = interference_factor(costs.of, image, cores_by_image) - 1.0
-        budget = tail_increase_budget(baseline) - current_increase
-        speed = min(speed, max(0.0, budget / increase))
-    return speed
-
-
-def _placement_score(cell, step, worker, filler_demand):
-    """Return a sort key of a worker, larger is better, or None if it is too slow."""
-    if filler_demand is not None:
-        speed = expected_speed(cell.costs, filler_demand, worker)
-        if speed < filler_demand.min_speed_ratio:
-            return None
-        # Workers without serving tasks are left for fillers that would interfere.
-        return (
-            round(speed / SPEED_STEP_RATIO),
-            bool(worker.serving_count),
-            worker.idle_millicores,
-        )
-    if step.target_ms:
-        return _serving_score(step, worker)
-    # Other batch tasks leave workers without serving tasks to the fillers.
-    return 0, bool(worker.serving_count), worker.idle_millicores
-
-
-def _serving_score(step, worker):
-    """Return a sort key of a worker for a serving task, larger is better.
-
-    Serving tasks are packed onto few workers, those of one image together. The other
-    workers are left to fillers that no serving task tolerates. This comes before the
-    number of fillers on the worker, which change within seconds: by that, serving tasks
-    would spread over all workers while fillers keep the packed ones busy.
-    """
-    runs = worker.runs_by_task.values()
-    fillers = sum(run.is_filler for run in runs)
-    has_same_image = any(run.is_serving and run.image == step.image for run in runs)
-    return (
-        bool(worker.serving_count),
-        -(fillers // FILLERS_PER_SERVING_CHOICE),
-        has_same_image,
-        -worker.available.millicores,
-    )
-
-
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -10,7 +10,8 @@
 from statistics import median
 
 from .lifecycle import stop_run
-from .placing import MIN_FILLER_SPEED_RATIO, FillerDemand, choose_worker, expected_speed
+from .placing import choose_worker
+from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
 from .taskrun import RunStopReason
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -7,14 +7,10 @@
 from dotterelspread.jobs.lifecycle import make_run
 from dotterelspread.jobs.ordering import order_jobs
 from dotterelspread.jobs.paircost import CostEstimate
-from dotterelspread.jobs.placing import (
-    IDLE_JOB_TIMEOUT_S,
-    FillerDemand,
-    expected_speed,
-    place,
-)
+from dotterelspread.jobs.placing import IDLE_JOB_TIMEOUT_S, place
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.records import costs_record, read_costs
+from dotterelspread.jobs.scoring import FillerDemand, expected_speed
 from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.resources import Resources
