List the runs of a new incarnation at once

Cause: an agent's first call to a worker waits up to 0.5 s for the end of a run, and until its reply the agent answers the leader that it knows no worker.

Change: the first call of an incarnation does not wait.

Result: test_a_new_worker_is_known_without_waiting_for_an_end fails before and passes now.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -61,8 +61,7 @@
         self.clock_offset_ms = None
         self.is_reachable = False
         #: Whether the worker has announced its shutdown, and whether it has ended.
-        self.is_leaving = False
-        self.has_left = False
+        self.is_leaving = self.has_left = False
         self.answered_ms = clock_ms()
         self.version = 1
         self.traits_by_task = {}
@@ -151,8 +150,7 @@
         self.seen = 0
         self.clock_offset_ms = None
         self.is_reachable = False
-        self.is_leaving = False
-        self.has_left = False
+        self.is_leaving = self.has_left = False
         self._increment_version()
 
     def _increment_version(self):
@@ -169,9 +167,11 @@
         worker_id = self.announcement.worker_id if self.announcement else ""
         listed_ms = self.clock_ms()
         until_ms = self.lease_until_ms()
+        # Nothing is known of an incarnation before its first listing.
+        wait_ms = LISTING_POLL_TIMEOUT_MS if self.listing is not None else 0
         try:
             listing = await self.adapter.hold(
-                worker_id, self.epoch, self.seen, until_ms, LISTING_POLL_TIMEOUT_MS
+                worker_id, self.epoch, self.seen, until_ms, wait_ms
             )
         except WorkerReplyError as error:
             self._handle_hold_failure(error)
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from dotterelspread.jobs import clock
-from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.agentpart import HOLD_RETRY_INTERVAL_S, Agent
 from dotterelspread.jobs.workeradapter import (
     Listing,
     WorkerAdapter,
@@ -93,3 +93,14 @@
         assert agent.is_reachable
 
     run_agent(scenario)
+
+
+def test_a_new_worker_is_known_without_waiting_for_an_end():
+    async def scenario(agent, worker):
+        await asyncio.sleep(1)
+        agent.announce(HEARTBEAT)
+        # A hold without a worker's id may have just failed and wait for its retry.
+        await asyncio.sleep(HOLD_RETRY_INTERVAL_S + 0.05)
+        assert agent.is_reachable
+
+    run_agent(scenario)
