Give up tasks that crash their workers

Cause: a retry loop without a bound for ends that are not reported.

Change: jobs/crashes.py.

Suspects are the runs whose start was confirmed in the last 0.1 s of the worker's replies (measured: 11 to 43 ms from an order to the crash); they are started apart from each other and from other work where there is room, away from the instance, until a run lasts. A task is given up after 2 crashes as the only suspect of the last one, 3 as the leading one, 4 as any suspect, 5 crashes of any kind; a start that moves to a worker's next life counts too. The log has 'worker crashed' and 'task given up', with a counter each.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -26,7 +26,9 @@
     "StartRun",
     "StopRun",
     "Submitted",
+    "TaskGivenUp",
     "Withdrawn",
+    "WorkerCrashed",
 ]
 
 
@@ -203,3 +205,26 @@
     """Remove a finished job from the journal."""
 
     job: Job
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerCrashed(Effect):
+    """Log that a worker crashed under its runs."""
+
+    worker_id: str
+    agent_address: str
+    #: Tasks that had just been started there, with their numbers of early crashes.
+    suspects: tuple[tuple[str, int], ...]
+    #: Number of other batch runs on the worker.
+    others: int
+
+
+@dataclass(slots=True, frozen=True)
+class TaskGivenUp(Effect):
+    """Log that a job fails since a task of it crashed too many workers."""
+
+    task_id: str
+    #: Worker that crashed last.
+    worker_id: str
+    early_crashes: int
+    crashes: int
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -32,6 +32,7 @@
             cell.workers_by_id[task.worker_id] = worker
         run = make_run(job, key, task.run)
         run.is_repeat = True
+        run.is_adopted = True
         run.stop_reason = "" if job.is_open else end_reason(job)
         worker.add(job.task_id(key), run)
 
@@ -70,13 +71,18 @@
         run.is_listed = False
         run.is_order_in_flight = False
         run.is_repeat = True
+        run.is_adopted = False
+        run.observed_s = 0.0
         run.last_answer_ms = 0
+        run.confirmed_ms = 0
         run.last_order_s = now_s
-        worker.add(task_id, run)
         job = cell.jobs_by_id.get(run.job_id)
         if job is not None and is_current(job, run, earlier):
-            job.tasks_by_key[run.key].born_ms = born_ms
+            task = job.tasks_by_key[run.key]
+            task.born_ms = born_ms
+            run.is_on_trial = task.early_crashes > 0
             cell.dirty_job_ids.add(job.job_id)
+        worker.add(task_id, run)
     remove_worker(cell, earlier)
     cell.workers_by_id[worker.worker_id] = worker
     return worker
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -43,6 +43,10 @@
     checkpoint: str = ""
     #: Worker on which a run last failed or was too slow; other workers are preferred.
     avoided_worker_id: str = ""
+    #: Number of workers that crashed under a run of the task.
+    crashes: int = 0
+    #: Those that crashed soon after its start, since a run of it last lasted longer.
+    early_crashes: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -8,7 +8,14 @@
 from ..gen.peer.ttypes import OrderResult, StartOrder, StopOrder
 from ..peer import PeerError
 from . import clock
-from .cell import AcknowledgeEnds, OrderSettled, StartRun, StopRun
+from .cell import (
+    AcknowledgeEnds,
+    OrderSettled,
+    StartRun,
+    StopRun,
+    TaskGivenUp,
+    WorkerCrashed,
+)
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
 __all__ = ["OrderSender"]
@@ -63,6 +70,28 @@
         run = partial(self._ask_permits, effect)
         self._leader.spawn("permits", run, job_id=effect.job_id)
 
+    @perform.register
+    def _(self, effect: WorkerCrashed):
+        counters.add("worker_crashes")
+        log_decision(
+            "worker crashed",
+            worker_id=effect.worker_id,
+            agent=effect.agent_address,
+            suspects=effect.suspects,
+            others=effect.others,
+        )
+
+    @perform.register
+    def _(self, effect: TaskGivenUp):
+        counters.add("tasks_given_up")
+        log_decision(
+            "task given up",
+            task_id=effect.task_id,
+            worker_id=effect.worker_id,
+            early_crashes=effect.early_crashes,
+            crashes=effect.crashes,
+        )
+
     def _spawn(self, name, send, effect):
         self._leader.spawn(name, partial(send, effect), task_id=effect.task_id)
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -7,7 +7,12 @@
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import ask_permits, permitted_workers
-from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, placement_score
+from .scoring import (
+    MIN_FILLER_SPEED_RATIO,
+    FillerDemand,
+    isolation_score,
+    placement_score,
+)
 from .unplaceable import UnplaceableDemands
 
 __all__ = [
@@ -160,7 +165,8 @@
     """
     best = None
     best_score = None
-    avoided_worker_id = job.tasks_by_key[key].avoided_worker_id
+    task = job.tasks_by_key[key]
+    is_suspect = task.early_crashes > 0
     filler_demand = _filler_demand(job, step, now_s)
     for worker in workers:
         if not _fits(job, key, step, worker):
@@ -169,8 +175,9 @@
         if own_score is None:
             continue
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
-        has_failed = worker.worker_id == avoided_worker_id
-        score = (not has_failed, is_near, *own_score, worker.worker_id)
+        has_failed = worker.worker_id == task.avoided_worker_id
+        isolation = isolation_score(worker, is_suspect)
+        score = (not has_failed, *isolation, is_near, *own_score, worker.worker_id)
         if best is None or score > best_score:
             best, best_score = worker, score
     return best
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -2,6 +2,7 @@
 
 from ..reducer import reduce
 from .cell import AppendDone, CellTick, DropJob, OrderSettled
+from .crashes import conclude_crash, count_crash, has_crashed
 from .incarnations import release_run, remove_worker
 from .lifecycle import release_occurrence, start_effect, stop_run
 from .permits import drop_permit
@@ -36,6 +37,8 @@
     elif event.result == "confirmed":
         run.is_confirmed = True
         run.last_answer_ms = max(run.last_answer_ms, event.clock_ms)
+        run.confirmed_ms = run.confirmed_ms or event.clock_ms
+        worker.alive_ms = max(worker.alive_ms, event.clock_ms)
     return place(cell, event.now_s)
 
 
@@ -49,7 +52,7 @@
     effects = []
     for worker in list(cell.workers_by_id.values()):
         if event.now_s > worker.lease_end_s and not worker.is_reachable:
-            remove_worker(cell, worker)
+            effects.extend(_remove_lost_worker(cell, worker, event))
             continue
         effects.extend(_retry_orders(cell, worker, event.now_s))
     effects.extend(move_stragglers(cell, event.now_s))
@@ -58,6 +61,16 @@
     return effects + place(cell, event.now_s)
 
 
+def _remove_lost_worker(cell, worker, event):
+    """Remove a worker that has been unreachable until all its leases expired."""
+    crashed = []
+    has_reported = bool(worker.service)
+    if has_reported and has_crashed(worker):
+        crashed = count_crash(cell, worker, worker.worker_id)
+    remove_worker(cell, worker)
+    return conclude_crash(cell, worker, crashed, event)
+
+
 def _retry_orders(cell, worker, now_s):
     if not worker.is_reachable:
         return []
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -3,6 +3,7 @@
 from ..reducer import reduce
 from ..resources import Resources
 from .cell import AgentLost, Reported
+from .crashes import clear_suspicion, conclude_crash, count_crash, has_crashed
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
@@ -26,8 +27,7 @@
 @reduce.register
 def _(event: Reported, cell):
     report = event.report
-    _remove_replaced_workers(cell, report)
-    effects = []
+    effects = _remove_replaced_workers(cell, event)
     worker = cell.workers_by_id.get(report.worker_id)
     if worker is not None and worker.born_ms > report.born_ms:
         return effects + place(cell, event.now_s)
@@ -38,7 +38,8 @@
         cell.workers_by_id[report.worker_id] = worker
         cell.dirty_worker_ids.add(report.worker_id)
     elif worker.born_ms != report.born_ms:
-        worker = replace_incarnation(cell, worker, report.born_ms, event.now_s)
+        worker, crash_effects = _replace_incarnation(cell, worker, event)
+        effects.extend(crash_effects)
     took_tasks_before = worker.accepts_tasks(event.now_s)
     _update(worker, event)
     shapes = cell.shapes_by_service.setdefault(worker.service, set())
@@ -60,15 +61,31 @@
     for worker in cell.workers_by_id.values():
         if worker.agent_address == event.agent_address:
             worker.is_reachable = False
+            worker.is_agent_lost = True
     return []
 
 
-def _remove_replaced_workers(cell, report):
+def _remove_replaced_workers(cell, event):
     """Remove previous workers of an instance; it runs one at a time."""
+    report = event.report
+    effects = []
     for worker in list(cell.workers_by_id.values()):
         is_same = worker.worker_id == report.worker_id
-        if worker.agent_address == report.agent_address and not is_same:
-            remove_worker(cell, worker)
+        if worker.agent_address != report.agent_address or is_same:
+            continue
+        crashed = []
+        if has_crashed(worker):
+            crashed = count_crash(cell, worker, report.worker_id)
+        remove_worker(cell, worker)
+        effects.extend(conclude_crash(cell, worker, crashed, event))
+    return effects
+
+
+def _replace_incarnation(cell, worker, event):
+    crashed = count_crash(cell, worker, worker.worker_id) if has_crashed(worker) else []
+    born_ms = event.report.born_ms
+    successor = replace_incarnation(cell, worker, born_ms, event.now_s)
+    return successor, conclude_crash(cell, worker, crashed, event)
 
 
 def _update(worker, event):
@@ -82,6 +99,7 @@
     worker.set_capacity(report.capacity)
     worker.is_reachable = report.is_reachable
     worker.is_draining = report.is_draining
+    worker.is_agent_lost = False
     if is_first:
         # The agent now follows this leader, so the end assumed at the failover is
         # obsolete.
@@ -109,6 +127,8 @@
         run.is_listed = True
         run.last_answer_ms = max(run.last_answer_ms, report.listed_ms)
         _record_checkpoint(cell, run, row)
+        if run.is_on_trial:
+            clear_suspicion(cell, worker, run)
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
     if report.is_reachable and len(report.ended) < MAX_LISTED_ENDS:
--- a/dotterelspread/jobs/scoring.py
+++ b/dotterelspread/jobs/scoring.py
@@ -14,6 +14,7 @@
     "MIN_FILLER_SPEED_RATIO",
     "FillerDemand",
     "expected_speed",
+    "isolation_score",
     "placement_score",
 ]
 
@@ -62,6 +63,17 @@
     return speed
 
 
+def isolation_score(worker, is_suspect):
+    """Return a sort key of a worker, larger is better, that isolates suspects.
+
+    A suspect may crash its worker: it goes where few runs would be lost. While it is on
+    trial there, other tasks go elsewhere.
+    """
+    if is_suspect:
+        return -worker.trial_count, -worker.serving_count, -len(worker.runs_by_task)
+    return not worker.trial_count, 0, 0
+
+
 def placement_score(cell, step, worker, filler_demand):
     """Return a sort key of a worker, larger is better, or None if it is too slow."""
     if filler_demand is not None:
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -53,10 +53,16 @@
     stop_reason: str = ""
     #: Whether an order for the run may have been sent before.
     is_repeat: bool = False
+    #: Whether an earlier leader assigned the run.
+    is_adopted: bool = False
+    #: Whether the task may crash its worker soon, since it may have crashed others.
+    is_on_trial: bool = False
     #: Leader's clock of the latest order for the run.
     last_order_s: float = 0.0
     #: Agent's clock at the worker's latest confirmation of the run; 0 before the first.
     last_answer_ms: int = 0
+    #: Agent's clock when an order to start it was first confirmed; 0 before.
+    confirmed_ms: int = 0
     #: Processors that the run last reported to use; -1 until the first report.
     used_millicores: int = -1
     #: Leader's clock when it was first listed as running.
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -99,16 +99,22 @@
     capacity: Resources = Resources()
     is_reachable: bool = False
     is_draining: bool = False
+    #: Whether the agent has stopped answering.
+    is_agent_lost: bool = False
     #: Leader's clock after which every lease granted to the worker has expired.
     lease_end_s: float = 0.0
     runs_by_task: dict[str, TaskRun] = field(default_factory=dict)
     reserved: Resources = Resources()
     #: Number of serving tasks on the worker.
     serving_count: int = 0
+    #: Number of runs on trial.
+    trial_count: int = 0
     #: Highest ratio of tail to target without fillers, by serving image.
     baseline_tail_by_image: dict[str, float] = field(default_factory=dict)
     #: Agent's clock at the latest listing; 0 before the first.
     listed_ms: int = 0
+    #: Agent's clock at the worker's latest reply; 0 before the first.
+    alive_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
     #: Leader's clock until which the worker gets no new tasks.
@@ -135,6 +141,7 @@
         self.reserved = self.reserved + run.reserved
         self.available = self.available - run.reserved
         self.serving_count += run.is_serving
+        self.trial_count += run.is_on_trial
         self._usage = None
 
     def remove(self, task_id):
@@ -144,9 +151,15 @@
             self.reserved = self.reserved - run.reserved
             self.available = self.available + run.reserved
             self.serving_count -= run.is_serving
+            self.trial_count -= run.is_on_trial
             self._usage = None
         return run
 
+    def end_trial(self, run):
+        """End the trial of a run that has lasted."""
+        self.trial_count -= run.is_on_trial
+        run.is_on_trial = False
+
     def invalidate_usage(self):
         """Drop the cached usage after a run's usage changed."""
         self._usage = None
@@ -173,6 +186,7 @@
         """
         gap_s = (listed_ms - self.listed_ms) / 1000
         self.listed_ms = max(self.listed_ms, listed_ms)
+        self.alive_ms = max(self.alive_ms, listed_ms)
         return gap_s if 0 < gap_s <= MAX_LISTING_GAP_S else 0.0
 
     def accepts_tasks(self, now_s):
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,144 @@
+"""Tasks that crash their workers are given up; tasks beside them are not."""
+
+import pytest
+
+from tests.builders_crashes import run_crash_scenario
+from tests.builders_fleet import make_job, make_step
+
+#: Bound on the starts of a task that crashes each worker that starts it.
+MAX_DEADLY_STARTS = 5
+DEADLY_JOB = make_job(1)
+DEADLY_TASK = f"{DEADLY_JOB.job_id}.0.0.0"
+SOON_S, LATE_S = 0.01, 1.4
+
+
+@pytest.mark.parametrize("keeps_worker_ids", [False, True])
+@pytest.mark.parametrize("crash_delay_s", [0.0, SOON_S, LATE_S])
+def test_a_task_that_crashes_its_workers_is_not_started_forever(
+    crash_delay_s, keeps_worker_ids
+):
+    async def scenario(fleet):
+        fleet.crash_delay_by_task_id[DEADLY_TASK] = crash_delay_s
+        fleet.durations[DEADLY_JOB.job_id] = 3.0
+        await fleet.submit(DEADLY_JOB)
+        await fleet.settle(60)
+        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
+        assert await fleet.states() == {DEADLY_JOB.job_id: "FAILED"}
+
+    run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids)
+
+
+@pytest.mark.parametrize("seconds_after_crash", [0.3, 1.5, 3.2])
+@pytest.mark.parametrize("keeps_worker_ids", [False, True])
+def test_leaders_that_change_after_each_crash_count_on(
+    keeps_worker_ids, seconds_after_crash
+):
+    async def scenario(fleet):
+        fleet.crash_delay_by_task_id[DEADLY_TASK] = SOON_S
+        await fleet.submit(DEADLY_JOB)
+        for crashes in range(MAX_DEADLY_STARTS + 1):
+            if not await fleet.wait_for_crashes(crashes + 1):
+                break
+            await fleet.settle(seconds_after_crash)
+            await fleet.restart_leader()
+        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
+        await fleet.expect_ended()
+        assert await fleet.states() == {DEADLY_JOB.job_id: "FAILED"}
+
+    run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_tasks_beside_a_deadly_one_complete(seed):
+    async def scenario(fleet):
+        deadly_ids = set()
+        for number in range(24):
+            job = make_job(number, (make_step(count=5),))
+            if number in (2, 9):
+                deadly_ids.add(job.job_id)
+                fleet.crash_delay_by_task_id[f"{job.job_id}.0.0.0"] = SOON_S
+            await fleet.submit(job)
+            await fleet.settle(0.4)
+        await fleet.expect_ended(60)
+        states = await fleet.states()
+        assert {j for j, state in states.items() if state == "FAILED"} == deadly_ids
+        for task_id in fleet.crash_delay_by_task_id:
+            assert fleet.starts_by_task_id[task_id] <= MAX_DEADLY_STARTS
+
+    run_crash_scenario(scenario, seed, agents=6)
+
+
+def test_an_instance_that_crashes_by_itself_fails_no_job():
+    async def scenario(fleet):
+        for number in range(30):
+            job = make_job(number, (make_step(count=6),))
+            fleet.durations[job.job_id] = 1.5
+            await fleet.submit(job)
+            if number % 4 == 0:
+                fleet.workers[0].crash_and_return()
+            await fleet.settle(1.0)
+        await fleet.expect_completed(40)
+
+    run_crash_scenario(scenario)
+
+
+def test_a_service_task_outlives_crashes_spread_over_its_life():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(count=2, is_service=True),))
+        fleet.durations[job.job_id] = 1000.0
+        await fleet.submit(job)
+        for _ in range(8):
+            await fleet.settle(6)
+            for worker in fleet.workers:
+                if worker.running:
+                    worker.crash_and_return()
+        await fleet.settle(6)
+        assert await fleet.states() == {job.job_id: "RUNNING"}
+        assert sum(len(worker.running) for worker in fleet.workers) == 2
+
+    run_crash_scenario(scenario, agents=5)
+
+
+def test_a_service_task_that_crashes_its_workers_is_given_up():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(count=2, is_service=True),))
+        fleet.durations[job.job_id] = 1000.0
+        fleet.crash_delay_by_task_id[DEADLY_TASK] = SOON_S
+        await fleet.submit(job)
+        await fleet.settle(60)
+        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
+        assert await fleet.states() == {job.job_id: "FAILED"}
+
+    run_crash_scenario(scenario)
+
+
+def test_a_gang_with_a_deadly_member_is_given_up():
+    async def scenario(fleet):
+        job = make_job(1, (make_step(count=4, is_gang=True),))
+        fleet.durations[job.job_id] = 2.0
+        fleet.crash_delay_by_task_id[f"{job.job_id}.0.0.2"] = SOON_S
+        await fleet.submit(job)
+        await fleet.settle(90)
+        assert max(fleet.starts_by_task_id.values()) <= MAX_DEADLY_STARTS
+        assert await fleet.states() == {job.job_id: "FAILED"}
+
+    run_crash_scenario(scenario)
+
+
+def test_workers_that_leave_are_not_taken_as_crashed():
+    async def scenario(fleet):
+        fleet.durations[DEADLY_JOB.job_id] = 9.0
+        await fleet.submit(DEADLY_JOB)
+        for _ in range(8):
+            await fleet.settle(4)
+            for worker, agent in zip(fleet.workers, fleet.agents, strict=True):
+                if worker.running:
+                    worker.is_draining = True
+                    agent.agent.announce(worker.announcement())
+                    agent.agent.leave(worker.worker_id)
+                    await fleet.settle(0.5)
+                    worker.crash_and_return()
+                    worker.is_draining = False
+        await fleet.expect_completed(30)
+
+    run_crash_scenario(scenario, agents=4)
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -13,10 +13,12 @@
 from dotterelspread.jobs.scoring import FillerDemand, expected_speed
 from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.taskrun import RunStopReason
+from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import (
     CAPACITY,
     make_cell,
+    make_report,
     make_worker,
     submit,
     workers_of,
@@ -102,6 +104,40 @@
     return workers_of(submit(cell, step, number=number))
 
 
+def add_suspects(cell, number, count, **changes):
+    job = Job.from_spec(make_job(number, (make_step(count=count, **changes),)), 0.0)
+    for task in job.tasks_by_key.values():
+        task.early_crashes = 1
+    add_job(cell, job, 0)
+    return workers_of(place(cell, 0.0))
+
+
+def test_suspects_of_a_crash_start_apart_from_each_other_and_from_other_work():
+    cell = make_cell(*(make_worker(number) for number in range(4)))
+    (busy,) = workers_of(submit(cell, make_step(is_service=True, target_ms=20)))
+    suspects = add_suspects(cell, 2, 3)
+    assert sorted([busy, *suspects]) == ["i-0", "i-1", "i-2", "i-3"]
+    assert workers_of(submit(cell, make_step(count=4), number=3)) == [busy] * 4
+
+
+def test_a_suspect_starts_beside_other_suspects_when_there_is_no_other_room():
+    cell = make_cell(make_worker(0))
+    assert add_suspects(cell, 1, 3) == ["i-0"] * 3
+    assert workers_of(submit(cell, make_step(), number=2)) == ["i-0"]
+
+
+def test_a_run_that_lasts_clears_its_task_of_suspicion():
+    cell = make_cell(make_worker(0))
+    add_suspects(cell, 1, 1)
+    task_id = f"{1:016x}.0.0.0"
+    row = RunningTask(task_id, 1, "", 10, 0)
+    for tenths in range(1, 8):
+        reduce(make_report(0, tenths / 10, row), cell)
+    (task,) = cell.jobs_by_id[f"{1:016x}"].tasks_by_key.values()
+    assert task.early_crashes == 0
+    assert cell.workers_by_id["i-0"].trial_count == 0
+
+
 def test_serving_tasks_are_kept_on_few_workers():
     cell = make_cell(*(make_worker(number) for number in range(3)))
     for number, image in enumerate("xyxy"):
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,6 +1,9 @@
 """Encoding of jobs as journal records."""
 
+import msgspec
+
 from dotterelspread.jobs.job import Job, Phase, TaskProgress
+from dotterelspread.jobs.journal import KeyedRecord
 from dotterelspread.jobs.records import drop_records, job_records, read_jobs
 from tests.builders_fleet import make_job, make_step, run_scenario
 
@@ -12,7 +15,9 @@
     worker_id, checkpoint = "i-0123456789", "c" * 40
     for number, key in enumerate(job.tasks_by_key):
         phase = Phase.ASSIGNED if number % 2 else Phase.COMPLETED
-        state = TaskProgress(phase, 300, worker_id, 2**41, 3, checkpoint, worker_id)
+        state = TaskProgress(
+            phase, 300, worker_id, 2**41, 3, checkpoint, worker_id, 5, 4
+        )
         job.tasks_by_key[key] = state
     return job
 
@@ -62,3 +67,14 @@
         assert fleet.checker.runs > 1500
 
     run_scenario(scenario)
+
+
+def test_a_record_from_before_crashes_were_counted_is_read():
+    job = Job.from_spec(make_job(1), 0.0)
+    earlier_fields = [Phase.ASSIGNED, 2, "i-1", 7, 1, "c", "i-0"]
+    value = msgspec.msgpack.encode([False, False, 0, [(0, 0, 0, earlier_fields)]])
+    records = {record.key: record for record in job_records(job, is_new=True)}
+    key = "p/" + job.job_id
+    (restored,) = read_jobs(records | {key: KeyedRecord(key, value)}, 0.0)
+    task = restored.tasks_by_key[0, 0, 0]
+    assert task == TaskProgress(Phase.ASSIGNED, 2, "i-1", 7, 1, "c", "i-0", 0, 0)
