Count no crash for a start that was never sent

Cause: a crashed worker takes orders for up to a second more, in the leader's view. Starts that found no connection counted as crashes of their tasks.

Change: an agent answers such an order with the new result NOT_SENT; leaders of before read it as unknown. Such runs are no suspects, and count no crash.

Result: test_a_start_that_was_never_sent_counts_no_crash and test_a_start_counts_as_not_sent_only_if_no_attempt_was_sent pass; the latter needs the new result, the former fails for 'unsent' without the change.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -46,6 +46,7 @@
     UNKNOWN = 3
     GONE = 4
     FENCED = 5
+    NOT_SENT = 6
 
     _VALUES_TO_NAMES = {
         1: "CONFIRMED",
@@ -53,6 +54,7 @@
         3: "UNKNOWN",
         4: "GONE",
         5: "FENCED",
+        6: "NOT_SENT",
     }
 
     _NAMES_TO_VALUES = {
@@ -61,6 +63,7 @@
         "UNKNOWN": 3,
         "GONE": 4,
         "FENCED": 5,
+        "NOT_SENT": 6,
     }
 
 
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -150,7 +150,7 @@
     born_ms: int
     task_id: str
     run: int
-    #: One of ``confirmed``, ``refused``, ``unknown`` and ``gone``.
+    #: One of ``confirmed``, ``refused``, ``unknown``, ``unsent`` and ``gone``.
     result: str
     #: Agent's clock at its answer; 0 when there was none.
     clock_ms: int
--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -72,6 +72,8 @@
         job = cell.jobs_by_id.get(run.job_id)
         if job is None or not job.is_open or not is_current(job, run, worker):
             continue
+        if not run.may_have_started:
+            continue
         is_early = any(run is suspect for suspect in suspects)
         if job.step_of(run.key).is_service and not is_early:
             # It lasts for hours, in which many workers may crash.
@@ -95,7 +97,9 @@
     fresh = [
         run
         for run in worker.runs_by_task.values()
-        if run.observed_s < TRIAL_S and not _is_old_service(cell, run)
+        if run.may_have_started
+        and run.observed_s < TRIAL_S
+        and not _is_old_service(cell, run)
     ]
     since_ms = worker.alive_ms - SUSPECT_WINDOW_MS
     confirmed = [run for run in fresh if run.confirmed_ms]
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -8,7 +8,7 @@
 from ..counters import counters
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import OrderReply, OrderResult, TaskTraits
-from .workeradapter import StartAnswer, WorkerReplyError
+from .workeradapter import StartAnswer, WorkerReplyError, WorkerUnsentError
 
 __all__ = ["OrderHandler"]
 
@@ -70,6 +70,7 @@
 
     async def _start(self, order):
         is_uncertain = order.repeat
+        is_sent = False
         detail = ""
         for _ in range(MAX_ORDER_ATTEMPTS):
             if not self._is_same_incarnation(order):
@@ -79,7 +80,12 @@
             if self._agent.announcement.is_draining:
                 answer, detail = StartAnswer.REFUSED, "draining"
             else:
-                answer, detail = await self._send_start(order)
+                try:
+                    answer, detail = await self._send_start(order)
+                except WorkerUnsentError as error:
+                    detail = str(error)
+                    continue
+            is_sent = True
             if answer is None:
                 is_uncertain = True
                 continue
@@ -89,7 +95,7 @@
                 # An earlier attempt may still reach the worker; rule it out.
                 return await self._stop(order)
             return _RESULTS_BY_ANSWER[answer], detail
-        return OrderResult.UNKNOWN, detail
+        return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT, detail
 
     def _has_expired(self, order):
         """Tell whether the leader may have assigned the run to another worker.
@@ -108,6 +114,8 @@
             answer, clock_ms = await self._agent.adapter.start(
                 order.worker_id, order, until_ms
             )
+        except WorkerUnsentError:
+            raise
         except WorkerReplyError as error:
             return None, str(error)
         if clock_ms:
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -28,6 +28,7 @@
     OrderResult.REFUSED: "refused",
     OrderResult.UNKNOWN: "unknown",
     OrderResult.GONE: "gone",
+    OrderResult.NOT_SENT: "unsent",
 }
 
 
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -53,6 +53,8 @@
     stop_reason: str = ""
     #: Whether an order for the run may have been sent before.
     is_repeat: bool = False
+    #: Whether no order for the run has reached the worker.
+    is_unsent: bool = False
     #: Whether an earlier leader assigned the run.
     is_adopted: bool = False
     #: Whether the task may crash its worker soon, since it may have crashed others.
@@ -115,6 +117,11 @@
         """Whether the run is to be stopped."""
         return bool(self.stop_reason)
 
+    @property
+    def may_have_started(self):
+        """Whether an order for the run may have reached the worker."""
+        return self.is_order_in_flight or not self.is_unsent
+
     @property
     def is_serving(self):
         """Whether the run is a serving task with a latency target."""
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -12,6 +12,7 @@
     "StartAnswer",
     "WorkerAdapter",
     "WorkerReplyError",
+    "WorkerUnsentError",
 ]
 
 
@@ -19,6 +20,10 @@
     """The worker did not reply, or its reply is invalid."""
 
 
+class WorkerUnsentError(WorkerReplyError):
+    """No byte of the call was sent to the worker; it was not executed."""
+
+
 class StartAnswer(enum.Enum):
     """Reply of a worker to an order to start or stop a run."""
 
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -2,13 +2,14 @@
 
 import msgspec
 
-from ..h1client import H1Client, H1Error
+from ..h1client import H1Client, H1Error, H1UnsentError
 from ..jobs.worker import EndedRun, RunEnd, RunningTask
 from ..jobs.workeradapter import (
     Listing,
     StartAnswer,
     WorkerAdapter,
     WorkerReplyError,
+    WorkerUnsentError,
 )
 from .decoding import MAX_COUNT, MAX_INSTANT_MS, DecodingError, Instant, decode_json
 
@@ -150,6 +151,8 @@
         data = msgspec.json.encode(body)
         try:
             return await client.call("POST", target, timeout_s, data, headers)
+        except H1UnsentError as error:
+            raise WorkerUnsentError(str(error)) from error
         except H1Error as error:
             raise WorkerReplyError(str(error)) from error
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,7 +1,12 @@
 """Tasks that crash their workers are given up; tasks beside them are not."""
 
+from dataclasses import replace
+
 import pytest
 
+from dotterelspread.jobs.cell import OrderSettled
+from dotterelspread.jobs.handlers import reduce
+from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_crashes import run_crash_scenario
 from tests.builders_fleet import make_job, make_step
 
@@ -68,6 +73,19 @@
     run_crash_scenario(scenario, seed, agents=6)
 
 
+@pytest.mark.parametrize(
+    ("result", "crashes"), [("unsent", 0), ("unknown", 1), ("confirmed", 1)]
+)
+def test_a_start_that_was_never_sent_counts_no_crash(result, crashes):
+    cell = make_cell(make_worker(0))
+    submit(cell, make_step())
+    reduce(OrderSettled(0.1, "i-0", 1, DEADLY_TASK, 1, result, 100), cell)
+    event = make_report(0, 4.0)
+    reduce(replace(event, report=replace(event.report, worker_id="i-new")), cell)
+    (task,) = cell.jobs_by_id[DEADLY_JOB.job_id].tasks_by_key.values()
+    assert (task.crashes, task.early_crashes) == (crashes, crashes)
+
+
 def test_an_instance_that_crashes_by_itself_fails_no_job():
     async def scenario(fleet):
         for number in range(30):
--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from dotterelspread.gen.peer.ttypes import OrderResult, StartOrder, WatchQuery
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
@@ -11,6 +13,7 @@
     StartAnswer,
     WorkerAdapter,
     WorkerReplyError,
+    WorkerUnsentError,
 )
 from tests.builders_agent import HEARTBEAT
 from tests.virtualloop import run_virtually
@@ -132,3 +135,30 @@
         assert agent.lease_until_ms() == until_ms
 
     run_virtually(run())
+
+
+class UnreachableWorker(WorkerAdapter):
+    """Gets no start, except those of the given attempts, which have no reply."""
+
+    def __init__(self, *attempts):
+        self.attempts = attempts
+        self.count = 0
+
+    async def start(self, worker_id, order, until_ms):
+        self.count += 1
+        if self.count in self.attempts:
+            raise WorkerReplyError("no reply")
+        raise WorkerUnsentError("connection refused")
+
+
+@pytest.mark.parametrize(
+    ("attempts", "result"),
+    [((), OrderResult.NOT_SENT), ((1,), OrderResult.UNKNOWN)],
+)
+def test_a_start_counts_as_not_sent_only_if_no_attempt_was_sent(attempts, result):
+    async def run():
+        handler = OrderHandler(make_agent(UnreachableWorker(*attempts)))
+        reply = await handler.start_run(make_start(clock_ms() + LEASE_MS))
+        assert reply.result == result
+
+    run_virtually(run())
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -149,6 +149,8 @@
   GONE = 4,
   // A leader of a later epoch has given orders.
   FENCED = 5,
+  // No byte of the order was sent to the worker; it is not carried out.
+  NOT_SENT = 6,
 }
 
 struct RunningRow {
