Suspect only runs whose start was confirmed

Cause: a start that found no connection to its worker is known as not sent only to the leader that ordered it. After a change of the leader such runs were suspects of the worker's crash.

--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -66,7 +66,7 @@
         it, since an instance may crash repeatedly by itself.
     """
     crashed = []
-    suspects = _suspects(cell, worker)
+    suspects = _suspects(worker)
     for run in worker.runs_by_task.values():
         job = cell.jobs_by_id.get(run.job_id)
         if job is None or not job.is_open or not is_current(job, run, worker):
@@ -87,32 +87,19 @@
     return crashed
 
 
-def _suspects(cell, worker):
-    """Return the runs that may have been started just before a crash.
+def _suspects(worker):
+    """Return the runs that the worker is known to have started just before its crash.
 
-    An unconfirmed start has probably not reached the worker, which may long have been
-    down. It is a suspect only if no other run is.
+    A start that this leader has not seen confirmed may never have reached the worker.
     """
-    fresh = [
+    since_ms = worker.alive_ms - SUSPECT_WINDOW_MS
+    return [
         run
         for run in worker.runs_by_task.values()
-        if run.may_have_started
+        if run.confirmed_ms
+        and run.confirmed_ms >= since_ms
         and run.observed_s < TRIAL_S
-        and not _is_old_service(cell, run)
     ]
-    since_ms = worker.alive_ms - SUSPECT_WINDOW_MS
-    confirmed = [run for run in fresh if run.confirmed_ms]
-    recent = [run for run in confirmed if run.confirmed_ms >= since_ms]
-    return recent or [run for run in fresh if not run.confirmed_ms]
-
-
-def _is_old_service(cell, run):
-    """Tell whether a run is a service task that an earlier leader started.
-
-    Otherwise all of these would be suspects after a failover.
-    """
-    job = cell.jobs_by_id.get(run.job_id)
-    return run.is_adopted and job is not None and job.step_of(run.key).is_service
 
 
 def conclude_crash(cell, worker, crashed, event):
