--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -202,9 +202,11 @@
         born_ms = self.born_ms
         listed_ms = self.clock_ms()
         until_ms = self.lease_until_ms()
+        # Nothing is known of an incarnation before its first listing.
+        wait_ms = LISTING_POLL_TIMEOUT_MS if self.listing is not None else 0
         try:
             listing = await self.adapter.hold(
-                worker_id, self.epoch, self.seen, until_ms, LISTING_POLL_TIMEOUT_MS
+                worker_id, self.epoch, self.seen, until_ms, wait_ms
             )
         except WorkerReplyError as error:
             self._handle_hold_failure(error)
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -29,8 +29,10 @@
     "StartRun",
     "StopRun",
     "Submitted",
+    "TaskGivenUp",
     "Withdrawn",
     "WorkerGivenUp",
+    "WorkerCrashed",
 ]
 
 
@@ -154,7 +156,7 @@
     born_ms: int
     task_id: str
     run: int
-    #: One of ``confirmed``, ``refused``, ``unknown`` and ``gone``.
+    #: One of ``confirmed``, ``refused``, ``unknown``, ``unsent`` and ``gone``.
     result: str
     #: Agent's clock at its answer; 0 when there was none.
     clock_ms: int
@@ -239,3 +241,26 @@
     """Remove a finished job from the journal."""
 
     job: Job
+
+
+@dataclass(slots=True, frozen=True)
+class WorkerCrashed(Effect):
+    """Log that a worker crashed under its runs."""
+
+    worker_id: str
+    agent_address: str
+    #: Tasks that had just been started there, with their numbers of early crashes.
+    suspects: tuple[tuple[str, int], ...]
+    #: Number of other batch runs on the worker.
+    others: int
+
+
+@dataclass(slots=True, frozen=True)
+class TaskGivenUp(Effect):
+    """Log that a job fails since a task of it crashed too many workers."""
+
+    task_id: str
+    #: Worker that crashed last.
+    worker_id: str
+    early_crashes: int
+    crashes: int
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -15,6 +15,8 @@
     ResumeGrants,
     StartRun,
     StopRun,
+    TaskGivenUp,
+    WorkerCrashed,
     WorkerGivenUp,
 )
 from .lifecycle import is_suitable
@@ -32,6 +34,7 @@
     OrderResult.REFUSED: "refused",
     OrderResult.UNKNOWN: "unknown",
     OrderResult.GONE: "gone",
+    OrderResult.NOT_SENT: "unsent",
 }
 
 
@@ -91,6 +94,28 @@
         run = partial(self._ask_permits, effect)
         self._leader.spawn("permits", run, job_id=effect.job_id)
 
+    @perform.register
+    def _(self, effect: WorkerCrashed):
+        counters.add("worker_crashes")
+        log_decision(
+            "worker crashed",
+            worker_id=effect.worker_id,
+            agent=effect.agent_address,
+            suspects=effect.suspects,
+            others=effect.others,
+        )
+
+    @perform.register
+    def _(self, effect: TaskGivenUp):
+        counters.add("tasks_given_up")
+        log_decision(
+            "task given up",
+            task_id=effect.task_id,
+            worker_id=effect.worker_id,
+            early_crashes=effect.early_crashes,
+            crashes=effect.crashes,
+        )
+
     def _spawn(self, name, send, effect):
         self._leader.spawn(name, partial(send, effect), task_id=effect.task_id)
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -7,7 +7,12 @@
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import ask_permits, permitted_workers
-from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, placement_score
+from .scoring import (
+    MIN_FILLER_SPEED_RATIO,
+    FillerDemand,
+    isolation_score,
+    placement_score,
+)
 from .strays import find_strays, ready_by_step
 from .unplaceable import UnplaceableDemands
 
@@ -163,7 +168,8 @@
     """
     best = None
     best_score = None
-    avoided_worker_id = job.tasks_by_key[key].avoided_worker_id
+    task = job.tasks_by_key[key]
+    is_suspect = task.early_crashes > 0
     filler_demand = _filler_demand(job, step, now_s)
     task_id = job.task_id(key)
     for worker in workers:
@@ -174,10 +180,11 @@
         if suitability is None:
             continue
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
-        has_failed = worker.worker_id == avoided_worker_id
+        has_failed = worker.worker_id == task.avoided_worker_id
         score = (
             not worker.cools_down(now_s),
             not has_failed,
+            *isolation_score(worker, is_suspect),
             is_near,
             *suitability,
             worker.worker_id,
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,13 +1,8 @@
 """Handlers of ticks and order replies: retries, lost workers, due occurrences."""
 
 from ..reducer import reduce
-from .cell import (
-    AppendDone,
-    CellTick,
-    DropJob,
-    OrderSettled,
-    WorkerGivenUp,
-)
+from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
+from .crashes import conclude_crash, count_crash, has_crashed
 from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
@@ -33,6 +28,8 @@
     if run is None or run.run != event.run:
         return []
     run.is_order_in_flight = False
+    was_unsent = run.is_unsent or not run.is_repeat
+    run.is_unsent = event.result == "unsent" and was_unsent
     run.is_repeat = True
     run.last_order_s = event.now_s
     if event.result == "refused":
@@ -43,6 +40,8 @@
         run.is_confirmed = True
         # The first answer counts: retried stops would outrun the listings.
         run.last_answer_ms = run.last_answer_ms or event.clock_ms
+        run.confirmed_ms = run.confirmed_ms or event.clock_ms
+        worker.alive_ms = max(worker.alive_ms, event.clock_ms)
     return place(cell, event.now_s)
 
 
@@ -57,7 +56,7 @@
     for worker in list(cell.workers_by_id.values()):
         if event.now_s > worker.lease_end_s and not worker.is_reachable:
             effects.append(WorkerGivenUp(worker, tuple(worker.runs_by_task)))
-            remove_worker(cell, worker)
+            effects.extend(_remove_lost_worker(cell, worker, event))
             continue
         suspend_if_silent(cell, worker, event.now_s)
         effects.extend(_retry_orders(cell, worker, event.now_s))
@@ -67,6 +66,16 @@
     return effects + place(cell, event.now_s)
 
 
+def _remove_lost_worker(cell, worker, event):
+    """Remove a worker that has been unreachable until all its leases expired."""
+    crashed = []
+    has_reported = bool(worker.service)
+    if has_reported and has_crashed(worker):
+        crashed = count_crash(cell, worker, worker.worker_id)
+    remove_worker(cell, worker)
+    return conclude_crash(cell, worker, crashed, event)
+
+
 def _retry_orders(cell, worker, now_s):
     if not worker.is_reachable:
         return []
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -3,6 +3,7 @@
 from ..reducer import reduce
 from ..resources import Resources
 from .cell import AgentLost, Reported
+from .crashes import clear_suspicion, conclude_crash, count_crash, has_crashed
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
@@ -27,8 +28,7 @@
 @reduce.register
 def _(event: Reported, cell):
     report = event.report
-    _remove_replaced_workers(cell, report)
-    effects = []
+    effects = _remove_replaced_workers(cell, event)
     worker = cell.workers_by_id.get(report.worker_id)
     if worker is not None and _is_outdated(worker, report):
         return effects + place(cell, event.now_s)
@@ -39,7 +39,8 @@
         cell.workers_by_id[report.worker_id] = worker
         cell.dirty_worker_ids.add(report.worker_id)
     elif worker.born_ms != report.born_ms:
-        worker = replace_incarnation(cell, worker, report.born_ms, event.now_s)
+        worker, crash_effects = _replace_incarnation(cell, worker, event)
+        effects.extend(crash_effects)
     took_tasks_before = worker.accepts_tasks(event.now_s)
     _update(cell, worker, event)
     if worker.is_reachable:
@@ -63,6 +64,7 @@
     for worker in cell.workers_by_id.values():
         if worker.agent_address == event.agent_address:
             worker.set_reachable(False, event.now_s)
+            worker.is_agent_lost = True
     return []
 
 
@@ -76,12 +78,27 @@
     return is_earlier and report.agent_address != worker.agent_address
 
 
-def _remove_replaced_workers(cell, report):
+def _remove_replaced_workers(cell, event):
     """Remove previous workers of an instance; it runs one at a time."""
+    report = event.report
+    effects = []
     for worker in list(cell.workers_by_id.values()):
         is_same = worker.worker_id == report.worker_id
-        if worker.agent_address == report.agent_address and not is_same:
-            remove_worker(cell, worker)
+        if worker.agent_address != report.agent_address or is_same:
+            continue
+        crashed = []
+        if has_crashed(worker):
+            crashed = count_crash(cell, worker, report.worker_id)
+        remove_worker(cell, worker)
+        effects.extend(conclude_crash(cell, worker, crashed, event))
+    return effects
+
+
+def _replace_incarnation(cell, worker, event):
+    crashed = count_crash(cell, worker, worker.worker_id) if has_crashed(worker) else []
+    born_ms = event.report.born_ms
+    successor = replace_incarnation(cell, worker, born_ms, event.now_s)
+    return successor, conclude_crash(cell, worker, crashed, event)
 
 
 def _update(cell, worker, event):
@@ -97,6 +114,7 @@
     worker.set_capacity(report.capacity)
     worker.set_reachable(report.is_reachable, event.now_s)
     worker.is_draining = report.is_draining
+    worker.is_agent_lost = False
     if is_first:
         # The agent now follows this leader, so the end assumed at the failover is
         # obsolete.
@@ -124,6 +142,8 @@
         run.is_listed = True
         run.last_answer_ms = max(run.last_answer_ms, report.listed_ms)
         _record_checkpoint(cell, run, row)
+        if run.is_on_trial:
+            clear_suspicion(cell, worker, run)
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
     if report.is_reachable and len(report.ended) < MAX_LISTED_ENDS:
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -55,11 +55,19 @@
     stop_reason: str = ""
     #: Whether an order for the run may have been sent before.
     is_repeat: bool = False
+    #: Whether no order for the run has reached the worker.
+    is_unsent: bool = False
+    #: Whether an earlier leader assigned the run.
+    is_adopted: bool = False
+    #: Whether the task may crash its worker soon, since it may have crashed others.
+    is_on_trial: bool = False
     #: Leader's clock of the latest order for the run.
     last_order_s: float = 0.0
     #: Agent's clock at the first answer to an order for the run, or at the latest
     #: listing with it; 0 before. A later listing without it shows that it is gone.
     last_answer_ms: int = 0
+    #: Agent's clock when an order to start it was first confirmed; 0 before.
+    confirmed_ms: int = 0
     #: Processors that the run last reported to use; -1 until the first report.
     used_millicores: int = -1
     #: Leader's clock when it was first listed as running.
@@ -117,6 +125,11 @@
         """Whether the worker lists it though it is not the latest run of its task."""
         return self.stop_reason == RunStopReason.UNKNOWN
 
+    @property
+    def may_have_started(self):
+        """Whether an order for the run may have reached the worker."""
+        return self.is_order_in_flight or not self.is_unsent
+
     @property
     def is_serving(self):
         """Whether the run is a serving task with a latency target."""
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -13,6 +13,7 @@
     "WorkerAdapter",
     "WorkerGoneError",
     "WorkerReplyError",
+    "WorkerUnsentError",
 ]
 
 
@@ -20,7 +21,11 @@
     """The worker did not reply, or its reply is invalid."""
 
 
-class WorkerGoneError(WorkerReplyError):
+class WorkerUnsentError(WorkerReplyError):
+    """The call did not reach the worker; it was not executed."""
+
+
+class WorkerGoneError(WorkerUnsentError):
     """Nothing or another incarnation runs at the worker's address."""
 
 
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..h1client import H1Client, H1Error
+from ..h1client import H1Client, H1Error, H1UnsentError
 from ..jobs.worker import EndedRun, RunEnd, RunningTask
 from ..jobs.workeradapter import (
     Listing,
@@ -10,6 +10,7 @@
     WorkerAdapter,
     WorkerGoneError,
     WorkerReplyError,
+    WorkerUnsentError,
 )
 from .decoding import MAX_COUNT, MAX_INSTANT_MS, DecodingError, Instant, decode_json
 
@@ -156,6 +157,8 @@
         except H1Error as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise WorkerGoneError(str(error)) from error
+            if isinstance(error, H1UnsentError):
+                raise WorkerUnsentError(str(error)) from error
             raise WorkerReplyError(str(error)) from error
 
 
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 
+from dotterelspread.jobs.departure import RETRY_INTERVAL_S
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from tests.builders_agent import HEARTBEAT, run_agent
 
@@ -114,3 +115,14 @@
         assert agent.is_reachable
 
     run_agent(scenario)
+
+
+def test_a_new_worker_is_known_without_waiting_for_an_end():
+    async def scenario(agent, worker):
+        await asyncio.sleep(1)
+        agent.announce(HEARTBEAT)
+        # A hold without a worker's id may have just failed and wait for its retry.
+        await asyncio.sleep(RETRY_INTERVAL_S + 0.05)
+        assert agent.is_reachable
+
+    run_agent(scenario)
