Check the addressed worker id where a simulated worker receives a call

The simulated worker of the soak test hands on orders without the id, and its tests failed with: SimpleNamespace has no attribute worker_id. The check is as strict as before, at the call instead of the order.

--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dotterelspread.gen.peer.ttypes import WorkResult
-from dotterelspread.jobs.workeradapter import WorkerReplyError
+from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from tests.builders_fleet import CallOutcome, Network, VirtualFleet, make_job, make_step
 from tests.builders_worker import ORDER_TIMEOUT_S, VirtualWorker
 from tests.cellchecker import check_every_event
@@ -41,6 +41,8 @@
 
     async def start(self, worker_id, order, until_ms):
         def execute():
+            if worker_id != self.worker_id:
+                return StartAnswer.OTHER_INCARNATION
             # A late order reaches the next incarnation if that has the same ID.
             return self._start(self.incarnation, order, until_ms)
 
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -110,8 +110,12 @@
         self.token = token
         return True
 
+    def _reached(self, worker_id):
+        """Return the incarnation that a call reaches; 0 if it names another worker."""
+        return self.incarnation if worker_id == self.worker_id else 0
+
     async def start(self, worker_id, order, until_ms):
-        execute = partial(self._start, self.incarnation, order, until_ms)
+        execute = partial(self._start, self._reached(worker_id), order, until_ms)
         return await self._execute(worker_id, execute)
 
     async def _execute(self, worker_id, execute):
@@ -123,12 +127,8 @@
             raise WorkerReplyError("no reply")
         return execute(), self.clock_ms()
 
-    def _is_addressed(self, incarnation, order):
-        is_same = incarnation == self.incarnation and order.worker_id == self.worker_id
-        return self.is_up and is_same
-
     def _start(self, incarnation, order, until_ms):
-        if not self._is_addressed(incarnation, order):
+        if not self.is_up or incarnation != self.incarnation:
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
@@ -161,11 +161,11 @@
         self.lease_end_s = max(self.lease_end_s, min(until_s, longest_s))
 
     async def stop(self, worker_id, order):
-        execute = partial(self._stop, self.incarnation, order)
+        execute = partial(self._stop, self._reached(worker_id), order)
         return await self._execute(worker_id, execute)
 
     def _stop(self, incarnation, order):
-        if not self._is_addressed(incarnation, order):
+        if not self.is_up or incarnation != self.incarnation:
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(order.epoch):
             return StartAnswer.FENCED
