--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -61,6 +61,8 @@
     costs: PairCosts = field(default_factory=PairCosts)
     #: Whether no earlier leader grants leases any more.
     are_earlier_terms_over: bool = True
+    #: Number of times that the grants to any worker were suspended in this term.
+    suspension_count: int = 0
     #: Leader's clock before which nothing is placed, so that all workers report first.
     placing_start_s: float = 0.0
     #: Whether an append to the journal is in progress, for which starts would wait.
@@ -179,9 +181,11 @@
 
 @dataclass(slots=True, frozen=True)
 class GrantsResumed(Event):
-    """The journal says that grants to a worker are resumed."""
+    """The journal no longer says that the grants to a worker are suspended."""
 
     worker_id: str
+    #: `Worker.suspension_number` of the suspension that ended.
+    suspension_number: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -225,7 +229,8 @@
 class ResumeGrants(Effect):
     """Grant leases to a worker again; performed once the journal says so."""
 
-    worker: Worker
+    worker_id: str
+    suspension_number: int
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -83,6 +83,7 @@
         born_ms,
         unreachable_since_s=now_s,
         grants=earlier.grants,
+        suspension_number=earlier.suspension_number,
     )
     for task_id, run in list(earlier.runs_by_task.items()):
         earlier.remove(task_id)
--- a/dotterelspread/jobs/leasesuspension.py
+++ b/dotterelspread/jobs/leasesuspension.py
@@ -24,6 +24,8 @@
     # Earlier leaders know nothing of the suspension.
     if is_silent and cell.are_earlier_terms_over:
         worker.grants = LeaseGrants.SUSPENDED
+        cell.suspension_count += 1
+        worker.suspension_number = cell.suspension_count
         cell.dirty_worker_ids.add(worker.worker_id)
 
 
@@ -33,13 +35,16 @@
         return []
     worker.grants = LeaseGrants.RESUMING
     cell.dirty_worker_ids.add(worker.worker_id)
-    return [ResumeGrants(worker)]
+    return [ResumeGrants(worker.worker_id, worker.suspension_number)]
 
 
 @reduce.register
 def _(event: GrantsResumed, cell):
     worker = cell.workers_by_id.get(event.worker_id)
-    if worker is not None and worker.grants is LeaseGrants.RESUMING:
+    if worker is None or worker.grants is not LeaseGrants.RESUMING:
+        return []
+    # The journal may tell of a later suspension than the one that was resumed.
+    if worker.suspension_number == event.suspension_number:
         worker.grants = LeaseGrants.ALLOWED
     return []
 
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -74,8 +74,9 @@
 
     @perform.register
     def _(self, effect: ResumeGrants):
-        worker_id = effect.worker.worker_id
-        self._leader.apply(GrantsResumed(clock.now_s(), worker_id))
+        self._leader.apply(
+            GrantsResumed(clock.now_s(), effect.worker_id, effect.suspension_number)
+        )
 
     @perform.register
     def _(self, effect: WorkerGivenUp):
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -35,7 +35,9 @@
     if worker is None and report.has_left:
         return effects
     if worker is None:
-        worker = Worker(report.worker_id, report.born_ms)
+        worker = Worker(
+            report.worker_id, report.born_ms, unreachable_since_s=event.now_s
+        )
         cell.workers_by_id[report.worker_id] = worker
         cell.dirty_worker_ids.add(report.worker_id)
     elif worker.born_ms != report.born_ms:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -114,6 +114,8 @@
     #: Leader's clock since when it has been unreachable.
     unreachable_since_s: float = 0.0
     grants: LeaseGrants = LeaseGrants.ALLOWED
+    #: Number of the latest suspension of its grants in this term; 0 if none.
+    suspension_number: int = 0
     #: Whether the agent has stopped answering.
     is_agent_lost: bool = False
     #: Leader's clock after which every lease granted to the worker has expired.
--- /dev/null
+++ b/tests/test_leasesuspension.py
@@ -0,0 +1,70 @@
+"""Suspension of lease grants to silent workers."""
+
+from dataclasses import replace
+
+from dotterelspread.jobs.cell import AgentLost, CellTick, GrantsResumed, ResumeGrants
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.worker import LeaseGrants
+from tests.builders_cell import make_cell, make_report
+
+WORKER_ID = "i-0"
+
+
+def grants_of(cell):
+    return cell.workers_by_id[WORKER_ID].grants
+
+
+def suspend(cell, now_s):
+    """Lose the agent of the worker at ``now_s``, until its grants are suspended."""
+    address = cell.workers_by_id[WORKER_ID].agent_address
+    reduce(AgentLost(now_s, address), cell)
+    reduce(CellTick(now_s + 1.5, 0), cell)
+    assert grants_of(cell) is LeaseGrants.SUSPENDED
+
+
+def report(cell, now_s):
+    """Report the worker as reachable; return the `ResumeGrants` effect."""
+    effects = reduce(make_report(0, now_s), cell)
+    (effect,) = [e for e in effects if isinstance(e, ResumeGrants)]
+    return effect
+
+
+def commit(cell, now_s, effect):
+    """Apply what follows the commit of a `ResumeGrants` effect."""
+    event = GrantsResumed(now_s, effect.worker_id, effect.suspension_number)
+    reduce(event, cell)
+
+
+def make_suspended_cell():
+    cell = make_cell()
+    reduce(make_report(0, 10.0), cell)
+    suspend(cell, 11.0)
+    return cell
+
+
+def test_grants_resume_only_after_the_commit():
+    cell = make_suspended_cell()
+    effect = report(cell, 13.0)
+    assert grants_of(cell) is LeaseGrants.RESUMING
+    commit(cell, 13.1, effect)
+    assert grants_of(cell) is LeaseGrants.ALLOWED
+
+
+def test_grants_are_not_resumed_while_the_journal_tells_of_a_later_suspension():
+    cell = make_suspended_cell()
+    first = report(cell, 13.0)
+    suspend(cell, 14.0)
+    second = report(cell, 16.0)
+    commit(cell, 16.1, first)
+    assert grants_of(cell) is LeaseGrants.RESUMING
+    commit(cell, 16.2, second)
+    assert grants_of(cell) is LeaseGrants.ALLOWED
+
+
+def test_a_new_worker_that_is_not_reachable_yet_is_not_suspended_at_once():
+    cell = make_cell()
+    event = make_report(0, 10.0)
+    unreachable = replace(event.report, is_reachable=False)
+    reduce(replace(event, report=unreachable), cell)
+    reduce(CellTick(10.1, 0), cell)
+    assert grants_of(cell) is LeaseGrants.ALLOWED
