Suspend grants also when an earlier leader never replied

Cause: after the time in which the earlier leader may grant, only the leader's record was updated; the cell never heard that the earlier terms were over.

Change: the end of that time is handled like the last reply.

Result: test_grants_are_suspended_although_an_earlier_leader_never_replied fails on the code before (0 == 1 suspended workers).

--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -136,11 +136,7 @@
         if not self.earlier_leaders.end(address):
             return
         log_decision("earlier leader ended", epoch=self.epoch, address=address)
-        self.committer.update_earlier_leaders(self.earlier_leaders)
-        if self.earlier_leaders.have_all_ended:
-            now_s = clock.now_s()
-            end_s = lease_end_s(now_s, self.settings.bounds.max_lease_ms)
-            self.apply(EarlierTermsEnded(now_s, end_s))
+        self._handle_earlier_leaders_change()
 
     def _expire_earlier_leaders(self):
         """Forget earlier leaders that may not grant leases any more."""
@@ -148,7 +144,14 @@
         is_over = age_s > MAX_UNCONFIRMED_GRANT_S * MAX_CLOCK_DRIFT_RATIO
         if is_over and not self.earlier_leaders.have_all_ended:
             self.earlier_leaders.end_all()
-            self.committer.update_earlier_leaders(self.earlier_leaders)
+            self._handle_earlier_leaders_change()
+
+    def _handle_earlier_leaders_change(self):
+        self.committer.update_earlier_leaders(self.earlier_leaders)
+        if self.earlier_leaders.have_all_ended:
+            now_s = clock.now_s()
+            end_s = lease_end_s(now_s, self.settings.bounds.max_lease_ms)
+            self.apply(EarlierTermsEnded(now_s, end_s))
 
     async def resign(self, reason):
         """End the term and notify the other entries at once."""
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -4,6 +4,7 @@
 
 from dotterelspread.jobs.earlierleaders import EarlierLeaders
 from dotterelspread.jobs.records import LeaderRecord
+from dotterelspread.jobs.worker import LeaseGrants
 from tests.builders_fleet import (
     kill_leader,
     make_job,
@@ -23,7 +24,8 @@
 async def lose_instance(fleet):
     """Submit a serving job and lose the worker that runs it with its agent."""
     fleet.durations[SERVING_JOB.job_id] = LONG_S
-    await fleet.submit(SERVING_JOB)
+    entry = next(i for i, e in enumerate(fleet.entries) if e.candidate.leader)
+    await fleet.submit(SERVING_JOB, entry)
     await fleet.settle(2)
     worker = worker_that_runs(fleet, TASK_ID)
     worker.crash()
@@ -60,6 +62,20 @@
     run_scenario(scenario)
 
 
+def test_grants_are_suspended_although_an_earlier_leader_never_replied():
+    async def scenario(fleet):
+        leader = kill_leader(fleet)
+        fleet.network.powered_off.add(leader.address)
+        await fleet.settle(14)
+        await lose_instance(fleet)
+        await fleet.settle(3)
+        (successor,) = [e for e in fleet.entries if e.candidate.leader]
+        workers = successor.candidate.leader.cell.workers_by_id.values()
+        assert [w.grants for w in workers].count(LeaseGrants.SUSPENDED) == 1
+
+    run_scenario(scenario)
+
+
 async def cut_off_leader(fleet, agent):
     """Leave the leader with one agent, which no other entry reaches."""
     leader = next(e for e in fleet.entries if e.candidate.leader)
