Count only confirmed starts as the cause of a crash

Change: a confirmed stop is no confirmed start; an order that is not sent is settled so. A run on trial whose job has ended no longer leaves the worker marked.

Result: test_a_start_that_was_stopped_before_it_was_confirmed_makes_no_suspect fails on the code before ((1, 1) == (1, 0)); test_crashes, test_retried_starts, test_fleet, test_fleet_services, test_cooldown pass.

--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -154,10 +154,12 @@
 
 def clear_suspicion(cell, worker, run):
     """Clear the task of a run on trial that has lasted for `TRIAL_S`."""
-    job = cell.jobs_by_id.get(run.job_id)
-    if job is None or run.observed_s < TRIAL_S:
+    if run.observed_s < TRIAL_S:
         return
     worker.end_trial(run)
+    job = cell.jobs_by_id.get(run.job_id)
+    if job is None or not is_current(job, run, worker):
+        return
     task = job.tasks_by_key[run.key]
     task.early_crashes = 0
     if job.step_of(run.key).is_service:
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -150,7 +150,7 @@
         worker, run, step = effect.worker, effect.run, effect.step
         if not self._is_suitable(effect):
             # The next tick stops it, in case that this is a repeat.
-            self._settle(effect, "unknown")
+            self._settle(effect, "unsent")
             return
         link = self._leader.links_by_address.get(worker.agent_address)
         log_decision(
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -40,7 +40,8 @@
         run.is_confirmed = True
         # The first answer counts: retried stops would outrun the listings.
         run.last_answer_ms = run.last_answer_ms or event.clock_ms
-        run.confirmed_ms = run.confirmed_ms or event.clock_ms
+        if not run.is_stop_requested:
+            run.confirmed_ms = run.confirmed_ms or event.clock_ms
         worker.alive_ms = max(worker.alive_ms, event.clock_ms)
     return place(cell, event.now_s)
 
@@ -69,8 +70,7 @@
 def _remove_lost_worker(cell, worker, event):
     """Remove a worker that has been unreachable until all its leases expired."""
     crashed = []
-    has_reported = bool(worker.service)
-    if has_reported and has_crashed(worker):
+    if worker.has_reported and has_crashed(worker):
         crashed = count_crash(cell, worker, worker.worker_id)
     remove_worker(cell, worker)
     return conclude_crash(cell, worker, crashed, event)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,6 +6,8 @@
 
 from dotterelspread.jobs.cell import OrderSettled
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.lifecycle import stop_run
+from dotterelspread.jobs.taskrun import RunStopReason
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_crashes import run_crash_scenario
 from tests.builders_fleet import make_job, make_step
@@ -89,6 +91,20 @@
     assert (task.crashes, task.early_crashes) == (crashes, early_crashes)
 
 
+def test_a_start_that_was_stopped_before_it_was_confirmed_makes_no_suspect():
+    cell = make_cell(make_worker(0))
+    submit(cell, make_step())
+    reduce(OrderSettled(0.1, "i-0", 1, DEADLY_TASK, 1, "unknown", 100), cell)
+    worker = cell.workers_by_id["i-0"]
+    run = worker.runs_by_task[DEADLY_TASK]
+    stop_run(worker, run, DEADLY_TASK, RunStopReason.UNSUITABLE)
+    reduce(OrderSettled(0.2, "i-0", 1, DEADLY_TASK, 1, "confirmed", 200), cell)
+    event = make_report(0, 4.0)
+    reduce(replace(event, report=replace(event.report, worker_id="i-new")), cell)
+    (task,) = cell.jobs_by_id[DEADLY_JOB.job_id].tasks_by_key.values()
+    assert (task.crashes, task.early_crashes) == (1, 0)
+
+
 def test_an_instance_that_crashes_by_itself_fails_no_job():
     async def scenario(fleet):
         for number in range(30):
