Count the grants of an earlier leader from the reply to the claim

Cause: the time was counted from the sending of the claim, but the earlier leader may be confirmed until the claim is executed.

Change: it is counted from the beginning of the term. A rejected claim shows that there was a leader, also if its record is gone. Further tests of the suspension.

Result: test_an_earlier_leader_is_not_forgotten_early_after_a_slow_claim fails on the code before (forgotten while it may grant).

--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -78,7 +78,8 @@
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
         self.earlier_leaders = term.earlier_leaders
-        self._claimed_s = term.claimed_s
+        #: On `clock.elapsed_s`; earlier leaders' appends were confirmed before it.
+        self._began_s = clock.elapsed_s()
         self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
@@ -140,7 +141,7 @@
 
     def _expire_earlier_leaders(self):
         """Forget earlier leaders that may not grant leases any more."""
-        age_s = clock.elapsed_s() - self._claimed_s
+        age_s = clock.elapsed_s() - self._began_s
         is_over = age_s > MAX_UNCONFIRMED_GRANT_S * MAX_CLOCK_DRIFT_RATIO
         if is_over and not self.earlier_leaders.have_all_ended:
             self.earlier_leaders.end_all()
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -91,7 +91,8 @@
         # With the same sequence number, two candidates for one epoch would get each
         # other's replies, and both would see a successful claim.
         writer = Writer(WRITER_NAME, epoch, 1 + secrets.randbelow(MAX_INITIAL_SEQUENCE))
-        is_first = LEADER_KEY not in snapshot.records_by_key
+        # A rejected claim shows that there was a leader although its record is gone.
+        is_first = LEADER_KEY not in snapshot.records_by_key and epoch == 1
         earlier_leaders = EarlierLeaders.from_record(
             earlier, settings.peer_address, is_first
         )
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -1,9 +1,11 @@
 """Earlier leaders: how long a successor waits for runs on agents it cannot reach."""
 
+import asyncio
+
 import pytest
 
 from dotterelspread.jobs.earlierleaders import EarlierLeaders
-from dotterelspread.jobs.records import LeaderRecord
+from dotterelspread.jobs.records import CELL_STREAM, LeaderRecord
 from dotterelspread.jobs.worker import LeaseGrants
 from tests.builders_fleet import (
     kill_leader,
@@ -112,6 +114,34 @@
     run_scenario(scenario)
 
 
+def test_an_earlier_leader_is_not_forgotten_early_after_a_slow_claim():
+    async def scenario(fleet):
+        first = next(e for e in fleet.entries if e.candidate.leader)
+        second = fleet.entries[1 - fleet.entries.index(first)]
+        term = first.candidate.leader
+        append = second.candidate.journal.append
+
+        async def append_late(stream, *args, **changes):
+            if stream == CELL_STREAM and second.candidate.leader is None:
+                await asyncio.sleep(1.4)
+                term.committer.request_confirmation()
+                await asyncio.sleep(0.02)
+                fleet.store.mode_by_node[first.address] = "silent"
+            return await append(stream, *args, **changes)
+
+        second.candidate.journal.append = append_late
+        for process in (second, *fleet.agents):
+            fleet.cut(first, process)
+        fleet.store.holder = second.settings.instance_id
+        while term.may_grant:
+            await fleet.settle(0.05)
+            successor = second.candidate.leader
+            was_forgotten = successor and successor.earlier_leaders.have_all_ended
+            assert not (was_forgotten and term.may_grant)
+
+    run_scenario(scenario)
+
+
 def test_a_leader_ends_its_term_before_it_replies_to_its_successor():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
--- a/tests/test_leasesuspension.py
+++ b/tests/test_leasesuspension.py
@@ -2,7 +2,13 @@
 
 from dataclasses import replace
 
-from dotterelspread.jobs.cell import AgentLost, CellTick, GrantsResumed, ResumeGrants
+from dotterelspread.jobs.cell import (
+    AgentLost,
+    CellTick,
+    EarlierTermsEnded,
+    GrantsResumed,
+    ResumeGrants,
+)
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.worker import LeaseGrants
 from tests.builders_cell import make_cell, make_report
@@ -61,6 +67,30 @@
     assert grants_of(cell) is LeaseGrants.ALLOWED
 
 
+def test_grants_are_not_suspended_while_an_earlier_leader_may_grant():
+    cell = make_cell()
+    cell.are_earlier_terms_over = False
+    reduce(make_report(0, 10.0), cell)
+    reduce(AgentLost(11.0, cell.workers_by_id[WORKER_ID].agent_address), cell)
+    reduce(CellTick(12.5, 0), cell)
+    assert grants_of(cell) is LeaseGrants.ALLOWED
+
+
+def test_a_new_incarnation_of_a_suspended_worker_gets_no_grants_before_the_commit():
+    cell = make_suspended_cell()
+    event = make_report(0, 13.0)
+    reduce(replace(event, report=replace(event.report, born_ms=99)), cell)
+    assert grants_of(cell) is LeaseGrants.RESUMING
+
+
+def test_the_end_of_earlier_terms_does_not_shorten_the_lease_of_a_reported_worker():
+    cell = make_cell()
+    reduce(make_report(0, 10.0), cell)
+    before_s = cell.workers_by_id[WORKER_ID].lease_end_s
+    reduce(EarlierTermsEnded(10.1, before_s - 5.0), cell)
+    assert cell.workers_by_id[WORKER_ID].lease_end_s == before_s
+
+
 def test_a_new_worker_that_is_not_reachable_yet_is_not_suspended_at_once():
     cell = make_cell()
     event = make_report(0, 10.0)
