--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -20,7 +20,7 @@
 #: task is a suspect. It covers the delays of replies.
 SUSPECT_WINDOW_MS = 100
 #: Observed time after which a run has shown that its start does not crash its worker.
-TRIAL_S = 0.5
+PROBATION_S = 0.5
 #: Number of early crashes of a task after which its job fails: if no other suspect of
 #: the last one has as many, and in any case.
 MAX_LEADING_CRASHES = 3
@@ -98,7 +98,7 @@
         for run in worker.runs_by_task.values()
         if run.confirmed_ms
         and run.confirmed_ms >= since_ms
-        and run.observed_s < TRIAL_S
+        and run.observed_s < PROBATION_S
     ]
 
 
@@ -119,7 +119,7 @@
     early = [one for one in crashed if one.is_early]
     effects = [_describe_crash(worker, crashed, early)]
     for one in crashed:
-        if one.job.is_open and _is_hopeless(one, early):
+        if one.job.is_open and _exceeds_crash_limit(one, early):
             task = one.task
             effects.append(
                 TaskGivenUp(
@@ -134,7 +134,7 @@
     return effects
 
 
-def _is_hopeless(crashed_run, early):
+def _exceeds_crash_limit(crashed_run, early):
     task = crashed_run.task
     if task.crashes >= MAX_CRASHES or task.early_crashes >= MAX_EARLY_CRASHES:
         return True
@@ -153,10 +153,10 @@
 
 
 def clear_suspicion(cell, worker, run):
-    """Clear the task of a run on trial that has lasted for `TRIAL_S`."""
-    if run.observed_s < TRIAL_S:
+    """Clear the task of a run on probation that has lasted for `PROBATION_S`."""
+    if run.observed_s < PROBATION_S:
         return
-    worker.end_trial(run)
+    worker.end_probation(run)
     job = cell.jobs_by_id.get(run.job_id)
     if job is None or not is_current(job, run, worker):
         return
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -48,7 +48,6 @@
             cell.dirty_job_ids.add(job.job_id)
         run = make_run(job, key, task.run)
         run.is_repeat = True
-        run.is_adopted = True
         run.stop_reason = "" if job.is_open else end_reason(job)
         worker.add(job.task_id(key), run)
 
@@ -91,7 +90,6 @@
         run.is_listed = False
         run.is_order_in_flight = False
         run.is_repeat = True
-        run.is_adopted = False
         run.is_unsent = False
         run.observed_s = 0.0
         run.last_answer_ms = 0
@@ -101,7 +99,7 @@
         if job is not None and is_current(job, run, earlier):
             task = job.tasks_by_key[run.key]
             task.born_ms = born_ms
-            run.is_on_trial = task.early_crashes > 0
+            run.is_on_probation = task.early_crashes > 0
             cell.dirty_job_ids.add(job.job_id)
         worker.add(task_id, run)
     remove_worker(cell, earlier)
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -29,7 +29,7 @@
         step.target_ms if step.is_service else 0,
         step.is_filler,
         step.image,
-        is_on_trial=job.tasks_by_key[key].early_crashes > 0,
+        is_on_probation=job.tasks_by_key[key].early_crashes > 0,
     )
 
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -13,7 +13,7 @@
     isolation_score,
     placement_score,
 )
-from .strays import find_strays, ready_by_step
+from .staleruns import find_tasks_with_stale_runs, ready_by_step
 from .unplaceable import UnplaceableDemands
 
 __all__ = [
@@ -53,9 +53,9 @@
     effects = []
     if workers:
         unplaceable = UnplaceableDemands()
-        strays = find_strays(cell)
+        stale_task_ids = find_tasks_with_stale_runs(cell)
         for job in order_jobs(cell, now_s):
-            groups = ready_by_step(cell, job, strays)
+            groups = ready_by_step(cell, job, stale_task_ids)
             effects.extend(_place_job(cell, job, groups, workers, unplaceable, now_s))
     return effects
 
--- a/dotterelspread/jobs/scoring.py
+++ b/dotterelspread/jobs/scoring.py
@@ -70,8 +70,8 @@
     trial there, other tasks go elsewhere.
     """
     if is_suspect:
-        return -worker.trial_count, -worker.serving_count, -len(worker.runs_by_task)
-    return not worker.trial_count, 0, 0
+        return -worker.probation_count, -worker.serving_count, -len(worker.runs_by_task)
+    return not worker.probation_count, 0, 0
 
 
 def placement_score(cell, step, worker, filler_demand):
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -57,10 +57,8 @@
     is_repeat: bool = False
     #: Whether no order for the run has reached the worker.
     is_unsent: bool = False
-    #: Whether an earlier leader assigned the run.
-    is_adopted: bool = False
     #: Whether the task may crash its worker soon, since it may have crashed others.
-    is_on_trial: bool = False
+    is_on_probation: bool = False
     #: Leader's clock of the latest order for the run.
     last_order_s: float = 0.0
     #: Agent's clock at the first answer to an order for the run, or at the latest
@@ -121,7 +119,7 @@
         return bool(self.stop_reason)
 
     @property
-    def is_stray(self):
+    def is_stale(self):
         """Whether the worker lists it though it is not the latest run of its task."""
         return self.stop_reason == RunStopReason.UNKNOWN
 
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -125,9 +125,9 @@
     #: Number of serving tasks on the worker.
     serving_count: int = 0
     #: Number of runs on the worker that are not the latest run of their task.
-    stray_count: int = 0
-    #: Number of runs on trial.
-    trial_count: int = 0
+    stale_run_count: int = 0
+    #: Number of runs on probation.
+    probation_count: int = 0
     #: Highest ratio of tail to target without fillers, by serving image.
     baseline_tail_by_image: dict[str, float] = field(default_factory=dict)
     #: Agent's clock at the latest listing; 0 before the first.
@@ -174,8 +174,8 @@
         self.reserved = self.reserved + run.reserved
         self.available = self.available - run.reserved
         self.serving_count += run.is_serving
-        self.stray_count += run.is_stray
-        self.trial_count += run.is_on_trial
+        self.stale_run_count += run.is_stale
+        self.probation_count += run.is_on_probation
         self._usage = None
 
     def remove(self, task_id):
@@ -185,15 +185,15 @@
             self.reserved = self.reserved - run.reserved
             self.available = self.available + run.reserved
             self.serving_count -= run.is_serving
-            self.stray_count -= run.is_stray
-            self.trial_count -= run.is_on_trial
+            self.stale_run_count -= run.is_stale
+            self.probation_count -= run.is_on_probation
             self._usage = None
         return run
 
-    def end_trial(self, run):
+    def end_probation(self, run):
         """End the trial of a run that has lasted."""
-        self.trial_count -= run.is_on_trial
-        run.is_on_trial = False
+        self.probation_count -= run.is_on_probation
+        run.is_on_probation = False
 
     def invalidate_usage(self):
         """Drop the cached usage after a run's usage changed."""
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -62,11 +62,6 @@
     capacity: Resources
     is_draining: bool
 
-    def is_newer_than(self, other):
-        """Tell whether this heartbeat was sent after another of the same worker."""
-        mine = (self.born_ms, self.sequence)
-        return mine > (other.born_ms, other.sequence)
-
 
 @dataclass(slots=True, frozen=True)
 class Listing:
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -19,7 +19,7 @@
 
 
 class CrashingWorker(VirtualWorker):
-    """Worker that crashes under a deadly task and comes back after `OUTAGE_S`."""
+    """Worker that crashes under a crashing task and comes back after `OUTAGE_S`."""
 
     def _start(self, incarnation, order, until_ms):
         runs_before = self.fleet.checker.runs
@@ -78,7 +78,7 @@
     def __init__(self, seed, keeps_worker_ids, **sizes):
         super().__init__(seed, **sizes)
         self.keeps_worker_ids = keeps_worker_ids
-        #: Time from a start to the crash of its worker, by the id of a deadly task.
+        #: Time from a start to the crash of its worker, by the id of a crashing task.
         self.crash_delay_by_task_id = {}
         self.crash_times_s = []
         self.starts_by_task_id = Counter()
--- a/tests/builders_invalid.py
+++ b/tests/builders_invalid.py
@@ -1,4 +1,4 @@
-"""Odd input as another writer may leave it: too deep, out of range or malformed."""
+"""Invalid input as another writer may leave it: too deep, out of range or malformed."""
 
 import json
 
@@ -14,8 +14,8 @@
     "DEEP_MSGPACK",
     "HUGE_INTEGERS",
     "node_record",
-    "odd_jobs",
-    "odd_records",
+    "invalid_jobs",
+    "invalid_records",
     "with_deep_extra",
 ]
 
@@ -29,7 +29,7 @@
 
 def node_record(address, key=None, role="agent", cores=1.0):
     """Return the record of a node that may not exist."""
-    row = [address, role, "odd-1", "dc", "r", cores]
+    row = [address, role, "invalid-1", "dc", "r", cores]
     return KeyedRecord(key or address, msgspec.msgpack.encode(row))
 
 
@@ -39,30 +39,34 @@
     return KeyedRecord(record.key, bytes([value[0] + 1]) + value[1:] + DEEP_MSGPACK)
 
 
-def odd_records():
-    """Return node records by what is odd about each."""
+def invalid_records():
+    """Return node records by what is invalid about each."""
     return {
-        "nested in an ignored field": with_deep_extra(node_record("odd-1:7000")),
-        "nested": KeyedRecord("odd-2:7000", DEEP_MSGPACK),
+        "nested in an ignored field": with_deep_extra(node_record("invalid-1:7000")),
+        "nested": KeyedRecord("invalid-2:7000", DEEP_MSGPACK),
         "port too large": node_record("10.0.0.1:70000"),
         "port negative": node_record("10.0.0.1:-1"),
         "port with thousands of digits": node_record("10.0.0.1:" + "9" * 5000, "k"),
         "no port": node_record("10.0.0.1"),
         "no address": node_record("", "none"),
         "address of another key": node_record("agent0:7000", "stolen"),
-        "infinite cores": node_record("odd-3:7000", role="entry", cores=float("inf")),
+        "infinite cores": node_record(
+            "invalid-3:7000", role="entry", cores=float("inf")
+        ),
         "cores not a number": node_record(
-            "odd-4:7000", role="entry", cores=float("nan")
+            "invalid-4:7000", role="entry", cores=float("nan")
+        ),
+        "megabytes": KeyedRecord(
+            "invalid-5:7000", b"\xc6\x00\x20\x00\x00" + b"x" * 2**21
         ),
-        "megabytes": KeyedRecord("odd-5:7000", b"\xc6\x00\x20\x00\x00" + b"x" * 2**21),
-        "invalid UTF-8": KeyedRecord("odd-6:7000", b"\x95" + b"\xa1\xff" * 5),
-        "not a list": KeyedRecord("odd-7:7000", json.dumps({"a": 1}).encode()),
-        "unknown role": node_record("odd-8:7000", role="other"),
+        "invalid UTF-8": KeyedRecord("invalid-6:7000", b"\x95" + b"\xa1\xff" * 5),
+        "not a list": KeyedRecord("invalid-7:7000", json.dumps({"a": 1}).encode()),
+        "unknown role": node_record("invalid-8:7000", role="other"),
     }
 
 
-def odd_jobs():
-    """Return the records of jobs by what is odd about each."""
+def invalid_jobs():
+    """Return the records of jobs by what is invalid about each."""
     return {
         "billions of tasks": [_job_record(make_step(count=2**40))],
         "billions of occurrences": [_job_record(make_step(), repeat_count=2**40)],
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -64,7 +64,7 @@
     run_agent(scenario)
 
 
-def test_the_last_reply_of_an_earlier_life_is_not_taken_for_the_new_life():
+def test_the_last_reply_of_an_earlier_incarnation_is_discarded():
     async def scenario(agent, worker):
         worker.ended = (EndedRun(1, "earlier", 1, RunEnd.COMPLETED, ""),)
         agent.announce(HEARTBEAT)
@@ -80,7 +80,7 @@
     run_agent(scenario)
 
 
-def test_a_worker_whose_clock_was_set_back_is_followed_into_its_new_life():
+def test_a_worker_whose_clock_was_set_back_is_followed_into_its_new_incarnation():
     async def scenario(agent, worker):
         agent.announce(replace(HEARTBEAT, sequence=40))
         await asyncio.sleep(2)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -13,9 +13,9 @@
 from tests.builders_fleet import make_job, make_step
 
 #: Bound on the starts of a task that crashes each worker that starts it.
-MAX_DEADLY_STARTS = 5
-DEADLY_JOB = make_job(1)
-DEADLY_TASK = f"{DEADLY_JOB.job_id}.0.0.0"
+MAX_CRASHING_STARTS = 5
+CRASHING_JOB = make_job(1)
+CRASHING_TASK = f"{CRASHING_JOB.job_id}.0.0.0"
 SOON_S, LATE_S = 0.01, 1.4
 
 
@@ -25,12 +25,12 @@
     crash_delay_s, keeps_worker_ids
 ):
     async def scenario(fleet):
-        fleet.crash_delay_by_task_id[DEADLY_TASK] = crash_delay_s
-        fleet.durations[DEADLY_JOB.job_id] = 3.0
-        await fleet.submit(DEADLY_JOB)
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = crash_delay_s
+        fleet.durations[CRASHING_JOB.job_id] = 3.0
+        await fleet.submit(CRASHING_JOB)
         await fleet.settle(60)
-        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
-        assert await fleet.states() == {DEADLY_JOB.job_id: "FAILED"}
+        assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
+        assert await fleet.states() == {CRASHING_JOB.job_id: "FAILED"}
 
     run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids)
 
@@ -41,36 +41,36 @@
     keeps_worker_ids, seconds_after_crash
 ):
     async def scenario(fleet):
-        fleet.crash_delay_by_task_id[DEADLY_TASK] = SOON_S
-        await fleet.submit(DEADLY_JOB)
-        for crashes in range(MAX_DEADLY_STARTS + 1):
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = SOON_S
+        await fleet.submit(CRASHING_JOB)
+        for crashes in range(MAX_CRASHING_STARTS + 1):
             if not await fleet.wait_for_crashes(crashes + 1):
                 break
             await fleet.settle(seconds_after_crash)
             await fleet.restart_leader()
-        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
+        assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
         await fleet.expect_ended()
-        assert await fleet.states() == {DEADLY_JOB.job_id: "FAILED"}
+        assert await fleet.states() == {CRASHING_JOB.job_id: "FAILED"}
 
     run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids)
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_tasks_beside_a_deadly_one_complete(seed):
+def test_tasks_beside_a_crashing_one_complete(seed):
     async def scenario(fleet):
-        deadly_ids = set()
+        crashing_ids = set()
         for number in range(24):
             job = make_job(number, (make_step(count=5),))
             if number in (2, 9):
-                deadly_ids.add(job.job_id)
+                crashing_ids.add(job.job_id)
                 fleet.crash_delay_by_task_id[f"{job.job_id}.0.0.0"] = SOON_S
             await fleet.submit(job)
             await fleet.settle(0.4)
         await fleet.expect_ended(60)
         states = await fleet.states()
-        assert {j for j, state in states.items() if state == "FAILED"} == deadly_ids
+        assert {j for j, state in states.items() if state == "FAILED"} == crashing_ids
         for task_id in fleet.crash_delay_by_task_id:
-            assert fleet.starts_by_task_id[task_id] <= MAX_DEADLY_STARTS
+            assert fleet.starts_by_task_id[task_id] <= MAX_CRASHING_STARTS
 
     run_crash_scenario(scenario, seed, agents=6)
 
@@ -84,24 +84,24 @@
 ):
     cell = make_cell(make_worker(0))
     submit(cell, make_step())
-    reduce(OrderSettled(0.1, "i-0", 1, DEADLY_TASK, 1, result, 100), cell)
+    reduce(OrderSettled(0.1, "i-0", 1, CRASHING_TASK, 1, result, 100), cell)
     event = make_report(0, 4.0)
     reduce(replace(event, report=replace(event.report, worker_id="i-new")), cell)
-    (task,) = cell.jobs_by_id[DEADLY_JOB.job_id].tasks_by_key.values()
+    (task,) = cell.jobs_by_id[CRASHING_JOB.job_id].tasks_by_key.values()
     assert (task.crashes, task.early_crashes) == (crashes, early_crashes)
 
 
 def test_a_start_that_was_stopped_before_it_was_confirmed_makes_no_suspect():
     cell = make_cell(make_worker(0))
     submit(cell, make_step())
-    reduce(OrderSettled(0.1, "i-0", 1, DEADLY_TASK, 1, "unknown", 100), cell)
+    reduce(OrderSettled(0.1, "i-0", 1, CRASHING_TASK, 1, "unknown", 100), cell)
     worker = cell.workers_by_id["i-0"]
-    run = worker.runs_by_task[DEADLY_TASK]
-    stop_run(worker, run, DEADLY_TASK, RunStopReason.UNSUITABLE)
-    reduce(OrderSettled(0.2, "i-0", 1, DEADLY_TASK, 1, "confirmed", 200), cell)
+    run = worker.runs_by_task[CRASHING_TASK]
+    stop_run(worker, run, CRASHING_TASK, RunStopReason.UNSUITABLE)
+    reduce(OrderSettled(0.2, "i-0", 1, CRASHING_TASK, 1, "confirmed", 200), cell)
     event = make_report(0, 4.0)
     reduce(replace(event, report=replace(event.report, worker_id="i-new")), cell)
-    (task,) = cell.jobs_by_id[DEADLY_JOB.job_id].tasks_by_key.values()
+    (task,) = cell.jobs_by_id[CRASHING_JOB.job_id].tasks_by_key.values()
     assert (task.crashes, task.early_crashes) == (1, 0)
 
 
@@ -119,7 +119,7 @@
     run_crash_scenario(scenario)
 
 
-def test_a_service_task_outlives_crashes_spread_over_its_life():
+def test_a_service_task_survives_crashes_spread_over_time():
     async def scenario(fleet):
         job = make_job(1, (make_step(count=2, is_service=True),))
         fleet.durations[job.job_id] = 1000.0
@@ -140,23 +140,23 @@
     async def scenario(fleet):
         job = make_job(1, (make_step(count=2, is_service=True),))
         fleet.durations[job.job_id] = 1000.0
-        fleet.crash_delay_by_task_id[DEADLY_TASK] = SOON_S
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = SOON_S
         await fleet.submit(job)
         await fleet.settle(60)
-        assert fleet.starts_by_task_id[DEADLY_TASK] <= MAX_DEADLY_STARTS
+        assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
         assert await fleet.states() == {job.job_id: "FAILED"}
 
     run_crash_scenario(scenario)
 
 
-def test_a_gang_with_a_deadly_member_is_given_up():
+def test_a_gang_with_a_crashing_member_is_given_up():
     async def scenario(fleet):
         job = make_job(1, (make_step(count=4, is_gang=True),))
         fleet.durations[job.job_id] = 2.0
         fleet.crash_delay_by_task_id[f"{job.job_id}.0.0.2"] = SOON_S
         await fleet.submit(job)
         await fleet.settle(90)
-        assert max(fleet.starts_by_task_id.values()) <= MAX_DEADLY_STARTS
+        assert max(fleet.starts_by_task_id.values()) <= MAX_CRASHING_STARTS
         assert await fleet.states() == {job.job_id: "FAILED"}
 
     run_crash_scenario(scenario)
@@ -164,8 +164,8 @@
 
 def test_workers_that_leave_are_not_taken_as_crashed():
     async def scenario(fleet):
-        fleet.durations[DEADLY_JOB.job_id] = 9.0
-        await fleet.submit(DEADLY_JOB)
+        fleet.durations[CRASHING_JOB.job_id] = 9.0
+        await fleet.submit(CRASHING_JOB)
         for _ in range(8):
             await fleet.settle(4)
             for worker, agent in zip(fleet.workers, fleet.agents, strict=True):
--- a/tests/test_decisionlog.py
+++ b/tests/test_decisionlog.py
@@ -68,14 +68,14 @@
 def test_a_field_of_another_writer_does_not_make_a_line_fail(value):
     lines = []
     log = DecisionLog(lines.append, Clock(), lambda: 0.0)
-    log.write("odd", {"value": value, "job_id": "a"})
+    log.write("invalid", {"value": value, "job_id": "a"})
     line = json.loads(lines[0])
-    assert (line["message"], line["job_id"]) == ("odd", "a")
+    assert (line["message"], line["job_id"]) == ("invalid", "a")
     assert len(lines[0]) < 3000
 
 
 def test_a_field_of_any_length_makes_a_line_of_bounded_length():
     lines = []
     log = DecisionLog(lines.append, Clock(), lambda: 0.0)
-    log.write("odd", {"value": "x" * 2**21})
+    log.write("invalid", {"value": "x" * 2**21})
     assert len(lines[0]) < 3000
--- a/tests/test_fleet_services.py
+++ b/tests/test_fleet_services.py
@@ -154,7 +154,7 @@
     leader.start()
 
 
-def test_a_serving_task_leaves_a_worker_that_drains_in_its_next_life():
+def test_a_serving_task_leaves_a_worker_that_drains_in_its_next_incarnation():
     async def scenario(fleet):
         job = make_job(1, (make_step(is_service=True, target_ms=100),))
         fleet.durations[job.job_id] = SERVICE_DURATION_S
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -26,7 +26,7 @@
     return reduce(event, cell)
 
 
-def test_a_run_whose_order_is_under_way_is_not_started_beside_it_in_a_new_life():
+def test_a_run_whose_order_is_under_way_is_not_started_twice_in_an_incarnation():
     cell = make_cell(make_worker(0))
     submit(cell, SERVICE)
     reduce(make_report(1, 0.5), cell)
@@ -37,7 +37,7 @@
     assert not find_violations(cell)
 
 
-def test_a_worker_whose_clock_was_set_back_is_heard_in_its_new_life():
+def test_a_worker_whose_clock_was_set_back_is_heard_in_its_new_incarnation():
     cell = make_cell()
     reduce(report(0.0, born_ms=9), cell)
     submit(cell, SERVICE)
@@ -48,7 +48,7 @@
     assert not find_violations(cell)
 
 
-def test_a_report_of_an_earlier_life_at_another_address_is_ignored():
+def test_a_report_of_an_earlier_incarnation_at_another_address_is_ignored():
     cell = make_cell()
     reduce(report(0.0, born_ms=9), cell)
     submit(cell, SERVICE)
@@ -57,7 +57,7 @@
     assert cell.workers_by_id["i-0"].agent_address == "agent0:1"
 
 
-def test_tasks_recorded_in_two_lives_of_a_worker_are_all_adopted():
+def test_tasks_recorded_in_two_incarnations_of_a_worker_are_all_adopted():
     cell = make_cell(make_worker(0))
     submit(cell, SERVICE, number=1)
     submit(cell, SERVICE, number=2)
@@ -77,7 +77,7 @@
     assert cell.dirty_worker_ids == {"i-0"}
 
 
-def test_a_task_with_a_stray_run_starts_only_after_the_end_of_that():
+def test_a_task_with_a_stale_run_starts_only_after_the_end_of_that():
     cell = make_cell(make_worker(0))
     cell.workers_by_id["i-0"].is_reachable = False
     submit(cell, SERVICE)
@@ -92,7 +92,7 @@
     assert not find_violations(cell)
 
 
-def test_a_stray_in_the_last_lists_of_a_silent_worker_delays_no_start():
+def test_a_stale_run_in_the_last_lists_of_a_silent_worker_delays_no_start():
     cell = make_cell()
     submit(cell, SERVICE)
     reduce(report(1.0, RUNNING, is_reachable=False), cell)
--- a/tests/test_invalid_answers.py
+++ b/tests/test_invalid_answers.py
@@ -13,7 +13,7 @@
 from dotterelspread.logs.http import HttpLog
 from dotterelspread.worker import WorkerError
 from dotterelspread.workers.http import HttpWorker
-from tests.builders_odd import DEEP_JSON, DEEP_MSGPACK
+from tests.builders_invalid import DEEP_JSON, DEEP_MSGPACK
 
 #: A mapping whose first key is ignored and has a deeply nested value.
 DEEP_ANSWER = b"\x82" + msgspec.msgpack.encode("other") + DEEP_MSGPACK
--- a/tests/test_invalid_configurations.py
+++ b/tests/test_invalid_configurations.py
@@ -1,4 +1,4 @@
-"""An odd configuration is refused; the follower goes on to the next one."""
+"""An invalid configuration is refused; the follower goes on to the next one."""
 
 import asyncio
 import json
@@ -14,7 +14,7 @@
     ConfigurationFormatError,
     read_configuration,
 )
-from tests.builders_odd import DEEP_JSON
+from tests.builders_invalid import DEEP_JSON
 from tests.builders_platform import CONFIGURATION, ROUTE
 from tests.builders_store import VirtualStore
 from tests.virtualloop import run_virtually
@@ -28,7 +28,7 @@
     return json.dumps(CONFIGURATION | {"Version": version}).encode()
 
 
-ODD = {
+INVALID = {
     "latency not a number": with_route(TargetLatencyMs="NaN"),
     "infinite latency": with_route(TargetLatencyMs="inf"),
     "slack not a number": with_route(SlackFactor="nan"),
@@ -48,14 +48,14 @@
 }
 
 
-@pytest.mark.parametrize("name", ODD)
-def test_an_odd_configuration_is_refused(name):
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_configuration_is_refused(name):
     with pytest.raises(ConfigurationFormatError):
-        read_configuration(ODD[name])
+        read_configuration(INVALID[name])
 
 
 @pytest.mark.parametrize("is_snapshot", [True, False])
-def test_the_configuration_after_odd_ones_comes_into_force(is_snapshot):
+def test_the_configuration_after_invalid_ones_comes_into_force(is_snapshot):
     async def run():
         store = VirtualStore(random.Random(1))
         records = store.stream(CONFIGURATION_STREAM).records
@@ -69,7 +69,7 @@
         )
         loop = asyncio.ensure_future(follower.run())
         await asyncio.sleep(0 if is_snapshot else 1)
-        for value in ODD.values():
+        for value in INVALID.values():
             records.append(KeyedRecord(CONFIGURATION_KEY, value))
             records.append(KeyedRecord("wave/1", value))
         records.append(KeyedRecord(CONFIGURATION_KEY, with_version(10)))
--- a/tests/test_invalid_fleet.py
+++ b/tests/test_invalid_fleet.py
@@ -1,4 +1,4 @@
-"""Odd heartbeats and deregistrations leave a fleet's work complete and run once."""
+"""Invalid heartbeats and deregistrations leave a fleet's work complete and run once."""
 
 import asyncio
 from dataclasses import replace
@@ -8,8 +8,8 @@
 from dotterelspread.resources import Resources
 from tests.builders_fleet import make_job, make_step, run_scenario
 
-ODD_INTERVAL_S = 0.35
-ODD_CHANGES = (
+INVALID_INTERVAL_S = 0.35
+INVALID_CHANGES = (
     {"worker_id": "i-stranger", "service": "other", "born_ms": 2**50},
     {"sequence": 2**53},
     {"born_ms": 2**53},
@@ -20,22 +20,24 @@
 )
 
 
-async def send_odd(agent, worker):
-    """Send odd heartbeats and deregistrations in turn, next to the true ones."""
+async def send_invalid(agent, worker):
+    """Send invalid heartbeats and deregistrations in turn, next to the true ones."""
     number = 0
     while True:
-        await asyncio.sleep(ODD_INTERVAL_S)
+        await asyncio.sleep(INVALID_INTERVAL_S)
         announcement = worker.announcement()
         worker.sequence -= 1
-        changes = {"is_draining": False} | ODD_CHANGES[number % len(ODD_CHANGES)]
+        changes = {"is_draining": False} | INVALID_CHANGES[
+            number % len(INVALID_CHANGES)
+        ]
         agent.announce(replace(announcement, **changes))
         agent.leave(worker.worker_id, (0, 1, 2**53)[number % 3])
         number += 1
 
 
-def start_odd(fleet):
+def start_invalid(fleet):
     return [
-        asyncio.ensure_future(send_odd(process.agent, process.worker))
+        asyncio.ensure_future(send_invalid(process.agent, process.worker))
         for process in fleet.agents
     ]
 
@@ -46,9 +48,9 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_odd_heartbeats_cause_no_run_beyond_one_per_task(seed):
+def test_invalid_heartbeats_cause_no_run_beyond_one_per_task(seed):
     async def scenario(fleet):
-        senders = start_odd(fleet)
+        senders = start_invalid(fleet)
         await submit_all(fleet, 0)
         await fleet.expect_completed()
         for sender in senders:
@@ -59,9 +61,9 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_workers_that_restart_amid_odd_heartbeats_lose_no_work(seed):
+def test_workers_that_restart_amid_invalid_heartbeats_lose_no_work(seed):
     async def scenario(fleet):
-        senders = start_odd(fleet)
+        senders = start_invalid(fleet)
         await submit_all(fleet, 0)
         for worker in fleet.workers:
             worker.crash()
@@ -82,9 +84,9 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_draining_is_noticed_amid_odd_heartbeats(seed):
+def test_draining_is_noticed_amid_invalid_heartbeats(seed):
     async def scenario(fleet):
-        senders = start_odd(fleet)
+        senders = start_invalid(fleet)
         await fleet.settle(4)
         fleet.workers[0].is_draining = True
         await fleet.settle(2)
--- a/tests/test_invalid_heartbeats.py
+++ b/tests/test_invalid_heartbeats.py
@@ -1,4 +1,4 @@
-"""Late, forged and odd heartbeats and deregistrations of an agent's worker."""
+"""Late, forged and invalid heartbeats and deregistrations of an agent's worker."""
 
 import asyncio
 from dataclasses import replace
@@ -11,7 +11,7 @@
 
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
 INTERVAL_S = 1.5
-ODD = {
+INVALID = {
     "huge sequence": {"sequence": 2**53},
     "huge start": {"born_ms": 2**53},
     "later start": {"born_ms": 1001},
@@ -55,11 +55,11 @@
 DRAINING_REPORT = (True, True, "i-1", 1000, "svc", 8000, True, False)
 
 
-@pytest.mark.parametrize("name", ODD)
-def test_an_odd_heartbeat_of_the_current_worker_does_not_take_effect(name):
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_heartbeat_of_the_current_worker_does_not_take_effect(name):
     async def scenario(agent, worker):
         await send(agent, 1, 2)
-        agent.announce(replace(HEARTBEAT, **ODD[name]))
+        agent.announce(replace(HEARTBEAT, **INVALID[name]))
         await asyncio.sleep(0.1)
         assert reported(agent) == TRUE_REPORT
         await send(agent, 4, 5)
@@ -68,22 +68,22 @@
     run_agent(scenario)
 
 
-@pytest.mark.parametrize("name", ODD)
-def test_an_odd_heartbeat_does_not_hide_that_the_worker_drains(name):
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_heartbeat_does_not_hide_that_the_worker_drains(name):
     async def scenario(agent, worker):
         await send(agent, 1, 2)
-        agent.announce(replace(HEARTBEAT, **ODD[name]))
+        agent.announce(replace(HEARTBEAT, **INVALID[name]))
         await send(agent, 4, is_draining=True)
         assert reported(agent) == DRAINING_REPORT
 
     run_agent(scenario)
 
 
-@pytest.mark.parametrize("name", ODD)
-def test_an_odd_heartbeat_does_not_hide_the_next_start_of_the_worker(name):
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_heartbeat_does_not_hide_the_next_start_of_the_worker(name):
     async def scenario(agent, worker):
         await send(agent, 1, 2)
-        agent.announce(replace(HEARTBEAT, **ODD[name]))
+        agent.announce(replace(HEARTBEAT, **INVALID[name]))
         await asyncio.sleep(1)
         worker.is_up = False
         await asyncio.sleep(1)
@@ -96,10 +96,10 @@
     run_agent(scenario)
 
 
-@pytest.mark.parametrize("name", ODD)
-def test_an_odd_heartbeat_that_comes_first_is_displaced_by_the_true_ones(name):
+@pytest.mark.parametrize("name", INVALID)
+def test_an_invalid_heartbeat_that_comes_first_is_displaced_by_the_true_ones(name):
     async def scenario(agent, worker):
-        agent.announce(replace(HEARTBEAT, **ODD[name]))
+        agent.announce(replace(HEARTBEAT, **INVALID[name]))
         await asyncio.sleep(INTERVAL_S)
         await send(agent, 4, 5)
         assert reported(agent) == TRUE_REPORT
--- a/tests/test_invalid_records.py
+++ b/tests/test_invalid_records.py
@@ -1,4 +1,4 @@
-"""One odd record in a stream stops no reader of it; the other records hold."""
+"""One invalid record in a stream stops no reader of it; the other records hold."""
 
 import msgspec
 import pytest
@@ -13,17 +13,17 @@
     encode_spec,
 )
 from tests.builders_fleet import VirtualFleet, make_job, make_step, run_scenario
-from tests.builders_odd import (
+from tests.builders_invalid import (
     DEEP_MSGPACK,
+    invalid_jobs,
+    invalid_records,
     node_record,
-    odd_jobs,
-    odd_records,
     with_deep_extra,
 )
 from tests.virtualloop import run_virtually
 
-ODD_RECORDS = odd_records()
-ODD_LEADERS = {
+INVALID_RECORDS = invalid_records()
+INVALID_LEADERS = {
     "deep": with_deep_extra(
         KeyedRecord(LEADER_KEY, msgspec.msgpack.encode(LeaderRecord(1, "a:1", "a")))
     ),
@@ -31,7 +31,7 @@
     "empty": KeyedRecord(LEADER_KEY, b""),
     "huge": KeyedRecord(LEADER_KEY, msgspec.msgpack.encode([2**64 - 1, "a:1", "a"])),
 }
-ODD_JOBS = odd_jobs()
+INVALID_JOBS = invalid_jobs()
 
 
 def current_leader(fleet):
@@ -56,15 +56,15 @@
     assert {reply.state for reply in states} == {"COMPLETED"}
 
 
-@pytest.mark.parametrize("name", sorted(ODD_RECORDS.keys() - {"unknown role"}))
-def test_an_odd_node_record_names_no_process(name):
-    assert decode_node(ODD_RECORDS[name]) is None
+@pytest.mark.parametrize("name", sorted(INVALID_RECORDS.keys() - {"unknown role"}))
+def test_an_invalid_node_record_names_no_process(name):
+    assert decode_node(INVALID_RECORDS[name]) is None
 
 
-def test_odd_node_records_before_the_start_keep_no_entry_from_leading():
+def test_invalid_node_records_before_the_start_keep_no_entry_from_leading():
     async def run():
         fleet = VirtualFleet(1)
-        fleet.store.stream(NODES_STREAM).records.extend(ODD_RECORDS.values())
+        fleet.store.stream(NODES_STREAM).records.extend(INVALID_RECORDS.values())
         fleet.start()
         await fleet.settle(4)
         await fleet.submit(make_job(1, (make_step(count=5),)))
@@ -75,10 +75,10 @@
     run_virtually(run())
 
 
-def test_odd_node_records_during_a_term_do_not_hide_a_node_that_follows():
+def test_invalid_node_records_during_a_term_do_not_hide_a_node_that_follows():
     async def scenario(fleet):
         stream = fleet.store.stream(NODES_STREAM)
-        stream.records.extend(ODD_RECORDS.values())
+        stream.records.extend(INVALID_RECORDS.values())
         stream.records.append(node_record("late:7000"))
         await fleet.settle(4)
         assert "late:7000" in current_leader(fleet).candidate.leader.links_by_address
@@ -86,23 +86,23 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("name", ODD_LEADERS)
-def test_an_odd_leader_record_keeps_no_entry_from_leading(name):
+@pytest.mark.parametrize("name", INVALID_LEADERS)
+def test_an_invalid_leader_record_keeps_no_entry_from_leading(name):
     async def scenario(fleet):
         for _ in range(2):
-            # The odd record hides the epochs of several earlier terms.
+            # The invalid record hides the epochs of several earlier terms.
             current_leader(fleet).candidate.leader.depose("by the test")
             await fleet.settle(4)
-        fleet.store.stream(CELL_STREAM).records.append(ODD_LEADERS[name])
+        fleet.store.stream(CELL_STREAM).records.append(INVALID_LEADERS[name])
         await expect_work_after_failover(fleet)
 
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("name", ODD_JOBS)
-def test_an_odd_job_is_left_out_by_a_new_leader(name):
+@pytest.mark.parametrize("name", INVALID_JOBS)
+def test_an_invalid_job_is_left_out_by_a_new_leader(name):
     async def scenario(fleet):
-        fleet.store.stream(CELL_STREAM).records.extend(ODD_JOBS[name])
+        fleet.store.stream(CELL_STREAM).records.extend(INVALID_JOBS[name])
         await expect_work_after_failover(fleet)
 
     run_scenario(scenario)
--- a/tests/test_invalid_registrations.py
+++ b/tests/test_invalid_registrations.py
@@ -12,12 +12,12 @@
 from dotterelspread.platform.registry import RegistryHandler
 from dotterelspread.platform.worker import PlatformWorker
 from dotterelspread.supervision import run_supervised
-from tests.builders_odd import DEEP_JSON, HUGE_INTEGERS
+from tests.builders_invalid import DEEP_JSON, HUGE_INTEGERS
 from tests.builders_platform import HEARTBEAT, HoldStandIn, run_on_loopback
 
 PREFIX = "/api/Instances.Heartbeat/"
 LEAVE = "/api/Instances.Deregister/"
-ODD_IDS = {
+INVALID_IDS = {
     "empty": "",
     "not in Latin-1": "i-€",
     "another header": "i-1\r\nX-Other: 1",
@@ -25,8 +25,8 @@
     "space": " i-1",
     "too long for a key": "i" * 300,
 }
-#: Values that are odd in every field of a heartbeat.
-ODD_VALUES = {
+#: Values that are invalid in every field of a heartbeat.
+INVALID_VALUES = {
     "deep": DEEP_JSON,
     "negative": b"-1",
     "infinite": b"1e400",
@@ -48,14 +48,14 @@
     )
 
 
-@pytest.mark.parametrize("name", ODD_VALUES)
+@pytest.mark.parametrize("name", INVALID_VALUES)
 @pytest.mark.parametrize(
     "field",
     ["Service", "Address", "Zone", "State", "Sequence", "Capacity", "Labels", "born"],
 )
-def test_a_heartbeat_with_an_odd_value_is_refused_with_a_short_reason(field, name):
+def test_a_heartbeat_with_an_invalid_value_is_refused_with_a_short_reason(field, name):
     with pytest.raises(HeartbeatError) as caught:
-        read_heartbeat("i-1", with_raw(field, ODD_VALUES[name]))
+        read_heartbeat("i-1", with_raw(field, INVALID_VALUES[name]))
     assert len(str(caught.value)) < 500
 
 
@@ -66,7 +66,7 @@
 
 
 @pytest.mark.parametrize("address", ADDRESSES)
-def test_a_heartbeat_with_an_odd_address_is_refused(address):
+def test_a_heartbeat_with_an_invalid_address_is_refused(address):
     body = json.dumps(HEARTBEAT | {"Address": address}).encode()
     with pytest.raises(HeartbeatError, match="Address"):
         read_heartbeat("i-1", body)
@@ -105,15 +105,15 @@
         await asyncio.sleep(0.05)
 
 
-@pytest.mark.parametrize("name", ODD_IDS)
-def test_an_odd_worker_id_does_not_keep_the_agent_from_its_worker(name):
+@pytest.mark.parametrize("name", INVALID_IDS)
+def test_an_invalid_worker_id_does_not_keep_the_agent_from_its_worker(name):
     async def scenario(agent, post):
         body = json.dumps(HEARTBEAT).encode()
-        assert await post(PREFIX + ODD_IDS[name], body) == 400
+        assert await post(PREFIX + INVALID_IDS[name], body) == 400
         assert agent.announcement is None
         assert await post(PREFIX + "i-1", body) == 200
         await expect(lambda: agent.is_reachable)
-        assert await post(PREFIX + ODD_IDS[name], body) == 400
+        assert await post(PREFIX + INVALID_IDS[name], body) == 400
         assert agent.announcement.worker_id == "i-1"
 
     run_registry(scenario)
@@ -129,7 +129,12 @@
         assert await post(LEAVE + "i-1") == 200
         assert await post(LEAVE + "i-1", b'{"born":%d}' % born_ms) == 200
         assert calls == [("i-1", 0), ("i-1", born_ms)]
-        for body in (*ODD_VALUES.values(), b'{"born":-1}', b'{"born":"x"}', b"\xff"):
+        for body in (
+            *INVALID_VALUES.values(),
+            b'{"born":-1}',
+            b'{"born":"x"}',
+            b"\xff",
+        ):
             assert await post(LEAVE + "i-1", body) == (
                 200 if body == b'{"Cpu":"x"}' else 400
             )
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -135,7 +135,7 @@
         reduce(make_report(0, tenths / 10, row), cell)
     (task,) = cell.jobs_by_id[f"{1:016x}"].tasks_by_key.values()
     assert task.early_crashes == 0
-    assert cell.workers_by_id["i-0"].trial_count == 0
+    assert cell.workers_by_id["i-0"].probation_count == 0
 
 
 def test_serving_tasks_are_kept_on_few_workers():
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -127,7 +127,7 @@
     "address",
     ["10.0.0.1:70000", "10.0.0.1:-1", "x", "", "a\0:1", "127.0.0.1:" + "9" * 99],
 )
-def test_a_call_to_an_odd_address_was_not_sent(address):
+def test_a_call_to_an_invalid_address_was_not_sent(address):
     async def run():
         async with PeerPool.open() as pool:
             with pytest.raises(PeerUnsentError):
