--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -276,10 +276,12 @@
 
     async def do_run_start(self, body):
         order = _decode_order(body)
-        return _make_reply(*await self.worker.start("", order, body["UntilMs"]))
+        worker_id = self.worker.worker_id
+        return _make_reply(*await self.worker.start(worker_id, order, body["UntilMs"]))
 
     async def do_run_stop(self, body):
-        return _make_reply(*await self.worker.stop("", _decode_order(body)))
+        worker_id = self.worker.worker_id
+        return _make_reply(*await self.worker.stop(worker_id, _decode_order(body)))
 
     async def do_hold(self, body):
         listing = await self.worker.hold(
