--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -126,3 +126,16 @@
         assert agent.is_reachable
 
     run_agent(scenario)
+
+
+def test_a_deregistration_with_a_start_time_counts_while_none_is_known():
+    async def scenario(agent, worker):
+        worker.born_ms = 0
+        agent.announce(replace(HEARTBEAT, born_ms=0))
+        await asyncio.sleep(1)
+        agent.leave(HEARTBEAT.worker_id, 1000)
+        worker.is_up = False
+        await asyncio.sleep(0.8)
+        assert agent.has_left
+
+    run_agent(scenario)
