--- a/review/stage/deployment.py
+++ b/review/stage/deployment.py
@@ -294,6 +294,7 @@
         outer = _free_port(host)
         front = await asyncio.start_server(relay.accept, host, outer, backlog=512)
         await stack.enter_async_context(front)
+        worker.on_crash, worker.on_return = relay.go_down, relay.heal
         agent.app = f"{host}:{outer}"
         self.workers.append(worker)
         self.relays.append(relay)
@@ -376,6 +377,10 @@
             deployment.note(f"disruption: {is_disrupted}")
             async with deployment.open():
                 is_broken = await play(deployment, is_disrupted)
+            for other in asyncio.all_tasks() - {task}:
+                other.cancel()
+            # The connections of the stand-ins notice that they are closed.
+            await asyncio.sleep(0.1)
             deployment.note("the rule was broken" if is_broken else "the rule held")
             return is_broken
 
--- a/review/stage/relay.py
+++ b/review/stage/relay.py
@@ -23,6 +23,7 @@
         self._target = target
         self._drops_requests = False
         self._drops_replies = False
+        self._is_down = False
         self._writers = set()
 
     def cut(self, requests=True, replies=True):
@@ -30,14 +31,26 @@
         self._drops_requests = requests
         self._drops_replies = replies
 
+    def go_down(self):
+        """Reset all connections, new ones too, as if nobody listened."""
+        self._is_down = True
+        self._reset()
+
     def heal(self):
         """Reset the connections that saw the cut; new ones work."""
+        self._is_down = False
         self.cut(requests=False, replies=False)
+        self._reset()
+
+    def _reset(self):
         for writer in list(self._writers):
             writer.transport.abort()
 
     async def accept(self, reader, writer):
         """Relay one connection."""
+        if self._is_down:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         if self._drops_requests or self._drops_replies:
             await self._swallow(reader)
--- a/review/stage/worker.py
+++ b/review/stage/worker.py
@@ -1,7 +1,8 @@
 """Stand-in of a worker, as the users' protocol describes it.
 
 What a task does is part of its ``Spec``, a JSON document: ``work_ms``, the time that it
-works, and ``saved_bytes``, the length of its checkpoints (0 for none).
+works, ``saved_bytes``, the length of its checkpoints (0 for none), and ``crash_ms``,
+the time after its start at which it crashes its worker (0 for never).
 """
 
 import asyncio
@@ -27,6 +28,8 @@
 DRAIN_S = 2.5
 #: Time after which a worker ends whose deregistration is not acknowledged.
 UNACKNOWLEDGED_S = 4.0
+#: Time after which a worker that has crashed is back, under a new id.
+BACK_S = 3.0
 #: Interval at which ends and leases are looked at.
 SETTLE_S = 0.02
 #: Largest number of ends in one reply.
@@ -44,6 +47,8 @@
     resumed_s: float
     saved_bytes: int
     checkpoint: str
+    #: When the task crashes its worker; 0 for never.
+    crash_s: float = 0.0
     stop_s: float = 0.0
 
     def worked_s(self, now_s):
@@ -89,11 +94,30 @@
 
     def __init__(self, worker_id, service, zone, rack, cpu, note):
         self.worker_id = worker_id
+        self._first_id = worker_id
         self.service = service
         self.zone = zone
         self.rack = rack
         self.cpu = cpu
         self._note = note
+        #: Called when the worker crashes and when it is back.
+        self.on_crash = lambda: None
+        self.on_return = lambda: None
+        #: Starts so far, as triples of monotonic time, task and run.
+        self.starts = []
+        #: Crashes so far, as pairs of monotonic time and the task that caused it.
+        self.crashes = []
+        #: Specification of each task that was started here.
+        self.specs = {}
+        self._drains = asyncio.Event()
+        #: Changes with each end.
+        self._changed = asyncio.Event()
+        self._begin_life()
+
+    def _begin_life(self):
+        """Begin a life of the worker, which knows nothing of an earlier one."""
+        #: Whether the worker has not left and is not down.
+        self.is_up = True
         self._born_s = time.monotonic()
         self.born_ms = time.time_ns() // 1_000_000
         self._token = 0
@@ -102,17 +126,22 @@
         self._runs = {}
         self._highest = {}
         self._unlisted = []
-        #: All ends so far.
+        #: All ends of this life.
         self.ends = []
-        #: Starts so far, as pairs of task and run.
-        self.starts = []
-        #: Specification of each task that was started here.
-        self.specs = {}
-        #: Whether the worker has not left.
-        self.is_up = True
-        self._drains = asyncio.Event()
-        #: Changes with each end.
-        self._changed = asyncio.Event()
+
+    def _crash(self, task):
+        self._note(f"{self.worker_id}: crashes, by {task}")
+        self.crashes.append((time.monotonic(), task))
+        self.is_up = False
+        self._runs.clear()
+        self.on_crash()
+        asyncio.get_running_loop().call_later(BACK_S, self._return)
+
+    def _return(self):
+        self.worker_id = f"{self._first_id}-{len(self.crashes)}"
+        self._begin_life()
+        self.on_return()
+        self._note(f"{self.worker_id}: is back")
 
     def clock_ms(self):
         """Return the worker's clock."""
@@ -142,6 +171,9 @@
         """
         client = Client(control)
         while True:
+            if not self.is_up:
+                await asyncio.sleep(SETTLE_S)
+                continue
             is_draining = self._drains.is_set()
             status = await client.post(
                 f"/api/Instances.Heartbeat/{self.worker_id}",
@@ -194,6 +226,9 @@
         is_lapsed = now_s > self._lease_s
         for task, run in list(self._runs.items()):
             run.update_checkpoint(now_s)
+            if run.crash_s and now_s >= run.crash_s:
+                self._crash(task)
+                return
             if is_lapsed:
                 self._end(task, run, "lapsed")
             elif run.stop_s:
@@ -215,7 +250,7 @@
     async def handle(self, request):
         """Answer a call of the agent."""
         if not self.is_up:
-            raise ConnectionResetError("the worker has left")
+            raise ConnectionResetError("the worker is not there")
         expected = request.headers.get("x-expect-instance", "")
         if expected not in ("", self.worker_id):
             return 421, b"{}"
@@ -259,8 +294,12 @@
         began_s = now_s + (RESTORE_S if saved else 0.0)
         work_s = told["work_ms"] / 1000
         size = told.get("saved_bytes", 0)
-        self._runs[task] = _Run(number, began_s, work_s, resumed_s, size, saved)
-        self.starts.append((task, number))
+        crash_ms = told.get("crash_ms", 0)
+        crash_s = now_s + crash_ms / 1000 if crash_ms else 0.0
+        self._runs[task] = _Run(
+            number, began_s, work_s, resumed_s, size, saved, crash_s
+        )
+        self.starts.append((now_s, task, number))
         self.specs[task] = body["Spec"]
         self._note(f"{self.worker_id}: {task} run {number} starts")
 
