Review case 4: jobs of a queue with a policy never start

Permits count from the question, not from the answer. When advice on 30 workers takes 3.1 s and tickets are valid for 3 s, every ticket is dropped on arrival and the same question is asked again, without end.

--- a/review/stage/deployment.py
+++ b/review/stage/deployment.py
@@ -14,6 +14,7 @@
 import tomllib
 from pathlib import Path
 
+from .advice import Advice
 from .relay import Relay
 from .store import Store
 from .web import call, encode_json, serve
@@ -60,6 +61,7 @@
 HeartbeatMs = 1500
 Contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform"]
 Orders = "call"
+Advice = "{advice}"
 app = "{app}"
 [Zones]
 kumasi = "ashanti"
@@ -163,6 +165,7 @@
             ready=self.ready,
             control=self.control,
             store=self.deployment.store_address,
+            advice=self.deployment.advice_address,
         )
         self.path.write_text(text)
 
@@ -209,9 +212,11 @@
     prefixes : list of str
         Path prefixes of the queues.
     entries, agents : int
+    advice : tuple of (int, int, int), optional
+        Arguments of the `Advice` that all queues need; None if they need none.
     """
 
-    def __init__(self, folder, record, prefixes, entries=2, agents=3):
+    def __init__(self, folder, record, prefixes, entries=2, agents=3, advice=None):
         self.folder = folder
         self.hosts = set()
         self._record = record
@@ -220,8 +225,12 @@
         self.commands = {name: role["run"] for name, role in deploy["roles"].items()}
         self.store = Store()
         self._store_host = _free_host(self.hosts)
+        self.hosts.add(self._store_host)
         self._store_port = _free_port(self._store_host)
         self.store_address = f"{self._store_host}:{self._store_port}"
+        self._advice = Advice(*advice, self.note) if advice else None
+        self._advice_port = _free_port(self._store_host)
+        self.advice_address = f"{self._store_host}:{self._advice_port}"
         self.entries = [_Process(self, "entry", n) for n in range(entries)]
         self.agents = [_Process(self, "agent", n) for n in range(agents)]
         self.workers = []
@@ -239,8 +248,10 @@
 
     def _publish(self, prefixes):
         """Publish a configuration with a queue for each path prefix."""
+        policy = self._advice.queue_fields() if self._advice else {}
         routes = [
-            {
+            policy
+            | {
                 "Name": f"route{number}",
                 "Host": HOST_NAME,
                 "PathPrefix": prefix,
@@ -264,6 +275,11 @@
         async with contextlib.AsyncExitStack() as stack:
             server = await serve(self._store_host, self._store_port, self.store.handle)
             await stack.enter_async_context(server)
+            if self._advice:
+                policy = await serve(
+                    self._store_host, self._advice_port, self._advice.handle
+                )
+                await stack.enter_async_context(policy)
             tasks = []
             for number, agent in enumerate(self.agents):
                 tasks += await self._open_worker(stack, number, agent)
@@ -280,6 +296,8 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*runs)
+                for relay in [*self.relays, *self.control_relays]:
+                    relay.go_down()
 
     async def _open_worker(self, stack, number, agent):
         host = _free_host(self.hosts)
