--- a/review/stage/relay.py
+++ b/review/stage/relay.py
@@ -54,6 +54,7 @@
         self._writers.add(writer)
         if self._drops_requests or self._drops_replies:
             await self._swallow(reader)
+            writer.close()
             self._writers.discard(writer)
             return
         try:
