Keep the runs of a deregistered worker that is silent until its lease is over

Cause: the agent took a deregistration and one second of silence as the end of the worker; the tasks of a worker that has ended are requeued at once. Silence is no proof of an end.

Change: a deregistered worker has ended only when its address refuses a connection or another incarnation answers there; else its tasks wait for the lease, as those of any silent worker. This works, since an agent extends no lease that the leader has not counted.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -210,7 +210,7 @@
             )
         except WorkerReplyError as error:
             self._handle_hold_failure(error)
-            await asyncio.sleep(self._departure.retry_interval_s)
+            await asyncio.sleep(self._departure.retry_interval_s(self.clock_ms()))
             return
         if worker_id != self._worker_id:
             return
@@ -231,7 +231,7 @@
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
         now_ms = self.clock_ms()
-        if self._departure.observe_failure(error, self.answered_ms, now_ms):
+        if self._departure.observe_failure(error):
             self.is_reachable = False
             log_decision("worker left", born_ms=self.born_ms, error=str(error))
             self._increment_version()
--- a/dotterelspread/jobs/departure.py
+++ b/dotterelspread/jobs/departure.py
@@ -8,8 +8,6 @@
 #: Longest time between the announcement and the end of a worker; one that answers
 #: after it does not shut down.
 SHUTDOWN_TIMEOUT_MS = 2000
-#: Silence after which a worker that has announced its shutdown counts as ended.
-SILENCE_TIMEOUT_MS = 1000
 #: Delay before a failed call to the worker is retried, and that of one to a worker
 #: that has announced its shutdown.
 RETRY_INTERVAL_S = 0.2
@@ -17,7 +15,11 @@
 
 
 class Departure:
-    """Announced and certain end of one incarnation of a worker."""
+    """Announced and certain end of one incarnation of a worker.
+
+    Silence is no proof of the end: a worker whose deregistration was not acknowledged,
+    since it is partitioned, runs on until its leases expire.
+    """
 
     __slots__ = ("_announced_ms", "has_left")
 
@@ -26,11 +28,12 @@
         self._announced_ms = None
         self.has_left = False
 
-    @property
-    def retry_interval_s(self):
-        """Delay before a failed call to the worker is retried."""
-        is_leaving = self._announced_ms is not None and not self.has_left
-        return LEAVING_RETRY_INTERVAL_S if is_leaving else RETRY_INTERVAL_S
+    def retry_interval_s(self, now_ms):
+        """Return the delay before a failed call to the worker is retried."""
+        if self.has_left or self._announced_ms is None:
+            return RETRY_INTERVAL_S
+        is_due = now_ms - self._announced_ms <= SHUTDOWN_TIMEOUT_MS
+        return LEAVING_RETRY_INTERVAL_S if is_due else RETRY_INTERVAL_S
 
     def announce(self, now_ms):
         """Record that the worker says that it shuts down."""
@@ -46,11 +49,9 @@
             log_decision("worker did not leave", was_left=was_left)
         return was_left
 
-    def observe_failure(self, error, answered_ms, now_ms):
+    def observe_failure(self, error):
         """Apply a failed call; return if the end of the worker is now certain."""
         if self._announced_ms is None or self.has_left:
             return False
-        silent_ms = now_ms - max(answered_ms, self._announced_ms)
-        is_gone = isinstance(error, WorkerGoneError)
-        self.has_left = is_gone or silent_ms > SILENCE_TIMEOUT_MS
+        self.has_left = isinstance(error, WorkerGoneError)
         return self.has_left
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -64,6 +64,8 @@
         #: Ratio of orders that are executed late and get no reply.
         self.late_ratio = 0.0
         self.is_failing = False
+        #: Whether calls to the worker are lost; its runs go on.
+        self.is_cut_off = False
         self.capacity = CAPACITY
         #: (time until which it counts, capacity) of earlier capacities.
         self._earlier_capacities = []
@@ -123,10 +125,16 @@
 
     async def _receive(self, worker_id, can_be_late=False):
         await asyncio.sleep(0.0005)
+        await self._check_connected()
         if not self.is_up:
             raise WorkerGoneError("worker is down")
         return can_be_late and self.rng.random() < self.late_ratio
 
+    async def _check_connected(self):
+        if self.is_cut_off:
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            raise WorkerReplyError("no reply")
+
     def _accept_token(self, token):
         self.end_due_runs()
         if token < self.token:
@@ -223,6 +231,7 @@
         while not self.ended and clock.now_s() < deadline_s:
             await asyncio.sleep(self.poll_interval_s)
             self.end_due_runs()
+        await self._check_connected()
         if not self.is_up or incarnation != self.incarnation:
             raise WorkerReplyError("worker crashed during the call")
         running = tuple(
