Count the crash of a silent worker only with a proof

Cause: the leader counted a crash for every worker that it gave up. A worker that is cut off is silent like one that crashed, and nothing corrected the count when the same incarnation answered again.

Change: agents report whether their worker's process is gone: its address refuses connections or another incarnation answers. Only then, or when another incarnation answers later, does the crash of a worker that was given up count; the runs that it had are kept until then. Log lines `worker gone` (was `worker left`) and `worker has not crashed`. The three places that counted crashes share one function.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2633,6 +2633,7 @@
      - epoch
      - rack
      - left
+     - gone
 
     """
 
@@ -2657,10 +2658,11 @@
         'epoch',
         'rack',
         'left',
+        'gone',
     )
 
 
-    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None,):
+    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None,):
         self.version = version
         self.clock_ms = clock_ms
         self.known = known
@@ -2681,6 +2683,7 @@
         self.epoch = epoch
         self.rack = rack
         self.left = left
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2808,6 +2811,11 @@
                     self.left = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2907,6 +2915,10 @@
             oprot.writeFieldBegin('left', TType.BOOL, 20)
             oprot.writeBool(self.left)
             oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 21)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3977,6 +3989,7 @@
     (18, TType.I64, 'epoch', None, None, ),  # 18
     (19, TType.STRING, 'rack', 'UTF8', None, ),  # 19
     (20, TType.BOOL, 'left', None, None, ),  # 20
+    (21, TType.BOOL, 'gone', None, None, ),  # 21
 )
 all_structs.append(StartOrder)
 StartOrder.thrift_spec = (
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -85,9 +85,14 @@
 
     @property
     def has_left(self):
-        """Whether this incarnation of the worker has ended."""
+        """Whether this incarnation of the worker has shut down."""
         return self._departure.has_left
 
+    @property
+    def is_gone(self):
+        """Whether the process of this incarnation is not there any more."""
+        return self._departure.is_gone
+
     @property
     def _worker_id(self):
         return self.announcement.worker_id if self.announcement else ""
@@ -126,6 +131,7 @@
         is_known = self.announcement and self.announcement.worker_id == worker_id
         if is_known and not (self.born_ms and self._is_other_incarnation(born_ms)):
             self._departure.announce(self.clock_ms())
+            self._increment_version()
             log_decision("worker leaves", worker_id=worker_id, born_ms=self.born_ms)
         else:
             log_decision("shutdown ignored", worker_id=worker_id, born_ms=born_ms)
@@ -233,7 +239,12 @@
         now_ms = self.clock_ms()
         if self._departure.observe_failure(error):
             self.is_reachable = False
-            log_decision("worker left", born_ms=self.born_ms, error=str(error))
+            log_decision(
+                "worker gone",
+                born_ms=self.born_ms,
+                has_left=self.has_left,
+                error=str(error),
+            )
             self._increment_version()
         silent_ms = now_ms - self.answered_ms
         if self.is_reachable and silent_ms > WORKER_TIMEOUT_S * 1000:
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -11,6 +11,7 @@
 from .spec import JobSpec, StepSpec, TaskKey
 from .taskrun import TaskRun
 from .worker import AgentReport, Worker
+from .workerloss import WorkerLoss
 
 __all__ = [
     "AcknowledgeEnds",
@@ -31,8 +32,9 @@
     "Submitted",
     "TaskGivenUp",
     "Withdrawn",
-    "WorkerGivenUp",
     "WorkerCrashed",
+    "WorkerGivenUp",
+    "WorkerReturned",
 ]
 
 
@@ -43,6 +45,9 @@
     configuration: FleetConfiguration = FleetConfiguration()
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
+    #: Workers that were given up while it was not known whether they had crashed, by
+    #: the address of their agent.
+    silent_losses_by_agent: dict[str, WorkerLoss] = field(default_factory=dict)
     #: Shapes of all workers that have reported in this term, by service.
     shapes_by_service: dict[str, set[WorkerShape]] = field(default_factory=dict)
     #: Permits for the steps of queues with a policy service, by job and step key.
@@ -241,6 +246,16 @@
     task_ids: tuple[str, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class WorkerReturned(Effect):
+    """Log that a worker that had been given up has not crashed."""
+
+    worker_id: str
+    agent_address: str
+    #: Number of runs for which no crash is counted.
+    runs: int
+
+
 @dataclass(slots=True, frozen=True)
 class DropJob(Effect):
     """Remove a finished job from the journal."""
--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -4,17 +4,25 @@
 started is therefore a suspect, and is started apart from other work until a run of it
 lasts. A task that remains a suspect is given up, so that it cannot crash workers again
 and again.
-"""
 
-from dataclasses import dataclass
+A silent worker may have crashed or may be cut off and run on. Only the proof that its
+process is gone makes a crash; `silentlosses` waits for it.
+"""
 
 from .cell import TaskGivenUp, WorkerCrashed
-from .incarnations import is_current
-from .job import Job
+from .incarnations import is_current, remove_worker
+from .job import Phase
 from .lifecycle import end_job
-from .spec import TaskKey
+from .workerloss import LostRun, WorkerLoss
 
-__all__ = ["clear_suspicion", "conclude_crash", "count_crash", "has_crashed"]
+__all__ = [
+    "clear_suspicion",
+    "conclude_crash",
+    "count_crash",
+    "has_crashed",
+    "list_lost_runs",
+    "remove_crashed_worker",
+]
 
 #: Longest time from a start to the worker's last reply before its crash for which the
 #: task is a suspect. It covers the delays of replies.
@@ -29,23 +37,8 @@
 MAX_CRASHES = 5
 
 
-@dataclass(slots=True, frozen=True)
-class CrashedRun:
-    """A run that was on a worker when that crashed."""
-
-    job: Job
-    key: TaskKey
-    #: Whether it had just been started.
-    is_early: bool
-
-    @property
-    def task(self):
-        """The `TaskProgress` of its task."""
-        return self.job.tasks_by_key[self.key]
-
-
 def has_crashed(worker):
-    """Tell whether a worker that has gone crashed, as far as the leader knows.
+    """Tell whether a worker whose process is gone crashed, as far as the leader knows.
 
     A draining worker may have shut down, and one whose agent was lost as well may have
     lost its power.
@@ -53,19 +46,9 @@
     return not (worker.is_draining or worker.is_agent_lost)
 
 
-def count_crash(cell, worker, successor_id):
-    """Count a crash for the tasks with runs on a worker; return their `CrashedRun`.
-
-    Parameters
-    ----------
-    cell : Cell
-    worker : Worker
-        With the runs that it had when it crashed.
-    successor_id : str
-        Worker that took its place, or its own id if there is none. The suspects avoid
-        it, since an instance may crash repeatedly by itself.
-    """
-    crashed = []
+def list_lost_runs(cell, worker):
+    """Return the `WorkerLoss` of a worker that still has its runs."""
+    lost = []
     suspects = _suspects(worker)
     for run in worker.runs_by_task.values():
         job = cell.jobs_by_id.get(run.job_id)
@@ -77,14 +60,32 @@
         if job.step_of(run.key).is_service and not is_early:
             # It lasts for hours, in which many workers may crash.
             continue
-        crashed.append(CrashedRun(job, run.key, is_early))
-        task = job.tasks_by_key[run.key]
+        lost.append(LostRun(job, run.key, is_early))
+    return WorkerLoss(
+        worker.worker_id, worker.born_ms, worker.agent_address, tuple(lost)
+    )
+
+
+def count_crash(cell, loss, successor_id):
+    """Count the crash of a lost worker for the tasks of its runs.
+
+    Parameters
+    ----------
+    cell : Cell
+    loss : WorkerLoss
+    successor_id : str
+        Worker that took its place, or its own id if there is none. The suspects avoid
+        it, since an instance may crash repeatedly by itself.
+    """
+    for lost in loss.runs:
+        task = lost.task
+        if not lost.job.is_open or task.phase == Phase.COMPLETED:
+            continue
         task.crashes += 1
-        if is_early:
+        if lost.is_early:
             task.early_crashes += 1
             task.avoided_worker_id = successor_id
-        cell.dirty_job_ids.add(job.job_id)
-    return crashed
+        cell.dirty_job_ids.add(lost.job.job_id)
 
 
 def _suspects(worker):
@@ -102,54 +103,60 @@
     ]
 
 
-def conclude_crash(cell, worker, crashed, event):
+def conclude_crash(cell, loss, event):
     """Fail the jobs of tasks that crashed too many workers; return the effects.
 
-    Called when the runs are no longer on the crashed worker.
+    Called when the crash is counted and the runs are no longer on the worker.
 
     Parameters
     ----------
     cell : Cell
-    worker : Worker
-    crashed : list of CrashedRun
+    loss : WorkerLoss
     event : Reported or CellTick
     """
-    if not crashed:
+    if not loss.runs:
         return []
-    early = [one for one in crashed if one.is_early]
-    effects = [_describe_crash(worker, crashed, early)]
-    for one in crashed:
-        if one.job.is_open and _exceeds_crash_limit(one, early):
-            task = one.task
+    early = [lost for lost in loss.runs if lost.is_early]
+    effects = [_describe_crash(loss, early)]
+    for lost in loss.runs:
+        if lost.job.is_open and _exceeds_crash_limit(lost, early):
+            task = lost.task
             effects.append(
                 TaskGivenUp(
-                    one.job.task_id(one.key),
-                    worker.worker_id,
+                    lost.job.task_id(lost.key),
+                    loss.worker_id,
                     task.early_crashes,
                     task.crashes,
                 )
             )
-            one.job.has_failed = True
-            effects.extend(end_job(cell, one.job, event.wall_ms))
+            lost.job.has_failed = True
+            effects.extend(end_job(cell, lost.job, event.wall_ms))
     return effects
 
 
-def _exceeds_crash_limit(crashed_run, early):
-    task = crashed_run.task
+def _exceeds_crash_limit(lost, early):
+    task = lost.task
     if task.crashes >= MAX_CRASHES or task.early_crashes >= MAX_EARLY_CRASHES:
         return True
-    others = [one.task.early_crashes for one in early if one is not crashed_run]
-    is_leading = crashed_run.is_early and task.early_crashes > max(others, default=0)
+    others = [other.task.early_crashes for other in early if other is not lost]
+    is_leading = lost.is_early and task.early_crashes > max(others, default=0)
     return is_leading and task.early_crashes >= MAX_LEADING_CRASHES
 
 
-def _describe_crash(worker, crashed, early):
+def _describe_crash(loss, early):
     suspects = tuple(
-        (one.job.task_id(one.key), one.task.early_crashes) for one in early
-    )
-    return WorkerCrashed(
-        worker.worker_id, worker.agent_address, suspects, len(crashed) - len(early)
+        (lost.job.task_id(lost.key), lost.task.early_crashes) for lost in early
     )
+    others = len(loss.runs) - len(early)
+    return WorkerCrashed(loss.worker_id, loss.agent_address, suspects, others)
+
+
+def remove_crashed_worker(cell, worker, successor_id, event):
+    """Remove a worker and count its crash; see `count_crash` and `conclude_crash`."""
+    loss = list_lost_runs(cell, worker)
+    count_crash(cell, loss, successor_id)
+    remove_worker(cell, worker)
+    return conclude_crash(cell, loss, event)
 
 
 def clear_suspicion(cell, worker, run):
--- a/dotterelspread/jobs/departure.py
+++ b/dotterelspread/jobs/departure.py
@@ -1,4 +1,4 @@
-"""Whether the worker of an agent has announced its shutdown, and whether it ended."""
+"""Whether the worker of an agent has announced its shutdown, and whether it is gone."""
 
 from ..decisionlog import log_decision
 from .workeradapter import WorkerGoneError
@@ -17,20 +17,26 @@
 class Departure:
     """Announced and certain end of one incarnation of a worker.
 
-    Silence is no proof of the end: a worker whose deregistration was not acknowledged,
-    since it is partitioned, runs on until its leases expire.
+    Silence is no proof of the end: a worker that is partitioned runs on until its
+    leases expire, also after a deregistration that was not acknowledged.
     """
 
-    __slots__ = ("_announced_ms", "has_left")
+    __slots__ = ("_announced_ms", "is_gone")
 
     def __init__(self):
         #: When the shutdown was announced, on the agent's clock; None if it was not.
         self._announced_ms = None
-        self.has_left = False
+        #: Whether nothing or another incarnation runs at the worker's address.
+        self.is_gone = False
+
+    @property
+    def has_left(self):
+        """Whether the worker has shut down as announced."""
+        return self.is_gone and self._announced_ms is not None
 
     def retry_interval_s(self, now_ms):
         """Return the delay before a failed call to the worker is retried."""
-        if self.has_left or self._announced_ms is None:
+        if self.is_gone or self._announced_ms is None:
             return RETRY_INTERVAL_S
         is_due = now_ms - self._announced_ms <= SHUTDOWN_TIMEOUT_MS
         return LEAVING_RETRY_INTERVAL_S if is_due else RETRY_INTERVAL_S
@@ -41,17 +47,17 @@
 
     def observe_answer(self, sent_ms):
         """Apply an answer to a call sent at ``sent_ms``; return if this is a change."""
-        was_left, self.has_left = self.has_left, False
+        was_gone, self.is_gone = self.is_gone, False
         if self._announced_ms is None:
-            return was_left
-        if was_left or sent_ms - self._announced_ms > SHUTDOWN_TIMEOUT_MS:
+            return was_gone
+        if was_gone or sent_ms - self._announced_ms > SHUTDOWN_TIMEOUT_MS:
             self._announced_ms = None
-            log_decision("worker did not leave", was_left=was_left)
-        return was_left
+            log_decision("worker did not leave", was_gone=was_gone)
+        return was_gone
 
     def observe_failure(self, error):
-        """Apply a failed call; return if the end of the worker is now certain."""
-        if self._announced_ms is None or self.has_left:
+        """Apply a failed call; return if this shows that the worker is gone."""
+        if self.is_gone or not isinstance(error, WorkerGoneError):
             return False
-        self.has_left = isinstance(error, WorkerGoneError)
-        return self.has_left
+        self.is_gone = True
+        return True
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -18,6 +18,7 @@
     TaskGivenUp,
     WorkerCrashed,
     WorkerGivenUp,
+    WorkerReturned,
 )
 from .lifecycle import is_suitable
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
@@ -90,6 +91,15 @@
             task_ids=effect.task_ids[:MAX_LOGGED_TASKS],
         )
 
+    @perform.register
+    def _(self, effect: WorkerReturned):
+        log_decision(
+            "worker has not crashed",
+            worker_id=effect.worker_id,
+            agent=effect.agent_address,
+            runs=effect.runs,
+        )
+
     @perform.register
     def _(self, effect: AskPermits):
         run = partial(self._ask_permits, effect)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -2,12 +2,13 @@
 
 from ..reducer import reduce
 from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
-from .crashes import conclude_crash, count_crash, has_crashed
+from .crashes import has_crashed, remove_crashed_worker
 from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
+from .silentlosses import keep_silent_loss
 from .stragglers import move_stragglers
 from .taskrun import RunStopReason
 
@@ -69,11 +70,12 @@
 
 def _remove_lost_worker(cell, worker, event):
     """Remove a worker that has been unreachable until all its leases expired."""
-    crashed = []
     if worker.has_reported and has_crashed(worker):
-        crashed = count_crash(cell, worker, worker.worker_id)
+        if worker.is_gone:
+            return remove_crashed_worker(cell, worker, worker.worker_id, event)
+        keep_silent_loss(cell, worker)
     remove_worker(cell, worker)
-    return conclude_crash(cell, worker, crashed, event)
+    return []
 
 
 def _retry_orders(cell, worker, now_s):
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -3,7 +3,14 @@
 from ..reducer import reduce
 from ..resources import Resources
 from .cell import AgentLost, Reported
-from .crashes import clear_suspicion, conclude_crash, count_crash, has_crashed
+from .crashes import (
+    clear_suspicion,
+    conclude_crash,
+    count_crash,
+    has_crashed,
+    list_lost_runs,
+    remove_crashed_worker,
+)
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
@@ -12,6 +19,7 @@
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
 from .placing import place
+from .silentlosses import settle_silent_loss
 from .spec import parse_task_id
 from .taskrun import RunStopReason, TaskRun
 from .worker import Worker
@@ -28,7 +36,8 @@
 @reduce.register
 def _(event: Reported, cell):
     report = event.report
-    effects = _remove_replaced_workers(cell, event)
+    effects = settle_silent_loss(cell, event)
+    effects.extend(_remove_replaced_workers(cell, event))
     worker = cell.workers_by_id.get(report.worker_id)
     if worker is not None and _is_outdated(worker, report):
         return effects + place(cell, event.now_s)
@@ -88,19 +97,21 @@
         is_same = worker.worker_id == report.worker_id
         if worker.agent_address != report.agent_address or is_same:
             continue
-        crashed = []
         if has_crashed(worker):
-            crashed = count_crash(cell, worker, report.worker_id)
-        remove_worker(cell, worker)
-        effects.extend(conclude_crash(cell, worker, crashed, event))
+            effects.extend(remove_crashed_worker(cell, worker, report.worker_id, event))
+        else:
+            remove_worker(cell, worker)
     return effects
 
 
 def _replace_incarnation(cell, worker, event):
-    crashed = count_crash(cell, worker, worker.worker_id) if has_crashed(worker) else []
     born_ms = event.report.born_ms
+    if not has_crashed(worker):
+        return replace_incarnation(cell, worker, born_ms, event.now_s), []
+    loss = list_lost_runs(cell, worker)
+    count_crash(cell, loss, worker.worker_id)
     successor = replace_incarnation(cell, worker, born_ms, event.now_s)
-    return successor, conclude_crash(cell, worker, crashed, event)
+    return successor, conclude_crash(cell, loss, event)
 
 
 def _update(cell, worker, event):
@@ -117,6 +128,7 @@
     worker.set_reachable(report.is_reachable, event.now_s)
     worker.is_draining = report.is_draining
     worker.is_agent_lost = False
+    worker.is_gone = report.is_gone
     if is_first:
         # The agent now follows this leader, so the end assumed at the failover is
         # obsolete.
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -35,6 +35,7 @@
     reply.accelerators = worker.capacity.accelerators
     reply.draining = worker.is_draining
     reply.left = agent.has_left
+    reply.gone = agent.is_gone
 
 
 def _fill_runs(reply, agent):
--- a/dotterelspread/jobs/watchreport.py
+++ b/dotterelspread/jobs/watchreport.py
@@ -64,6 +64,7 @@
         is_reachable=reply.reachable,
         is_draining=reply.draining,
         has_left=bool(reply.left),
+        is_gone=bool(reply.gone),
         listed_ms=reply.listed_ms,
         running=tuple(map(_read_running, reply.running)),
         ended=tuple(
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -88,8 +88,10 @@
     capacity: Resources
     is_reachable: bool
     is_draining: bool
-    #: Whether this incarnation of the worker has ended.
+    #: Whether this incarnation of the worker has shut down.
     has_left: bool
+    #: Whether its process is not there any more, after a shutdown or a crash.
+    is_gone: bool
     #: Agent's clock just before it requested the two lists from the worker.
     listed_ms: int
     running: tuple[RunningTask, ...]
@@ -118,6 +120,8 @@
     suspension_number: int = 0
     #: Whether the agent has stopped answering.
     is_agent_lost: bool = False
+    #: Whether the agent has found its process not to be there any more.
+    is_gone: bool = False
     #: Leader's clock after which every lease granted to the worker has expired.
     lease_end_s: float = 0.0
     runs_by_task: dict[str, TaskRun] = field(default_factory=dict)
--- a/tests/builders_cell.py
+++ b/tests/builders_cell.py
@@ -62,6 +62,7 @@
         is_reachable=True,
         is_draining=False,
         has_left=False,
+        is_gone=False,
         listed_ms=1 + int(now_s * 1000),
         running=running,
         ended=(),
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -12,14 +12,14 @@
 from tests.cellchecker import check_every_event
 from tests.virtualloop import run_virtually
 
-__all__ = ["OUTAGE_S", "CrashingFleet", "run_crash_scenario"]
+__all__ = ["CrashingFleet", "run_crash_scenario"]
 
-#: Time after which a crashed worker is back, and the agent's next heartbeat from it.
+#: Time after which a crashed worker is usually back.
 OUTAGE_S = 3.0
 
 
 class CrashingWorker(VirtualWorker):
-    """Worker that crashes under a crashing task and comes back after `OUTAGE_S`."""
+    """Worker that crashes under a crashing task and comes back after an outage."""
 
     def _start(self, incarnation, order, until_ms):
         runs_before = self.fleet.checker.runs
@@ -47,15 +47,17 @@
         asyncio.get_running_loop().call_later(delay_s, call)
 
     def crash_and_return(self):
-        """Crash now and come back after `OUTAGE_S`."""
+        """Crash now and come back after an outage."""
         if self.is_up:
             self.fleet.crash_times_s.append(clock.now_s())
             task_ids = list(self.running)
             self.crash()
+            self.is_cut_off = self.fleet.are_outages_silent
             self.fleet.break_gangs(task_ids)
-            self._call_later(OUTAGE_S, self._return)
+            self._call_later(self.fleet.outage_s, self._return)
 
     def _return(self):
+        self.is_cut_off = False
         if not self.fleet.keeps_worker_ids:
             self.worker_id = f"i-{self.number}-{self.incarnation}"
         self.begin_incarnation()
@@ -81,6 +83,10 @@
         #: Time from a start to the crash of its worker, by the id of a crashing task.
         self.crash_delay_by_task_id = {}
         self.crash_times_s = []
+        #: Time after which a crashed worker is back.
+        self.outage_s = OUTAGE_S
+        #: Whether a crashed worker is silent, and does not refuse connections.
+        self.are_outages_silent = False
         self.starts_by_task_id = Counter()
 
     def break_gangs(self, task_ids):
--- a/tests/builders_load.py
+++ b/tests/builders_load.py
@@ -229,6 +229,7 @@
             is_reachable=True,
             is_draining=False,
             has_left=False,
+            is_gone=False,
             listed_ms=1 + self.wall_ms,
             running=tuple(row for row in rows if row.task_id in model.runs_by_task),
             ended=tuple(model.ended),
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -17,6 +17,8 @@
 CRASHING_JOB = make_job(1)
 CRASHING_TASK = f"{CRASHING_JOB.job_id}.0.0.0"
 SOON_S, LATE_S = 0.01, 1.4
+#: Longer than the lease of a worker that has crashed.
+LONG_OUTAGE_S = 8.0
 
 
 @pytest.mark.parametrize("keeps_worker_ids", [False, True])
@@ -35,6 +37,38 @@
     run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids)
 
 
+@pytest.mark.parametrize("crash_delay_s", [SOON_S, LATE_S])
+def test_crashes_count_although_the_workers_are_back_only_after_their_lease(
+    crash_delay_s,
+):
+    async def scenario(fleet):
+        fleet.outage_s = LONG_OUTAGE_S
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = crash_delay_s
+        fleet.durations[CRASHING_JOB.job_id] = 3.0
+        await fleet.submit(CRASHING_JOB)
+        await fleet.settle(80)
+        assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
+        assert await fleet.states() == {CRASHING_JOB.job_id: "FAILED"}
+
+    run_crash_scenario(scenario, agents=5)
+
+
+@pytest.mark.parametrize("keeps_worker_ids", [False, True])
+def test_crashes_of_silent_workers_count_once_their_next_incarnation_answers(
+    keeps_worker_ids,
+):
+    async def scenario(fleet):
+        fleet.outage_s = LONG_OUTAGE_S
+        fleet.are_outages_silent = True
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = SOON_S
+        await fleet.submit(CRASHING_JOB)
+        await fleet.settle(80)
+        assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
+        assert await fleet.states() == {CRASHING_JOB.job_id: "FAILED"}
+
+    run_crash_scenario(scenario, keeps_worker_ids=keeps_worker_ids, agents=5)
+
+
 @pytest.mark.parametrize("seconds_after_crash", [0.3, 1.5, 3.2])
 @pytest.mark.parametrize("keeps_worker_ids", [False, True])
 def test_leaders_that_change_after_each_crash_count_on(
--- a/tests/test_cut_off_workers.py
+++ b/tests/test_cut_off_workers.py
@@ -1,8 +1,14 @@
 """Workers that are cut off from their agents while their runs go on."""
 
-from tests.builders_fleet import make_job, make_step, run_scenario
+from dotterelspread.jobs.crashes import MAX_CRASHES
+from dotterelspread.jobs.spec import task_id_of
+from tests.builders_fleet import make_job, make_step, run_scenario, worker_that_runs
 
 LONG_JOB = make_job(1, (make_step(count=9),))
+#: The only task of a job of one task.
+ONLY_TASK = task_id_of(make_job(1).job_id, (0, 0, 0))
+#: Length of a cut, longer than the lease of a worker.
+CUT_S = 6.0
 
 
 def test_tasks_of_a_deregistered_worker_that_is_cut_off_do_not_run_twice():
@@ -21,3 +27,35 @@
         await fleet.expect_completed(25)
 
     run_scenario(scenario)
+
+
+def test_a_job_whose_workers_are_cut_off_in_turn_does_not_fail():
+    async def scenario(fleet):
+        job = make_job(1)
+        fleet.durations[job.job_id] = 14.0
+        await fleet.submit(job)
+        for _ in range(MAX_CRASHES + 1):
+            await fleet.settle(1.5)
+            worker = worker_that_runs(fleet, ONLY_TASK)
+            worker.is_cut_off = True
+            await fleet.settle(CUT_S)
+            worker.is_cut_off = False
+        await fleet.expect_completed(20)
+
+    run_scenario(scenario)
+
+
+def test_a_job_whose_workers_are_all_cut_off_for_long_does_not_fail():
+    async def scenario(fleet):
+        job = make_job(1)
+        fleet.durations[job.job_id] = 14.0
+        await fleet.submit(job)
+        for _ in range(MAX_CRASHES + 1):
+            await fleet.settle(CUT_S)
+            worker_that_runs(fleet, ONLY_TASK).is_cut_off = True
+        await fleet.settle(CUT_S)
+        for worker in fleet.workers:
+            worker.is_cut_off = False
+        await fleet.expect_completed(20)
+
+    run_scenario(scenario, agents=MAX_CRASHES + 2)
--- a/tests/test_reports_fuzz.py
+++ b/tests/test_reports_fuzz.py
@@ -69,6 +69,7 @@
         "is_reachable": draw(st.booleans()),
         "is_draining": draw(st.booleans()),
         "has_left": draw(st.booleans()),
+        "is_gone": draw(st.booleans()),
         "listed_ms": draw(st.integers(0, 10**6)),
         "service": draw(st.sampled_from(["svc", "other", ""])),
         "capacity": Resources(*draw(st.tuples(counts, counts, counts))),
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -231,6 +231,8 @@
   19: string rack,
   // Whether the worker said that it leaves, and is not there any more.
   20: bool left,
+  // Whether the worker's process is not there any more, announced or not.
+  21: bool gone,
 }
 
 struct StartOrder {
