Ask about no more workers than the policy service answers in time

Cause: permits counted from the question, so that those of a slow answer were dropped on arrival, and the same question was asked again; its size did not depend on the times that the configuration names.

Change: the times of a policy are read from the configuration. A question names as many workers as are answered within half a second, or the time that any answer takes, and half of the validity; for a gang, two for each member. The validity counts from the answer if less than a quarter of it would remain. The margin and the timeout follow the times too.

--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -137,7 +137,7 @@
             permits, valid_ms, error = None, 0, None
             try:
                 permits, valid_ms = await self._leader.permit_service.ask(
-                    step_id, list(effect.born_ms_by_worker)
+                    step_id, list(effect.born_ms_by_worker), effect.expected_s
                 )
             except PermitServiceError as refusal:
                 error = str(refusal)
@@ -147,6 +147,7 @@
             workers=len(effect.born_ms_by_worker),
             permitted=len(permits or ()),
             valid_ms=valid_ms,
+            expected_s=effect.expected_s,
             waited_s=round(clock.now_s() - asked_s, 3),
             error=error,
         )
--- a/dotterelspread/jobs/permits.py
+++ b/dotterelspread/jobs/permits.py
@@ -2,16 +2,20 @@
 
 The policy service knows which workers a step may use, takes some time for each worker
 in a query, and issues permits that expire. Valid permits are therefore used before a
-query is sent, queries name only workers with enough available resources, and workers
-that were refused are not queried again.
+query is sent, queries name only workers with enough available resources and only as
+many as are answered soon, and workers that were refused are not queried again.
 """
 
 from dataclasses import dataclass, field
 
 from ..reducer import Effect, Event, reduce
+from .job import Job
+from .queues import PermitTiming
+from .worker import Worker
 
 __all__ = [
     "AskPermits",
+    "PermitQuery",
     "PermitService",
     "PermitServiceError",
     "Permits",
@@ -21,10 +25,21 @@
     "permitted_workers",
 ]
 
-#: The policy service takes time for each worker in a query.
+#: Largest number of workers in a query, for a gang and for other steps.
+MAX_WORKERS_PER_GANG_QUERY = 100
 MAX_WORKERS_PER_QUERY = 30
-#: Remaining validity below which a permit is not used: covers the delay of a start.
+#: Workers in a query for a gang, for each of its members; some may be refused.
+WORKERS_PER_GANG_MEMBER = 2
+#: Time in which the workers in a query are answered, in addition to the time that a
+#: query takes however few it names.
+MIN_WORKERS_TIME_MS = 500
+#: Validity of a permit that is not used, to cover the delay of a start: a time, or a
+#: share of the whole validity if that is short.
 PERMIT_EXPIRY_MARGIN_S = 0.4
+MAX_EXPIRY_MARGIN_RATIO = 1 / 3
+#: Share of the validity that must remain at the answer for it to be counted from the
+#: question.
+MIN_REMAINING_RATIO = 0.25
 #: Delay before the next query after one without an answer.
 QUERY_RETRY_DELAY_S = 0.3
 
@@ -36,7 +51,7 @@
 class PermitService:
     """Base class of clients of the policy service."""
 
-    async def ask(self, step_id, worker_ids):
+    async def ask(self, step_id, worker_ids, expected_s):
         """Return ``(permits_by_worker, valid_ms)`` for some workers and a step.
 
         Parameters
@@ -44,6 +59,8 @@
         step_id : str
         worker_ids : list of str
             Workers missing from the answer may not run the step.
+        expected_s : float
+            Time that the service takes for the answer.
 
         Raises
         ------
@@ -56,7 +73,8 @@
 class _Permit:
     text: str
     born_ms: int
-    end_s: float
+    #: Leader's clock until which it is used.
+    usable_until_s: float
 
 
 @dataclass(slots=True)
@@ -74,7 +92,7 @@
         permit = self.permits_by_worker.get(worker.worker_id)
         if permit is None or permit.born_ms != worker.born_ms:
             return ""
-        return permit.text if now_s < permit.end_s - PERMIT_EXPIRY_MARGIN_S else ""
+        return permit.text if now_s < permit.usable_until_s else ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,6 +103,24 @@
     step_key: tuple[int, int]
     #: Start of the worker's current incarnation, by worker id.
     born_ms_by_worker: dict[str, int]
+    #: Time that the service takes for the answer.
+    expected_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class PermitQuery:
+    """What is known of a step before its next query."""
+
+    job: Job
+    step_key: tuple[int, int]
+    timing: PermitTiming
+    #: Workers with enough available resources.
+    workers: list[Worker]
+
+    @property
+    def step(self):
+        """The `StepSpec` of the step."""
+        return self.job.spec.steps[self.step_key[1]]
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,25 +141,56 @@
     return [worker for worker in workers if permits.of(worker, now_s)]
 
 
-def ask_permits(cell, job, step_key, workers, now_s):
+def ask_permits(cell, query, now_s):
     """Return the effects that query permits for workers whose answer is not known."""
-    permits = cell.permits_of(job, step_key)
+    permits = cell.permits_of(query.job, query.step_key)
     if permits.is_query_in_flight or now_s < permits.next_query_s:
         return []
     unknown = [
         worker
-        for worker in workers
+        for worker in query.workers
         if worker.worker_id not in permits.refused and not permits.of(worker, now_s)
     ]
     if not unknown:
         return []
     # Workers that were permitted before are likely to be permitted again.
-    unknown.sort(key=lambda w: w.worker_id not in permits.permits_by_worker)
+    unknown.sort(
+        key=lambda worker: (
+            worker.worker_id not in permits.permits_by_worker,
+            worker.rack != query.step.preferred_rack,
+            -worker.idle_millicores,
+        )
+    )
     permits.is_query_in_flight = True
-    born = {
-        worker.worker_id: worker.born_ms for worker in unknown[:MAX_WORKERS_PER_QUERY]
-    }
-    return [AskPermits(job.job_id, step_key, born)]
+    asked = unknown[: _max_workers(query)]
+    born = {worker.worker_id: worker.born_ms for worker in asked}
+    expected_s = query.timing.query_ms(len(asked)) / 1000
+    return [AskPermits(query.job.job_id, query.step_key, born, expected_s)]
+
+
+def _max_workers(query):
+    """Return the largest number of workers in a query."""
+    count = _max_timely_workers(query.timing)
+    if query.step.is_gang:
+        # The members need their permits at the same time.
+        count = max(count, query.step.count * WORKERS_PER_GANG_MEMBER)
+        return min(count, MAX_WORKERS_PER_GANG_QUERY)
+    return min(count, MAX_WORKERS_PER_QUERY)
+
+
+def _max_timely_workers(timing):
+    """Return the number of workers in a query that is answered soon.
+
+    The answer takes at most twice the time that any answer takes, or half a second
+    more, and leaves half of the validity.
+    """
+    if not timing.per_worker_ms:
+        return MAX_WORKERS_PER_QUERY
+    budget_ms = max(timing.decide_ms, MIN_WORKERS_TIME_MS)
+    remaining_ms = timing.valid_ms // 2 - timing.decide_ms
+    if remaining_ms > 0:
+        budget_ms = min(budget_ms, remaining_ms)
+    return max(1, budget_ms // timing.per_worker_ms)
 
 
 def drop_permit(cell, run, worker):
@@ -144,12 +211,27 @@
     if event.permits_by_worker is None:
         permits.next_query_s = event.now_s + QUERY_RETRY_DELAY_S
         return []
-    end_s = event.asked_s + event.valid_ms / 1000
+    usable_until_s = _usable_until_s(event, cell.queue_of(job).permit_timing)
     for worker_id, born_ms in event.asked.born_ms_by_worker.items():
         text = event.permits_by_worker.get(worker_id)
         if text:
-            permits.permits_by_worker[worker_id] = _Permit(text, born_ms, end_s)
+            permit = _Permit(text, born_ms, usable_until_s)
+            permits.permits_by_worker[worker_id] = permit
         else:
             permits.refused.add(worker_id)
     cell.is_placing_due = True
     return []
+
+
+def _usable_until_s(event, timing):
+    """Return the leader's time until which the permits of an answer are used.
+
+    The service may count the validity from the question. That is assumed as long as
+    enough of it remains; else the permits would never be used.
+    """
+    valid_s = (event.valid_ms or timing.valid_ms) / 1000
+    issued_s = event.asked_s
+    if event.now_s - issued_s > valid_s * (1 - MIN_REMAINING_RATIO):
+        issued_s = event.now_s
+    margin_s = min(PERMIT_EXPIRY_MARGIN_S, valid_s * MAX_EXPIRY_MARGIN_RATIO)
+    return issued_s + valid_s - margin_s
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -6,7 +6,7 @@
 
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
-from .permits import ask_permits, permitted_workers
+from .permits import PermitQuery, ask_permits, permitted_workers
 from .scoring import (
     MIN_FILLER_SPEED_RATIO,
     FillerDemand,
@@ -87,7 +87,8 @@
         if len(starts) == len(keys):
             continue
         if queue.needs_permits:
-            effects.extend(ask_permits(cell, job, step_key, feasible, now_s))
+            query = PermitQuery(job, step_key, queue.permit_timing, feasible)
+            effects.extend(ask_permits(cell, query, now_s))
         elif not step.is_gang and not step.max_per_worker:
             # With a limit per worker, only this step's own tasks may stand in the way;
             # other steps with the same demand may still fit.
--- a/dotterelspread/jobs/queues.py
+++ b/dotterelspread/jobs/queues.py
@@ -6,7 +6,21 @@
 
 from ..h1server import H1Limits
 
-__all__ = ["FleetConfiguration", "Queue"]
+__all__ = ["FleetConfiguration", "PermitTiming", "Queue"]
+
+
+class PermitTiming(msgspec.Struct, array_like=True, frozen=True):
+    """Times of a queue's policy service; 0 where they are not known."""
+
+    #: Time of an answer, in addition to that for each worker in the query.
+    decide_ms: int = 0
+    per_worker_ms: int = 0
+    #: Time for which a permit is valid.
+    valid_ms: int = 0
+
+    def query_ms(self, worker_count):
+        """Return the time of an answer on a number of workers."""
+        return self.decide_ms + self.per_worker_ms * worker_count
 
 
 class Queue(msgspec.Struct, array_like=True, frozen=True):
@@ -27,6 +41,7 @@
     objective_ms: int = 0
     #: Whether a policy service decides which workers may run a step.
     needs_permits: bool = False
+    permit_timing: PermitTiming = PermitTiming()
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -1,11 +1,12 @@
 """Decoding of the configuration that operators write to the log store."""
 
+import math
 from typing import Annotated
 
 import msgspec
 
 from ..h1server import H1Limits
-from ..jobs.queues import FleetConfiguration, Queue
+from ..jobs.queues import FleetConfiguration, PermitTiming, Queue
 from .decoding import MAX_COUNT, Count, DecodingError, Instant, decode_json
 
 __all__ = [
@@ -28,6 +29,12 @@
     """A record is not a valid configuration."""
 
 
+class _Advice(msgspec.Struct):
+    decide_ms: Amount = msgspec.field(name="DecideMs", default=0)
+    period_ms: Amount = msgspec.field(name="PeriodMs", default=0)
+    valid_ms: Amount = msgspec.field(name="ValidMs", default=0)
+
+
 class _Route(msgspec.Struct):
     name: str = msgspec.field(name="Name")
     host: str = msgspec.field(name="Host")
@@ -37,9 +44,9 @@
     max_attempts: Count = msgspec.field(name="MaxAttempts", default=1)
     slack_factor: Amount = msgspec.field(name="SlackFactor", default=1.0)
     target_latency_ms: Amount = msgspec.field(name="TargetLatencyMs", default=0)
-    # Timing of the queue's policy; a value that is not empty means that starts need
-    # permits of the policy service.
-    advice: dict | None = msgspec.field(name="Advice", default=None)
+    # Timing of the queue's policy; a time above 0 means that starts need permits of the
+    # policy service.
+    advice: _Advice | None = msgspec.field(name="Advice", default=None)
 
 
 class _Service(msgspec.Struct):
@@ -91,6 +98,7 @@
 
 
 def _make_queue(route):
+    timing = _make_permit_timing(route.advice or _Advice())
     return Queue(
         name=route.name,
         host=route.host,
@@ -100,5 +108,14 @@
         max_attempts=route.max_attempts,
         slack_factor=route.slack_factor,
         objective_ms=int(route.target_latency_ms),
-        needs_permits=bool(route.advice),
+        needs_permits=timing != PermitTiming(),
+        permit_timing=timing,
+    )
+
+
+def _make_permit_timing(advice):
+    return PermitTiming(
+        decide_ms=math.ceil(advice.decide_ms),
+        per_worker_ms=math.ceil(advice.period_ms),
+        valid_ms=int(advice.valid_ms),
     )
--- a/dotterelspread/platform/policy.py
+++ b/dotterelspread/platform/policy.py
@@ -8,8 +8,8 @@
 
 __all__ = ["PlatformPermits"]
 
-#: The response time of the service grows with the number of workers in the request.
-ASK_TIMEOUT_S = 4.0
+#: Time allowed for an answer in addition to that which the service takes by itself.
+ASK_TIMEOUT_MARGIN_S = 4.0
 JSON_HEADER = {"Content-Type": "application/json"}
 
 
@@ -36,14 +36,15 @@
         if self._client is not None:
             self._client.close()
 
-    async def ask(self, step_id, worker_ids):
+    async def ask(self, step_id, worker_ids, expected_s):
         """Request the permits of a step; see `PermitService.ask`."""
         if self._client is None:
             raise PermitServiceError("no policy service address in the settings")
         body = msgspec.json.encode({"Step": step_id, "Workers": worker_ids})
+        timeout_s = expected_s + ASK_TIMEOUT_MARGIN_S
         try:
             reply = await self._client.call(
-                "POST", "/api/advise", ASK_TIMEOUT_S, body, JSON_HEADER
+                "POST", "/api/advise", timeout_s, body, JSON_HEADER
             )
         except H1Error as error:
             raise PermitServiceError(str(error)) from error
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -16,7 +16,7 @@
 from dotterelspread.jobs.nodes import NODES_STREAM, encode_node
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.permits import PermitService, PermitServiceError
-from dotterelspread.jobs.queues import FleetConfiguration, Queue
+from dotterelspread.jobs.queues import FleetConfiguration, PermitTiming, Queue
 from dotterelspread.jobs.records import encode_spec
 from dotterelspread.jobs.spec import JobSpec, StepSpec
 from dotterelspread.peer import PeerLostError, PeerTimeoutError, PeerUnsentError
@@ -263,29 +263,37 @@
 
 
 class VirtualPolicy(PermitService):
-    """Simulated policy that permits a step on every other worker, by their numbers."""
+    """Simulated policy that permits a step on some workers."""
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.valid_s = 1.5
+        self.timing = PermitTiming(decide_ms=40, per_worker_ms=2, valid_ms=1500)
         self.is_unresponsive = False
+        #: Whether all workers are permitted; else every other one, by their numbers.
+        self.permits_all = False
+        #: Numbers of workers in the queries.
+        self.query_sizes = []
         #: Expiry time of each permit.
         self.expiry_by_permit = {}
         self.request_count = 0
         self.refused_starts = 0
 
     def allows(self, step_id, worker_id):
-        return (int(step_id[-1]) + int(worker_id.split("-")[1])) % 2 == 0
+        return (
+            self.permits_all
+            or (int(step_id[-1]) + int(worker_id.split("-")[1])) % 2 == 0
+        )
 
-    async def ask(self, step_id, worker_ids):
+    async def ask(self, step_id, worker_ids, expected_s):
         self.request_count += 1
-        await asyncio.sleep(0.04 + 0.002 * len(worker_ids))
+        self.query_sizes.append(len(worker_ids))
+        await asyncio.sleep(self.timing.query_ms(len(worker_ids)) / 1000)
         if self.is_unresponsive:
             raise PermitServiceError("no reply from the policy service")
-        end_s = clock.now_s() + self.valid_s
+        end_s = clock.now_s() + self.timing.valid_ms / 1000
         permits = {w: f"{step_id} {w}" for w in worker_ids if self.allows(step_id, w)}
         self.expiry_by_permit.update(dict.fromkeys(permits.values(), end_s))
-        return permits, int(self.valid_s * 1000)
+        return permits, self.timing.valid_ms
 
     def accepts(self, worker, order):
         """Tell whether a worker may execute an order to start a run."""
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -8,7 +8,7 @@
 
 from dotterelspread.h1server import H1Response, listen_h1
 from dotterelspread.jobs.permits import PermitServiceError
-from dotterelspread.jobs.queues import FleetConfiguration
+from dotterelspread.jobs.queues import FleetConfiguration, PermitTiming
 from dotterelspread.platform.configuration import read_configuration
 from dotterelspread.platform.policy import PlatformPermits
 from standins.site import free_port
@@ -18,9 +18,12 @@
 TWO_STEPS = (make_step(count=6), make_step(count=5, depends_on=(0,)))
 
 
-def play_with_policy(scenario, **sizes):
+def play_with_policy(scenario, timing=None, **sizes):
     async def configured(fleet):
-        queue = msgspec.structs.replace(QUEUE, needs_permits=True)
+        fleet.policy.timing = timing or fleet.policy.timing
+        queue = msgspec.structs.replace(
+            QUEUE, needs_permits=True, permit_timing=fleet.policy.timing
+        )
         fleet.configuration = FleetConfiguration(2, {"q": queue})
         leader = next(e.candidate.leader for e in fleet.entries if e.candidate.leader)
         leader.configure(fleet.configuration)
@@ -103,6 +106,55 @@
     play_with_policy(scenario, agents=6)
 
 
+SLOW_TIMINGS = {
+    "all workers take longer than a permit is valid": PermitTiming(100, 100, 3000),
+    "any answer takes longer than a permit is valid": PermitTiming(2000, 10, 1500),
+    "a worker takes longer than a permit is valid": PermitTiming(0, 900, 800),
+    "permits are valid for less than their margin": PermitTiming(40, 2, 300),
+}
+
+
+@pytest.mark.parametrize("name", SLOW_TIMINGS)
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_jobs_start_although_the_policy_service_is_slow(name, is_gang):
+    async def scenario(fleet):
+        fleet.policy.permits_all = True
+        await fleet.submit(make_job(1, (make_step(count=3, is_gang=is_gang),)))
+        await fleet.expect_completed(30)
+
+    play_with_policy(scenario, timing=SLOW_TIMINGS[name], agents=30)
+
+
+def test_the_first_task_does_not_wait_for_the_permits_of_all_workers():
+    async def scenario(fleet):
+        await fleet.submit(make_job(1, (make_step(count=3),)))
+        await fleet.settle(1.5)
+        assert fleet.checker.runs == 3
+        assert max(fleet.policy.query_sizes) <= 5
+        await fleet.expect_completed(5)
+        assert fleet.policy.refused_starts == 0
+
+    play_with_policy(scenario, timing=PermitTiming(100, 100, 3000), agents=30)
+
+
+def test_a_query_that_is_answered_at_once_names_many_workers():
+    async def scenario(fleet):
+        await fleet.submit(make_job(1, (make_step(count=3),)))
+        await fleet.expect_completed(5)
+        assert fleet.policy.query_sizes == [30]
+
+    play_with_policy(scenario, agents=30)
+
+
+def test_a_gang_on_separate_workers_gets_its_permits_at_the_same_time():
+    async def scenario(fleet):
+        step = make_step(count=12, is_gang=True, max_per_worker=1)
+        await fleet.submit(make_job(1, (step,)))
+        await fleet.expect_completed(30)
+
+    play_with_policy(scenario, timing=PermitTiming(100, 100, 3000), agents=30)
+
+
 def test_the_configuration_sets_the_policy_of_a_queue():
     route = CONFIGURATION["Routes"][0]
     policy = {"DecideMs": 40, "PeriodMs": 2, "ValidMs": 3000}
@@ -110,6 +162,7 @@
     document = json.dumps(CONFIGURATION | {"Routes": routes}).encode()
     queues = read_configuration(document).queues_by_name
     assert queues[route["Name"]].needs_permits
+    assert queues[route["Name"]].permit_timing == PermitTiming(40, 2, 3000)
     assert not queues["other"].needs_permits
 
 
@@ -130,10 +183,11 @@
         async with listen_h1(address, answer):
             permits = PlatformPermits(address)
             step = "5c0e7a21d94b36f8.0.1"
-            assert await permits.ask(step, ["i-1", "i-2"]) == ({"i-1": "c81e-7a"}, 3000)
+            allowed = await permits.ask(step, ["i-1", "i-2"], 0.1)
+            assert allowed == ({"i-1": "c81e-7a"}, 3000)
             for _ in range(2):
                 with pytest.raises(PermitServiceError):
-                    await permits.ask(step, ["i-1"])
+                    await permits.ask(step, ["i-1"], 0.1)
             permits.close()
             body = {"Step": step, "Workers": ["i-1", "i-2"]}
             assert asked[0] == ("/api/advise", body)
@@ -143,4 +197,4 @@
 
 def test_without_a_policy_service_nothing_is_permitted():
     with pytest.raises(PermitServiceError):
-        asyncio.run(PlatformPermits("").ask("s", ["i-1"]))
+        asyncio.run(PlatformPermits("").ask("s", ["i-1"], 0.1))
