Grant leases for 10 s without the store only while no entry can have taken over

Cause: a leader without the store goes on granting leases for 10 s, so that runs survive an outage. Its successor can't tell a leader that was removed from one that it can't reach, and waited for these 10 s and a lease (`lease_wait_s` 16.68 in `runs adopted`).

Change: a leader grants for 2 s without the store, and for up to 10 s only while each entry answers its notices; one that has claimed a later term answers with its epoch.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -192,7 +192,9 @@
 
     async def _lead(self):
         try:
-            term = await take_over(self.journal, self.settings)
+            term = await take_over(
+                self.journal, self.settings, self.view.heard_addresses
+            )
             if self.view.epoch > term.writer.epoch:
                 log_decision("term not begun", epoch=term.writer.epoch)
                 return
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -94,6 +94,7 @@
             settings.peer_address,
             settings.instance_id,
             term.earlier_leaders.to_record(),
+            sorted(term.earlier_leaders.waived_addresses),
         )
         self._is_leader_record_due = False
         #: Workers with a record that their grants are suspended.
@@ -140,10 +141,21 @@
         self._is_confirmation_due = True
         self._request_commit()
 
-    def update_earlier_leaders(self, earlier_leaders):
-        """Append a new record of this leader with the given `EarlierLeaders`."""
+    def update_leader_record(self, earlier_leaders, waived_addresses):
+        """Append a new record of this leader.
+
+        Parameters
+        ----------
+        earlier_leaders : EarlierLeaders
+        waived_addresses : collection of str
+            Entries whose answers this leader does not need.
+        """
         self._leader = msgspec.structs.replace(
-            self._leader, earlier_addresses=earlier_leaders.to_record()
+            self._leader,
+            earlier_addresses=earlier_leaders.to_record(),
+            waived_addresses=sorted(
+                earlier_leaders.waived_addresses | waived_addresses
+            ),
         )
         self._is_leader_record_due = True
         self._request_commit()
--- /dev/null
+++ b/dotterelspread/jobs/grantauthority.py
@@ -0,0 +1,85 @@
+"""Whether a leader may grant leases, and for which leases its successor has to wait."""
+
+import asyncio
+
+from ..decisionlog import log_decision
+from . import clock
+from .agentlink import MAX_CLOCK_DRIFT_RATIO
+from .earlierleaders import CONFIRMED_GRANT_S, MAX_UNCONFIRMED_GRANT_S
+from .entryanswers import EntryAnswers
+
+__all__ = ["GrantAuthority"]
+
+#: Interval at which the answers of silent entries are reviewed.
+WAIVER_INTERVAL_S = 1.0
+
+
+class GrantAuthority:
+    """Authority of one term to grant leases, and that of the terms before it.
+
+    Parameters
+    ----------
+    committer : Committer
+    earlier_leaders : EarlierLeaders
+    """
+
+    __slots__ = (
+        "_began_s",
+        "_committer",
+        "_recorded_waivers",
+        "earlier_leaders",
+        "entry_answers",
+    )
+
+    def __init__(self, committer, earlier_leaders):
+        self._committer = committer
+        self.earlier_leaders = earlier_leaders
+        self.entry_answers = EntryAnswers()
+        #: On `clock.elapsed_s`; earlier leaders' appends were confirmed before it.
+        self._began_s = clock.elapsed_s()
+        #: Entries that the record of this leader names as waived, or soon does.
+        self._recorded_waivers = frozenset()
+
+    @property
+    def may_grant(self):
+        """Whether leases may be granted within the time that a successor allows for."""
+        unconfirmed_s = self._committer.unconfirmed_s
+        if unconfirmed_s < CONFIRMED_GRANT_S:
+            return True
+        is_recent = unconfirmed_s < MAX_UNCONFIRMED_GRANT_S
+        return is_recent and self.entry_answers.are_complete
+
+    def end_earlier_term(self, address):
+        """Record that an earlier leader has ended; return whether that is news."""
+        if not self.earlier_leaders.end(address):
+            return False
+        self._update_record()
+        return True
+
+    def expire_earlier_leaders(self):
+        """Forget earlier leaders that can grant no more; return if that is news."""
+        age_s = clock.elapsed_s() - self._began_s
+        is_over = age_s > self.earlier_leaders.max_grant_s * MAX_CLOCK_DRIFT_RATIO
+        if not is_over or self.earlier_leaders.have_all_ended:
+            return False
+        self.earlier_leaders.end_all()
+        self._update_record()
+        return True
+
+    async def waive_silent_entries(self):
+        """Give up the answers of entries that may have been removed for good."""
+        while True:
+            await asyncio.sleep(WAIVER_INTERVAL_S)
+            waivers = self.entry_answers.waivable_addresses
+            if waivers == self._recorded_waivers:
+                continue
+            self._recorded_waivers = waivers
+            self._update_record()
+            await self._committer.wait_committed()
+            self.entry_answers.waive(waivers)
+            log_decision("answers of silent entries waived", entries=sorted(waivers))
+
+    def _update_record(self):
+        self._committer.update_leader_record(
+            self.earlier_leaders, self._recorded_waivers
+        )
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -5,7 +5,7 @@
 from ..decisionlog import log_decision
 from ..supervision import log_unexpected, run_supervised
 from . import clock
-from .agentlink import MAX_CLOCK_DRIFT_RATIO, lease_end_s
+from .agentlink import lease_end_s
 from .cell import (
     Cancelled,
     CellTick,
@@ -17,23 +17,15 @@
 from .committing import STORE_TIMEOUT_S, Committer, DeposedError
 from .connecting import NodeConnector
 from .feasibility import find_infeasible_step
+from .grantauthority import GrantAuthority
 from .handlers import reduce
 from .leadernotices import announce_once
 from .ordersending import OrderSender
 
-__all__ = [
-    "MAX_UNCONFIRMED_GRANT_S",
-    "InfeasibleError",
-    "Leader",
-    "StoreUnresponsiveError",
-]
+__all__ = ["InfeasibleError", "Leader", "StoreUnresponsiveError"]
 
 #: Interval between two ticks of the cell.
 TICK_INTERVAL_S = 0.1
-#: Leases are granted for this long after the store last confirmed the term. It bounds
-#: the store outage that runs survive. A successor that cannot reach an agent waits for
-#: the same time in addition to the lease.
-MAX_UNCONFIRMED_GRANT_S = 10.0
 #: Longest time since the last confirmation before another entry may take over: the
 #: confirmation interval and the duration of an append.
 MAX_CONFIRMATION_AGE_S = 1.5
@@ -77,9 +69,7 @@
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
-        self.earlier_leaders = term.earlier_leaders
-        #: On `clock.elapsed_s`; earlier leaders' appends were confirmed before it.
-        self._began_s = clock.elapsed_s()
+        self.grants = GrantAuthority(self.committer, term.earlier_leaders)
         self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
@@ -97,6 +87,7 @@
         self._spawn_vital(self._tick_loop())
         self._connector.connect_known()
         self.spawn("nodes", self._connector.run)
+        self.spawn("waivers", self.grants.waive_silent_entries)
         try:
             await self._deposed
         finally:
@@ -122,8 +113,7 @@
     @property
     def may_grant(self):
         """Whether leases may be granted within the time that a successor allows for."""
-        is_recent = self.committer.unconfirmed_s < MAX_UNCONFIRMED_GRANT_S
-        return is_recent and not self.is_deposed
+        return self.grants.may_grant and not self.is_deposed
 
     @property
     def is_confirmed(self):
@@ -134,22 +124,12 @@
 
     def end_earlier_term(self, address):
         """Record that the process at an address grants no leases of earlier terms."""
-        if not self.earlier_leaders.end(address):
-            return
-        log_decision("earlier leader ended", epoch=self.epoch, address=address)
-        self._handle_earlier_leaders_change()
-
-    def _expire_earlier_leaders(self):
-        """Forget earlier leaders that may not grant leases any more."""
-        age_s = clock.elapsed_s() - self._began_s
-        is_over = age_s > MAX_UNCONFIRMED_GRANT_S * MAX_CLOCK_DRIFT_RATIO
-        if is_over and not self.earlier_leaders.have_all_ended:
-            self.earlier_leaders.end_all()
+        if self.grants.end_earlier_term(address):
+            log_decision("earlier leader ended", epoch=self.epoch, address=address)
             self._handle_earlier_leaders_change()
 
     def _handle_earlier_leaders_change(self):
-        self.committer.update_earlier_leaders(self.earlier_leaders)
-        if self.earlier_leaders.have_all_ended:
+        if self.grants.earlier_leaders.have_all_ended:
             now_s = clock.now_s()
             end_s = lease_end_s(now_s, self.settings.bounds.max_lease_ms)
             self.apply(EarlierTermsEnded(now_s, end_s))
@@ -328,4 +308,5 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.apply(CellTick(clock.now_s(), clock.wall_ms()))
             self.committer.confirm_if_due()
-            self._expire_earlier_leaders()
+            if self.grants.expire_earlier_leaders():
+                self._handle_earlier_leaders_change()
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -29,10 +29,13 @@
     last_notice_s: float = 0.0
     #: Whether the store had confirmed the leadership shortly before the last notice.
     is_confirmed: bool = False
+    #: Leaders that have sent notices to this process. They rely on its answers.
+    heard_addresses: set[str] = field(default_factory=set)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def receive(self, notice):
         """Process a notice and reply with the latest known epoch."""
+        self.heard_addresses.add(notice.address)
         if notice.epoch > self.epoch:
             log_decision(
                 "leader known",
@@ -84,6 +87,7 @@
     notice = LeaderNotice(
         leader.epoch, leader.settings.peer_address, leader.is_confirmed
     )
+    sent_s = clock.elapsed_s()
     try:
         reply = await leader.pool.call(address, "lead", notice, NOTICE_TIMEOUT_S)
     except PeerError:
@@ -92,5 +96,7 @@
     else:
         if reply.epoch > leader.epoch:
             leader.depose("an entry knows a later epoch")
-        elif reply.has_ended_terms:
+            return
+        leader.grants.entry_answers.observe(address, sent_s)
+        if reply.has_ended_terms:
             leader.end_earlier_term(address)
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -60,6 +60,9 @@
     instance_id: str
     #: Peer addresses of earlier leaders that may still grant leases; None if unknown.
     earlier_addresses: list[str] | None = None
+    #: Peer addresses of entries without whose answers this or an earlier leader grants
+    #: leases in a store outage; None if unknown.
+    waived_addresses: list[str] | None = None
 
 
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -19,7 +19,6 @@
     StreamSnapshot,
     Writer,
 )
-from .leader import MAX_UNCONFIRMED_GRANT_S
 from .nodes import NODES_STREAM
 from .records import (
     CELL_STREAM,
@@ -69,13 +68,20 @@
     sent_s: float
 
 
-async def take_over(journal, settings):
+async def take_over(journal, settings, heard_addresses=()):
     """Claim the leadership and return a `Term`.
 
     The state is read first while the previous leader is still active, to keep the
     failover short. The claim fences that leader; the records that it appended in the
     meantime are read afterwards.
 
+    Parameters
+    ----------
+    journal : Journal
+    settings : ProcessSettings
+    heard_addresses : collection of str
+        Leaders that have sent notices to this process.
+
     Raises
     ------
     JournalError
@@ -94,13 +100,14 @@
         # A rejected claim shows that there was a leader although its record is gone.
         is_first = LEADER_KEY not in snapshot.records_by_key and epoch == 1
         earlier_leaders = EarlierLeaders.from_record(
-            earlier, settings.peer_address, is_first
+            earlier, settings.peer_address, is_first, heard_addresses
         )
         record = LeaderRecord(
             epoch,
             settings.peer_address,
             settings.instance_id,
             earlier_leaders.to_record(),
+            sorted(earlier_leaders.waived_addresses),
         )
         claim = await _claim(journal, record, writer)
         if claim is not None:
@@ -175,7 +182,7 @@
     cell.are_earlier_terms_over = earlier_leaders.have_all_ended
     ended_s = lease_end_s(now_s, bounds.max_lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
-    granted_s = lease_end_s(now_s + MAX_UNCONFIRMED_GRANT_S, bounds.max_lease_ms)
+    granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.max_lease_ms)
     epoch_by_id = read_suspended_workers(snapshot.records_by_key)
     suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
 
