Grant leases of 6 s at most

Cause: leases were as long as the workers accept, and nothing may start elsewhere before they are over.

Change: a leader grants leases of 6 s at most, so that 1.4 s for the successor, 2 s and a lease stay below 11 s, the shortest time after which such a task counts as lost.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -97,7 +97,7 @@
         worker = self._leader.cell.workers_by_id.get(self._worker_id)
         if worker is not None and worker.grants is not LeaseGrants.ALLOWED:
             return 0
-        return self._agent_clock_ms + self._leader.settings.bounds.max_lease_ms
+        return self._agent_clock_ms + self._leader.settings.bounds.lease_ms
 
     async def run(self):
         """Poll the agent indefinitely."""
@@ -173,7 +173,7 @@
         is_first = not self._was_known
         self._was_known = True
         can_be_granted = is_first or reply.reachable
-        end_s = lease_end_s(now_s, bounds.max_lease_ms) if can_be_granted else 0.0
+        end_s = lease_end_s(now_s, bounds.lease_ms) if can_be_granted else 0.0
         self._log_ends(reply)
         report = read_report(self._address, reply)
         event = Reported(now_s, report, end_s, clock.wall_ms())
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -131,7 +131,7 @@
     def _handle_earlier_leaders_change(self):
         if self.grants.earlier_leaders.have_all_ended:
             now_s = clock.now_s()
-            end_s = lease_end_s(now_s, self.settings.bounds.max_lease_ms)
+            end_s = lease_end_s(now_s, self.settings.bounds.lease_ms)
             self.apply(EarlierTermsEnded(now_s, end_s))
 
     async def resign(self, reason):
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -180,9 +180,9 @@
     bounds = settings.bounds
     cell = Cell(placing_start_s=now_s + PLACEMENT_DELAY_S, status_s=bounds.status_s)
     cell.are_earlier_terms_over = earlier_leaders.have_all_ended
-    ended_s = lease_end_s(now_s, bounds.max_lease_ms)
+    ended_s = lease_end_s(now_s, bounds.lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
-    granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.max_lease_ms)
+    granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.lease_ms)
     epoch_by_id = read_suspended_workers(snapshot.records_by_key)
     suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
 
--- a/dotterelspread/processsettings.py
+++ b/dotterelspread/processsettings.py
@@ -14,6 +14,11 @@
 ]
 
 
+#: Longest lease that is granted. The tasks of a lost instance stand still until it has
+#: expired, and those of one that is lost with its leader for some seconds more.
+MAX_GRANTED_LEASE_MS = 6000
+
+
 class ProcessSettingsError(Exception):
     """The settings of a process are invalid; the message names the field."""
 
@@ -44,6 +49,11 @@
     #: Maximum time that a service's tail latency may exceed its target.
     impact_ms: int = 4000
 
+    @property
+    def lease_ms(self):
+        """Duration of the leases that a leader grants."""
+        return min(self.max_lease_ms, MAX_GRANTED_LEASE_MS)
+
 
 @dataclass(slots=True)
 class StoreSettings:
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -78,7 +78,7 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("max_lease_ms", [4000, 6000])
+@pytest.mark.parametrize("max_lease_ms", [4000, 6000, 10_000])
 def test_a_task_of_an_instance_lost_together_with_its_leader_is_not_stranded(
     max_lease_ms,
 ):
@@ -92,6 +92,15 @@
     run_scenario(scenario, max_lease_ms=max_lease_ms)
 
 
+def test_a_task_of_a_lost_instance_is_not_stranded_by_a_long_lease():
+    async def scenario(fleet):
+        await lose_instance(fleet)
+        await fleet.settle(9.0)
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario, max_lease_ms=10_000)
+
+
 async def cut_off_leader(fleet, agent, successor):
     """Leave the leader with one agent, which its successor does not reach."""
     leader = next(e for e in fleet.entries if e.candidate.leader)
