Split the collecting of changed records from the commit loop

Change: jobs/changedrecords.py collects the records that an append has to carry and splits them into chunks; committing.py (262 lines) batches, appends and performs effects.

--- /dev/null
+++ b/dotterelspread/jobs/changedrecords.py
@@ -0,0 +1,134 @@
+"""Collects the journal records of what has changed in a cell since the last append."""
+
+import msgspec
+
+from . import clock
+from .records import (
+    costs_record,
+    drop_records,
+    job_records,
+    leader_record,
+    suspension_record,
+    worker_record,
+)
+from .worker import LeaseGrants
+
+__all__ = ["ChangedRecords", "split_into_chunks"]
+
+#: Interval between records of the costs that fillers impose on serving tasks.
+COSTS_INTERVAL_S = 2.0
+
+
+class ChangedRecords:
+    """Records that the next append of a term has to carry.
+
+    Parameters
+    ----------
+    cell : Cell
+    leader : LeaderRecord
+    suspended_worker_ids : iterable of str
+        Workers with a record that their grants are suspended.
+    """
+
+    __slots__ = (
+        "_cell",
+        "_costs_due_s",
+        "_included_job_ids",
+        "_is_confirmation_due",
+        "_is_leader_record_due",
+        "_leader",
+        "_suspended_worker_ids",
+    )
+
+    def __init__(self, cell, leader, suspended_worker_ids):
+        self._cell = cell
+        self._leader = leader
+        self._is_leader_record_due = False
+        self._is_confirmation_due = False
+        self._suspended_worker_ids = set(suspended_worker_ids)
+        #: Jobs whose specification an append has carried.
+        self._included_job_ids = set(cell.jobs_by_id)
+        self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
+
+    def change_leader_record(self, **changes):
+        """Change fields of the leader's record, which is then due."""
+        self._leader = msgspec.structs.replace(self._leader, **changes)
+        self._is_leader_record_due = True
+
+    def request_confirmation(self):
+        """Make the leader's record due unless another record is."""
+        self._is_confirmation_due = True
+
+    def have_included(self, job_id):
+        """Tell whether the specification of a job has been taken for an append."""
+        return job_id in self._included_job_ids
+
+    def forget(self, job_id):
+        """Forget a job whose records have been removed."""
+        self._included_job_ids.discard(job_id)
+
+    def take(self, dropped_jobs):
+        """Return the records that are due; they are not due again.
+
+        Parameters
+        ----------
+        dropped_jobs : list of Job
+            Jobs whose records are to be removed.
+        """
+        records = [*self._take_jobs(), *self._take_workers(), *self._take_costs()]
+        for job in dropped_jobs:
+            records.extend(drop_records(job))
+        is_confirmation = self._is_confirmation_due and not records
+        if is_confirmation or self._is_leader_record_due:
+            records.append(leader_record(self._leader))
+        self._is_confirmation_due = False
+        self._is_leader_record_due = False
+        return records
+
+    def _take_jobs(self):
+        dirty_job_ids, self._cell.dirty_job_ids = self._cell.dirty_job_ids, set()
+        records = []
+        for job_id in sorted(dirty_job_ids):
+            job = self._cell.jobs_by_id[job_id]
+            records.extend(job_records(job, not self.have_included(job_id)))
+            self._included_job_ids.add(job_id)
+        return records
+
+    def _take_workers(self):
+        dirty, self._cell.dirty_worker_ids = self._cell.dirty_worker_ids, set()
+        records = []
+        for worker_id in sorted(dirty):
+            worker = self._cell.workers_by_id.get(worker_id)
+            address = worker.agent_address if worker else ""
+            records.append(worker_record(worker_id, address))
+            records.extend(self._take_suspension(worker_id, worker))
+        return records
+
+    def _take_suspension(self, worker_id, worker):
+        is_suspended = worker is not None and worker.grants is LeaseGrants.SUSPENDED
+        if is_suspended:
+            self._suspended_worker_ids.add(worker_id)
+            return [suspension_record(worker_id, self._leader.epoch)]
+        if worker_id not in self._suspended_worker_ids:
+            return []
+        self._suspended_worker_ids.remove(worker_id)
+        return [suspension_record(worker_id, 0)]
+
+    def _take_costs(self):
+        if not self._cell.costs.by_pair or clock.now_s() <= self._costs_due_s:
+            return []
+        self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
+        return [costs_record(self._cell.costs)]
+
+
+def split_into_chunks(records, max_bytes):
+    """Yield lists of records of at most ``max_bytes`` each, if a record allows it."""
+    chunk, size = [], 0
+    for record in records:
+        if chunk and size + len(record.value) > max_bytes:
+            yield chunk
+            chunk, size = [], 0
+        chunk.append(record)
+        size += len(record.value) + len(record.key)
+    if chunk:
+        yield chunk
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -1,18 +1,17 @@
 """Group commit of a leader's changes to the journal, one append at a time.
 
 Changes made during an append are batched into the next one. The effects of a change are
-performed only after its records are in the journal.
+performed only after its records are in the journal. `changedrecords` collects these.
 """
 
 import asyncio
 from dataclasses import dataclass, field
 
-import msgspec
-
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
 from .cell import AppendDone, DropJob
+from .changedrecords import ChangedRecords, split_into_chunks
 from .handlers import reduce
 from .job import JobState
 from .journal import (
@@ -21,17 +20,7 @@
     JournalMovedError,
     JournalRejectedError,
 )
-from .records import (
-    CELL_STREAM,
-    LeaderRecord,
-    costs_record,
-    drop_records,
-    job_records,
-    leader_record,
-    suspension_record,
-    worker_record,
-)
-from .worker import LeaseGrants
+from .records import CELL_STREAM, LeaderRecord
 
 __all__ = ["STORE_TIMEOUT_S", "Committer", "DeposedError"]
 
@@ -44,8 +33,6 @@
 APPEND_RETRY_INTERVAL_S = 0.1
 #: Time without an append after which the leader appends a record to confirm its term.
 CONFIRM_INTERVAL_S = 1.0
-#: Interval between records of the costs that fillers impose on serving tasks.
-COSTS_INTERVAL_S = 2.0
 #: Largest share of the store's request limit that the records of one append may use.
 MAX_CHUNK_RATIO = 0.5
 
@@ -89,20 +76,15 @@
         self.confirmed_s = term.claimed_s
         self._perform = perform
         self._chunk_bytes = int(settings.store.max_request_bytes * MAX_CHUNK_RATIO)
-        self._leader = LeaderRecord(
+        leader = LeaderRecord(
             self.writer.epoch,
             settings.peer_address,
             settings.instance_id,
             term.earlier_leaders.to_record(),
             sorted(term.earlier_leaders.waived_addresses),
         )
-        self._is_leader_record_due = False
-        #: Workers with a record that their grants are suspended.
-        self._suspended_worker_ids = set(term.suspended_worker_ids)
-        self._stored = set(self.committed_by_id)
-        self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
+        self._changes = ChangedRecords(term.cell, leader, term.suspended_worker_ids)
         self._append_since_s = None
-        self._is_confirmation_due = False
         self._queued_effects = []
         self._pending = None
         self._in_flight = None
@@ -138,7 +120,7 @@
 
     def request_confirmation(self):
         """Request an append that begins after this call; it confirms the term."""
-        self._is_confirmation_due = True
+        self._changes.request_confirmation()
         self._request_commit()
 
     def update_leader_record(self, earlier_leaders, waived_addresses):
@@ -150,14 +132,12 @@
         waived_addresses : collection of str
             Entries whose answers this leader does not need.
         """
-        self._leader = msgspec.structs.replace(
-            self._leader,
+        self._changes.change_leader_record(
             earlier_addresses=earlier_leaders.to_record(),
             waived_addresses=sorted(
                 earlier_leaders.waived_addresses | waived_addresses
             ),
         )
-        self._is_leader_record_due = True
         self._request_commit()
 
     async def wait_committed(self):
@@ -179,7 +159,7 @@
 
     def has_sent(self, job_id):
         """Whether an append with the job may have reached the store."""
-        return job_id in self._stored
+        return self._changes.have_included(job_id)
 
     def abandon(self, reason):
         """Fail all waiting callers; only the next leader knows what was committed."""
@@ -205,7 +185,7 @@
                 continue
             self._in_flight = batch
             self.cell.is_append_under_way = True
-            for chunk in self._chunks(batch.records):
+            for chunk in split_into_chunks(batch.records, self._chunk_bytes):
                 await self._append(chunk)
             self.cell.is_append_under_way = False
             self._in_flight = None
@@ -222,59 +202,14 @@
             return None
         placed = reduce(AppendDone(clock.now_s()), self.cell)
         batch.effects, self._queued_effects = self._queued_effects + placed, []
-        self._add_jobs(batch)
-        self._add_workers(batch)
-        if self.cell.costs.by_pair and clock.now_s() > self._costs_due_s:
-            self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
-            batch.records.append(costs_record(self.cell.costs))
-        for effect in batch.effects:
-            if isinstance(effect, DropJob):
-                batch.records.extend(drop_records(effect.job))
-        is_confirmation = self._is_confirmation_due and not batch.records
-        if is_confirmation or self._is_leader_record_due:
-            batch.records.append(leader_record(self._leader))
-        self._is_confirmation_due = False
-        self._is_leader_record_due = False
+        batch.states_by_id = {
+            job_id: self.cell.jobs_by_id[job_id].state
+            for job_id in self.cell.dirty_job_ids
+        }
+        dropped = [e.job for e in batch.effects if isinstance(e, DropJob)]
+        batch.records = self._changes.take(dropped)
         return batch
 
-    def _add_jobs(self, batch):
-        dirty_job_ids, self.cell.dirty_job_ids = self.cell.dirty_job_ids, set()
-        for job_id in sorted(dirty_job_ids):
-            job = self.cell.jobs_by_id[job_id]
-            batch.records.extend(job_records(job, job_id not in self._stored))
-            batch.states_by_id[job_id] = job.state
-            self._stored.add(job_id)
-
-    def _add_workers(self, batch):
-        dirty, self.cell.dirty_worker_ids = self.cell.dirty_worker_ids, set()
-        for worker_id in sorted(dirty):
-            worker = self.cell.workers_by_id.get(worker_id)
-            address = worker.agent_address if worker else ""
-            batch.records.append(worker_record(worker_id, address))
-            self._add_suspension(batch, worker_id, worker)
-
-    def _add_suspension(self, batch, worker_id, worker):
-        is_suspended = worker is not None and worker.grants is LeaseGrants.SUSPENDED
-        if not is_suspended and worker_id not in self._suspended_worker_ids:
-            return
-        epoch = self.writer.epoch if is_suspended else 0
-        batch.records.append(suspension_record(worker_id, epoch))
-        if is_suspended:
-            self._suspended_worker_ids.add(worker_id)
-        else:
-            self._suspended_worker_ids.remove(worker_id)
-
-    def _chunks(self, records):
-        chunk, size = [], 0
-        for record in records:
-            if chunk and size + len(record.value) > self._chunk_bytes:
-                yield chunk
-                chunk, size = [], 0
-            chunk.append(record)
-            size += len(record.value) + len(record.key)
-        if chunk:
-            yield chunk
-
     async def _append(self, records):
         self._append_since_s = clock.now_s()
         self.writer.sequence += 1
@@ -322,6 +257,6 @@
         for effect in batch.effects:
             if isinstance(effect, DropJob):
                 self.committed_by_id.pop(effect.job.job_id, None)
-                self._stored.discard(effect.job.job_id)
+                self._changes.forget(effect.job.job_id)
             else:
                 self._perform(effect)
