Give each waiver of an entry's answers a record of its own

Cause: waivers lay in the leader's record, which a successor reads before its claim.

Change: a key for each waived entry, read after the claim like all state. The leader's record says whether answers are needed at all, so that one of an earlier version counts as one that needs none.

Evidence: test_a_successor_heeds_a_waiver_that_was_appended_just_before_its_claim fails on the code before (waits 2 s in place of 10 s).

--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -9,6 +9,7 @@
     job_records,
     leader_record,
     suspension_record,
+    waiver_record,
     worker_record,
 )
 from .worker import LeaseGrants
@@ -28,24 +29,29 @@
     leader : LeaderRecord
     suspended_worker_ids : iterable of str
         Workers with a record that their grants are suspended.
+    waived_addresses : frozenset of str
+        Entries with a record that their answers may not be needed.
     """
 
     __slots__ = (
         "_cell",
         "_costs_due_s",
+        "_due_waivers",
         "_included_job_ids",
         "_is_confirmation_due",
         "_is_leader_record_due",
         "_leader",
         "_suspended_worker_ids",
+        "_waived_addresses",
     )
 
-    def __init__(self, cell, leader, suspended_worker_ids):
+    def __init__(self, cell, leader, suspended_worker_ids, waived_addresses):
         self._cell = cell
         self._leader = leader
         self._is_leader_record_due = False
         self._is_confirmation_due = False
         self._suspended_worker_ids = set(suspended_worker_ids)
+        self._waived_addresses = self._due_waivers = waived_addresses
         #: Jobs whose specification an append has carried.
         self._included_job_ids = set(cell.jobs_by_id)
         self._costs_due_s = clock.now_s() + COSTS_INTERVAL_S
@@ -55,6 +61,10 @@
         self._leader = msgspec.structs.replace(self._leader, **changes)
         self._is_leader_record_due = True
 
+    def change_waivers(self, addresses):
+        """Set the entries that are to have a record of their waiver."""
+        self._due_waivers = addresses
+
     def request_confirmation(self):
         """Make the leader's record due unless another record is."""
         self._is_confirmation_due = True
@@ -78,6 +88,7 @@
         records = [*self._take_jobs(), *self._take_workers(), *self._take_costs()]
         for job in dropped_jobs:
             records.extend(drop_records(job))
+        records.extend(self._take_waivers())
         is_confirmation = self._is_confirmation_due and not records
         if is_confirmation or self._is_leader_record_due:
             records.append(leader_record(self._leader))
@@ -114,6 +125,11 @@
         self._suspended_worker_ids.remove(worker_id)
         return [suspension_record(worker_id, 0)]
 
+    def _take_waivers(self):
+        changed = sorted(self._due_waivers ^ self._waived_addresses)
+        self._waived_addresses = self._due_waivers
+        return [waiver_record(a, a in self._due_waivers) for a in changed]
+
     def _take_costs(self):
         if not self._cell.costs.by_pair or clock.now_s() <= self._costs_due_s:
             return []
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -81,9 +81,11 @@
             settings.peer_address,
             settings.instance_id,
             term.earlier_leaders.to_record(),
-            sorted(term.earlier_leaders.waived_addresses),
+            term.earlier_leaders.need_answers,
+        )
+        self._changes = ChangedRecords(
+            term.cell, leader, term.suspended_worker_ids, term.waived_addresses
         )
-        self._changes = ChangedRecords(term.cell, leader, term.suspended_worker_ids)
         self._append_since_s = None
         self._queued_effects = []
         self._pending = None
@@ -123,23 +125,19 @@
         self._changes.request_confirmation()
         self._request_commit()
 
-    def update_leader_record(self, earlier_leaders, waived_addresses):
-        """Append a new record of this leader.
-
-        Parameters
-        ----------
-        earlier_leaders : EarlierLeaders
-        waived_addresses : collection of str
-            Entries whose answers this leader does not need.
-        """
+    def update_earlier_leaders(self, earlier_leaders):
+        """Append a new record of this leader with the given `EarlierLeaders`."""
         self._changes.change_leader_record(
             earlier_addresses=earlier_leaders.to_record(),
-            waived_addresses=sorted(
-                earlier_leaders.waived_addresses | waived_addresses
-            ),
+            need_answers=earlier_leaders.need_answers,
         )
         self._request_commit()
 
+    def update_waivers(self, addresses):
+        """Append records that the answers of just these entries may not be needed."""
+        self._changes.change_waivers(addresses)
+        self._request_commit()
+
     async def wait_committed(self):
         """Wait until all changes made so far are in the journal.
 
--- a/dotterelspread/jobs/earlierleaders.py
+++ b/dotterelspread/jobs/earlierleaders.py
@@ -25,22 +25,22 @@
         Peer addresses of their processes.
     are_all_known : bool
         Whether there are no others.
+    need_answers : bool
+        Whether they need the answers of entries to grant leases for longer than
+        `CONFIRMED_GRANT_S`.
     are_bound : bool
-        Whether they all need the answers of this entry, the successor, to grant leases
-        for longer than `CONFIRMED_GRANT_S`.
-    waived_addresses : iterable of str
-        Peer addresses of entries whose answers some of them do not need.
+        Whether that includes the answers of this entry, the successor.
     """
 
-    __slots__ = ("_are_all_known", "_are_bound", "addresses", "waived_addresses")
+    __slots__ = ("_are_all_known", "_are_bound", "_need_answers", "addresses")
 
     def __init__(
-        self, addresses=(), are_all_known=True, are_bound=False, waived_addresses=()
+        self, addresses=(), are_all_known=True, need_answers=False, are_bound=False
     ):
         self.addresses = set(addresses)
         self._are_all_known = are_all_known
-        self._are_bound = are_bound
-        self.waived_addresses = frozenset(waived_addresses)
+        self._need_answers = need_answers
+        self._are_bound = need_answers and are_bound
 
     @classmethod
     def from_record(cls, record, own_address, is_first=False, heard_addresses=()):
@@ -55,21 +55,28 @@
         is_first : bool
             Whether there is no record.
         heard_addresses : collection of str
-            Leaders that have sent notices to this process; they rely on its answers.
+            Leaders that have sent notices to this process; they know it.
         """
         if record is None:
             return cls(are_all_known=is_first)
         addresses = {record.peer_address, *(record.earlier_addresses or ())}
         addresses -= {own_address}
-        waived = record.waived_addresses
-        is_needed = waived is not None and own_address not in waived
         return cls(
             addresses,
             record.earlier_addresses is not None,
-            is_needed and addresses <= set(heard_addresses),
-            waived or (),
+            record.need_answers,
+            addresses <= set(heard_addresses),
         )
 
+    @property
+    def need_answers(self):
+        """Value of `LeaderRecord.need_answers` for the successor."""
+        return self.have_all_ended or (self._are_all_known and self._need_answers)
+
+    def release(self):
+        """Record that some of them may not need the answers of this entry."""
+        self._are_bound = False
+
     def to_record(self):
         """Return `LeaderRecord.earlier_addresses`."""
         return sorted(self.addresses) if self._are_all_known else None
@@ -93,15 +100,9 @@
         if address not in self.addresses:
             return False
         self.addresses.remove(address)
-        self._forget_waivers()
         return True
 
     def end_all(self):
         """Record that all earlier leaders have ended."""
         self.addresses.clear()
         self._are_all_known = True
-        self._forget_waivers()
-
-    def _forget_waivers(self):
-        if self.have_all_ended:
-            self.waived_addresses = frozenset()
--- a/dotterelspread/jobs/grantauthority.py
+++ b/dotterelspread/jobs/grantauthority.py
@@ -21,24 +21,28 @@
     ----------
     committer : Committer
     earlier_leaders : EarlierLeaders
+    waived_addresses : frozenset of str
+        Entries whose answers an earlier leader may not need.
     """
 
     __slots__ = (
         "_began_s",
         "_committer",
+        "_earlier_waivers",
         "_recorded_waivers",
         "earlier_leaders",
         "entry_answers",
     )
 
-    def __init__(self, committer, earlier_leaders):
+    def __init__(self, committer, earlier_leaders, waived_addresses):
         self._committer = committer
         self.earlier_leaders = earlier_leaders
         self.entry_answers = EntryAnswers()
         #: On `clock.elapsed_s`; earlier leaders' appends were confirmed before it.
         self._began_s = clock.elapsed_s()
-        #: Entries that the record of this leader names as waived, or soon does.
-        self._recorded_waivers = frozenset()
+        self._earlier_waivers = waived_addresses
+        #: Entries of which the journal records a waiver.
+        self._recorded_waivers = waived_addresses
 
     @property
     def may_grant(self):
@@ -53,7 +57,7 @@
         """Record that an earlier leader has ended; return whether that is news."""
         if not self.earlier_leaders.end(address):
             return False
-        self._update_record()
+        self._committer.update_earlier_leaders(self.earlier_leaders)
         return True
 
     def expire_earlier_leaders(self):
@@ -63,23 +67,25 @@
         if not is_over or self.earlier_leaders.have_all_ended:
             return False
         self.earlier_leaders.end_all()
-        self._update_record()
+        self._committer.update_earlier_leaders(self.earlier_leaders)
         return True
 
     async def waive_silent_entries(self):
         """Give up the answers of entries that may have been removed for good."""
         while True:
             await asyncio.sleep(WAIVER_INTERVAL_S)
-            waivers = self.entry_answers.waivable_addresses
-            if waivers == self._recorded_waivers:
-                continue
-            self._recorded_waivers = waivers
-            self._update_record()
-            await self._committer.wait_committed()
-            self.entry_answers.waive(waivers)
-            log_decision("answers of silent entries waived", entries=sorted(waivers))
+            waivable = self.entry_answers.waivable_addresses
+            await self._record_waivers(waivable)
+            self.entry_answers.waive(waivable)
 
-    def _update_record(self):
-        self._committer.update_leader_record(
-            self.earlier_leaders, self._recorded_waivers
-        )
+    async def _record_waivers(self, waivable):
+        """Record waivers of these entries and of those that earlier leaders waived."""
+        if self.earlier_leaders.have_all_ended:
+            self._earlier_waivers = frozenset()
+        waivers = waivable | self._earlier_waivers
+        if waivers == self._recorded_waivers:
+            return
+        self._committer.update_waivers(waivers)
+        await self._committer.wait_committed()
+        self._recorded_waivers = waivers
+        log_decision("waivers of entries recorded", entries=sorted(waivers))
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -69,7 +69,9 @@
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
-        self.grants = GrantAuthority(self.committer, term.earlier_leaders)
+        self.grants = GrantAuthority(
+            self.committer, term.earlier_leaders, term.waived_addresses
+        )
         self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -26,7 +26,9 @@
     "read_jobs",
     "read_leader",
     "read_suspended_workers",
+    "read_waived_addresses",
     "suspension_record",
+    "waiver_record",
     "worker_record",
 ]
 
@@ -41,6 +43,8 @@
 WORKER_PREFIX = "w/"
 #: Prefix of the keys of workers to which no leases are granted.
 SUSPENSION_PREFIX = "u/"
+#: Prefix of the keys of entries whose answers a leader may not need.
+WAIVER_PREFIX = "v/"
 
 _costs_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
@@ -60,9 +64,9 @@
     instance_id: str
     #: Peer addresses of earlier leaders that may still grant leases; None if unknown.
     earlier_addresses: list[str] | None = None
-    #: Peer addresses of entries without whose answers this or an earlier leader grants
-    #: leases in a store outage; None if unknown.
-    waived_addresses: list[str] | None = None
+    #: Whether this and the earlier leaders need the answers of all entries that are not
+    #: waived to grant leases in a store outage.
+    need_answers: bool = False
 
 
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
@@ -165,6 +169,24 @@
     return epoch_by_id
 
 
+def waiver_record(address, is_waived):
+    """Return the record that the answers of an entry may not be needed, or its removal.
+
+    It has a key of its own, so that a successor also reads one that was appended after
+    its first look at the leader's record.
+    """
+    return KeyedRecord(WAIVER_PREFIX + address, b"1" if is_waived else b"")
+
+
+def read_waived_addresses(records_by_key):
+    """Return the peer addresses of the entries whose answers may not be needed."""
+    return frozenset(
+        key[len(WAIVER_PREFIX) :]
+        for key, record in records_by_key.items()
+        if key.startswith(WAIVER_PREFIX) and record.value
+    )
+
+
 def costs_record(costs):
     """Return the learned `PairCosts` as a keyed record."""
     rows = [
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -30,6 +30,7 @@
     read_jobs,
     read_leader,
     read_suspended_workers,
+    read_waived_addresses,
 )
 from .submitting import add_job
 
@@ -57,6 +58,8 @@
     earlier_leaders: EarlierLeaders
     #: Workers with a record that their grants are suspended, of whatever term.
     suspended_worker_ids: set[str]
+    #: Entries with a record that their answers may not be needed.
+    waived_addresses: frozenset[str]
 
 
 @dataclass(slots=True, frozen=True)
@@ -107,16 +110,25 @@
             settings.peer_address,
             settings.instance_id,
             earlier_leaders.to_record(),
-            sorted(earlier_leaders.waived_addresses),
+            earlier_leaders.need_answers,
         )
         claim = await _claim(journal, record, writer)
         if claim is not None:
             snapshot = await _catch_up(journal, snapshot, claim.offset)
             earlier_epoch = earlier.epoch if earlier else 0
+            waived = read_waived_addresses(snapshot.records_by_key)
+            if settings.peer_address in waived:
+                earlier_leaders.release()
             cell = _read_cell(snapshot, settings, earlier_leaders, earlier_epoch)
             suspended = read_suspended_workers(snapshot.records_by_key)
             return Term(
-                writer, cell, nodes, claim.sent_s, earlier_leaders, set(suspended)
+                writer,
+                cell,
+                nodes,
+                claim.sent_s,
+                earlier_leaders,
+                set(suspended),
+                waived,
             )
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -2,10 +2,15 @@
 
 import random
 
+import msgspec
 import pytest
 
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentlink import lease_end_s
+from dotterelspread.jobs.earlierleaders import (
+    CONFIRMED_GRANT_S,
+    MAX_UNCONFIRMED_GRANT_S,
+)
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.records import (
     CELL_STREAM,
@@ -13,6 +18,7 @@
     job_records,
     leader_record,
     suspension_record,
+    waiver_record,
 )
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
@@ -25,28 +31,53 @@
 KEY = (0, 0, 0)
 
 
-def take_over_after(leader, *records):
-    """Take over a worker with one run; return whether one lease is waited for."""
+def wait_after(leader, *records, late_records=(), heard_addresses=()):
+    """Take over a worker with one run; return the wait beyond one lease in seconds.
+
+    Parameters
+    ----------
+    leader : LeaderRecord
+    *records : KeyedRecord
+    late_records : sequence of KeyedRecord
+        Appended by the leader just before the claim of its successor.
+    heard_addresses : collection of str
+        Leaders that the successor has heard.
+    """
 
     async def run():
         store = VirtualStore(random.Random(1))
         journal = store.journal("successor")
+        append = journal.append
+
+        async def append_claim(stream, claim, writer):
+            await append(stream, list(late_records))
+            return await append(stream, claim, writer)
+
         worker = make_worker(0)
         job = Job.from_spec(make_job(1), 0.0)
         job.assign(KEY, worker, 1)
         stored = [leader_record(leader), *job_records(job, is_new=True), *records]
         await journal.append(CELL_STREAM, stored)
+        if late_records:
+            journal.append = append_claim
         settings = make_settings(FleetRole.ENTRY, 9)
-        term = await take_over(journal, settings)
+        term = await take_over(journal, settings, heard_addresses)
         adopted = term.cell.workers_by_id[worker.worker_id]
         one_lease_s = lease_end_s(clock.now_s(), settings.bounds.max_lease_ms)
-        return adopted.lease_end_s <= one_lease_s
+        return adopted.lease_end_s - one_lease_s
 
     return run_virtually(run())
 
 
+def take_over_after(leader, *records):
+    """Take over a worker with one run; return whether one lease is waited for."""
+    return wait_after(leader, *records) <= 0
+
+
 def make_leader(*earlier_addresses):
-    return LeaderRecord(EPOCH, "leader:1", "instance", list(earlier_addresses))
+    return LeaderRecord(
+        EPOCH, "leader:1", "instance", list(earlier_addresses), need_answers=True
+    )
 
 
 def test_a_worker_without_a_suspension_may_hold_leases_for_long():
@@ -60,3 +91,39 @@
 @pytest.mark.parametrize("epoch", [1, EPOCH - 1, EPOCH + 1])
 def test_a_suspension_of_another_epoch_says_nothing_of_the_last_leader(epoch):
     assert not take_over_after(make_leader(), suspension_record("i-0", epoch))
+
+
+@pytest.mark.parametrize(
+    ("heard_addresses", "wait_s"),
+    [
+        ({"leader:1", "first:1"}, CONFIRMED_GRANT_S),
+        ({"leader:1"}, MAX_UNCONFIRMED_GRANT_S),
+        ((), MAX_UNCONFIRMED_GRANT_S),
+    ],
+)
+def test_a_successor_waits_long_unless_each_earlier_leader_knows_it(
+    heard_addresses, wait_s
+):
+    leader = make_leader("first:1")
+    waited_s = wait_after(leader, heard_addresses=heard_addresses)
+    assert waited_s == pytest.approx(wait_s, abs=0.1)
+
+
+def test_a_successor_waits_long_after_a_leader_that_needs_no_answers():
+    leader = msgspec.structs.replace(make_leader(), need_answers=False)
+    waited_s = wait_after(leader, heard_addresses={"leader:1"})
+    assert waited_s == pytest.approx(MAX_UNCONFIRMED_GRANT_S, abs=0.1)
+
+
+def test_a_successor_heeds_a_waiver_that_was_appended_just_before_its_claim():
+    own_address = make_settings(FleetRole.ENTRY, 9).peer_address
+    for address, wait_s in [
+        (own_address, MAX_UNCONFIRMED_GRANT_S),
+        ("other:1", CONFIRMED_GRANT_S),
+    ]:
+        waited_s = wait_after(
+            make_leader(),
+            late_records=[waiver_record(address, True)],
+            heard_addresses={"leader:1"},
+        )
+        assert waited_s == pytest.approx(wait_s, abs=0.1)
