Name the authority to grant, a worker's loss and an own waiver by what they are

Cause: read as a newcomer, Leader.grants stood beside Worker.grants, which is something else, list_lost_runs returned no list, and EarlierLeaders.release told nothing.

Change: grant_authority, make_worker_loss, note_own_waiver.

--- a/dotterelspread/jobs/connecting.py
+++ b/dotterelspread/jobs/connecting.py
@@ -83,6 +83,6 @@
             leader.spawn("agent link", link.run, agent=node.peer_address)
         elif node.role == FleetRole.ENTRY:
             leader.links_by_address[node.peer_address] = None
-            leader.grants.entry_answers.expect(node.peer_address)
+            leader.grant_authority.entry_answers.expect(node.peer_address)
             announce = partial(announce_periodically, leader, node.peer_address)
             leader.spawn("leader notices", announce, entry=node.peer_address)
--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -20,7 +20,7 @@
     "conclude_crash",
     "count_crash",
     "has_crashed",
-    "list_lost_runs",
+    "make_worker_loss",
     "remove_crashed_worker",
 ]
 
@@ -46,7 +46,7 @@
     return not (worker.is_draining or worker.is_agent_lost)
 
 
-def list_lost_runs(cell, worker):
+def make_worker_loss(cell, worker):
     """Return the `WorkerLoss` of a worker that still has its runs."""
     lost = []
     suspects = _suspects(worker)
@@ -153,7 +153,7 @@
 
 def remove_crashed_worker(cell, worker, successor_id, event):
     """Remove a worker and count its crash; see `count_crash` and `conclude_crash`."""
-    loss = list_lost_runs(cell, worker)
+    loss = make_worker_loss(cell, worker)
     count_crash(cell, loss, successor_id)
     remove_worker(cell, worker)
     return conclude_crash(cell, loss, event)
--- a/dotterelspread/jobs/earlierleaders.py
+++ b/dotterelspread/jobs/earlierleaders.py
@@ -73,7 +73,7 @@
         """Value of `LeaderRecord.need_answers` for the successor."""
         return self.have_all_ended or (self._are_all_known and self._need_answers)
 
-    def release(self):
+    def note_own_waiver(self):
         """Record that some of them may not need the answers of this entry."""
         self._are_bound = False
 
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -69,7 +69,7 @@
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
-        self.grants = GrantAuthority(
+        self.grant_authority = GrantAuthority(
             self.committer, term.earlier_leaders, term.waived_addresses
         )
         self._connector = NodeConnector(self, term.nodes)
@@ -89,7 +89,7 @@
         self._spawn_vital(self._tick_loop())
         self._connector.connect_known()
         self.spawn("nodes", self._connector.run)
-        self.spawn("waivers", self.grants.waive_silent_entries)
+        self.spawn("waivers", self.grant_authority.waive_silent_entries)
         try:
             await self._deposed
         finally:
@@ -115,7 +115,7 @@
     @property
     def may_grant(self):
         """Whether leases may be granted within the time that a successor allows for."""
-        return self.grants.may_grant and not self.is_deposed
+        return self.grant_authority.may_grant and not self.is_deposed
 
     @property
     def is_confirmed(self):
@@ -126,12 +126,12 @@
 
     def end_earlier_term(self, address):
         """Record that the process at an address grants no leases of earlier terms."""
-        if self.grants.end_earlier_term(address):
+        if self.grant_authority.end_earlier_term(address):
             log_decision("earlier leader ended", epoch=self.epoch, address=address)
             self._handle_earlier_leaders_change()
 
     def _handle_earlier_leaders_change(self):
-        if self.grants.earlier_leaders.have_all_ended:
+        if self.grant_authority.earlier_leaders.have_all_ended:
             now_s = clock.now_s()
             end_s = lease_end_s(now_s, self.settings.bounds.lease_ms)
             self.apply(EarlierTermsEnded(now_s, end_s))
@@ -310,5 +310,5 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.apply(CellTick(clock.now_s(), clock.wall_ms()))
             self.committer.confirm_if_due()
-            if self.grants.expire_earlier_leaders():
+            if self.grant_authority.expire_earlier_leaders():
                 self._handle_earlier_leaders_change()
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -97,6 +97,6 @@
         if reply.epoch > leader.epoch:
             leader.depose("an entry knows a later epoch")
             return
-        leader.grants.entry_answers.observe(address, sent_s)
+        leader.grant_authority.entry_answers.observe(address, sent_s)
         if reply.has_ended_terms:
             leader.end_earlier_term(address)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -8,7 +8,7 @@
     conclude_crash,
     count_crash,
     has_crashed,
-    list_lost_runs,
+    make_worker_loss,
     remove_crashed_worker,
 )
 from .ends import apply_ends
@@ -108,7 +108,7 @@
     born_ms = event.report.born_ms
     if not has_crashed(worker):
         return replace_incarnation(cell, worker, born_ms, event.now_s), []
-    loss = list_lost_runs(cell, worker)
+    loss = make_worker_loss(cell, worker)
     count_crash(cell, loss, worker.worker_id)
     successor = replace_incarnation(cell, worker, born_ms, event.now_s)
     return successor, conclude_crash(cell, loss, event)
--- a/dotterelspread/jobs/silentlosses.py
+++ b/dotterelspread/jobs/silentlosses.py
@@ -5,14 +5,14 @@
 """
 
 from .cell import WorkerReturned
-from .crashes import conclude_crash, count_crash, list_lost_runs
+from .crashes import conclude_crash, count_crash, make_worker_loss
 
 __all__ = ["keep_silent_loss", "settle_silent_loss"]
 
 
 def keep_silent_loss(cell, worker):
     """Keep the runs of a silent worker that is given up."""
-    loss = list_lost_runs(cell, worker)
+    loss = make_worker_loss(cell, worker)
     if loss.runs:
         cell.silent_losses_by_agent[worker.agent_address] = loss
 
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -118,7 +118,7 @@
             earlier_epoch = earlier.epoch if earlier else 0
             waived = read_waived_addresses(snapshot.records_by_key)
             if settings.peer_address in waived:
-                earlier_leaders.release()
+                earlier_leaders.note_own_waiver()
             cell = _read_cell(snapshot, settings, earlier_leaders, earlier_epoch)
             suspended = read_suspended_workers(snapshot.records_by_key)
             return Term(
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -236,7 +236,7 @@
             await fleet.settle(0.05)
             successor = second.candidate.leader
             was_forgotten = (
-                successor and successor.grants.earlier_leaders.have_all_ended
+                successor and successor.grant_authority.earlier_leaders.have_all_ended
             )
             assert not (was_forgotten and term.may_grant)
 
