Pace fillers by the best estimate of their interference

The pacer took each cost at its estimate plus half a standard deviation, so fillers of images not known yet were throttled.

Change: the pacer uses the estimate itself.

The new test fails on the code before.

--- a/dotterelspread/jobs/pacing.py
+++ b/dotterelspread/jobs/pacing.py
@@ -115,7 +115,7 @@
                 traits.millicores,
                 row.percent,
                 {
-                    image: cost(image, traits.image).upper_per_core
+                    image: max(0.0, cost(image, traits.image).per_core)
                     * traits.millicores
                     / 1000
                     for image in tail_by_image
--- a/dotterelspread/jobs/paircost.py
+++ b/dotterelspread/jobs/paircost.py
@@ -17,8 +17,6 @@
 PRIOR_COST_DEVIATION = 0.12
 #: Lower bound of an estimate's standard deviation: the true costs drift.
 MIN_COST_DEVIATION = 0.015
-#: Standard deviations by which the conservative estimate exceeds the best one.
-UPPER_BOUND_DEVIATIONS = 0.5
 #: Standard deviation of the log tail's change between two listings due to own load.
 LOG_TAIL_CHANGE_DEVIATION = 0.15
 #: Standard deviation of the rounding error of a tail in whole milliseconds.
@@ -39,11 +37,6 @@
     per_core: float = PRIOR_COST_PER_CORE
     deviation: float = PRIOR_COST_DEVIATION
 
-    @property
-    def upper_per_core(self):
-        """A conservative estimate that the true cost seldom exceeds."""
-        return max(0.0, self.per_core + UPPER_BOUND_DEVIATIONS * self.deviation)
-
 
 @dataclass(slots=True)
 class _Sample:
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -123,6 +123,20 @@
     assert used <= CAPACITY - 0.75 * 8000 + 35
 
 
+def test_an_uncertain_cost_is_taken_at_its_best_estimate():
+    """A margin for the uncertainty would throttle every filler of an unknown image."""
+    pacer = FillerPacer()
+    rows = [RunningTask("s", 1, "", 100, 10), RunningTask("f", 1, "", 50, 0)]
+    traits = {
+        "s": TaskTraits("s", TARGET_MS, False, "serving", 6400),
+        "f": TaskTraits("f", 0, True, "unknown", 3500),
+    }
+    # Without the filler the tail is at 0.44 of its target, and the filler is expected
+    # to raise it to 0.67, which is within the pacer's limit of 0.70.
+    costs = {("serving", "unknown"): CostEstimate(0.15, 0.12)}
+    assert pacer.update(CAPACITY, rows, traits, costs) == []
+
+
 def test_fillers_without_a_serving_task_beside_them_are_not_paced():
     pacer = FillerPacer()
     rows = [RunningTask("f", 1, "", 50, 3500)]
