Start nothing in data centres that operators have evacuated

Cause: operators write the key evacuate/NAME to the stream op to ask that nothing more is sent to the workers of a data centre.

The leader places nothing on their workers, sends no start there that was assigned or is retried, and gives such runs up: at once if no order was ever sent, else after a stop. Agents learn it from the leader's polls and refuse starts. Where the platform states EvacuateMs, a start is sent, by the leader and by the agent, only until the stream was read half of that time ago, so that a leader that cannot read it, and a delayed order, start nothing late. Confirmed runs go on.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -45,6 +45,8 @@
     #: Parses a record's value into a `FleetConfiguration` or raises ``parse_error``.
     read_configuration: Callable
     parse_error: type
+    #: Returns the data centre that a record's key evacuates; empty for other keys.
+    read_evacuated_data_centre: Callable
     #: Takes a `Forwarder` and a callable that returns the current configuration, and
     #: returns the handler of callers' requests.
     make_caller_handler: Callable
@@ -175,6 +177,7 @@
 async def _(adapters: EntryAdapters, node):
     from .jobs.candidate import LeaderCandidate
     from .jobs.configurationfollower import ConfigurationFollower
+    from .jobs.evacuation import EvacuatedDataCentres
     from .jobs.forwarding import Forwarder
     from .jobs.leadernotices import LeaderView
 
@@ -187,9 +190,19 @@
         if candidate.leader is not None:
             candidate.leader.configure(configuration)
 
+    def on_evacuation(data_centres):
+        if candidate.leader is not None:
+            candidate.leader.evacuate(data_centres)
+
     def configuration():
         return follower.configuration
 
+    def is_leading():
+        return candidate.leader is not None
+
+    evacuations = EvacuatedDataCentres(
+        adapters.read_evacuated_data_centre, on_evacuation
+    )
     follower = ConfigurationFollower(
         node.journal,
         adapters.configuration_stream,
@@ -197,10 +210,18 @@
         adapters.read_configuration,
         adapters.parse_error,
         on_change,
+        evacuations,
+        is_leading,
     )
     view = LeaderView()
     candidate = LeaderCandidate(
-        settings, node.journal, node.pool, view, configuration, adapters.permit_service
+        settings,
+        node.journal,
+        node.pool,
+        view,
+        configuration,
+        adapters.permit_service,
+        evacuations,
     )
     forwarder = Forwarder(candidate, node.pool)
     answer_caller = adapters.make_caller_handler(forwarder, configuration)
--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2451,6 +2451,7 @@
      - grant_until_ms
      - traits
      - costs
+     - evacuated
 
     """
 
@@ -2463,10 +2464,11 @@
         'grant_until_ms',
         'traits',
         'costs',
+        'evacuated',
     )
 
 
-    def __init__(self, epoch=None, version=None, wait_ms=None, born_ms=None, seen=None, grant_until_ms=None, traits=None, costs=None,):
+    def __init__(self, epoch=None, version=None, wait_ms=None, born_ms=None, seen=None, grant_until_ms=None, traits=None, costs=None, evacuated=None,):
         self.epoch = epoch
         self.version = version
         self.wait_ms = wait_ms
@@ -2475,6 +2477,7 @@
         self.grant_until_ms = grant_until_ms
         self.traits = traits
         self.costs = costs
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2537,6 +2540,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2585,6 +2593,10 @@
                 iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 9)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2961,6 +2973,7 @@
      - image
      - millicores
      - permit
+     - send_until_ms
 
     """
 
@@ -2979,10 +2992,11 @@
         'image',
         'millicores',
         'permit',
+        'send_until_ms',
     )
 
 
-    def __init__(self, epoch=None, worker_id=None, born_ms=None, task_id=None, run=None, program=None, checkpoint=None, grant_until_ms=None, target_ms=None, filler=None, repeat=None, image=None, millicores=None, permit=None,):
+    def __init__(self, epoch=None, worker_id=None, born_ms=None, task_id=None, run=None, program=None, checkpoint=None, grant_until_ms=None, target_ms=None, filler=None, repeat=None, image=None, millicores=None, permit=None, send_until_ms=None,):
         self.epoch = epoch
         self.worker_id = worker_id
         self.born_ms = born_ms
@@ -2997,6 +3011,7 @@
         self.image = image
         self.millicores = millicores
         self.permit = permit
+        self.send_until_ms = send_until_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3077,6 +3092,11 @@
                     self.permit = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.send_until_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3143,6 +3163,10 @@
             oprot.writeFieldBegin('permit', TType.STRING, 14)
             oprot.writeString(self.permit.encode('utf-8') if sys.version_info[0] == 2 else self.permit)
             oprot.writeFieldEnd()
+        if self.send_until_ms is not None:
+            oprot.writeFieldBegin('send_until_ms', TType.I64, 15)
+            oprot.writeI64(self.send_until_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3965,6 +3989,7 @@
     (6, TType.I64, 'grant_until_ms', None, None, ),  # 6
     (7, TType.LIST, 'traits', (TType.STRUCT, [TaskTraits, None], False), None, ),  # 7
     (8, TType.LIST, 'costs', (TType.STRUCT, [PairCost, None], False), None, ),  # 8
+    (9, TType.BOOL, 'evacuated', None, None, ),  # 9
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -4008,6 +4033,7 @@
     (12, TType.STRING, 'image', 'UTF8', None, ),  # 12
     (13, TType.I32, 'millicores', None, None, ),  # 13
     (14, TType.STRING, 'permit', 'UTF8', None, ),  # 14
+    (15, TType.I64, 'send_until_ms', None, None, ),  # 15
 )
 all_structs.append(StopOrder)
 StopOrder.thrift_spec = (
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -8,6 +8,7 @@
 from ..peer import PeerError
 from . import clock
 from .cell import AgentLost, Reported
+from .evacuation import start_validity_s
 from .watchreport import ReportError, check_reply, read_report
 from .worker import LeaseGrants
 
@@ -56,6 +57,7 @@
         "_acknowledged_number",
         "_address",
         "_agent_clock_ms",
+        "_agent_clock_read_s",
         "_born_ms",
         "_is_granting",
         "_last_report_s",
@@ -79,6 +81,8 @@
         self._logged_number = 0
         #: Agent's clock in its latest reply.
         self._agent_clock_ms = 0
+        #: When that reply arrived, on `clock.elapsed_s`.
+        self._agent_clock_read_s = clock.elapsed_s()
         #: When the latest reply that tells of a worker arrived.
         self._last_report_s = clock.now_s()
         self._is_granting = False
@@ -99,6 +103,27 @@
             return 0
         return self._agent_clock_ms + self._leader.settings.bounds.lease_ms
 
+    def send_limit_ms(self):
+        """Return the agent's time up to which it may send a start to its worker.
+
+        Until then it is safe to start what no evacuation known to this leader forbids.
+        It is 0 if that is not known any more, and None if there is no limit.
+        """
+        evacuate_ms = self._leader.settings.bounds.evacuate_ms
+        validity_s = start_validity_s(self._leader.evacuations, evacuate_ms)
+        if validity_s is None:
+            return None
+        if validity_s <= 0:
+            return 0
+        # The agent's clock shows at least this by now.
+        passed_s = clock.elapsed_s() - self._agent_clock_read_s
+        return self._agent_clock_ms + int((passed_s + validity_s) * 1000)
+
+    def _is_evacuated(self):
+        """Return whether the agent's worker is; None before its first report."""
+        worker = self._leader.cell.workers_by_id.get(self._worker_id)
+        return None if worker is None else worker.is_evacuated
+
     async def run(self):
         """Poll the agent indefinitely."""
         while True:
@@ -115,6 +140,7 @@
             grant_until_ms=self.grant_limit_ms(),
             traits=self._traits() if self._needs_traits else [],
             costs=self._costs(),
+            evacuated=self._is_evacuated(),
         )
         timeout_s = wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S
         try:
@@ -152,6 +178,7 @@
     def _apply_reply(self, reply):
         now_s = clock.now_s()
         self._agent_clock_ms = reply.clock_ms
+        self._agent_clock_read_s = clock.elapsed_s()
         self._needs_traits = bool(reply.needs_traits)
         if not reply.known:
             # The agent has restarted; its worker may have gone meanwhile.
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -59,6 +59,8 @@
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
+        #: Whether the leader says that operators have evacuated the data centre.
+        self.is_evacuated = False
         self._departure = Departure()
         self.answered_ms = clock_ms()
         self.version = 1
@@ -290,6 +292,7 @@
         """Answer the leader's long poll after a change or at the end of the wait."""
         if not self.accepts(query.epoch):
             return self._reply()
+        self._note_evacuation(query)
         self.grant.extend(query.grant_until_ms)
         if query.born_ms == self.born_ms and query.seen > self.seen:
             self._discard_acknowledged_ends(query.seen)
@@ -308,6 +311,15 @@
                 return self._reply()
         return self._reply()
 
+    def _note_evacuation(self, query):
+        if query.evacuated is None and not query.version:
+            # The leader does not know yet which worker this is.
+            return
+        is_evacuated = bool(query.evacuated)
+        if is_evacuated != self.is_evacuated:
+            self.is_evacuated = is_evacuated
+            log_decision("evacuation learned", is_evacuated=is_evacuated)
+
     def _discard_acknowledged_ends(self, seen):
         self.seen = seen
         for number in [n for n in self.ended_by_number if n <= seen]:
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -46,15 +46,26 @@
     configuration : callable
         Returns the `FleetConfiguration` in force.
     permit_service : PermitService
+    evacuations : EvacuatedDataCentres
     """
 
-    def __init__(self, settings, journal, pool, view, configuration, permit_service):
+    def __init__(
+        self,
+        settings,
+        journal,
+        pool,
+        view,
+        configuration,
+        permit_service,
+        evacuations,
+    ):
         self.settings = settings
         self.journal = journal
         self.pool = pool
         self.view = view
         self.configuration = configuration
         self.permit_service = permit_service
+        self.evacuations = evacuations
         self.leader = None
         self._generation = 0
         self._is_member = False
@@ -205,6 +216,7 @@
                 term,
                 self.configuration(),
                 self.permit_service,
+                self.evacuations,
             )
             self.leader = leader
             self.view.note_epoch(leader.epoch)
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -23,6 +23,7 @@
     "Configured",
     "DropJob",
     "EarlierTermsEnded",
+    "Evacuated",
     "GrantsResumed",
     "OrderSettled",
     "Reported",
@@ -43,6 +44,7 @@
     """The leader's decision state; changed only by the reducer."""
 
     configuration: FleetConfiguration = FleetConfiguration()
+    evacuated_data_centres: frozenset[str] = frozenset()
     jobs_by_id: dict[str, Job] = field(default_factory=dict)
     workers_by_id: dict[str, Worker] = field(default_factory=dict)
     #: Workers that were given up while it was not known whether they had crashed, by
@@ -138,6 +140,13 @@
     configuration: FleetConfiguration
 
 
+@dataclass(slots=True, frozen=True)
+class Evacuated(Event):
+    """The set of data centres that operators have evacuated has changed."""
+
+    data_centres: frozenset[str]
+
+
 @dataclass(slots=True, frozen=True)
 class Reported(Event):
     """An agent reported the state of its worker."""
--- a/dotterelspread/jobs/configurationfollower.py
+++ b/dotterelspread/jobs/configurationfollower.py
@@ -1,8 +1,9 @@
-"""Keeps an entry's configuration in sync with the log store."""
+"""Keeps what operators publish, as an entry knows it, in sync with the log store."""
 
 import asyncio
 
 from ..decisionlog import log_decision
+from . import clock
 from .journal import JournalError, JournalTruncatedError
 from .queues import FleetConfiguration
 
@@ -11,6 +12,9 @@
 #: Longest time that a read waits for records; it also bounds the time in which an
 #: unresponsive connection is detected.
 POLL_TIMEOUT_S = 2.0
+#: The same in the leader, which sends starts only if it has read recently which data
+#: centres are evacuated.
+LEADER_POLL_TIMEOUT_S = 0.8
 #: Delay before a failed read is retried.
 RETRY_INTERVAL_S = 0.2
 
@@ -28,9 +32,23 @@
     parse_error : type
     on_change : callable
         Called with each newly applied version.
+    evacuations : EvacuatedDataCentres, optional
+        Gets the records of the stream too.
+    is_leading : callable, optional
+        Whether the entry leads at present.
     """
 
-    def __init__(self, journal, stream, key, read, parse_error, on_change):
+    def __init__(
+        self,
+        journal,
+        stream,
+        key,
+        read,
+        parse_error,
+        on_change,
+        evacuations=None,
+        is_leading=bool,
+    ):
         self.journal = journal
         self.stream = stream
         self.key = key
@@ -38,6 +56,8 @@
         self._read = read
         self._parse_error = parse_error
         self._on_change = on_change
+        self._evacuations = evacuations
+        self._is_leading = is_leading
 
     async def run(self):
         """Follow the stream indefinitely."""
@@ -46,7 +66,9 @@
             try:
                 if offset is None:
                     offset = await self._load_snapshot()
-                tail = await self.journal.follow(self.stream, offset, POLL_TIMEOUT_S)
+                sent_s = clock.elapsed_s()
+                wait_s = self._poll_timeout_s()
+                tail = await self.journal.follow(self.stream, offset, wait_s)
             except JournalTruncatedError:
                 offset = None
             except JournalError as error:
@@ -56,11 +78,21 @@
                 offset = tail.next_offset
                 for record in tail.records:
                     self._apply_record(record)
+                if self._evacuations is not None:
+                    known_s = _known_s(tail, sent_s, wait_s)
+                    self._evacuations.update(tail.records, known_s)
+
+    def _poll_timeout_s(self):
+        return LEADER_POLL_TIMEOUT_S if self._is_leading() else POLL_TIMEOUT_S
 
     async def _load_snapshot(self):
+        sent_s = clock.elapsed_s()
         snapshot = await self.journal.snapshot(self.stream)
-        for record in snapshot.records_by_key.values():
+        records = snapshot.records_by_key.values()
+        for record in records:
             self._apply_record(record)
+        if self._evacuations is not None:
+            self._evacuations.replace(records, sent_s)
         return snapshot.end
 
     def _apply_record(self, record):
@@ -81,3 +113,12 @@
         )
         self.configuration = configuration
         self._on_change(configuration)
+
+
+def _known_s(tail, sent_s, wait_s):
+    """Return a time by which the records of a read were complete, on `clock.elapsed_s`.
+
+    The store answers without records only at the end of the wait.
+    """
+    has_waited = not tail.records and clock.elapsed_s() - sent_s >= wait_s
+    return sent_s + wait_s if has_waited else sent_s
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -11,6 +11,7 @@
     CellTick,
     Configured,
     EarlierTermsEnded,
+    Evacuated,
     Submitted,
     Withdrawn,
 )
@@ -55,15 +56,27 @@
         Result of `take_over`.
     configuration : FleetConfiguration
     permit_service : PermitService
+    evacuations : EvacuatedDataCentres
     """
 
-    def __init__(self, settings, journal, pool, term, configuration, permit_service):
+    def __init__(
+        self,
+        settings,
+        journal,
+        pool,
+        term,
+        configuration,
+        permit_service,
+        evacuations,
+    ):
         self.settings = settings
         self.journal = journal
         self.pool = pool
         self.permit_service = permit_service
         self.cell = term.cell
         self.cell.configuration = configuration
+        self.evacuations = evacuations
+        self.cell.evacuated_data_centres = evacuations.names
         #: `AgentLink` of each agent by its peer address; None for entries.
         self.links_by_address = {}
         self.sender = OrderSender(self)
@@ -305,6 +318,10 @@
         """Apply a published version of the configuration."""
         self.apply(Configured(clock.now_s(), configuration))
 
+    def evacuate(self, data_centres):
+        """Start nothing more in these data centres, and use all others again."""
+        self.apply(Evacuated(clock.now_s(), data_centres))
+
     async def _tick_loop(self):
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -36,8 +36,11 @@
 def is_suitable(cell, job, worker, run):
     """Tell whether the worker of an assigned run may still start it.
 
-    Since the assignment the worker may have shrunk or returned as another kind.
+    Since the assignment the worker may have shrunk or returned as another kind, or its
+    data centre may have been evacuated.
     """
+    if worker.is_evacuated:
+        return False
     label = job.step_of(run.key).required_label
     has_room = run.reserved.fits_in(worker.available + run.reserved)
     has_label = not label or label in worker.labels
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -79,6 +79,8 @@
                 return OrderResult.UNKNOWN, ORDER_EXPIRED
             if self._agent.announcement.is_draining:
                 answer, detail = StartAnswer.REFUSED, "draining"
+            elif self._agent.is_evacuated:
+                answer, detail = StartAnswer.REFUSED, "evacuated"
             else:
                 try:
                     answer, detail = await self._send_start(order)
@@ -98,13 +100,19 @@
         return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT, detail
 
     def _has_expired(self, order):
-        """Tell whether the leader may have assigned the run to another worker.
+        """Tell whether the order may not be sent to the worker any more.
+
+        The leader may have assigned the run to another worker.
 
         A later grant does not renew the order: it may come from a leader that has given
         the run up meanwhile. Nothing is known of an order from before a boot.
         """
         until_ms = order.grant_until_ms
-        is_over = until_ms <= self._agent.clock_ms()
+        now_ms = self._agent.clock_ms()
+        is_over = until_ms <= now_ms
+        if order.send_until_ms is not None:
+            # Its data centre may have been evacuated since the leader sent the order.
+            is_over = is_over or order.send_until_ms <= now_ms
         return is_over or self._agent.grant.is_on_other_clock(until_ms)
 
     async def _send_start(self, order):
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -160,10 +160,14 @@
             return
         worker, run, step = effect.worker, effect.run, effect.step
         if not self._is_suitable(effect):
-            # The next tick stops it, in case that this is a repeat.
-            self._settle(effect, "unsent")
+            reason = "evacuated" if worker.is_evacuated else "unsuitable"
+            self._withhold(effect, reason)
             return
         link = self._leader.links_by_address.get(worker.agent_address)
+        send_until_ms = link.send_limit_ms() if link else None
+        if send_until_ms == 0:
+            self._withhold(effect, "evacuations unknown")
+            return
         log_decision(
             "start ordered",
             task_id=effect.task_id,
@@ -187,9 +191,22 @@
             image=step.image,
             millicores=step.demand.millicores,
             permit=effect.permit,
+            send_until_ms=send_until_ms,
         )
         await self._send(effect, "start_run", order)
 
+    def _withhold(self, effect, reason):
+        """Leave a start unsent; the next tick retries it or stops the run."""
+        counters.add("starts_withheld", reason=reason)
+        log_decision(
+            "start withheld",
+            task_id=effect.task_id,
+            run=effect.run.run,
+            worker_id=effect.worker.worker_id,
+            reason=reason,
+        )
+        self._settle(effect, "unsent")
+
     def _is_suitable(self, effect):
         cell = self._leader.cell
         job = cell.jobs_by_id.get(effect.run.job_id)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -18,6 +18,10 @@
 ORDER_RETRY_INTERVAL_S = 0.5
 #: Time for which a worker that refused a start gets no new tasks.
 REFUSAL_BACKOFF_S = 0.5
+#: Time from the start of placement in a term for which adopted runs in an evacuated
+#: data centre are not stopped: by then the reports list what an earlier leader had
+#: started, since lists are refreshed after 0.5 s and reported after 0.7 s.
+ADOPTED_LISTING_DELAY_S = 1.5
 
 
 @reduce.register
@@ -37,6 +41,9 @@
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
         worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
+    elif worker.is_evacuated and run.is_unsent:
+        # No order has reached the worker, so nothing needs to be stopped there.
+        release_run(cell, worker, event.task_id)
     elif event.result == "confirmed":
         run.is_confirmed = True
         # The first answer counts: retried stops would outrun the listings.
@@ -94,6 +101,8 @@
 
 def _retry_start(cell, worker, run, task_id, now_s):
     job = cell.jobs_by_id[run.job_id]
+    if worker.is_evacuated:
+        return _give_up_start(cell, worker, run, task_id, now_s)
     if not is_suitable(cell, job, worker, run):
         # An earlier attempt may have reached the worker, so that a stop comes first.
         return stop_run(worker, run, task_id, RunStopReason.UNSUITABLE)
@@ -101,6 +110,14 @@
     return [start_effect(cell, job, worker, run, task_id, now_s)]
 
 
+def _give_up_start(cell, worker, run, task_id, now_s):
+    """Stop an unconfirmed run in an evacuated data centre, unless it may be running."""
+    is_adopted = not run.last_order_s
+    if is_adopted and now_s < cell.placing_start_s + ADOPTED_LISTING_DELAY_S:
+        return []
+    return stop_run(worker, run, task_id, RunStopReason.EVACUATED)
+
+
 def _release_scheduled(cell, wall_ms):
     while cell.scheduled_occurrences and cell.scheduled_occurrences[0][0] <= wall_ms:
         _, job_id, occurrence = cell.scheduled_occurrences.pop(0)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -122,6 +122,7 @@
     worker.agent_address = report.agent_address
     worker.service = report.service
     worker.data_centre = report.data_centre
+    worker.is_evacuated = report.data_centre in cell.evacuated_data_centres
     worker.labels = report.labels
     worker.rack = report.rack
     worker.set_capacity(report.capacity)
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -26,6 +26,8 @@
     UNKNOWN = "not the latest run of its task"
     #: The start is not confirmed, and the worker has changed since the assignment.
     UNSUITABLE = "the worker has no room for it any more"
+    #: The start is not confirmed, and the worker's data centre was evacuated.
+    EVACUATED = "the data centre is evacuated"
     STALLED = "no progress"
     STRAGGLER = "expected to finish sooner on another worker"
 
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -113,6 +113,8 @@
     capacity: Resources = Resources()
     is_reachable: bool = False
     is_draining: bool = False
+    #: Whether operators have evacuated its data centre.
+    is_evacuated: bool = False
     #: Leader's clock since when it has been unreachable.
     unreachable_since_s: float = 0.0
     grants: LeaseGrants = LeaseGrants.ALLOWED
@@ -140,7 +142,8 @@
     alive_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
-    #: Leader's clock until which the worker gets no new tasks, after a refused start.
+    #: Leader's clock until which the worker gets no new tasks, after a refused start or
+    #: the end of an evacuation.
     backoff_until_s: float = 0.0
     #: Leader's clock until which the worker gets serving tasks only, and those only if
     #: no other worker fits, after failed or stalled runs.
@@ -234,6 +237,7 @@
             self.is_reachable
             and self.grants is LeaseGrants.ALLOWED
             and not self.is_draining
+            and not self.is_evacuated
             and now_s >= self.backoff_until_s
         )
 
--- a/dotterelspread/platform/daemon.py
+++ b/dotterelspread/platform/daemon.py
@@ -26,6 +26,7 @@
         ConfigurationFormatError,
         read_configuration,
     )
+    from .evacuations import read_evacuated_data_centre
     from .jobdocument import READY_PATH
     from .policy import PlatformPermits
 
@@ -39,6 +40,7 @@
             CONFIGURATION_KEY,
             read_configuration,
             ConfigurationFormatError,
+            read_evacuated_data_centre,
             make_caller_handler,
             permits,
             READY_PATH,
--- a/dotterelspread/platform/heartbeats.py
+++ b/dotterelspread/platform/heartbeats.py
@@ -12,6 +12,7 @@
 __all__ = [
     "HEARTBEAT_PREFIX",
     "DEREGISTER_PREFIX",
+    "MAX_NAME_LENGTH",
     "HeartbeatError",
     "check_worker_id",
     "read_deregistration",
@@ -23,10 +24,11 @@
 DEREGISTER_PREFIX = "/api/Instances.Deregister/"
 STATES = frozenset({"ready", "draining"})
 MAX_LABELS = 64
+MAX_NAME_LENGTH = 256
 MAX_PORT = 65_535
 #: A worker's ID becomes a header of calls to it and part of a key in the log store.
 _WORKER_ID = re.compile(r"[!-~]{1,128}\Z")
-Name = Annotated[str, msgspec.Meta(max_length=256)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
 class HeartbeatError(Exception):
--- a/dotterelspread/platform/settings.py
+++ b/dotterelspread/platform/settings.py
@@ -33,6 +33,7 @@
     status_s: float = msgspec.field(name="status_s", default=120.0)
     remote_factor: float = msgspec.field(name="RemoteFactor", default=1.5)
     impact_ms: int = msgspec.field(name="ImpactMs", default=4000)
+    evacuate_ms: int = msgspec.field(name="EvacuateMs", default=0)
 
 
 class _Store(msgspec.Struct):
@@ -118,6 +119,7 @@
             bounds.status_s,
             bounds.remote_factor,
             bounds.impact_ms,
+            bounds.evacuate_ms,
         ),
     )
     _check_addresses(translated)
--- a/dotterelspread/processsettings.py
+++ b/dotterelspread/processsettings.py
@@ -48,6 +48,9 @@
     remote_factor: float = 1.5
     #: Maximum time that a service's tail latency may exceed its target.
     impact_ms: int = 4000
+    #: Maximum time for which tasks may still start in a data centre after operators
+    #: have evacuated it; 0 if the platform states none.
+    evacuate_ms: int = 0
 
     @property
     def lease_ms(self):
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -8,6 +8,8 @@
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.candidate import LeaderCandidate
+from dotterelspread.jobs.configurationfollower import ConfigurationFollower
+from dotterelspread.jobs.evacuation import EvacuatedDataCentres
 from dotterelspread.jobs.forwarding import Forwarder, Verb, make_request
 from dotterelspread.jobs.journal import (
     JournalError,
@@ -20,6 +22,13 @@
 from dotterelspread.jobs.records import encode_spec
 from dotterelspread.jobs.spec import JobSpec, StepSpec
 from dotterelspread.peer import PeerLostError, PeerTimeoutError, PeerUnsentError
+from dotterelspread.platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_STREAM,
+    ConfigurationFormatError,
+    read_configuration,
+)
+from dotterelspread.platform.evacuations import read_evacuated_data_centre
 from dotterelspread.processsettings import (
     FleetBounds,
     FleetRole,
@@ -87,7 +96,7 @@
     ANSWERED = enum.auto()
     NOT_DELIVERED = enum.auto()
     REPLY_LOST = enum.auto()
-    #: Executed after `LATE_DELIVERY_S`, without a reply.
+    #: Executed after `Network.late_delivery_s`, without a reply.
     LATE = enum.auto()
 
 
@@ -103,16 +112,23 @@
         #: Addresses of instances without power, to which no connection can be opened.
         self.powered_off = set()
         self.loss = 0.0
+        self.late_delivery_s = LATE_DELIVERY_S
+        #: Whether orders to agents are not delivered.
+        self.lost_orders = False
 
     def outcome_of(self, method):
         """Draw the `CallOutcome` of a call."""
+        if self.lost_orders and method in ("start_run", "stop_run"):
+            return CallOutcome.NOT_DELIVERED
         is_lost = self.fleet.rng.random() < self.loss
         return CallOutcome.REPLY_LOST if is_lost else CallOutcome.ANSWERED
 
     def deliver_late(self, handler, argument):
-        """Deliver a call after `LATE_DELIVERY_S` and discard the reply."""
+        """Deliver a call after `late_delivery_s` and discard the reply."""
         loop = asyncio.get_running_loop()
-        loop.call_later(LATE_DELIVERY_S, lambda: loop.create_task(handler(argument)))
+        loop.call_later(
+            self.late_delivery_s, lambda: loop.create_task(handler(argument))
+        )
 
     def is_partitioned(self, left, right):
         is_cut = frozenset({left, right}) in self.cut_pairs
@@ -178,6 +194,9 @@
         journal = fleet.store.journal(self.address)
         pool = fleet.network.pool(self.address)
         self.view = LeaderView()
+        self.evacuations = EvacuatedDataCentres(
+            read_evacuated_data_centre, self._evacuate
+        )
         self.candidate = LeaderCandidate(
             self.settings,
             journal,
@@ -185,6 +204,7 @@
             self.view,
             lambda: fleet.configuration,
             fleet.policy,
+            self.evacuations,
         )
         self.forwarder = Forwarder(self.candidate, pool)
 
@@ -199,6 +219,22 @@
             asyncio.ensure_future(self.candidate.run()),
             asyncio.ensure_future(_register(journal, self.settings)),
         ]
+        if self.settings.bounds.evacuate_ms:
+            follower = ConfigurationFollower(
+                journal,
+                CONFIGURATION_STREAM,
+                CONFIGURATION_KEY,
+                read_configuration,
+                ConfigurationFormatError,
+                lambda configuration: None,
+                self.evacuations,
+                lambda: self.candidate.leader is not None,
+            )
+            self.tasks.append(asyncio.ensure_future(follower.run()))
+
+    def _evacuate(self, data_centres):
+        if self.candidate.leader is not None:
+            self.candidate.leader.evacuate(data_centres)
 
     def kill(self):
         self.fleet.network.handlers_by_address.pop(self.address, None)
@@ -320,16 +356,30 @@
     max_lease_ms : int
     late_entries : int
         Number of the last entries that do not start with the others.
+    data_centres : sequence of str
+        Data centres of the workers, in turn.
+    evacuate_ms : int
+        Time for which starts in an evacuated data centre are allowed. If 0, entries do
+        not follow the operators' stream.
     """
 
     make_network = Network
     make_worker = VirtualWorker
 
     def __init__(
-        self, seed, entries=(1.0, 1.0), agents=3, max_lease_ms=4000, late_entries=0
+        self,
+        seed,
+        entries=(1.0, 1.0),
+        agents=3,
+        max_lease_ms=4000,
+        late_entries=0,
+        data_centres=("dc",),
+        evacuate_ms=0,
     ):
         self.rng = random.Random(seed)
-        self.bounds = FleetBounds(max_lease_ms=max_lease_ms, stop_timeout_ms=200)
+        self.bounds = FleetBounds(
+            max_lease_ms=max_lease_ms, stop_timeout_ms=200, evacuate_ms=evacuate_ms
+        )
         self.late_entries = late_entries
         self.configuration = CONFIGURATION
         self.store = VirtualStore(self.rng)
@@ -342,6 +392,8 @@
         self.poison = set()
         self.durations = {}
         self.workers = [self.make_worker(self, number) for number in range(agents)]
+        for worker in self.workers:
+            worker.data_centre = data_centres[worker.number % len(data_centres)]
         self.entries = [
             _EntryProcess(self, number, cores) for number, cores in enumerate(entries)
         ]
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -102,6 +102,7 @@
 Readiness = "10.1.0.13:8167"
 [Bounds]
 HoldMaxMs = 6000
+EvacuateMs = 5000
 GraceS = 6
 [platform]
 Address = "10.200.1.7:8169"
@@ -123,6 +124,7 @@
 Control = "{host}:{control}"
 [Bounds]
 HoldMaxMs = {lease_ms}
+EvacuateMs = 5000
 GraceS = {grace_s}
 [platform]
 Address = "{store}"
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -11,6 +11,7 @@
     JournalFencedError,
     JournalMovedError,
     JournalRejectedError,
+    JournalTruncatedError,
     JournalUnavailableError,
     JournalUncertainError,
     Membership,
@@ -37,6 +38,10 @@
         self.rng = rng
         self.streams = {}
         self.mode_by_node = {}
+        #: Pairs of a node and a stream that the node cannot read.
+        self.unreadable = set()
+        #: Offset before which the records of a stream were deleted.
+        self.first_offset_by_stream = {}
         self.loss = 0.0
         self.delay_s = 0.004
         self.members = {}
@@ -132,17 +137,29 @@
         with suppress(JournalError):
             self.store.append(*arguments)
 
-    async def snapshot(self, stream):
+    async def _simulate_read(self, stream):
         await self._simulate_call()
+        await self._check_readable(stream)
+
+    async def _check_readable(self, stream):
+        if (self.node, stream) in self.store.unreadable:
+            await asyncio.sleep(1.5)
+            raise JournalUncertainError("no reply in time")
+
+    async def snapshot(self, stream):
+        await self._simulate_read(stream)
         records = self.store.stream(stream).records
         newest = {record.key: record for record in records}
         kept = {key: record for key, record in newest.items() if record.value}
         return StreamSnapshot(kept, len(records))
 
     async def follow(self, stream, from_offset, wait_s):
-        await self._simulate_call()
+        await self._simulate_read(stream)
+        if from_offset < self.store.first_offset_by_stream.get(stream, 0):
+            raise JournalTruncatedError("the records have expired")
         end_s = clock.now_s() + wait_s
         while True:
+            await self._check_readable(stream)
             records = self.store.stream(stream).records[from_offset:]
             if records:
                 return Tail(tuple(records), from_offset + len(records))
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -54,6 +54,9 @@
         self.rng = fleet.rng
         self.number = number
         self.worker_id = f"i-{number}"
+        self.data_centre = "dc"
+        #: (time, task id) of each start.
+        self.starts = []
         self.incarnation = 0
         #: Incarnation to which the agent's connection was opened.
         self.connected_incarnation = 0
@@ -116,7 +119,7 @@
             self.sequence,
             "svc",
             "app",
-            "dc",
+            self.data_centre,
             frozenset({"a", f"rack{self.number % 3}"}),
             f"rack{self.number % 3}",
             self.capacity,
@@ -184,6 +187,7 @@
         self.running[order.task_id] = _VirtualRun(
             order.run, now_s, now_s + duration_s, how
         )
+        self.starts.append((now_s, order.task_id))
         self.fleet.checker.record_start(self, order)
         return StartAnswer.RUNNING
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -256,7 +256,13 @@
         term = await take_over(journal, settings)
         pool = fleet.network.pool(settings.peer_address)
         leader = Leader(
-            settings, journal, pool, term, fleet.configuration, fleet.policy
+            settings,
+            journal,
+            pool,
+            term,
+            fleet.configuration,
+            fleet.policy,
+            fleet.entries[0].evacuations,
         )
         # A further successor may have waited for the leases that it knows of.
         assert not leader.may_grant
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -154,6 +154,7 @@
     settings = read_settings(FleetRole.ENTRY, environment)
     assert settings.peer_address == "10.1.0.13:7720"
     assert (settings.data_centre, settings.bounds.max_lease_ms) == ("kumasi", 6000)
+    assert settings.bounds.evacuate_ms == 5000
     assert settings.store.min_member_ttl_ms == 1000
     with pytest.raises(ProcessSettingsError, match="ListenAddrs.Control"):
         read_settings(FleetRole.AGENT, environment)
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -202,6 +202,9 @@
   6: i64 grant_until_ms,
   7: list<TaskTraits> traits,
   8: list<PairCost> costs,
+  // Whether operators ask that nothing more is started in the worker's data centre; none
+  // from leaders that do not read this.
+  9: optional bool evacuated,
 }
 
 struct WatchReply {
@@ -252,6 +255,9 @@
   13: i32 millicores,
   // Permit of the queue's policy service; empty where none is needed.
   14: string permit,
+  // Time on the agent's clock from which the order is not sent to the worker any more;
+  // none if there is no such time.
+  15: optional i64 send_until_ms,
 }
 
 struct StopOrder {
