Give cold workers only what no warm worker has room for

Cause: a worker's heartbeat states for how long it stays slow after a start (ColdRemainingMs), also after an evacuation is revoked. Nothing read it, so work returned to slow workers at once.

Change: the heartbeat's field is read (missing: 0; invalid: the heartbeat is refused), reported by the agent as the time that remains, and kept by the leader as Worker.is_cold. Placement prefers warm workers for tasks of all kinds and for gangs, questions for permits name warm workers first, and runs are not moved from a warm worker to a cold one. Workers of a restored data centre count as cold for 2.5 s, until a heartbeat of theirs is known.

A fleet that is cold as a whole is placed exactly like a warm one.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2646,6 +2646,7 @@
      - rack
      - left
      - gone
+     - cold_ms
 
     """
 
@@ -2671,10 +2672,11 @@
         'rack',
         'left',
         'gone',
+        'cold_ms',
     )
 
 
-    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None,):
+    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None, cold_ms=None,):
         self.version = version
         self.clock_ms = clock_ms
         self.known = known
@@ -2696,6 +2698,7 @@
         self.rack = rack
         self.left = left
         self.gone = gone
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2828,6 +2831,11 @@
                     self.gone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2931,6 +2939,10 @@
             oprot.writeFieldBegin('gone', TType.BOOL, 21)
             oprot.writeBool(self.gone)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 22)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4015,6 +4027,7 @@
     (19, TType.STRING, 'rack', 'UTF8', None, ),  # 19
     (20, TType.BOOL, 'left', None, None, ),  # 20
     (21, TType.BOOL, 'gone', None, None, ),  # 21
+    (22, TType.I32, 'cold_ms', None, None, ),  # 22
 )
 all_structs.append(StartOrder)
 StartOrder.thrift_spec = (
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -61,6 +61,8 @@
         self.is_reachable = False
         #: Whether the leader says that operators have evacuated the data centre.
         self.is_evacuated = False
+        #: When the worker is no longer cold, by its latest heartbeat.
+        self.cold_until_ms = 0
         self._departure = Departure()
         self.answered_ms = clock_ms()
         self.version = 1
@@ -108,9 +110,8 @@
         self._announcements.adopt(announcement)
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
-        if current is None or replace(current, sequence=0) != replace(
-            announcement, sequence=0
-        ):
+        self.cold_until_ms = self.clock_ms() + announcement.cold_ms
+        if current is None or _lasting(current) != _lasting(announcement):
             log_decision(
                 "worker announced",
                 worker_id=announcement.worker_id,
@@ -118,6 +119,7 @@
                 sequence=announcement.sequence,
                 service=announcement.service,
                 is_draining=announcement.is_draining,
+                cold_ms=announcement.cold_ms,
             )
             self._increment_version()
 
@@ -328,3 +330,8 @@
 
     def _reply(self):
         return build_watch_reply(self)
+
+
+def _lasting(announcement):
+    """Return an announcement without what differs between any two heartbeats."""
+    return replace(announcement, sequence=0, cold_ms=int(announcement.cold_ms > 0))
--- a/dotterelspread/jobs/evacuation.py
+++ b/dotterelspread/jobs/evacuation.py
@@ -19,6 +19,9 @@
 #: Time for which a restored data centre gets no new tasks: that of the poll with which
 #: the leader tells its agents, which refuse starts until then.
 RESTORE_DELAY_S = 1.0
+#: Time for which workers of a restored data centre count as cold: by then the leader
+#: has got a heartbeat of theirs, which are sent every 1.5 s, in a report after 0.7 s.
+ASSUMED_COLD_S = 2.5
 #: Largest number of data centres in a log line.
 MAX_LOGGED_NAMES = 20
 
@@ -103,4 +106,5 @@
             worker.backoff_until_s = max(
                 worker.backoff_until_s, event.now_s + RESTORE_DELAY_S
             )
+            worker.assumed_cold_until_s = event.now_s + ASSUMED_COLD_S
     return place(cell, event.now_s)
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -164,6 +164,7 @@
             self._withhold(effect, reason)
             return
         link = self._leader.links_by_address.get(worker.agent_address)
+        is_cold = worker.is_cold(clock.now_s())
         send_until_ms = link.send_limit_ms() if link else None
         if send_until_ms == 0:
             self._withhold(effect, "evacuations unknown")
@@ -175,7 +176,10 @@
             worker_id=worker.worker_id,
             epoch=self._leader.epoch,
             is_repeat=run.is_repeat,
+            is_cold=is_cold,
         )
+        if is_cold:
+            counters.add("cold_starts")
         order = StartOrder(
             epoch=self._leader.epoch,
             worker_id=worker.worker_id,
@@ -198,13 +202,14 @@
     def _withhold(self, effect, reason):
         """Leave a start unsent; the next tick retries it or stops the run."""
         counters.add("starts_withheld", reason=reason)
-        log_decision(
-            "start withheld",
-            task_id=effect.task_id,
-            run=effect.run.run,
-            worker_id=effect.worker.worker_id,
-            reason=reason,
-        )
+        if not effect.run.is_repeat:
+            log_decision(
+                "start withheld",
+                task_id=effect.task_id,
+                run=effect.run.run,
+                worker_id=effect.worker.worker_id,
+                reason=reason,
+            )
         self._settle(effect, "unsent")
 
     def _is_suitable(self, effect):
--- a/dotterelspread/jobs/permits.py
+++ b/dotterelspread/jobs/permits.py
@@ -156,6 +156,7 @@
     # Workers that were permitted before are likely to be permitted again.
     unknown.sort(
         key=lambda worker: (
+            worker.is_cold(now_s),
             worker.worker_id not in permits.permits_by_worker,
             worker.rack != query.step.preferred_rack,
             -worker.idle_millicores,
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -113,7 +113,7 @@
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
-    for racks in _rack_choices(step, workers):
+    for racks in _rack_choices(step, workers, now_s):
         chosen = _choose_members(cell, job, keys, step, racks, now_s)
         if chosen:
             break
@@ -128,12 +128,18 @@
     return [_assign(cell, job, key, worker, now_s, number) for key, worker in chosen]
 
 
-def _rack_choices(step, workers):
-    """Yield the sets of workers to try for a gang: single racks first, then all."""
-    if step.same_rack:
-        for rack in sorted({worker.rack for worker in workers}):
-            yield [worker for worker in workers if worker.rack == rack]
-    yield workers
+def _rack_choices(step, workers, now_s):
+    """Yield the sets of workers to try for a gang: single racks first, then all.
+
+    Cold workers come last, as for single tasks.
+    """
+    warm = [worker for worker in workers if not worker.is_cold(now_s)]
+    # If all are cold, or none is, the sets are tried once.
+    for pool in (warm, workers) if 0 < len(warm) < len(workers) else (workers,):
+        if step.same_rack:
+            for rack in sorted({worker.rack for worker in pool}):
+                yield [worker for worker in pool if worker.rack == rack]
+        yield pool
 
 
 def _choose_members(cell, job, keys, step, workers, now_s):
@@ -184,6 +190,7 @@
         has_failed = worker.worker_id == task.avoided_worker_id
         score = (
             not worker.cools_down(now_s),
+            not worker.is_cold(now_s),
             not has_failed,
             *isolation_score(worker, is_suspect),
             is_near,
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -128,6 +128,7 @@
     worker.set_capacity(report.capacity)
     worker.set_reachable(report.is_reachable, event.now_s)
     worker.is_draining = report.is_draining
+    worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
     if is_first:
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -149,6 +149,7 @@
         if other is not worker
         and other.service == worker.service
         and other.accepts_tasks(now_s)
+        and (worker.is_cold(now_s) or not other.is_cold(now_s))
     ]
     step = job.step_of(run.key)
     other = choose_worker(cell, job, run.key, step, others, now_s)
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -36,6 +36,7 @@
     reply.draining = worker.is_draining
     reply.left = agent.has_left
     reply.gone = agent.is_gone
+    reply.cold_ms = max(0, agent.cold_until_ms - reply.clock_ms) or None
 
 
 def _fill_runs(reply, agent):
--- a/dotterelspread/jobs/watchreport.py
+++ b/dotterelspread/jobs/watchreport.py
@@ -65,6 +65,7 @@
         is_draining=reply.draining,
         has_left=bool(reply.left),
         is_gone=bool(reply.gone),
+        cold_ms=reply.cold_ms or 0,
         listed_ms=reply.listed_ms,
         running=tuple(map(_read_running, reply.running)),
         ended=tuple(
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -96,6 +96,8 @@
     listed_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    #: For how long the worker stays slow after a start; 0 if it is not.
+    cold_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -115,6 +117,11 @@
     is_draining: bool = False
     #: Whether operators have evacuated its data centre.
     is_evacuated: bool = False
+    #: Leader's clock until which it is slow after a start, as last reported.
+    cold_until_s: float = 0.0
+    #: Leader's clock until which it counts as cold after an evacuation, until its
+    #: heartbeat tells whether it is.
+    assumed_cold_until_s: float = 0.0
     #: Leader's clock since when it has been unreachable.
     unreachable_since_s: float = 0.0
     grants: LeaseGrants = LeaseGrants.ALLOWED
@@ -241,6 +248,10 @@
             and now_s >= self.backoff_until_s
         )
 
+    def is_cold(self, now_s):
+        """Tell whether warm workers are preferred, since it is slow after a start."""
+        return now_s < max(self.cold_until_s, self.assumed_cold_until_s)
+
     def cools_down(self, now_s):
         """Tell whether other workers are preferred after failures on this one."""
         return now_s < self.cooldown_until_s
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -61,6 +61,8 @@
     rack: str
     capacity: Resources
     is_draining: bool
+    #: For how long the worker stays slow after a start; 0 if it is not.
+    cold_ms: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/platform/heartbeats.py
+++ b/dotterelspread/platform/heartbeats.py
@@ -53,6 +53,8 @@
         name="Labels", default_factory=list
     )
     born: Instant = 0
+    # For how long the worker stays slow after a start or an evacuation.
+    cold_remaining_ms: Count = msgspec.field(name="ColdRemainingMs", default=0)
 
 
 class _Deregistration(msgspec.Struct):
@@ -105,6 +107,7 @@
             heartbeat.capacity.cpu, heartbeat.capacity.mem_mb, heartbeat.capacity.gpu
         ),
         is_draining=heartbeat.state == "draining",
+        cold_ms=heartbeat.cold_remaining_ms,
     )
 
 
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -55,6 +55,8 @@
         self.number = number
         self.worker_id = f"i-{number}"
         self.data_centre = "dc"
+        #: For how long its heartbeats say that it stays slow.
+        self.cold_ms = 0
         #: (time, task id) of each start.
         self.starts = []
         self.incarnation = 0
@@ -124,6 +126,7 @@
             f"rack{self.number % 3}",
             self.capacity,
             self.is_draining,
+            self.cold_ms,
         )
 
     async def _receive(self, worker_id, can_be_late=False):
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -236,6 +236,8 @@
   20: bool left,
   // Whether the worker's process is not there any more, announced or not.
   21: bool gone,
+  // For how long the worker stays slow after a start; none if it is not.
+  22: optional i32 cold_ms,
 }
 
 struct StartOrder {
