Evacuate a data centre in the enumeration of a small fleet's runs

Cause: tests.check_orders plays lost, late and repeated orders with ten events, of which none was an evacuation.

Change: an eleventh event evacuates the data centre of a busy worker for 6 s; a start there later than half of the bound is a violation.

Runs with 3 faults were not played.

--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -4,6 +4,7 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
+from tests.builders_evacuation import evacuate, restore
 from tests.builders_fleet import CallOutcome, Network, VirtualFleet, make_job, make_step
 from tests.builders_worker import ORDER_TIMEOUT_S, VirtualWorker
 from tests.cellchecker import check_every_event
@@ -26,6 +27,10 @@
 SHORT_OUTAGE_S, LONG_OUTAGE_S = 1.0, 6.0
 COMPLETION_TIMEOUT_S = 40
 MAX_SUBMIT_ATTEMPTS = 12
+DATA_CENTRES = ("north", "south")
+EVACUATE_MS = 5000
+#: Half of the bound is kept as a margin.
+MAX_START_DELAY_S = EVACUATE_MS / 2000
 STEPS = (make_step(), make_step(count=2, depends_on=(0,)))
 
 
@@ -74,7 +79,9 @@
     make_worker = _ScriptedWorker
 
     def __init__(self, choices):
-        super().__init__(1, agents=2)
+        super().__init__(
+            1, agents=2, data_centres=DATA_CENTRES, evacuate_ms=EVACUATE_MS
+        )
         self.choices = choices
         self._choices_left_by_kind = {
             "agent": MAX_AGENT_ORDERS,
@@ -169,6 +176,17 @@
     fleet.store.mode_by_node.pop(address, None)
 
 
+async def evacuate_worker(fleet):
+    """Evacuate the data centre of a busy worker for longer than a lease."""
+    worker = fleet.busy_agent.worker
+    begin_s = evacuate(fleet, worker.data_centre)
+    await asyncio.sleep(LONG_OUTAGE_S)
+    end_s = restore(fleet, worker.data_centre)
+    for start_s, task_id in worker.starts:
+        if begin_s + MAX_START_DELAY_S < start_s < end_s:
+            fleet.checker.add_violation(f"{task_id} starts after the evacuation")
+
+
 async def silence_store(fleet):
     """Stop the store from answering any process for a while."""
     fleet.store.mode_by_node["*"] = "silent"
@@ -191,6 +209,7 @@
     drain_worker,
     partition_leader_from_store,
     silence_store,
+    evacuate_worker,
 )
 
 
