Evacuate the data centre of an entry and an agent process in a test

Cause: the connection of the follower, the leader and the agent in fleetnode.py was covered by no test. The leader also polled the operators' stream more often where the platform states no EvacuateMs, which needs nothing of the kind.

Change: a test with the shipped processes on loopback; shorter polls only with EvacuateMs.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -197,8 +197,8 @@
     def configuration():
         return follower.configuration
 
-    def is_leading():
-        return candidate.leader is not None
+    def needs_recent_state():
+        return candidate.leader is not None and settings.bounds.evacuate_ms > 0
 
     evacuations = EvacuatedDataCentres(
         adapters.read_evacuated_data_centre, on_evacuation
@@ -211,7 +211,7 @@
         adapters.parse_error,
         on_change,
         evacuations,
-        is_leading,
+        needs_recent_state,
     )
     view = LeaderView()
     candidate = LeaderCandidate(
--- a/dotterelspread/jobs/configurationfollower.py
+++ b/dotterelspread/jobs/configurationfollower.py
@@ -34,8 +34,8 @@
         Called with each newly applied version.
     evacuations : EvacuatedDataCentres, optional
         Gets the records of the stream too.
-    is_leading : callable, optional
-        Whether the entry leads at present.
+    needs_recent_state : callable, optional
+        Whether the entry leads, and needs to know at any time how recent its state is.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         parse_error,
         on_change,
         evacuations=None,
-        is_leading=bool,
+        needs_recent_state=bool,
     ):
         self.journal = journal
         self.stream = stream
@@ -57,7 +57,7 @@
         self._parse_error = parse_error
         self._on_change = on_change
         self._evacuations = evacuations
-        self._is_leading = is_leading
+        self._needs_recent_state = needs_recent_state
 
     async def run(self):
         """Follow the stream indefinitely."""
@@ -83,7 +83,8 @@
                     self._evacuations.update(tail.records, known_s)
 
     def _poll_timeout_s(self):
-        return LEADER_POLL_TIMEOUT_S if self._is_leading() else POLL_TIMEOUT_S
+        is_urgent = self._needs_recent_state()
+        return LEADER_POLL_TIMEOUT_S if is_urgent else POLL_TIMEOUT_S
 
     async def _load_snapshot(self):
         sent_s = clock.elapsed_s()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -92,7 +92,11 @@
             processes[role] = await _start(role, path)
         try:
             yield SimpleNamespace(
-                hosts=hosts, ports=ports, processes=processes, store=store
+                hosts=hosts,
+                ports=ports,
+                processes=processes,
+                store=store,
+                worker=worker.worker,
             )
         finally:
             for process in processes.values():
@@ -196,3 +200,41 @@
                 assert (await pending).status == 504
 
     asyncio.run(scenario())
+
+
+def test_nothing_starts_while_the_data_centre_is_evacuated(tmp_path):
+    async def scenario():
+        async with open_site(tmp_path) as site:
+            entry, agent = site.hosts["entry"], site.hosts["agent"]
+            control = H1Client(f"{agent}:{site.ports.f}")
+            ready = H1Client(f"{entry}:{site.ports.e}")
+            front = H1Client(f"{entry}:{site.ports.d}")
+            key = f"evacuate/{HEARTBEAT['Zone']}".encode()
+            records = site.store.records_by_topic["keyed.op"]
+
+            async def is_ready():
+                return await _status(ready, "/api/readyz") == 200
+
+            async def is_registered():
+                beat = json.dumps(HEARTBEAT | {"Service": "svc"}).encode()
+                path = "/api/Instances.Heartbeat/i-1"
+                return await _status(control, path, "POST", beat) == 200
+
+            async def is_complete():
+                reply = await front.call("GET", JOB_PATH, 3.0, headers=CALLER)
+                return reply.status == 200 and b"complete" in reply.body
+
+            await wait_until(is_ready)
+            await wait_until(is_registered)
+            records.append(bytes([len(key)]) + key + b"{}")
+            await asyncio.sleep(2.5)
+            body = json.dumps(JOB).encode()
+            reply = await front.call("POST", JOB_PATH, 3.0, body, CALLER)
+            assert reply.status == 200
+            await asyncio.sleep(3)
+            assert site.worker.starts == []
+            records.append(bytes([len(key)]) + key)
+            await wait_until(is_complete)
+            assert site.worker.starts
+
+    asyncio.run(scenario())
