Test evacuations under random faults of the virtual fleet

Cause: the tests so far choose the faults.

Change: evacuations of three data centres, overlapping and revoked, with killed entries and agents, partitions, a store that is down for one or all, lost calls and crashed workers.

--- a/tests/builders_evacuation.py
+++ b/tests/builders_evacuation.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "EVACUATE_S",
+    "FIRST_JOB_NUMBER",
     "NORTH",
     "SOUTH",
     "delete_records",
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -7,6 +7,7 @@
 from dotterelspread.platform.configuration import CONFIGURATION_STREAM
 from tests.builders_evacuation import (
     EVACUATE_S,
+    FIRST_JOB_NUMBER,
     NORTH,
     SOUTH,
     delete_records,
@@ -332,3 +333,57 @@
         await fleet.expect_completed(20)
 
     run_evacuation(scenario)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_nothing_starts_late_under_random_faults(seed):
+    async def scenario(fleet):
+        rng = fleet.rng
+        fleet.store.loss = rng.choice([0.0, 0.1])
+        fleet.network.loss = rng.choice([0.0, 0.05])
+        begin_by_name = {}
+        periods = []
+        number = FIRST_JOB_NUMBER
+        for _ in range(20):
+            name = rng.choice([NORTH, SOUTH, "east"])
+            if name in begin_by_name:
+                periods.append((name, begin_by_name.pop(name), restore(fleet, name)))
+            elif len(begin_by_name) < 2:
+                begin_by_name[name] = evacuate(fleet, name)
+            for _ in range(rng.randint(1, 4)):
+                number += 1
+                step = make_step(count=rng.randint(1, 6), is_gang=rng.random() < 0.2)
+                fleet.durations[f"{number:016x}"] = rng.choice([0.3, 2.0])
+                await fleet.submit(make_job(number, (step,)), rng.randrange(2), 800)
+            await _cause_trouble(fleet, rng)
+            await fleet.settle(rng.choice([0.3, 1.5, 5.0]))
+            fleet.store.mode_by_node.clear()
+            fleet.network.partitioned.clear()
+        for name in list(begin_by_name):
+            periods.append((name, begin_by_name.pop(name), restore(fleet, name)))
+        await fleet.settle(5)
+        await fleet.expect_ended(60)
+        for name, begin_s, end_s in periods:
+            check_no_late_start(fleet, name, begin_s, end_s)
+
+    sizes = {"agents": 6, "data_centres": (NORTH, SOUTH, "east")}
+    run_evacuation(scenario, seed, **sizes)
+
+
+async def _cause_trouble(fleet, rng):
+    kind = rng.choice(["none", "kill", "store", "store of one", "partition", "worker"])
+    process = rng.choice([*fleet.entries, *fleet.agents])
+    if kind == "kill":
+        process.kill()
+        await fleet.settle(rng.choice([0.0, 1.0]))
+        process.start()
+    elif kind == "store":
+        fleet.store.mode_by_node["*"] = rng.choice(["silent", "busy"])
+    elif kind == "store of one":
+        fleet.store.mode_by_node[process.address] = "silent"
+    elif kind == "partition":
+        fleet.network.partitioned.add(process.address)
+    elif kind == "worker":
+        worker = rng.choice(fleet.workers)
+        worker.crash()
+        worker.begin_incarnation()
