--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -59,6 +59,10 @@
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
+        #: Whether the leader says that operators have evacuated the data centre.
+        self.is_evacuated = False
+        #: When the worker is no longer cold, by its latest heartbeat.
+        self.cold_until_ms = 0
         self._departure = Departure()
         self.answered_ms = clock_ms()
         self.version = 1
@@ -106,9 +110,8 @@
         self._announcements.adopt(announcement)
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
-        if current is None or replace(current, sequence=0) != replace(
-            announcement, sequence=0
-        ):
+        self.cold_until_ms = self.clock_ms() + announcement.cold_ms
+        if current is None or _lasting(current) != _lasting(announcement):
             log_decision(
                 "worker announced",
                 worker_id=announcement.worker_id,
@@ -116,6 +119,7 @@
                 sequence=announcement.sequence,
                 service=announcement.service,
                 is_draining=announcement.is_draining,
+                cold_ms=announcement.cold_ms,
             )
             self._increment_version()
 
@@ -290,6 +294,7 @@
         """Answer the leader's long poll after a change or at the end of the wait."""
         if not self.accepts(query.epoch):
             return self._reply()
+        self._note_evacuation(query)
         self.grant.extend(query.grant_until_ms)
         if query.born_ms == self.born_ms and query.seen > self.seen:
             self._discard_acknowledged_ends(query.seen)
@@ -308,6 +313,15 @@
                 return self._reply()
         return self._reply()
 
+    def _note_evacuation(self, query):
+        if query.evacuated is None and not query.version:
+            # The leader does not know yet which worker this is.
+            return
+        is_evacuated = bool(query.evacuated)
+        if is_evacuated != self.is_evacuated:
+            self.is_evacuated = is_evacuated
+            log_decision("evacuation learned", is_evacuated=is_evacuated)
+
     def _discard_acknowledged_ends(self, seen):
         self.seen = seen
         for number in [n for n in self.ended_by_number if n <= seen]:
@@ -316,3 +330,8 @@
 
     def _reply(self):
         return build_watch_reply(self)
+
+
+def _lasting(announcement):
+    """Return an announcement without what differs between any two heartbeats."""
+    return replace(announcement, sequence=0, cold_ms=int(announcement.cold_ms > 0))
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -122,11 +122,13 @@
     worker.agent_address = report.agent_address
     worker.service = report.service
     worker.data_centre = report.data_centre
+    worker.is_evacuated = report.data_centre in cell.evacuated_data_centres
     worker.labels = report.labels
     worker.rack = report.rack
     worker.set_capacity(report.capacity)
     worker.set_reachable(report.is_reachable, event.now_s)
     worker.is_draining = report.is_draining
+    worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
     if is_first:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -96,6 +96,8 @@
     listed_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    #: For how long the worker stays slow after a start; 0 if it is not.
+    cold_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -113,6 +115,13 @@
     capacity: Resources = Resources()
     is_reachable: bool = False
     is_draining: bool = False
+    #: Whether operators have evacuated its data centre.
+    is_evacuated: bool = False
+    #: Leader's clock until which it is slow after a start, as last reported.
+    cold_until_s: float = 0.0
+    #: Leader's clock until which it counts as cold after an evacuation, until its
+    #: heartbeat tells whether it is.
+    assumed_cold_until_s: float = 0.0
     #: Leader's clock since when it has been unreachable.
     unreachable_since_s: float = 0.0
     grants: LeaseGrants = LeaseGrants.ALLOWED
@@ -140,7 +149,8 @@
     alive_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
-    #: Leader's clock until which the worker gets no new tasks, after a refused start.
+    #: Leader's clock until which the worker gets no new tasks, after a refused start or
+    #: the end of an evacuation.
     backoff_until_s: float = 0.0
     #: Leader's clock until which the worker gets serving tasks only, and those only if
     #: no other worker fits, after failed or stalled runs.
@@ -234,9 +244,14 @@
             self.is_reachable
             and self.grants is LeaseGrants.ALLOWED
             and not self.is_draining
+            and not self.is_evacuated
             and now_s >= self.backoff_until_s
         )
 
+    def is_cold(self, now_s):
+        """Tell whether warm workers are preferred, since it is slow after a start."""
+        return now_s < max(self.cold_until_s, self.assumed_cold_until_s)
+
     def cools_down(self, now_s):
         """Tell whether other workers are preferred after failures on this one."""
         return now_s < self.cooldown_until_s
