Learn run times from completed runs, by queue and shape of the step

Declared run times are off by 20 to 90 %, and placement has no other estimate of when capacity becomes free. The leader now keeps the latest ratios of actual to declared run time at full speed: the median and its spread, drawn to the queue's and that to 1 while there are few samples. Paced time counts in proportion, failed and stopped runs do not count, and a silence of the worker discards the sample. Bounded to 512 kinds of 32 samples; nothing is stored.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -8,6 +8,7 @@
 from .paircost import PairCosts
 from .permits import Permits
 from .queues import FleetConfiguration
+from .runtimes import RunTimes
 from .spec import JobSpec, StepSpec, TaskKey
 from .taskrun import TaskRun
 from .worker import AgentReport, Worker
@@ -64,6 +65,8 @@
     dirty_worker_ids: set[str] = field(default_factory=set)
     #: Learned interference costs of fillers on serving tasks.
     costs: PairCosts = field(default_factory=PairCosts)
+    #: Learned run times, by kind of task.
+    run_times: RunTimes = field(default_factory=RunTimes)
     #: Whether no earlier leader grants leases any more.
     are_earlier_terms_over: bool = True
     #: Number of times that the grants to any worker were suspended in this term.
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -3,6 +3,7 @@
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
 from .lifecycle import add_due_steps, end_job, requeue, stop_run
+from .runtimes import measure_run_s
 from .taskrun import RunStopReason
 from .worker import RunEnd
 
@@ -60,6 +61,7 @@
         durations = job.durations_by_step.setdefault((occurrence, number), [])
         durations.append(event.now_s - run.first_listed_s)
     step = job.step_of(run.key)
+    _learn_run_time(cell, job, run, step, event)
     effects = []
     keys = [run.key]
     if step.is_gang:
@@ -80,6 +82,12 @@
     return effects
 
 
+def _learn_run_time(cell, job, run, step, event):
+    had_checkpoint = run.run > 1 and bool(job.tasks_by_key[run.key].checkpoint)
+    run_s = measure_run_s(run, had_checkpoint, event.now_s, event.report.listed_ms)
+    cell.run_times.learn(job.spec.queue.name, step, run_s)
+
+
 def _stop_other_run(cell, job, key, task):
     """Stop a remaining run of a task that has completed through another run."""
     worker = cell.workers_by_id.get(task.worker_id)
