--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -149,6 +149,8 @@
     failed_job_ids: frozenset[str] = frozenset()
     #: Cached result of `_current_usage`; None after a change of the runs.
     _usage: tuple | None = field(default=None, init=False, repr=False, compare=False)
+    #: Cached result of `timeline.releases_of`; None after a change of the runs.
+    releases: list | None = field(default=None, init=False, repr=False, compare=False)
     #: Capacity that is not reserved by runs.
     available: Resources = field(default=Resources(), init=False)
 
@@ -181,6 +183,7 @@
         self.stale_run_count += run.is_stale
         self.probation_count += run.is_on_probation
         self._usage = None
+        self.releases = None
 
     def remove(self, task_id):
         """Remove a run and free its resources; return it, or None if it is not here."""
@@ -192,6 +195,7 @@
             self.stale_run_count -= run.is_stale
             self.probation_count -= run.is_on_probation
             self._usage = None
+            self.releases = None
         return run
 
     def end_probation(self, run):
@@ -202,6 +206,7 @@
     def invalidate_usage(self):
         """Drop the cached usage after a run's usage changed."""
         self._usage = None
+        self.releases = None
 
     def _current_usage(self):
         """Return the millicores in use and the fillers' cores by image."""
