Reserve capacity for waiting work, where the settings ask for it

Placement gave each task the best worker that fits now, so that smaller work took the capacity that a waiting large task, gang or filler would have had a moment later. With the new setting, the first jobs of each queue that do not fit get the workers and times at which they will, by the timelines of the workers; other work may use that room if it ends before with a margin or leaves enough beside it. A job that has waited for 0.3 s claims its room before the pass, against jobs of other queues in the same class that may start later. Reservations are made anew in each pass and not stored. Small tasks may also avoid workers on which a waiting large one could fit.

Off by default. To switch it on, add to the settings file of each entry

[Placement] ReservedJobs = 2 KeepsGaps = true

or, for a trial without changing settings files, change the two defaults of _Placement in dotterelspread/platform/settings.py. A wrong value is refused with its field.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -7,6 +7,7 @@
 from .job import Job
 from .paircost import PairCosts
 from .permits import Permits
+from .placementpolicy import PlacementPolicy
 from .queues import FleetConfiguration
 from .runtimes import RunTimes
 from .spec import JobSpec, StepSpec, TaskKey
@@ -27,6 +28,7 @@
     "GrantsResumed",
     "OrderSettled",
     "Reported",
+    "ReservationsMade",
     "ResumeGrants",
     "StartRun",
     "StopRun",
@@ -77,6 +79,11 @@
     is_append_under_way: bool = False
     #: Whether a placement pass is due, after the append in progress if there is one.
     is_placing_due: bool = False
+    #: Settings of placement.
+    placement_policy: PlacementPolicy = PlacementPolicy()
+    #: Job and step key of the reservations of the latest pass, so that each is logged
+    #: once; nothing is decided by them.
+    logged_reservations: frozenset[tuple[str, tuple[int, int]]] = frozenset()
     #: Retention period of a finished job.
     status_s: float = 120.0
 
@@ -287,3 +294,13 @@
     worker_id: str
     early_crashes: int
     crashes: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReservationsMade(Effect):
+    """Log and count new reservations and the use of reserved room by others."""
+
+    #: Job id, step key and seconds until the start, of each new one.
+    made: tuple[tuple[str, tuple[int, int], float], ...]
+    #: Number of starts on workers with reservations of other jobs.
+    backfills: int
--- a/dotterelspread/jobs/ordering.py
+++ b/dotterelspread/jobs/ordering.py
@@ -10,7 +10,13 @@
 
 import enum
 
-__all__ = ["Lateness", "order_jobs", "remaining_work"]
+__all__ = [
+    "Lateness",
+    "latest_start_s",
+    "order_jobs",
+    "placement_class",
+    "remaining_work",
+]
 
 #: Multiple of the objective up to which a late job is still useful.
 MAX_USEFUL_LATENESS_RATIO = 3.0
@@ -42,20 +48,23 @@
 
 
 def _order_key(cell, job, now_s):
-    queue = cell.queue_of(job)
     work = remaining_work(job)
+    return (*placement_class(cell, job, now_s), work, job.first_seen_s, job.job_id)
+
+
+def placement_class(cell, job, now_s):
+    """Return the part of a job's sort key that comes before its remaining work."""
+    queue = cell.queue_of(job)
     service = _service_class(job, cell.ready_by_job[job.job_id])
     # A service has no latency objective.
     lateness = _lateness(queue, job, now_s) if service == ServiceClass.NONE else 0
-    return (
-        service != ServiceClass.INTERRUPTED,
-        queue.priority,
-        service,
-        lateness,
-        work,
-        job.first_seen_s,
-        job.job_id,
-    )
+    return service != ServiceClass.INTERRUPTED, queue.priority, service, lateness
+
+
+def latest_start_s(queue, job):
+    """Return until when the pending tasks must start for the job to be on time."""
+    pending_ms = _critical_path_ms(job, True)
+    return job.first_seen_s + (_objective_ms(queue, job) - pending_ms) / 1000
 
 
 def _service_class(job, keys):
@@ -67,9 +76,7 @@
 
 
 def _lateness(queue, job, now_s):
-    objective_ms = (
-        queue.slack_factor * _critical_path_ms(job, False) + queue.objective_ms
-    )
+    objective_ms = _objective_ms(queue, job)
     finish_ms = (now_s - job.first_seen_s) * 1000 + _critical_path_ms(job, True)
     if finish_ms <= objective_ms:
         return Lateness.ON_TIME
@@ -78,6 +85,10 @@
     return Lateness.TOO_LATE
 
 
+def _objective_ms(queue, job):
+    return queue.slack_factor * _critical_path_ms(job, False) + queue.objective_ms
+
+
 def _critical_path_ms(job, is_pending):
     """Return the estimated length of the critical path through the job's steps.
 
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -12,6 +12,7 @@
     AcknowledgeEnds,
     GrantsResumed,
     OrderSettled,
+    ReservationsMade,
     ResumeGrants,
     StartRun,
     StopRun,
@@ -127,6 +128,19 @@
             crashes=effect.crashes,
         )
 
+    @perform.register
+    def _(self, effect: ReservationsMade):
+        if effect.backfills:
+            counters.add("backfills", effect.backfills)
+        for job_id, (occurrence, number), start_in_s in effect.made:
+            counters.add("reservations")
+            log_decision(
+                "reservation made",
+                job_id=job_id,
+                step=f"{occurrence}.{number}",
+                start_in_s=start_in_s,
+            )
+
     def _spawn(self, name, send, effect):
         self._leader.spawn(name, partial(send, effect), task_id=effect.task_id)
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -7,6 +7,7 @@
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import PermitQuery, ask_permits, permitted_workers
+from .reservations import make_reservations
 from .scoring import (
     MIN_FILLER_SPEED_RATIO,
     FillerDemand,
@@ -54,13 +55,40 @@
     if workers:
         unplaceable = UnplaceableDemands()
         stale_task_ids = find_tasks_with_stale_runs(cell)
-        for job in order_jobs(cell, now_s):
+        jobs = order_jobs(cell, now_s)
+        room = make_reservations(cell, jobs, workers, stale_task_ids, now_s)
+        for job in jobs:
             groups = ready_by_step(cell, job, stale_task_ids)
-            effects.extend(_place_job(cell, job, groups, workers, unplaceable, now_s))
+            if room is None:
+                starts = _place_job(cell, job, groups, workers, unplaceable, now_s)
+            else:
+                starts = _place_and_hold(
+                    cell, job, groups, workers, unplaceable, now_s, room
+                )
+            effects.extend(starts)
+        if room is not None:
+            effects.extend(room.effects())
     return effects
 
 
-def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s):
+def _place_and_hold(cell, job, keys_by_step, workers, unplaceable, now_s, room):
+    """Place the tasks of a job, and reserve room for those that do not fit."""
+    room.release(job)
+    keys_by_step = {
+        step_key: keys
+        for step_key, keys in keys_by_step.items()
+        if not room.skips(job, job.spec.steps[step_key[1]])
+    }
+    effects = _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, room)
+    room.note_starts(effects)
+    for step_key, keys in keys_by_step.items():
+        waiting = sum(cell.is_ready(job, key) for key in keys)
+        if waiting:
+            room.hold(job, step_key, waiting)
+    return effects
+
+
+def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, room=None):
     queue = cell.queue_of(job)
     service = queue.service
     effects = []
@@ -68,7 +96,8 @@
     for step_key, keys in keys_by_step.items():
         step = job.spec.steps[step_key[1]]
         filler_demand = _filler_demand(job, step, now_s)
-        if unplaceable.covers(service, step, filler_demand):
+        has_claim = room is not None and room.has_claim(job)
+        if not has_claim and unplaceable.covers(service, step, filler_demand):
             continue
         feasible = [
             worker
@@ -82,13 +111,18 @@
         usable = feasible
         if queue.needs_permits:
             usable = permitted_workers(cell, job, step_key, feasible, now_s)
-        starts = _place_step(cell, job, step, keys, usable, now_s)
+        if room is not None:
+            room.forget_block()
+        starts = _place_step(cell, job, step, keys, usable, now_s, room)
         effects.extend(starts)
         if len(starts) == len(keys):
             continue
         if queue.needs_permits:
             query = PermitQuery(job, step_key, queue.permit_timing, feasible)
             effects.extend(ask_permits(cell, query, now_s))
+        elif room is not None and room.is_blocked:
+            # Others may be allowed to use the room that is reserved.
+            room.count_block(job, step)
         elif not step.is_gang and not step.max_per_worker:
             # With a limit per worker, only this step's own tasks may stand in the way;
             # other steps with the same demand may still fit.
@@ -96,12 +130,12 @@
     return effects
 
 
-def _place_step(cell, job, step, keys, workers, now_s):
+def _place_step(cell, job, step, keys, workers, now_s, room):
     if step.is_gang:
-        return _place_gang(cell, job, step, keys, workers, now_s)
+        return _place_gang(cell, job, step, keys, workers, now_s, room)
     starts = []
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s)
+        worker = choose_worker(cell, job, key, step, workers, now_s, room)
         if worker is None:
             break
         starts.append(_assign(cell, job, key, worker, now_s))
@@ -109,12 +143,12 @@
     return starts
 
 
-def _place_gang(cell, job, step, keys, workers, now_s):
+def _place_gang(cell, job, step, keys, workers, now_s, room):
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
     for racks in _rack_choices(step, workers):
-        chosen = _choose_members(cell, job, keys, step, racks, now_s)
+        chosen = _choose_members(cell, job, keys, step, racks, now_s, room)
         if chosen:
             break
     else:
@@ -136,12 +170,12 @@
     yield workers
 
 
-def _choose_members(cell, job, keys, step, workers, now_s):
+def _choose_members(cell, job, keys, step, workers, now_s, room):
     """Return (key, worker) pairs of all members; empty if any member does not fit."""
     chosen = []
     tentative = []
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s)
+        worker = choose_worker(cell, job, key, step, workers, now_s, room)
         if worker is None:
             chosen = []
             break
@@ -154,7 +188,7 @@
     return chosen
 
 
-def choose_worker(cell, job, key, step, workers, now_s):
+def choose_worker(cell, job, key, step, workers, now_s, room=None):
     """Return the best worker for a task, or None if it fits nowhere.
 
     Parameters
@@ -166,6 +200,8 @@
     workers : list of Worker
         Workers that accept tasks of the job's queue.
     now_s : float
+    room : Reservations or None
+        Room that is kept for other tasks.
     """
     best = None
     best_score = None
@@ -180,6 +216,11 @@
         suitability = placement_score(cell, step, worker, filler_demand)
         if suitability is None:
             continue
+        if room is not None:
+            if not room.allows(job, step, worker):
+                continue
+            speed, *rest = suitability
+            suitability = (speed, -room.gap_loss(step, worker), *rest)
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
         has_failed = worker.worker_id == task.avoided_worker_id
         score = (
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -190,7 +190,11 @@
 def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
     now_s = clock.now_s()
     bounds = settings.bounds
-    cell = Cell(placing_start_s=now_s + PLACEMENT_DELAY_S, status_s=bounds.status_s)
+    cell = Cell(
+        placing_start_s=now_s + PLACEMENT_DELAY_S,
+        status_s=bounds.status_s,
+        placement_policy=settings.placement_policy,
+    )
     cell.are_earlier_terms_over = earlier_leaders.have_all_ended
     ended_s = lease_end_s(now_s, bounds.lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
--- a/dotterelspread/jobs/timeline.py
+++ b/dotterelspread/jobs/timeline.py
@@ -170,7 +170,7 @@
     """
     expected = cell.run_times.expect(job.spec.queue.name, job.step_of(run.key))
     if not run.is_listed:
-        end_s = run.last_order_s + expected.seconds
+        end_s = (run.last_order_s or now_s) + expected.seconds
         return _bound(end_s, expected.upper_s(1) - expected.seconds, expected, now_s)
     full_s, spread = expected.seconds, expected.spread
     worked_percent = run.percent - run.first_listed_percent
--- a/dotterelspread/platform/settings.py
+++ b/dotterelspread/platform/settings.py
@@ -2,9 +2,11 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
+from ..jobs.placementpolicy import MAX_RESERVED_JOBS, PlacementPolicy
 from ..processsettings import (
     FleetBounds,
     FleetRole,
@@ -49,6 +51,15 @@
     cores: float = msgspec.field(name="Cores", default=1.0)
 
 
+class _Placement(msgspec.Struct, forbid_unknown_fields=True):
+    # Number of waiting jobs of each queue for which capacity is reserved.
+    reserved_jobs: Annotated[int, msgspec.Meta(ge=0, le=MAX_RESERVED_JOBS)] = (
+        msgspec.field(name="ReservedJobs", default=0)
+    )
+    # Whether small tasks avoid workers on which a waiting large one could fit.
+    keeps_gaps: bool = msgspec.field(name="KeepsGaps", default=False)
+
+
 class _Settings(msgspec.Struct):
     node_name: str = msgspec.field(name="NodeName")
     ip: str = msgspec.field(name="Ip")
@@ -59,6 +70,7 @@
     listen: _Listen = msgspec.field(name="ListenAddrs", default_factory=_Listen)
     bounds: _Bounds = msgspec.field(name="Bounds", default_factory=_Bounds)
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+    placement: _Placement = msgspec.field(name="Placement", default_factory=_Placement)
     # Address of the API of the worker on this instance.
     app: str = ""
     # Address of the policy service.
@@ -94,6 +106,7 @@
 def _translate(settings, role):
     bounds = settings.bounds
     store = settings.store
+    placement = settings.placement
     translated = ProcessSettings(
         instance_id=settings.node_name,
         role=role,
@@ -119,6 +132,7 @@
             bounds.remote_factor,
             bounds.impact_ms,
         ),
+        placement_policy=PlacementPolicy(placement.reserved_jobs, placement.keeps_gaps),
     )
     _check_addresses(translated)
     return translated
--- a/dotterelspread/processsettings.py
+++ b/dotterelspread/processsettings.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass, field
 
+from .jobs.placementpolicy import PlacementPolicy
+
 __all__ = [
     "FleetBounds",
     "FleetRole",
@@ -90,6 +92,8 @@
     #: Number of cores that the process may use.
     cores: float = 1.0
     bounds: FleetBounds = field(default_factory=FleetBounds)
+    #: How placement provides for waiting work, where this process leads.
+    placement_policy: PlacementPolicy = PlacementPolicy()
 
     @property
     def peer_address(self):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
     KeyedRecord,
     Writer,
 )
+from dotterelspread.jobs.placementpolicy import PlacementPolicy
 from dotterelspread.jobs.worker import RunEnd
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from dotterelspread.platform.callers import CallerHandler
@@ -164,6 +165,33 @@
         read_settings(FleetRole.ENTRY, {})
 
 
+def test_reservations_are_off_unless_the_settings_ask_for_them(tmp_path):
+    path = tmp_path / "local.toml"
+    environment = {SETTINGS_VARIABLE: str(path)}
+    path.write_text(SETTINGS)
+    assert not read_settings(FleetRole.ENTRY, environment).placement_policy.is_on
+    path.write_text(SETTINGS + "\n[Placement]\nReservedJobs = 2\nKeepsGaps = true\n")
+    policy = read_settings(FleetRole.ENTRY, environment).placement_policy
+    assert policy == PlacementPolicy(reserved_jobs=2, keeps_gaps=True)
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("ReservedJobs = -1", "Placement.ReservedJobs"),
+        ("ReservedJobs = 9", "Placement.ReservedJobs"),
+        ('ReservedJobs = "many"', "Placement.ReservedJobs"),
+        ("KeepsGaps = 3", "Placement.KeepsGaps"),
+        ("KeepGaps = true", "KeepGaps"),
+    ],
+)
+def test_an_invalid_placement_setting_is_refused_with_its_field(tmp_path, line, field):
+    path = tmp_path / "local.toml"
+    path.write_text(f"{SETTINGS}\n[Placement]\n{line}\n")
+    with pytest.raises(ProcessSettingsError, match=field):
+        read_settings(FleetRole.ENTRY, {SETTINGS_VARIABLE: str(path)})
+
+
 def test_the_journal_over_http_keeps_the_journal_contract():
     async def scenario(address, standin):
         journal = PlatformJournal(address)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dotterelspread.jobs.cell import OrderSettled
+from dotterelspread.jobs.cell import OrderSettled, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.timeline import (
     add,
@@ -15,25 +15,29 @@
 )
 from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
-from tests.builders_cell import make_cell, make_report, make_worker, submit
-from tests.builders_fleet import QUEUE, make_step
+from tests.builders_cell import make_cell, make_report, make_worker
+from tests.builders_fleet import QUEUE, make_job, make_step
+
+#: Leader's clock at the start; 0 would stand for runs whose start is not known.
+BEGIN_S = 100.0
 
 
 def start_run(cell, step, number=1):
-    [start] = submit(cell, step, number=number)
-    settled = OrderSettled(0.0, "i-0", 1, start.task_id, 1, "confirmed", 1)
+    [start] = reduce(Submitted(BEGIN_S, make_job(number, (step,)), 0), cell)
+    settled = OrderSettled(BEGIN_S, "i-0", 1, start.task_id, 1, "confirmed", 1)
     reduce(settled, cell)
     return start
 
 
 def list_run(cell, start, now_s, percent, pace=100, used=1000):
     row = RunningTask(start.task_id, 1, "", percent, used, pace)
-    reduce(make_report(0, now_s, row), cell)
+    reduce(make_report(0, BEGIN_S + now_s, row), cell)
 
 
 def end_of(cell, start, now_s):
     job = cell.jobs_by_id[start.run.job_id]
-    return expected_end(cell, job, start.run, now_s)
+    end_s, margin_s = expected_end(cell, job, start.run, BEGIN_S + now_s)
+    return end_s - BEGIN_S, margin_s
 
 
 @pytest.fixture
@@ -87,7 +91,7 @@
 def test_serving_tasks_release_nothing(cell):
     start_run(cell, make_step(is_service=True, target_ms=20, image="s"))
     worker = cell.workers_by_id["i-0"]
-    assert releases_of(cell, worker, 0.0) == []
+    assert releases_of(cell, worker, BEGIN_S) == []
 
 
 def test_released_capacity_adds_up_to_that_of_the_worker(cell):
@@ -97,7 +101,7 @@
     worker = cell.workers_by_id["i-0"]
     free = free_now(worker)
     assert free == (6000, 14_500, 1, 3000)
-    for release in releases_of(cell, worker, 0.0):
+    for release in releases_of(cell, worker, BEGIN_S):
         free = add(free, release.amounts)
     assert free == (8000, 16_000, 1, 8000)
 
@@ -106,20 +110,20 @@
     # Guards against a cached list that outlives the run.
     start_run(cell, make_step())
     worker = cell.workers_by_id["i-0"]
-    assert len(releases_of(cell, worker, 0.0)) == 1
+    assert len(releases_of(cell, worker, BEGIN_S)) == 1
     start_run(cell, make_step(), 2)
-    assert len(releases_of(cell, worker, 0.0)) == 2
+    assert len(releases_of(cell, worker, BEGIN_S)) == 2
     for task_id in list(worker.runs_by_task):
         worker.remove(task_id)
-    assert releases_of(cell, worker, 0.0) == []
+    assert releases_of(cell, worker, BEGIN_S) == []
 
 
 def test_stopped_runs_release_their_capacity_soon(cell):
     start = start_run(cell, make_step(estimate_ms=60_000))
     start.run.stop_reason = "job cancelled"
     worker = cell.workers_by_id["i-0"]
-    [release] = releases_of(cell, worker, 1.0)
-    assert release.at_s < 2.0
+    [release] = releases_of(cell, worker, BEGIN_S)
+    assert release.at_s < BEGIN_S + 1.0
 
 
 def test_fillers_need_a_part_of_their_processors_idle_and_others_reserve_theirs():
