Skip fillers that need more processors than one that found no worker

Each filler step with a number of processors of its own was tried on all workers of a full cell, although a filler with more processors is slower everywhere. The cache of demands without a worker now compares them by image and required speed.

--- a/dotterelspread/jobs/unplaceable.py
+++ b/dotterelspread/jobs/unplaceable.py
@@ -11,27 +11,33 @@
     are separate, since they may use workers that other tasks may not.
     """
 
-    __slots__ = ("_reserved_by_kind",)
+    __slots__ = ("_amounts_by_kind",)
 
     def __init__(self):
-        self._reserved_by_kind = {}
+        self._amounts_by_kind = {}
 
     def add(self, service, step, need=None):
         """Record that no worker of a service can take a task of the step.
 
-        Without ``need`` no worker has the resources; with it, none is fast enough.
+        Without ``need`` no worker has the resources; with it, a `FillerDemand`, none is
+        fast enough, nor would one be for a filler of the image with more processors.
         """
-        kind = (service, step.is_service, step.required_label, need)
-        self._reserved_by_kind.setdefault(kind, []).append(step.reserved)
+        kind = (service, step.is_service, step.required_label, _speed_kind(need))
+        amount = step.reserved if need is None else step.demand
+        self._amounts_by_kind.setdefault(kind, []).append(amount)
 
     def covers(self, service, step, need):
         """Tell whether a task of the step is certain to find no worker."""
-        kinds = {
-            (service, step.is_service, step.required_label, n) for n in (None, need)
-        }
-        reserved = step.reserved
-        return any(
-            smaller.fits_in(reserved)
-            for kind in kinds
-            for smaller in self._reserved_by_kind.get(kind, ())
+        kind = (service, step.is_service, step.required_label)
+        return self._has_smaller((*kind, None), step.reserved) or (
+            need is not None
+            and self._has_smaller((*kind, _speed_kind(need)), step.demand)
         )
+
+    def _has_smaller(self, kind, amount):
+        found = self._amounts_by_kind.get(kind, ())
+        return any(smaller.fits_in(amount) for smaller in found)
+
+
+def _speed_kind(need):
+    return need and (need.image, need.min_speed_ratio)
