--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,6 +21,7 @@
     "quarantine",
     "quotas",
     "placing",
+    "passes",
     "waiting",
 )
 
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -15,25 +15,18 @@
 come at which they do not take the room, and they are to start at once.
 """
 
-from dataclasses import dataclass
+from dataclasses import replace
 
 from .cell import ReservationsMade, StartRun
 from .gaps import GapKeeper
 from .ordering import patience_end_s, placement_class
+from .reservedroom import Reservation, leaves_room
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
 from .startsearch import StartSearch
-from .timeline import (
-    NOTHING,
-    add,
-    free_now,
-    need_of,
-    releases_of,
-    subtract,
-    use_of,
-)
-
-__all__ = ["Reservation", "Reservations", "make_reservations"]
+from .timeline import need_of, use_of
+
+__all__ = ["Reservations", "make_reservations"]
 
 #: Maximum number of reserved tasks in a pass: some large steps.
 MAX_RESERVED_TASKS = 64
@@ -50,21 +43,6 @@
 MARGIN_DEVIATIONS = 1.0
 
 
-@dataclass(slots=True, frozen=True)
-class Reservation:
-    """Capacity of a worker that is kept for a task."""
-
-    job_id: str
-    start_s: float
-    #: Capacity that must be free at the start.
-    need: tuple
-    #: Capacity that the task takes.
-    use: tuple
-    #: Queue and class of the claiming job; None if the reservation holds against all
-    #: jobs that come later in the order.
-    claim: tuple | None = None
-
-
 def make_reservations(cell, jobs, workers, stale_task_ids, now_s):
     """Return the `Reservations` of a placement pass, or None if they are off.
 
@@ -100,6 +78,8 @@
         self._count = 0
         self._backfills = 0
         self._claiming = set()
+        #: Claims with the ids of their workers, by job and step key.
+        self._claims_by_step = {}
         #: Jobs that hold reservations against all later ones, by queue.
         self._holders_by_queue = {}
         #: Number of steps that were stopped, by queue and label.
@@ -144,6 +124,8 @@
             return
         for worker_id, held in list(self._by_worker.items()):
             others = [one for one in held if one.job_id != job.job_id]
+            if len(others) == len(held):
+                continue
             self._count -= len(held) - len(others)
             if others:
                 self._by_worker[worker_id] = others
@@ -181,9 +163,27 @@
             if len(holders) >= self._cell.placement_policy.reserved_jobs:
                 return
             holders.add(job.job_id)
+        if self._renew(job, step_key, count):
+            return
         step = job.spec.steps[step_key[1]]
         self._reserve(job, queue, step_key, count, step, None)
 
+    def _renew(self, job, step_key, count):
+        """Hold what the job had claimed for later; return whether that was anything.
+
+        A second search would find much the same, since the claims kept the room free.
+        """
+        later = [
+            (worker_id, one)
+            for worker_id, one in self._claims_by_step.get((job.job_id, step_key), ())
+            if one.start_s > self._now_s
+        ]
+        for worker_id, one in later[:count]:
+            held = self._by_worker.setdefault(worker_id, [])
+            held.append(replace(one, claim=None))
+        self._count += len(later[:count])
+        return bool(later)
+
     def _reserve(self, job, queue, step_key, count, step, claim):
         """Reserve for up to ``count`` tasks of a step; return whether any was."""
         count = min(count, MAX_RESERVED_TASKS - self._count)
@@ -202,6 +202,9 @@
                 job.job_id, last_s if step.is_gang else start_s, need, use, claim
             )
             self._by_worker.setdefault(worker.worker_id, []).append(one)
+            if claim is not None:
+                claims = self._claims_by_step.setdefault((job.job_id, step_key), [])
+                claims.append((worker.worker_id, one))
         self._count += len(found)
         start_s = last_s if step.is_gang else first_s
         if start_s > self._now_s:
@@ -247,7 +250,9 @@
             return True
         expected = self._cell.run_times.expect(job.spec.queue.name, step)
         end_s = self._now_s + expected.upper_s(MARGIN_DEVIATIONS)
-        is_free = self._leaves_room(worker, held, use_of(step), end_s)
+        is_free = leaves_room(
+            self._cell, worker, held, use_of(step), self._now_s, end_s
+        )
         self.is_blocked |= not is_free
         return is_free
 
@@ -266,23 +271,6 @@
             found.append(one)
         return found
 
-    def _leaves_room(self, worker, held, use, end_s):
-        """Tell whether the reserved tasks still fit beside a use until ``end_s``."""
-        releases = releases_of(self._cell, worker, self._now_s)
-        needed = NOTHING
-        for one in sorted(held, key=_start_of):
-            if one.start_s >= end_s:
-                break
-            needed = add(needed, one.need)
-            free = subtract(free_now(worker), use)
-            for release in releases:
-                if release.at_s > one.start_s:
-                    break
-                free = add(free, release.amounts)
-            if not _is_undisturbed(needed, use, free):
-                return False
-        return True
-
     def note_starts(self, effects):
         """Count the starts on workers with reservations of other jobs."""
         for effect in effects:
@@ -306,15 +294,3 @@
         if not made and not self._backfills:
             return []
         return [ReservationsMade(made, self._backfills)]
-
-
-def _start_of(reservation):
-    return reservation.start_s
-
-
-def _is_undisturbed(needed, use, free):
-    """Tell whether a use takes none of the room that reserved tasks need."""
-    return all(
-        not needed[kind] or not use[kind] or needed[kind] <= free[kind]
-        for kind in range(len(needed))
-    )
--- /dev/null
+++ b/dotterelspread/jobs/reservedroom.py
@@ -0,0 +1,63 @@
+"""Capacity of a worker that is kept for a waiting task, and its use by others."""
+
+from dataclasses import dataclass
+
+from .timeline import NOTHING, add, free_now, releases_of, subtract
+
+__all__ = ["Reservation", "leaves_room"]
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """Capacity of a worker that is kept for a task."""
+
+    job_id: str
+    start_s: float
+    #: Capacity that must be free at the start.
+    need: tuple
+    #: Capacity that the task takes.
+    use: tuple
+    #: Queue and class of the claiming job; None if the reservation holds against all
+    #: jobs that come later in the order.
+    claim: tuple | None = None
+
+
+def leaves_room(cell, worker, held, use, now_s, end_s):
+    """Tell whether reserved tasks still fit beside a use of a worker.
+
+    Parameters
+    ----------
+    cell : Cell
+    worker : Worker
+    held : list of Reservation
+    use : tuple
+        Capacity that is used from now on; see `timeline.use_of`.
+    now_s, end_s : float
+        Begin and end of the use.
+    """
+    releases = releases_of(cell, worker, now_s)
+    needed = NOTHING
+    for one in sorted(held, key=_start_of):
+        if one.start_s >= end_s:
+            break
+        needed = add(needed, one.need)
+        free = subtract(free_now(worker), use)
+        for release in releases:
+            if release.at_s > one.start_s:
+                break
+            free = add(free, release.amounts)
+        if not _is_undisturbed(needed, use, free):
+            return False
+    return True
+
+
+def _start_of(reservation):
+    return reservation.start_s
+
+
+def _is_undisturbed(needed, use, free):
+    """Tell whether a use takes none of the room that reserved tasks need."""
+    return all(
+        not needed[kind] or not use[kind] or needed[kind] <= free[kind]
+        for kind in range(len(needed))
+    )
--- a/dotterelspread/jobs/startsearch.py
+++ b/dotterelspread/jobs/startsearch.py
@@ -15,6 +15,9 @@
 MAX_GANG_LOOKAHEAD_S = 5.0
 #: Maximum number of tasks of a step that are reserved on one worker.
 MAX_PER_WORKER = 8
+#: Number of possible starts for each task after which no more workers are searched: the
+#: earliest of a few is early enough, and a pass would take 60 ms at 630 workers.
+CANDIDATES_PER_TASK = 4
 
 
 class StartSearch:
@@ -28,12 +31,14 @@
     now_s : float
     """
 
-    __slots__ = ("_cell", "_now_s", "_workers")
+    __slots__ = ("_cell", "_free_by_end", "_now_s", "_workers")
 
     def __init__(self, cell, workers, now_s):
         self._cell = cell
         self._workers = workers
         self._now_s = now_s
+        #: Free capacity of each worker at a time, if nothing is placed until then.
+        self._free_by_end = {}
 
     def find(self, step, count, need, use, service, held_of):
         """Return pairs of time and worker of the earliest starts of a step's tasks.
@@ -54,29 +59,52 @@
         until_s = self._now_s + (
             MAX_GANG_LOOKAHEAD_S if step.is_gang else MAX_LOOKAHEAD_S
         )
+        last_free = self._free_at(until_s)
+        demand = None
+        if step.is_filler:
+            demand = FillerDemand(
+                step.image, step.demand.millicores, MIN_FILLER_SPEED_RATIO
+            )
         found = []
         for number, worker in enumerate(self._workers):
-            is_usable = worker.service == service and not worker.cools_down(self._now_s)
-            if not is_usable or (
-                step.required_label and step.required_label not in worker.labels
-            ):
+            if len(found) >= CANDIDATES_PER_TASK * count:
+                break
+            # Nothing that is placed during the pass adds capacity.
+            if not fits(need, last_free[number]):
+                continue
+            if not self._may_run(step, worker, service):
                 continue
-            for start_s in self._fit_times(
-                worker, need, use, limit, held_of(worker), until_s
+            held = held_of(worker)
+            times = self._fit_times(worker, need, use, limit, held, until_s)
+            if not times or (
+                demand and not _is_tolerated(self._cell.costs, demand, worker)
             ):
-                found.append((start_s, number, worker))
-        if not step.is_filler:
-            return [(one[0], one[2]) for one in nsmallest(count, found, _time_of)]
-        demand = FillerDemand(
-            step.image, step.demand.millicores, MIN_FILLER_SPEED_RATIO
+                continue
+            found.extend((start_s, number, worker) for start_s in times)
+        return [(one[0], one[2]) for one in nsmallest(count, found, _time_of)]
+
+    def _may_run(self, step, worker, service):
+        has_label = not step.required_label or step.required_label in worker.labels
+        return (
+            has_label
+            and worker.service == service
+            and not worker.cools_down(self._now_s)
         )
-        chosen = []
-        for start_s, _, worker in sorted(found, key=_time_of):
-            if len(chosen) == count:
-                break
-            if _is_tolerated(self._cell.costs, demand, worker):
-                chosen.append((start_s, worker))
-        return chosen
+
+    def _free_at(self, until_s):
+        """Return the free capacity of each worker at a time, as of the first search."""
+        found = self._free_by_end.get(until_s)
+        if found is None:
+            found = []
+            for worker in self._workers:
+                free = free_now(worker)
+                for release in releases_of(self._cell, worker, self._now_s):
+                    if release.at_s > until_s:
+                        break
+                    free = add(free, release.amounts)
+                found.append(free)
+            self._free_by_end[until_s] = found
+        return found
 
     def _fit_times(self, worker, need, use, limit, held, until_s):
         """Return the times at which one more task fits on a worker, up to a limit."""
