--- a/tests/test_waiting_load.py
+++ b/tests/test_waiting_load.py
@@ -9,6 +9,7 @@
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.spec import StepSpec
 from dotterelspread.resources import Resources
+from tests.builders_fleet import kill_leader, make_job, make_step, run_scenario
 
 POLICY = PlacementPolicy(reserved_jobs=2, keeps_gaps=True)
 #: Jobs of this queue are always on time, so that lateness does not change the order.
@@ -95,3 +96,25 @@
         for job_id in job_ids
     ]
     assert last_starts == sorted(last_starts)
+
+
+def test_a_successor_reserves_by_its_own_settings():
+    # Guards against a policy that is lost with the leader that was started with it.
+    async def scenario(fleet):
+        for entry in fleet.entries:
+            entry.settings.placement_policy = POLICY
+        killed = kill_leader(fleet)
+        await fleet.settle(8)
+        killed.start()
+        await fleet.settle(1)
+        [cell] = [e.candidate.leader.cell for e in fleet.entries if e.candidate.leader]
+        assert cell.placement_policy == POLICY
+        capacity = next(iter(cell.workers_by_id.values())).capacity
+        small = make_step(count=12, demand=Resources(capacity.millicores // 5, 10))
+        large = make_step(count=3, demand=Resources(capacity.millicores, 10))
+        for number in range(1, 9):
+            step = large if number == 3 else small
+            await fleet.submit(make_job(number, (step,)), entry=1)
+        await fleet.expect_completed(30)
+
+    run_scenario(scenario)
