--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -21,6 +21,8 @@
     "quarantine",
     "quotas",
     "placing",
+    "passes",
+    "waiting",
 )
 
 
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -7,7 +7,9 @@
 from .job import Job
 from .paircost import PairCosts
 from .permits import Permits
+from .placementpolicy import PlacementPolicy
 from .queues import FleetConfiguration
+from .runtimes import RunTimes
 from .spec import JobSpec, StepSpec, TaskKey
 from .taskrun import TaskRun
 from .worker import AgentReport, Worker
@@ -27,6 +29,7 @@
     "GrantsResumed",
     "OrderSettled",
     "Reported",
+    "ReservationsMade",
     "ResumeGrants",
     "StartRun",
     "StopRun",
@@ -66,6 +69,8 @@
     dirty_worker_ids: set[str] = field(default_factory=set)
     #: Learned interference costs of fillers on serving tasks.
     costs: PairCosts = field(default_factory=PairCosts)
+    #: Learned run times, by kind of task.
+    run_times: RunTimes = field(default_factory=RunTimes)
     #: Whether no earlier leader grants leases any more.
     are_earlier_terms_over: bool = True
     #: Number of times that the grants to any worker were suspended in this term.
@@ -76,6 +81,11 @@
     is_append_under_way: bool = False
     #: Whether a placement pass is due, after the append in progress if there is one.
     is_placing_due: bool = False
+    #: Settings of placement.
+    placement_policy: PlacementPolicy = PlacementPolicy()
+    #: Job and step key of the reservations of the latest pass, so that each is logged
+    #: once; nothing is decided by them.
+    logged_reservations: frozenset[tuple[str, tuple[int, int]]] = frozenset()
     #: Retention period of a finished job.
     status_s: float = 120.0
 
@@ -293,3 +303,13 @@
     worker_id: str
     early_crashes: int
     crashes: int
+
+
+@dataclass(slots=True, frozen=True)
+class ReservationsMade(Effect):
+    """Log and count new reservations and the use of reserved room by others."""
+
+    #: Job id, step key and seconds until the start, of each new one.
+    made: tuple[tuple[str, tuple[int, int], float], ...]
+    #: Number of starts on workers with reservations of other jobs.
+    backfills: int
