Accept fractions of a millisecond in a worker's remaining cold time

Cause: a heartbeat with a fractional ColdRemainingMs would be refused, and its worker not be used, though the field only orders workers. Change: it is read as a finite number that is not negative, like the times of the configuration, and rounded up. Result: a test.

--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -1,13 +1,12 @@
 """Decoding of the configuration that operators write to the log store."""
 
 import math
-from typing import Annotated
 
 import msgspec
 
 from ..h1server import H1Limits
 from ..jobs.queues import FleetConfiguration, PermitTiming, Queue
-from .decoding import MAX_COUNT, Count, DecodingError, Instant, decode_json
+from .decoding import Amount, Count, DecodingError, Instant, decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -21,10 +20,6 @@
 CONFIGURATION_KEY = "config"
 
 
-#: A finite number that is not negative.
-Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
-
-
 class ConfigurationFormatError(Exception):
     """A record is not a valid configuration."""
 
--- a/dotterelspread/platform/decoding.py
+++ b/dotterelspread/platform/decoding.py
@@ -7,6 +7,7 @@
 __all__ = [
     "MAX_COUNT",
     "MAX_INSTANT_MS",
+    "Amount",
     "Count",
     "DecodingError",
     "Instant",
@@ -20,6 +21,8 @@
 
 #: A quantity or a number of something.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+#: A finite number that is not negative.
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 #: A time, or a number that grows with time.
 Instant = Annotated[int, msgspec.Meta(ge=0, le=MAX_INSTANT_MS)]
 
--- a/dotterelspread/platform/heartbeats.py
+++ b/dotterelspread/platform/heartbeats.py
@@ -1,5 +1,6 @@
 """Decoding of a worker's calls to the registry on its instance."""
 
+import math
 import re
 from typing import Annotated
 
@@ -7,7 +8,7 @@
 
 from ..jobs.workeradapter import Announcement
 from ..resources import Resources
-from .decoding import Count, DecodingError, Instant, decode_json
+from .decoding import Amount, Count, DecodingError, Instant, decode_json
 
 __all__ = [
     "HEARTBEAT_PREFIX",
@@ -54,7 +55,7 @@
     )
     born: Instant = 0
     # For how long the worker stays slow after a start or an evacuation.
-    cold_remaining_ms: Count = msgspec.field(name="ColdRemainingMs", default=0)
+    cold_remaining_ms: Amount = msgspec.field(name="ColdRemainingMs", default=0)
 
 
 class _Deregistration(msgspec.Struct):
@@ -107,7 +108,7 @@
             heartbeat.capacity.cpu, heartbeat.capacity.mem_mb, heartbeat.capacity.gpu
         ),
         is_draining=heartbeat.state == "draining",
-        cold_ms=heartbeat.cold_remaining_ms,
+        cold_ms=math.ceil(heartbeat.cold_remaining_ms),
     )
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -403,3 +403,10 @@
         [sys.executable, "-c", program], capture_output=True, text=True, check=True
     )
     assert result.stdout.strip() == "SIG_IGN"
+
+
+def test_a_heartbeat_may_state_a_fraction_of_a_millisecond_that_it_stays_cold():
+    """A refused heartbeat would take a healthy worker out of use."""
+    document = HEARTBEAT | {"ColdRemainingMs": 12.5}
+    announcement = read_heartbeat("i-1", json.dumps(document).encode())
+    assert announcement.cold_ms == 13
