Let any entry take over from a leader that the store does not confirm

Cause: distant and undersized entries were eligible only after 3 s without a notice, so a leader that is cut from the store alone stayed in place; and only the holder of the group's partition claimed, which may be the leader itself or a member that cannot append. With all near and large entries cut from the store, no entry took over within 12 s of virtual time.

Change: eligibility.choose_move decides from what the leader can do. Stand-ins act after 0.8 s; members that are not the holder act 0.7 to 1.1 s later if the leader itself says that it cannot lead. A leader without confirmation leaves the group, a claim without an answer is given up after 1.5 s, and a claim that another process was faster to make is not repeated against it. Leaders report agents that they have lost; an entry that reaches these takes over. A near and large entry replaces a stand-in after 5 s in which its calls to the store worked, twice as long after each short term that it lost.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -3382,6 +3382,7 @@
      - epoch
      - address
      - confirmed
+     - lost_agents
 
     """
 
@@ -3389,13 +3390,15 @@
         'epoch',
         'address',
         'confirmed',
+        'lost_agents',
     )
 
 
-    def __init__(self, epoch=None, address=None, confirmed=None,):
+    def __init__(self, epoch=None, address=None, confirmed=None, lost_agents=None,):
         self.epoch = epoch
         self.address = address
         self.confirmed = confirmed
+        self.lost_agents = lost_agents
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3421,6 +3424,16 @@
                     self.confirmed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.lost_agents = []
+                    (_etype0, _size0) = iprot.readListBegin()
+                    for _i0 in range(_size0):
+                        _elem0 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lost_agents.append(_elem0)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3443,6 +3456,13 @@
             oprot.writeFieldBegin('confirmed', TType.BOOL, 3)
             oprot.writeBool(self.confirmed)
             oprot.writeFieldEnd()
+        if self.lost_agents is not None:
+            oprot.writeFieldBegin('lost_agents', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.lost_agents))
+            for iter0 in self.lost_agents:
+                oprot.writeString(iter0.encode('utf-8') if sys.version_info[0] == 2 else iter0)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4031,6 +4051,7 @@
     (1, TType.I64, 'epoch', None, None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'confirmed', None, None, ),  # 3
+    (4, TType.LIST, 'lost_agents', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(NoticeReply)
 NoticeReply.thrift_spec = (
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -151,6 +151,7 @@
 
     def _apply_reply(self, reply):
         now_s = clock.now_s()
+        self._leader.agent_reach.observe(self._address)
         self._agent_clock_ms = reply.clock_ms
         self._needs_traits = bool(reply.needs_traits)
         if not reply.known:
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -1,17 +1,19 @@
 """Leader election among entries through a membership group of the log store."""
 
 import asyncio
+import zlib
 
 from ..decisionlog import log_decision
-from ..processsettings import FleetRole
 from ..supervision import log_unexpected
 from . import clock
+from .agentreach import SAMPLE_SIZE, reaches_agents, reaches_any_agent
 from .committing import DeposedError
+from .eligibility import Move, Standing, choose_move, failback_wait_s, vacancy_s
+from .entrysizes import EntrySizes
 from .journal import JournalError
 from .leader import Leader
-from .nodes import NODES_STREAM, decode_node
 from .records import CELL_STREAM
-from .takeover import take_over
+from .takeover import ClaimTimeoutError, OvertakenError, take_over
 
 __all__ = ["LeaderCandidate"]
 
@@ -20,18 +22,24 @@
 JOIN_INTERVAL_S = 0.35
 #: Number of initial calls that measure the round trip to the store.
 ROUND_TRIP_SAMPLES = 3
-#: Round trip to the store above which an entry leaves leadership to nearer entries.
-MAX_NEAR_ROUND_TRIP_S = 0.03
-#: An entry with less than this share of the largest entry's cores is undersized.
-MIN_CORES_RATIO = 0.7
-#: Time without a leader after which a distant or undersized entry is eligible too.
-STANDBY_DELAY_S = 3.0
-#: Time allowed to a leader for the next confirmation after a store outage: the longest
-#: timeout of an append.
-RECONFIRMATION_TIMEOUT_S = 1.6
 #: Interval between reads of the node stream, during startup and later.
+STARTUP_S = 3.0
 STARTUP_NODES_INTERVAL_S = 0.7
 NODES_INTERVAL_S = 10.0
+#: Time after the end of an own term in which its successor announces itself.
+TERM_END_DELAY_S = 0.6
+#: Time given to a claim that the store has shown and no notice has told of.
+OVERTAKEN_DELAY_S = 1.0
+#: Time left to others after the store did not answer an own claim.
+CLAIM_TIMEOUT_DELAY_S = 3.0
+#: Delay of the next attempt of an entry that reached no agents to replace a stand-in.
+FAILBACK_RETRY_DELAY_S = 5.0
+#: Interval between probes of agents that the leader and this entry do not reach.
+PROBE_INTERVAL_S = 1.0
+#: A term that is lost after a shorter time delays the next replacement of a stand-in.
+SHORT_TERM_S = 60.0
+#: Largest offset of an entry's claims that are not its turn.
+MAX_OFFSET_S = 0.4
 
 
 class LeaderCandidate:
@@ -58,14 +66,27 @@
         self.leader = None
         self._generation = 0
         self._is_member = False
-        self._round_trip_s = None
+        self._is_holder = False
+        self._sizes = EntrySizes(settings, journal)
         self._started_s = clock.now_s()
         self._nodes_refreshed_s = clock.now_s()
-        #: Cores of each entry of this region by peer address.
-        self._cores_by_address = {}
         self._term_task = None
-        #: When a call to join the group last failed.
-        self._join_failed_s = float("-inf")
+        self._term_ended_s = self._started_s
+        #: Time before which no claim is made.
+        self._next_claim_s = self._started_s
+        #: Number of short terms in a row that this entry has lost.
+        self._lost_terms = 0
+        #: Latest epoch that this process has heard of or read.
+        self._known_epoch = None
+        #: When a call to the store last failed.
+        self._store_failed_s = float("-inf")
+        #: Since when the own term is not confirmed or reaches no agents.
+        self._own_fault_since_s = None
+        #: When this entry first reached agents that the leader does not reach.
+        self._cut_off_since_s = None
+        self._next_probe_s = self._started_s
+        digest = zlib.crc32(settings.instance_id.encode())
+        self._offset_s = MAX_OFFSET_S * (digest % 1000) / 1000
 
     async def run(self):
         """Take part in the leader election indefinitely."""
@@ -74,49 +95,90 @@
         while True:
             began_s = clock.now_s()
             await self._refresh_nodes_if_due()
-            if self._is_eligible():
-                await self._join()
-            elif self._is_member:
-                await self._leave_group()
+            await self._compare_agents()
+            await self._take_part()
             elapsed_s = clock.now_s() - began_s
             await asyncio.sleep(max(0.05, JOIN_INTERVAL_S - elapsed_s))
 
-    def _is_eligible(self):
-        if self.configuration().version < 0:
-            return False
-        if not (self._is_far_from_store or self._is_undersized):
+    async def _take_part(self):
+        if choose_move(self._standing()) is Move.ABSTAIN:
+            if self._is_member:
+                await self._leave_group()
+            return
+        # A reply shows that this entry reaches the store, and whose turn it is.
+        if not await self._join():
+            return
+        standing = self._standing()
+        if self._term_task is not None or choose_move(standing) is not Move.CLAIM:
+            return
+        if vacancy_s(standing) is None and not await self._is_fit_for_failback():
+            return
+        if self._term_task is None:
+            log_decision(
+                "claim begins",
+                leader_epoch=self.view.epoch,
+                leader=self.view.address,
+                suitable=standing.is_suitable,
+                holder=standing.is_holder,
+                notice_age_s=_rounded(standing.notice_age_s),
+                unconfirmed_s=_rounded(standing.unconfirmed_s),
+                cut_off_s=_rounded(standing.cut_off_s),
+            )
+            self._term_task = asyncio.ensure_future(self._lead())
+
+    async def _is_fit_for_failback(self):
+        """Whether this entry reaches agents; if not, it claims only much later."""
+        if await reaches_any_agent(self.pool, self._sizes.agent_addresses):
             return True
-        heard_s = max(self.view.last_notice_s, self._started_s)
-        return clock.now_s() - heard_s > STANDBY_DELAY_S
+        self._next_claim_s = clock.now_s() + FAILBACK_RETRY_DELAY_S
+        log_decision("leadership not taken back; no agent answers")
+        return False
 
-    @property
-    def _is_far_from_store(self):
-        return self._round_trip_s is not None and (
-            self._round_trip_s > MAX_NEAR_ROUND_TRIP_S
+    def _standing(self):
+        now_s = clock.now_s()
+        view = self.view
+        sizes = self._sizes
+        is_claiming = self._term_task is not None and self.leader is None
+        return Standing(
+            has_configuration=self.configuration().version >= 0,
+            is_suitable=sizes.is_suitable,
+            is_leading=self.leader is not None,
+            own_fault_s=self._own_fault_s(now_s),
+            may_claim=is_claiming or now_s >= self._next_claim_s,
+            is_holder=self._is_holder,
+            watched_s=now_s - self._term_ended_s,
+            notice_age_s=now_s - view.last_notice_s if view.last_notice_s else None,
+            unconfirmed_s=_age_s(now_s, view.unconfirmed_since_s),
+            cut_off_s=_age_s(now_s, self._cut_off_since_s),
+            shares_agent_loss=bool(view.lost_agents) and self._cut_off_since_s is None,
+            is_leader_suitable=sizes.is_suitable_leader(view.address),
+            leader_known_s=now_s - view.epoch_known_s,
+            store_works_s=now_s - self._store_failed_s,
+            failback_wait_s=failback_wait_s(self._lost_terms),
+            offset_s=self._offset_s,
         )
 
-    @property
-    def _is_undersized(self):
-        largest = max(self._cores_by_address.values(), default=0.0)
-        return self.settings.cores < MIN_CORES_RATIO * largest
-
-    @property
-    def _has_suitable_leader(self):
-        """Whether this entry leaves the current leader in place.
+    def _own_fault_s(self, now_s):
+        if self.leader is None or self.leader.is_able:
+            self._own_fault_since_s = None
+        elif self._own_fault_since_s is None:
+            self._own_fault_since_s = now_s
+        return _age_s(now_s, self._own_fault_since_s)
 
-        The group may reassign its partition at any time. A failover delays all starts
-        by a second, so it needs a reason: the leader is unresponsive, it cannot reach
-        the store, or it is much smaller than this entry or in another region.
-        """
-        view = self.view
-        if not view.has_leader:
-            return False
-        if not view.is_confirmed:
-            # After a store outage that affected both, the leader gets time to be
-            # confirmed again.
-            return clock.now_s() - self._join_failed_s < RECONFIRMATION_TIMEOUT_S
-        leader_cores = self._cores_by_address.get(view.address, 0.0)
-        return leader_cores >= MIN_CORES_RATIO * self.settings.cores
+    async def _compare_agents(self):
+        """Find out whether this entry reaches agents that the leader does not reach."""
+        if self.leader is not None or not self.view.lost_agents:
+            self._cut_off_since_s = None
+            return
+        now_s = clock.now_s()
+        if self._cut_off_since_s is not None or now_s < self._next_probe_s:
+            return
+        self._next_probe_s = now_s + PROBE_INTERVAL_S
+        known = self._sizes.agent_addresses
+        lost = [a for a in self.view.lost_agents[:SAMPLE_SIZE] if a in known]
+        if await reaches_agents(self.pool, lost):
+            log_decision("leader cut off from agents", leader=self.view.address)
+            self._cut_off_since_s = clock.now_s()
 
     def receive_notice(self, notice):
         """Process a `LeaderNotice`; own terms of earlier epochs end before the reply.
@@ -130,28 +192,12 @@
         return reply
 
     async def _refresh_nodes(self):
-        """Read the sizes of the region's entries and measure the round trip."""
-        began_s = clock.now_s()
-        try:
-            snapshot = await self.journal.snapshot(NODES_STREAM)
-        except JournalError as error:
-            log_decision("nodes not read", error=str(error))
-            return
-        round_trip_s = clock.now_s() - began_s
-        if self._round_trip_s is None or round_trip_s < self._round_trip_s:
-            self._round_trip_s = round_trip_s
-        nodes = map(decode_node, snapshot.records_by_key.values())
-        self._cores_by_address = {
-            node.peer_address: node.cores
-            for node in nodes
-            if node is not None
-            and node.role == FleetRole.ENTRY
-            and node.region == self.settings.region
-        }
+        if not await self._sizes.refresh():
+            self._store_failed_s = clock.now_s()
 
     async def _refresh_nodes_if_due(self):
         now_s = clock.now_s()
-        is_starting = now_s - self._started_s < STANDBY_DELAY_S
+        is_starting = now_s - self._started_s < STARTUP_S
         interval_s = STARTUP_NODES_INTERVAL_S if is_starting else NODES_INTERVAL_S
         if now_s - self._nodes_refreshed_s > interval_s:
             self._nodes_refreshed_s = now_s
@@ -159,7 +205,7 @@
 
     async def _leave_group(self):
         """Leave the group, so that another entry is elected."""
-        self._is_member = False
+        self._is_member = self._is_holder = False
         try:
             await self.journal.leave(GROUP, self.settings.instance_id)
         except JournalError as error:
@@ -167,6 +213,7 @@
             log_decision("group not left; its membership will expire", error=str(error))
 
     async def _join(self):
+        """Join the group or renew the membership; return whether the store replied."""
         try:
             membership = await self.journal.join(
                 GROUP,
@@ -176,24 +223,22 @@
                 self._generation,
             )
         except JournalError as error:
-            self._join_failed_s = clock.now_s()
+            self._store_failed_s = clock.now_s()
             log_decision("join failed", error=str(error))
-            return
+            return False
         self._is_member = True
+        self._is_holder = membership.is_holder
         self._generation = membership.generation
-        # A leader that no longer holds the partition continues until the claim of its
-        # successor fences it, so that there is no gap between the two.
-        if (
-            membership.is_holder
-            and self._term_task is None
-            and not self._has_suitable_leader
-        ):
-            self._term_task = asyncio.ensure_future(self._lead())
+        return True
 
     async def _lead(self):
+        began_s = clock.now_s()
         try:
             term = await take_over(
-                self.journal, self.settings, self.view.heard_addresses
+                self.journal,
+                self.settings,
+                self.view.heard_addresses,
+                self._latest_known_epoch(),
             )
             if self.view.epoch > term.writer.epoch:
                 log_decision("term not begun", epoch=term.writer.epoch)
@@ -208,18 +253,36 @@
             )
             self.leader = leader
             self.view.note_epoch(leader.epoch)
+            began_s = clock.now_s()
             await leader.run()
         except DeposedError:
             # Already logged by the leader; the group elects the next one.
-            return
+            is_short = clock.now_s() - began_s < SHORT_TERM_S
+            self._lost_terms = self._lost_terms + 1 if is_short else 0
+        except OvertakenError as error:
+            log_decision("takeover abandoned", epoch=error.epoch)
+            self._known_epoch = error.epoch
+            self._next_claim_s = clock.now_s() + OVERTAKEN_DELAY_S
         except JournalError as error:
             log_decision("takeover failed", error=str(error))
+            self._store_failed_s = clock.now_s()
+            if isinstance(error, ClaimTimeoutError):
+                self._next_claim_s = clock.now_s() + CLAIM_TIMEOUT_DELAY_S
         except Exception as error:
             # The group elects this or another entry again.
             log_unexpected("term", error)
         finally:
+            now_s = clock.now_s()
             self.leader = None
             self._term_task = None
+            self._term_ended_s = now_s
+            self._next_claim_s = max(self._next_claim_s, now_s + TERM_END_DELAY_S)
+
+    def _latest_known_epoch(self):
+        """Return the latest epoch that this process knows of; None without any."""
+        if not self.view.last_notice_s:
+            return self._known_epoch
+        return max(self.view.epoch, self._known_epoch or 0)
 
     async def resign(self):
         """End the term, if any, and leave the group."""
@@ -227,3 +290,11 @@
             await self.leader.resign("the process is shutting down")
         if self._is_member:
             await self._leave_group()
+
+
+def _age_s(now_s, since_s):
+    return None if since_s is None else now_s - since_s
+
+
+def _rounded(age_s):
+    return None if age_s is None else round(age_s, 2)
--- a/dotterelspread/jobs/connecting.py
+++ b/dotterelspread/jobs/connecting.py
@@ -80,6 +80,7 @@
         if node.role == FleetRole.AGENT:
             link = AgentLink(leader, node.peer_address)
             leader.links_by_address[node.peer_address] = link
+            leader.agent_reach.expect(node.peer_address)
             leader.spawn("agent link", link.run, agent=node.peer_address)
         elif node.role == FleetRole.ENTRY:
             leader.links_by_address[node.peer_address] = None
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -6,6 +6,7 @@
 from ..supervision import log_unexpected, run_supervised
 from . import clock
 from .agentlink import lease_end_s
+from .agentreach import AgentReach
 from .cell import (
     Cancelled,
     CellTick,
@@ -66,6 +67,7 @@
         self.cell.configuration = configuration
         #: `AgentLink` of each agent by its peer address; None for entries.
         self.links_by_address = {}
+        self.agent_reach = AgentReach()
         self.sender = OrderSender(self)
         self.committer = Committer(settings, journal, term, self.sender.perform)
         self.epoch = term.writer.epoch
@@ -124,6 +126,11 @@
         is_unresponsive = self.committer.is_store_unresponsive
         return is_recent and not is_unresponsive and not self.is_deposed
 
+    @property
+    def is_able(self):
+        """Whether the term is confirmed and most agents are reached."""
+        return self.is_confirmed and not self.agent_reach.lost_addresses
+
     def end_earlier_term(self, address):
         """Record that the process at an address grants no leases of earlier terms."""
         if self.grant_authority.end_earlier_term(address):
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -16,8 +16,8 @@
 NOTICE_TIMEOUT_S = 0.8
 #: Age of the last notice up to which callers' requests are forwarded to its leader.
 NOTICE_LIFETIME_S = 2.5
-#: Age of the last notice from which the leader counts as silent: two notices missed.
-LEADER_TIMEOUT_S = 1.2
+#: Interval at which a change of what the notices say is noticed.
+CHANGE_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -27,8 +27,14 @@
     epoch: int = -1
     address: str = ""
     last_notice_s: float = 0.0
+    #: When the epoch became known.
+    epoch_known_s: float = 0.0
     #: Whether the store had confirmed the leadership shortly before the last notice.
     is_confirmed: bool = False
+    #: When the first of the latest notices in a row without a confirmation arrived.
+    unconfirmed_since_s: float | None = None
+    #: Some of the agents that the leader does not reach; empty if it reaches most.
+    lost_agents: tuple[str, ...] = ()
     #: Leaders that have sent notices to this process. They rely on its answers.
     heard_addresses: set[str] = field(default_factory=set)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -48,12 +54,20 @@
             self.address = notice.address
             self.is_confirmed = notice.confirmed
             self.last_notice_s = clock.now_s()
+            self.lost_agents = tuple(notice.lost_agents or ())
+            if notice.confirmed:
+                self.unconfirmed_since_s = None
+            elif self.unconfirmed_since_s is None:
+                self.unconfirmed_since_s = self.last_notice_s
         return NoticeReply(self.epoch)
 
     def note_epoch(self, epoch):
         """Record that an epoch has a leader, which may be in this process."""
         if epoch > self.epoch:
             self.epoch = epoch
+            self.epoch_known_s = clock.now_s()
+            self.unconfirmed_since_s = None
+            self.lost_agents = ()
             self._changed.set()
             self._changed = asyncio.Event()
 
@@ -66,26 +80,30 @@
         age_s = clock.now_s() - self.last_notice_s
         return self.address if age_s < NOTICE_LIFETIME_S else ""
 
-    @property
-    def has_leader(self):
-        """Whether a notice arrived within `LEADER_TIMEOUT_S`."""
-        return clock.now_s() - self.last_notice_s < LEADER_TIMEOUT_S
-
 
 async def announce_periodically(leader, address):
-    """Notify the entry at ``address`` periodically, for as long as the term lasts."""
+    """Notify the entry at ``address`` periodically, for as long as the term lasts.
+
+    That the leader has become unable to lead, or able again, is notified at once.
+    """
     while True:
+        told = leader.is_able
         await announce_once(leader, address)
-        await asyncio.sleep(NOTICE_INTERVAL_S)
+        due_s = clock.now_s() + NOTICE_INTERVAL_S
+        while leader.is_able == told and clock.now_s() < due_s:
+            await asyncio.sleep(CHANGE_INTERVAL_S)
 
 
 async def announce_once(leader, address):
-    """Notify the entry at ``address`` of the leader and whether it is confirmed.
+    """Notify the entry at ``address`` of the leader and whether it is able to lead.
 
-    A leader that is not confirmed may be replaced.
+    A leader that is not confirmed, or has lost most agents, may be replaced.
     """
     notice = LeaderNotice(
-        leader.epoch, leader.settings.peer_address, leader.is_confirmed
+        leader.epoch,
+        leader.settings.peer_address,
+        leader.is_confirmed,
+        leader.agent_reach.sample_lost(),
     )
     sent_s = clock.elapsed_s()
     try:
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -34,11 +34,13 @@
 )
 from .submitting import add_job
 
-__all__ = ["Term", "take_over"]
+__all__ = ["ClaimTimeoutError", "OvertakenError", "Term", "take_over"]
 
 WRITER_NAME = "cell"
 #: Delay before a failed call to the store is retried.
 RETRY_INTERVAL_S = 0.15
+#: Time after which a claim without a reply is given up, so that other entries may try.
+CLAIM_TIMEOUT_S = 1.5
 #: Delay of the first placement, for the first reports of the agents: the time of a
 #: connection and a call to another region.
 PLACEMENT_DELAY_S = 0.15
@@ -46,6 +48,23 @@
 MAX_INITIAL_SEQUENCE = 1 << 30
 
 
+class OvertakenError(Exception):
+    """Another process has claimed an epoch that this process did not know of.
+
+    Parameters
+    ----------
+    epoch : int
+    """
+
+    def __init__(self, epoch):
+        super().__init__(f"another process has claimed epoch {epoch}")
+        self.epoch = epoch
+
+
+class ClaimTimeoutError(JournalError):
+    """The store did not answer the claim, which it may still execute."""
+
+
 @dataclass(slots=True)
 class Term:
     """State that a process takes over when it becomes the leader."""
@@ -71,7 +90,7 @@
     sent_s: float
 
 
-async def take_over(journal, settings, heard_addresses=()):
+async def take_over(journal, settings, heard_addresses=(), known_epoch=None):
     """Claim the leadership and return a `Term`.
 
     The state is read first while the previous leader is still active, to keep the
@@ -84,17 +103,26 @@
     settings : ProcessSettings
     heard_addresses : collection of str
         Leaders that have sent notices to this process.
+    known_epoch : int, optional
+        Latest epoch that this process knows of; the claim of a later one is left in
+        place, since its process may be about to announce itself.
 
     Raises
     ------
     JournalError
-        The initial read of the nodes or of the state failed.
+        A read of the nodes or of the state failed, or the claim was not answered.
+    OvertakenError
+        Another process has claimed a later epoch.
     """
     nodes = await journal.snapshot(NODES_STREAM)
     epoch = 0
     while True:
         snapshot = await journal.snapshot(CELL_STREAM)
         earlier = read_leader(snapshot.records_by_key)
+        if earlier is not None:
+            if known_epoch is not None and earlier.epoch > known_epoch:
+                raise OvertakenError(earlier.epoch)
+            known_epoch = earlier.epoch
         # Without a readable record, doubling soon finds an epoch that is not fenced.
         epoch = 1 + (earlier.epoch if earlier else 2 * epoch)
         # With the same sequence number, two candidates for one epoch would get each
@@ -136,8 +164,13 @@
     """Return the `_Claim`, or None if another process was first.
 
     A claim without a reply is retried with the same sequence number.
+
+    Raises
+    ------
+    ClaimTimeoutError
     """
     is_uncertain = False
+    began_s = clock.now_s()
     while True:
         sent_s = clock.elapsed_s()
         try:
@@ -154,6 +187,8 @@
         except JournalError as error:
             is_uncertain = True
             log_decision("claim repeated", epoch=writer.epoch, error=str(error))
+            if clock.now_s() - began_s > CLAIM_TIMEOUT_S:
+                raise ClaimTimeoutError(f"claim not answered: {error}") from error
             await asyncio.sleep(RETRY_INTERVAL_S)
             continue
         log_decision("term begins", epoch=writer.epoch, offset=offset)
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -48,6 +48,8 @@
 
 #: Delay of a late call, which is longer than a lease.
 LATE_DELIVERY_S = 5.0
+#: Mean delay of calls to the store from another region; the shortest is half of it.
+FAR_STORE_DELAY_S = 0.08
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 3, 2.0, 500)
 CONFIGURATION = FleetConfiguration(1, {"q": QUEUE})
 
@@ -67,13 +69,13 @@
     return JobSpec(**(values | changes))
 
 
-def make_settings(role, number, bounds=None, cores=1.0):
+def make_settings(role, number, bounds=None, cores=1.0, region="r"):
     return ProcessSettings(
         instance_id=f"{role}-{number}",
         role=role,
         host=f"{role}{number}",
         data_centre="dc",
-        region="r",
+        region=region,
         peer_ports=(7000, 7010),
         store=StoreSettings("store:1"),
         cores=cores,
@@ -167,10 +169,17 @@
 
 
 class _EntryProcess:
-    def __init__(self, fleet, number, cores):
+    def __init__(self, fleet, number, cores, is_far=False):
         self.fleet = fleet
-        self.settings = make_settings(FleetRole.ENTRY, number, fleet.bounds, cores)
+        region = "far" if is_far else "r"
+        self.settings = make_settings(
+            FleetRole.ENTRY, number, fleet.bounds, cores, region
+        )
         self.address = self.settings.peer_address
+        if is_far:
+            fleet.store.delay_s_by_node[self.address] = FAR_STORE_DELAY_S
+        #: Configuration of this entry if it does not have that of the fleet.
+        self.configuration = None
         self.tasks = []
 
     def start(self):
@@ -183,7 +192,7 @@
             journal,
             pool,
             self.view,
-            lambda: fleet.configuration,
+            lambda: self.configuration or fleet.configuration,
             fleet.policy,
         )
         self.forwarder = Forwarder(self.candidate, pool)
@@ -320,13 +329,21 @@
     max_lease_ms : int
     late_entries : int
         Number of the last entries that do not start with the others.
+    far_entries : int
+        Number of the last entries that are in another region than the store.
     """
 
     make_network = Network
     make_worker = VirtualWorker
 
     def __init__(
-        self, seed, entries=(1.0, 1.0), agents=3, max_lease_ms=4000, late_entries=0
+        self,
+        seed,
+        entries=(1.0, 1.0),
+        agents=3,
+        max_lease_ms=4000,
+        late_entries=0,
+        far_entries=0,
     ):
         self.rng = random.Random(seed)
         self.bounds = FleetBounds(max_lease_ms=max_lease_ms, stop_timeout_ms=200)
@@ -343,7 +360,8 @@
         self.durations = {}
         self.workers = [self.make_worker(self, number) for number in range(agents)]
         self.entries = [
-            _EntryProcess(self, number, cores) for number, cores in enumerate(entries)
+            _EntryProcess(self, number, cores, number >= len(entries) - far_entries)
+            for number, cores in enumerate(entries)
         ]
         self.agents = [
             _AgentProcess(self, number, worker)
--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -1,6 +1,7 @@
 """Simulated log store on virtual time with configurable failures."""
 
 import asyncio
+from collections import Counter
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -18,7 +19,9 @@
     Tail,
 )
 
-__all__ = ["VirtualStore"]
+__all__ = ["SLOW_APPEND_S", "VirtualStore"]
+
+SLOW_APPEND_S = 2.0
 
 
 @dataclass
@@ -31,7 +34,12 @@
 
 
 class VirtualStore:
-    """Simulated log store; `mode_by_node` sets its failure mode for each process."""
+    """Simulated log store; `mode_by_node` sets its failure mode for each process.
+
+    Modes are "busy" (refuses all calls), "silent" (answers no call), "read-only"
+    (refuses appends), "silent-appends" (answers no append) and "slow-appends" (executes
+    appends after `SLOW_APPEND_S`, which is longer than a call waits).
+    """
 
     def __init__(self, rng):
         self.rng = rng
@@ -39,6 +47,10 @@
         self.mode_by_node = {}
         self.loss = 0.0
         self.delay_s = 0.004
+        #: Mean delay of the calls of processes that are not `delay_s` away.
+        self.delay_s_by_node = {}
+        #: Calls by the process that made them.
+        self.calls_by_node = Counter()
         self.members = {}
         self.generation = 1
         self.holder = None
@@ -104,16 +116,20 @@
         self.node = node
 
     async def _simulate_call(self, timeout_s=1.5):
-        await asyncio.sleep(self.store.delay_s * (0.5 + self.store.rng.random()))
-        mode = self.store.mode_by_node.get(self.node) or (
-            self.store.mode_by_node.get("*")
-        )
+        self.store.calls_by_node[self.node] += 1
+        delay_s = self.store.delay_s_by_node.get(self.node, self.store.delay_s)
+        await asyncio.sleep(delay_s * (0.5 + self.store.rng.random()))
+        mode = self._mode()
         if mode == "busy":
             raise JournalUnavailableError("store busy")
         if mode == "silent":
             await asyncio.sleep(timeout_s)
             raise JournalUncertainError("no reply in time")
 
+    def _mode(self):
+        modes = self.store.mode_by_node
+        return modes.get(self.node) or modes.get("*")
+
     async def append(
         self, stream, records, writer=None, expected_end=None, timeout_s=1.5
     ):
@@ -121,6 +137,17 @@
         if writer is not None:
             writer = type(writer)(writer.name, writer.epoch, writer.sequence)
         arguments = (stream, list(records), writer, expected_end)
+        mode = self._mode()
+        if mode == "read-only":
+            raise JournalUnavailableError("appends refused")
+        if mode == "silent-appends":
+            await asyncio.sleep(timeout_s)
+            raise JournalUncertainError("no reply in time")
+        if mode == "slow-appends":
+            loop = asyncio.get_running_loop()
+            loop.call_later(SLOW_APPEND_S, self._append_late, arguments)
+            await asyncio.sleep(timeout_s)
+            raise JournalUncertainError("no reply in time")
         if self.store.rng.random() < self.store.loss:
             late_s = self.store.rng.choice([0.0, 0.0, 2.0])
             asyncio.get_running_loop().call_later(late_s, self._append_late, arguments)
--- /dev/null
+++ b/tests/test_leader_cut_off.py
@@ -0,0 +1,293 @@
+"""Takeover from a leader that leads on in name only, measured by what callers get.
+
+Guards against a leader that is cut from the store, or from the agents, and is left in
+place because its notices still arrive.
+"""
+
+import asyncio
+
+import pytest
+
+from dotterelspread.gen.peer.ttypes import WorkResult
+from dotterelspread.jobs import clock
+from dotterelspread.jobs.queues import FleetConfiguration
+from tests.builders_fleet import make_job, run_scenario
+
+#: Time from a disconnection to the next accepted request and to the next start.
+MAX_GAP_S = 4.0
+#: Time after which a gap is recorded as endless.
+OBSERVED_S = 12.0
+SUBMIT_INTERVAL_S = 0.1
+SEEDS = range(4)
+#: Near and large entries, an undersized one, and two in another region.
+SIZES = {"entries": (2.0, 2.0, 2.0, 0.3, 2.0, 0.3), "far_entries": 2, "agents": 4}
+SUITABLE_COUNT = 3
+
+
+def leader_of(fleet):
+    """Return the entry whose term is confirmed by the store, or None."""
+    leading = (
+        e
+        for e in fleet.entries
+        if e.candidate.leader and e.candidate.leader.is_confirmed
+    )
+    return next(leading, None)
+
+
+class Callers:
+    """Callers that submit a job at an interval, to each entry in turn."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.number = 100
+        #: Time of the first acceptance and of the first start of their jobs.
+        self.accepted_s = None
+        self.started_s = None
+        self._record_start = fleet.checker.record_start
+        fleet.checker.record_start = self.record_start
+
+    def record_start(self, worker, order):
+        if self.started_s is None and int(order.task_id.split(".")[0], 16) > 100:
+            self.started_s = clock.now_s()
+        self._record_start(worker, order)
+
+    async def _submit(self, entry):
+        self.number += 1
+        reply = await self.fleet.submit(make_job(self.number), entry)
+        if reply.result == WorkResult.DONE and self.accepted_s is None:
+            self.accepted_s = clock.now_s()
+
+    async def run(self):
+        work = []
+        try:
+            while True:
+                entry = self.number % len(self.fleet.entries)
+                work.append(asyncio.ensure_future(self._submit(entry)))
+                await asyncio.sleep(SUBMIT_INTERVAL_S)
+        finally:
+            for task in work:
+                task.cancel()
+
+
+async def measure_gap(fleet):
+    """Return the times until the next acceptance and the next start."""
+    began_s = clock.now_s()
+    callers = Callers(fleet)
+    work = asyncio.ensure_future(callers.run())
+    while clock.now_s() - began_s < OBSERVED_S:
+        await fleet.settle(0.05)
+        if callers.accepted_s and callers.started_s:
+            break
+    work.cancel()
+    ends_s = (callers.accepted_s, callers.started_s)
+    gaps_s = [round((end_s or float("inf")) - began_s, 2) for end_s in ends_s]
+    print("gaps until acceptance and start", gaps_s)
+    return gaps_s
+
+
+async def expect_short_gap(fleet):
+    assert max(await measure_gap(fleet)) < MAX_GAP_S
+    assert leader_of(fleet) is not None
+
+
+def cut_from_store(fleet, entries, mode="silent"):
+    for entry in entries:
+        fleet.store.mode_by_node[entry.address] = mode
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("connected", [3, 4, 5])
+def test_any_entry_that_reaches_the_store_takes_over(connected, seed):
+    async def scenario(fleet):
+        others = [e for n, e in enumerate(fleet.entries) if n != connected]
+        cut_from_store(fleet, others)
+        await expect_short_gap(fleet)
+        assert leader_of(fleet) is fleet.entries[connected]
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_of_the_others_takes_over_from_all_near_and_large_entries(seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        assert leader in fleet.entries[:SUITABLE_COUNT]
+        await fleet.settle(0.25 * seed)
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await expect_short_gap(fleet)
+        assert leader_of(fleet) in fleet.entries[SUITABLE_COUNT:]
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(
+    "mode", ["silent", "busy", "read-only", "silent-appends", "slow-appends"]
+)
+@pytest.mark.parametrize("are_all_suitable_cut", [False, True])
+def test_a_leader_that_the_store_does_not_serve_is_replaced(
+    are_all_suitable_cut, mode, seed
+):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        suitable = fleet.entries[:SUITABLE_COUNT]
+        cut = suitable if are_all_suitable_cut else [leader]
+        cut_from_store(fleet, cut, mode)
+        await expect_short_gap(fleet)
+        successor = leader_of(fleet)
+        assert successor not in cut
+        assert (successor in suitable) is not are_all_suitable_cut
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+def cut_from_agents(fleet, entries):
+    for entry in entries:
+        for agent in fleet.agents:
+            fleet.cut(entry, agent)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("are_all_suitable_cut", [False, True])
+def test_a_leader_that_reaches_no_agents_is_replaced_by_one_that_does(
+    are_all_suitable_cut, seed
+):
+    async def scenario(fleet):
+        cut = fleet.entries[:SUITABLE_COUNT] if are_all_suitable_cut else []
+        cut_from_agents(fleet, cut or [leader_of(fleet)])
+        _, started_s = await measure_gap(fleet)
+        assert started_s < MAX_GAP_S
+        leader = leader_of(fleet)
+        epoch = leader.candidate.leader.epoch
+        assert (leader in fleet.entries[:SUITABLE_COUNT]) is not are_all_suitable_cut
+        await fleet.settle(30)
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_leader_stays_while_no_entry_reaches_the_agents(seed):
+    async def scenario(fleet):
+        epoch = leader_of(fleet).candidate.leader.epoch
+        cut_from_agents(fleet, fleet.entries)
+        await fleet.settle(15)
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entries_without_a_configuration_do_not_hold_up_the_others(seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        for entry in fleet.entries[:SUITABLE_COUNT]:
+            if entry is not leader:
+                entry.configuration = FleetConfiguration()
+        cut_from_store(fleet, [leader])
+        await expect_short_gap(fleet)
+        assert leader_of(fleet) in fleet.entries[SUITABLE_COUNT:]
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_others_take_over_when_all_near_and_large_entries_lose_power(seed):
+    async def scenario(fleet):
+        for entry in fleet.entries[:SUITABLE_COUNT]:
+            fleet.network.powered_off.add(entry.address)
+            entry.kill()
+        # Callers reach only the entries that have power.
+        fleet.entries = fleet.entries[SUITABLE_COUNT:]
+        await expect_short_gap(fleet)
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_interim_leader_that_is_lost_is_replaced_by_another(seed):
+    async def scenario(fleet):
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await expect_short_gap(fleet)
+        cut_from_store(fleet, [leader_of(fleet)])
+        await expect_short_gap(fleet)
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_leadership_returns_once_to_a_near_and_large_entry(seed):
+    async def scenario(fleet):
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await expect_short_gap(fleet)
+        interim = leader_of(fleet)
+        epoch = interim.candidate.leader.epoch
+        await fleet.settle(12)
+        assert leader_of(fleet) is interim
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(15)
+        assert leader_of(fleet) in fleet.entries[:SUITABLE_COUNT]
+        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+        await fleet.settle(15)
+        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_unsteady_connection_to_the_store_does_not_make_the_leader_alternate(seed):
+    async def scenario(fleet):
+        suitable = fleet.entries[:SUITABLE_COUNT]
+        epoch = leader_of(fleet).candidate.leader.epoch
+        for _ in range(10):
+            cut_from_store(fleet, suitable)
+            await fleet.settle(3)
+            fleet.store.mode_by_node.clear()
+            await fleet.settle(3)
+        # One change to an interim leader; each return waits for a steady connection.
+        assert leader_of(fleet).candidate.leader.epoch <= epoch + 3
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_leader_stays_in_place_whose_notices_do_not_reach_some_entries(seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        epoch = leader.candidate.leader.epoch
+        for entry in fleet.entries:
+            if entry is not leader:
+                fleet.cut(leader, entry)
+        await fleet.settle(20)
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_an_interim_leader_stays_whose_notices_do_not_reach_another_stand_in(seed):
+    async def scenario(fleet):
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await expect_short_gap(fleet)
+        interim = leader_of(fleet)
+        epoch = interim.candidate.leader.epoch
+        for entry in fleet.entries[SUITABLE_COUNT:]:
+            if entry is not interim:
+                fleet.cut(interim, entry)
+        await fleet.settle(20)
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+def test_stand_ins_make_no_calls_to_join_while_the_leader_is_confirmed():
+    async def scenario(fleet):
+        await fleet.settle(10)
+        calls = fleet.store.calls_by_node
+        before = calls.copy()
+        await fleet.settle(20)
+        for entry in fleet.entries[SUITABLE_COUNT:]:
+            # Only the periodic read of the nodes.
+            assert calls[entry.address] - before[entry.address] <= 2
+
+    run_scenario(scenario, **SIZES)
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -274,6 +274,8 @@
   2: string address,
   // Whether the store confirmed the lead lately; if not, another may take over.
   3: bool confirmed,
+  // Sample of the agents that the leader does not reach; empty if it reaches most.
+  4: list<string> lost_agents,
 }
 
 struct NoticeReply {
