--- a/tests/test_fleet_partitions.py
+++ b/tests/test_fleet_partitions.py
@@ -44,6 +44,22 @@
     fleet.store.mode_by_node[node] = rng.choice(["busy", "silent"])
 
 
+def hinder_calls_to_store(fleet, rng):
+    """Have the store fail some entries, most of them in one kind of call only."""
+    modes = ["read-only", "silent-appends", "slow-appends", "busy", "silent"]
+    for entry in fleet.entries:
+        if rng.random() < 0.6:
+            fleet.store.mode_by_node[entry.address] = rng.choice(modes)
+
+
+def cut_leader_from_agents(fleet, rng):
+    """Cut the leader, but no other entry, from most agents."""
+    leader = next((e for e in fleet.entries if e.candidate.leader), None)
+    for agent in fleet.agents:
+        if leader is not None and rng.random() < 0.8:
+            fleet.cut(leader, agent)
+
+
 def lose_leader_and_instance(fleet, rng):
     """Cut power from the leader and from an instance with its worker."""
     leader = next((e for e in fleet.entries if e.candidate.leader), None)
@@ -81,9 +97,17 @@
     heal,
     heal,
 ]
+#: Also faults after which a leader leads on in name only.
+LEADER_FAULTS = [
+    *FAULTS,
+    cut_leader_from_agents,
+    hinder_calls_to_store,
+    hinder_calls_to_store,
+    heal,
+]
 
 
-async def play_faults(fleet):
+async def play_faults(fleet, faults=FAULTS):
     """Submit jobs, with a fault before each of them."""
     rng = fleet.rng
     for worker in fleet.workers:
@@ -95,7 +119,7 @@
         job = make_job(number, (make_step(count=rng.randint(1, 4)),))
         fleet.durations[job.job_id] = rng.choice([0.5, 3.0, 10.0])
         await fleet.submit(job, rng.randrange(len(fleet.entries)), 2500)
-        rng.choice(FAULTS)(fleet, rng)
+        rng.choice(faults)(fleet, rng)
         await fleet.settle(rng.choice([0.3, 1.5, 4.0, 9.0]))
     heal(fleet, rng)
     fleet.accepted.discard(service.job_id)
@@ -107,3 +131,12 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_invariants_hold_under_partitions_and_lost_machines(seed):
     run_scenario(play_faults, seed, entries=(1.0, 1.0, 1.0), agents=4)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_invariants_hold_while_leaders_lead_in_name_only(seed):
+    async def scenario(fleet):
+        await play_faults(fleet, LEADER_FAULTS)
+
+    entries = (2.0, 2.0, 0.5, 2.0, 0.5)
+    run_scenario(scenario, seed, entries=entries, far_entries=2, agents=4)
--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -11,6 +11,7 @@
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.queues import FleetConfiguration
+from dotterelspread.jobs.records import CELL_STREAM
 from tests.builders_fleet import make_job, run_scenario
 
 #: Time from a disconnection to the next accepted request and to the next start.
@@ -18,6 +19,8 @@
 #: Time after which a gap is recorded as endless.
 OBSERVED_S = 12.0
 SUBMIT_INTERVAL_S = 0.1
+#: Time to read a large state.
+STATE_READ_S = 1.0
 SEEDS = range(4)
 #: Near and large entries, an undersized one, and two in another region.
 SIZES = {"entries": (2.0, 2.0, 2.0, 0.3, 2.0, 0.3), "far_entries": 2, "agents": 4}
@@ -96,7 +99,7 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("connected", [3, 4, 5])
+@pytest.mark.parametrize("connected", range(len(SIZES["entries"])))
 def test_any_entry_that_reaches_the_store_takes_over(connected, seed):
     async def scenario(fleet):
         others = [e for n, e in enumerate(fleet.entries) if n != connected]
@@ -166,6 +169,19 @@
     run_scenario(scenario, seed, **SIZES)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize(("cut", "is_replaced"), [(3, True), (2, False)])
+def test_a_leader_is_replaced_once_it_has_lost_most_agents(cut, is_replaced, seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        for agent in fleet.agents[:cut]:
+            fleet.cut(leader, agent)
+        await fleet.settle(MAX_GAP_S)
+        assert (leader_of(fleet) is not leader) is is_replaced
+
+    run_scenario(scenario, seed, **SIZES)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_leader_stays_while_no_entry_reaches_the_agents(seed):
     async def scenario(fleet):
@@ -215,6 +231,49 @@
     run_scenario(scenario, seed, **SIZES)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("delay_s", [0.8, 1.2, 1.6, 2.0])
+def test_an_interim_leader_that_is_lost_while_it_takes_over_is_replaced(delay_s, seed):
+    async def scenario(fleet):
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await fleet.settle(delay_s)
+        claiming = (e for e in fleet.entries if e.candidate._term_task is not None)
+        others = [e for e in claiming if e not in fleet.entries[:SUITABLE_COUNT]]
+        cut_from_store(fleet, others or fleet.entries[-1:])
+        await expect_short_gap(fleet)
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("are_all_suitable_cut", [False, True])
+def test_a_long_read_of_the_state_leads_to_one_takeover(are_all_suitable_cut, seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        epoch = leader.candidate.leader.epoch
+        for entry in fleet.entries:
+            slow_down_snapshots(entry.candidate.journal)
+        suitable = fleet.entries[:SUITABLE_COUNT]
+        cut_from_store(fleet, suitable if are_all_suitable_cut else [leader])
+        await expect_short_gap(fleet)
+        await fleet.settle(3)
+        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+def slow_down_snapshots(journal):
+    read = journal.snapshot
+
+    async def read_slowly(stream):
+        snapshot = await read(stream)
+        if stream == CELL_STREAM:
+            await asyncio.sleep(STATE_READ_S)
+        return snapshot
+
+    journal.snapshot = read_slowly
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_leadership_returns_once_to_a_near_and_large_entry(seed):
     async def scenario(fleet):
@@ -234,6 +293,44 @@
     run_scenario(scenario, seed, **SIZES)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_callers_see_no_gap_when_leadership_returns(seed):
+    async def scenario(fleet):
+        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+        await expect_short_gap(fleet)
+        interim = leader_of(fleet)
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(1)
+        number = 1000
+        longest_s = 0.0
+        for _ in range(100):
+            number += 1
+            began_s = clock.now_s()
+            entry = number % len(fleet.entries)
+            reply = await fleet.submit(make_job(number), entry)
+            assert reply.result == WorkResult.DONE
+            longest_s = max(longest_s, clock.now_s() - began_s)
+            await fleet.settle(0.1)
+        assert leader_of(fleet) not in (None, interim)
+        print("longest submission", round(longest_s, 2))
+        assert longest_s < 1.0
+        await fleet.expect_completed()
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+def test_a_leader_that_cannot_append_leaves_the_group_to_others():
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        assert fleet.store.holder == leader.settings.instance_id
+        fleet.store.mode_by_node["*"] = "read-only"
+        await fleet.settle(3)
+        # Nobody can claim, but the partition no longer waits for the leader.
+        assert leader.settings.instance_id not in fleet.store.members
+
+    run_scenario(scenario, **SIZES)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_an_unsteady_connection_to_the_store_does_not_make_the_leader_alternate(seed):
     async def scenario(fleet):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """What a successor reads of the leases that earlier leaders may have granted."""
 
+import asyncio
 import random
 
 import msgspec
@@ -20,7 +21,11 @@
     suspension_record,
     waiver_record,
 )
-from dotterelspread.jobs.takeover import take_over
+from dotterelspread.jobs.takeover import (
+    ClaimTimeoutError,
+    OvertakenError,
+    take_over,
+)
 from dotterelspread.processsettings import FleetRole
 from tests.builders_cell import make_worker
 from tests.builders_fleet import make_job, make_settings
@@ -127,3 +132,51 @@
             heard_addresses={"leader:1"},
         )
         assert waited_s == pytest.approx(wait_s, abs=0.1)
+
+
+def test_a_claim_that_this_process_did_not_know_of_is_left_in_place():
+    async def run():
+        store = VirtualStore(random.Random(1))
+        journal = store.journal("late")
+        await journal.append(CELL_STREAM, [leader_record(make_leader())])
+        settings = make_settings(FleetRole.ENTRY, 9)
+        with pytest.raises(OvertakenError) as error:
+            await take_over(journal, settings, known_epoch=EPOCH - 1)
+        assert error.value.epoch == EPOCH
+        assert store.appends == 1
+        term = await take_over(journal, settings, known_epoch=EPOCH)
+        assert term.writer.epoch == EPOCH + 1
+
+    run_virtually(run())
+
+
+def test_of_two_claims_at_a_time_the_loser_does_not_depose_the_winner():
+    async def run():
+        store = VirtualStore(random.Random(1))
+        first, second = store.journal("first"), store.journal("second")
+        await first.append(CELL_STREAM, [leader_record(make_leader())])
+        results = await asyncio.gather(
+            take_over(first, make_settings(FleetRole.ENTRY, 1), known_epoch=EPOCH),
+            take_over(second, make_settings(FleetRole.ENTRY, 2), known_epoch=EPOCH),
+            return_exceptions=True,
+        )
+        (loser,) = [r for r in results if isinstance(r, OvertakenError)]
+        (winner,) = [r for r in results if r is not loser]
+        assert winner.writer.epoch == loser.epoch == EPOCH + 1
+        assert store.appends == 2
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("mode", ["read-only", "silent-appends", "slow-appends"])
+def test_a_claim_without_an_answer_is_given_up(mode):
+    async def run():
+        store = VirtualStore(random.Random(1))
+        store.mode_by_node["successor"] = mode
+        settings = make_settings(FleetRole.ENTRY, 9)
+        began_s = clock.now_s()
+        with pytest.raises(ClaimTimeoutError):
+            await take_over(store.journal("successor"), settings)
+        assert clock.now_s() - began_s < 2.0
+
+    run_virtually(run())
