Have stand-ins find out whether the store is out for all entries

Cause: a stand-in makes no calls to the store until it may claim, so it did not know of an outage for all entries.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -10,14 +10,13 @@
 from .committing import DeposedError
 from .eligibility import Move, Standing, choose_move, failback_wait_s, vacancy_s
 from .entrysizes import EntrySizes
+from .groupmember import GroupMember
 from .journal import JournalError
 from .leader import Leader
-from .records import CELL_STREAM
 from .takeover import ClaimTimeoutError, OvertakenError, take_over
 
 __all__ = ["LeaderCandidate"]
 
-GROUP = "leaders"
 #: Interval of membership renewals, a fraction of the membership's time to live.
 JOIN_INTERVAL_S = 0.35
 #: Number of initial calls that measure the round trip to the store.
@@ -64,9 +63,7 @@
         self.configuration = configuration
         self.permit_service = permit_service
         self.leader = None
-        self._generation = 0
-        self._is_member = False
-        self._is_holder = False
+        self._group = GroupMember(settings, journal)
         self._sizes = EntrySizes(settings, journal)
         self._started_s = clock.now_s()
         self._nodes_refreshed_s = clock.now_s()
@@ -96,17 +93,28 @@
             began_s = clock.now_s()
             await self._refresh_nodes_if_due()
             await self._compare_agents()
+            await self._check_store()
             await self._take_part()
             elapsed_s = clock.now_s() - began_s
             await asyncio.sleep(max(0.05, JOIN_INTERVAL_S - elapsed_s))
 
+    async def _check_store(self):
+        """Call the store if this entry does not do so anyway and the leader is in need.
+
+        A stand-in learns by it whether the store is out for all entries. It does not
+        join the group for that, as it might get the partition before a larger entry.
+        """
+        is_in_need = self.leader is None and self.view.unconfirmed_since_s is not None
+        if is_in_need and not self._group.is_member and not self._sizes.is_suitable:
+            await self._refresh_nodes()
+
     async def _take_part(self):
         if choose_move(self._standing()) is Move.ABSTAIN:
-            if self._is_member:
-                await self._leave_group()
+            await self._group.leave()
             return
         # A reply shows that this entry reaches the store, and whose turn it is.
-        if not await self._join():
+        if not await self._group.join():
+            self._store_failed_s = clock.now_s()
             return
         standing = self._standing()
         if self._term_task is not None or choose_move(standing) is not Move.CLAIM:
@@ -145,7 +153,7 @@
             is_leading=self.leader is not None,
             own_fault_s=self._own_fault_s(now_s),
             may_claim=is_claiming or now_s >= self._next_claim_s,
-            is_holder=self._is_holder,
+            is_holder=self._group.is_holder,
             watched_s=now_s - self._term_ended_s,
             notice_age_s=now_s - view.last_notice_s if view.last_notice_s else None,
             unconfirmed_s=_age_s(now_s, view.unconfirmed_since_s),
@@ -203,34 +211,6 @@
             self._nodes_refreshed_s = now_s
             await self._refresh_nodes()
 
-    async def _leave_group(self):
-        """Leave the group, so that another entry is elected."""
-        self._is_member = self._is_holder = False
-        try:
-            await self.journal.leave(GROUP, self.settings.instance_id)
-        except JournalError as error:
-            # Not retried, since the membership expires on its own.
-            log_decision("group not left; its membership will expire", error=str(error))
-
-    async def _join(self):
-        """Join the group or renew the membership; return whether the store replied."""
-        try:
-            membership = await self.journal.join(
-                GROUP,
-                self.settings.instance_id,
-                CELL_STREAM,
-                self.settings.store.min_member_ttl_ms,
-                self._generation,
-            )
-        except JournalError as error:
-            self._store_failed_s = clock.now_s()
-            log_decision("join failed", error=str(error))
-            return False
-        self._is_member = True
-        self._is_holder = membership.is_holder
-        self._generation = membership.generation
-        return True
-
     async def _lead(self):
         began_s = clock.now_s()
         try:
@@ -288,8 +268,7 @@
         """End the term, if any, and leave the group."""
         if self.leader is not None:
             await self.leader.resign("the process is shutting down")
-        if self._is_member:
-            await self._leave_group()
+        await self._group.leave()
 
 
 def _age_s(now_s, since_s):
--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -144,6 +144,38 @@
     run_scenario(scenario, seed, **SIZES)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("mode", ["silent", "busy"])
+@pytest.mark.parametrize("outage_s", [0.5, 1.4, 1.7, 2.4, 5.0])
+def test_an_outage_of_the_store_for_all_entries_changes_no_leader(outage_s, mode, seed):
+    async def scenario(fleet):
+        epoch = leader_of(fleet).candidate.leader.epoch
+        work = asyncio.ensure_future(Callers(fleet).run())
+        await fleet.settle(0.3)
+        fleet.store.mode_by_node["*"] = mode
+        await fleet.settle(outage_s)
+        fleet.store.mode_by_node.clear()
+        await fleet.settle(8)
+        work.cancel()
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_entries_know_soon_that_the_leader_is_not_confirmed(seed):
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        fleet.store.mode_by_node["*"] = "silent"
+        while leader.candidate.leader.is_confirmed:
+            await fleet.settle(0.05)
+        await fleet.settle(0.2)
+        views = [e.view for e in fleet.entries if e is not leader]
+        assert not any(view.is_confirmed for view in views)
+
+    run_scenario(scenario, seed, **SIZES)
+
+
 def cut_from_agents(fleet, entries):
     for entry in entries:
         for agent in fleet.agents:
