Wait a moment before a leader that misses agents is replaced

Cause: after a restart of most agents at once, another entry may reach them just before the leader's next poll does.

Change: near and large entries also wait, for 0.3 s.

--- a/dotterelspread/jobs/eligibility.py
+++ b/dotterelspread/jobs/eligibility.py
@@ -15,6 +15,9 @@
 #: Time for which a leader is without confirmation, silent or cut off from the agents
 #: before stand-ins act. Near and large entries claim and announce within 0.4 s.
 STAND_IN_DELAY_S = 0.8
+#: Time for which a leader is cut off from agents before near and large entries act.
+#: After a restart of agents, this entry may reach them just before the leader does.
+CUT_OFF_DELAY_S = 0.3
 #: Time after a start without any notice before stand-ins act, as other entries may be
 #: about to start.
 STARTUP_DELAY_S = 3.0
@@ -156,7 +159,9 @@
 
 def _delay_s(standing):
     if standing.is_suitable:
-        return 0.0
+        is_told = standing.unconfirmed_s is not None
+        is_able = _has_notices(standing) and not is_told
+        return CUT_OFF_DELAY_S if is_able else 0.0
     return STARTUP_DELAY_S if standing.notice_age_s is None else STAND_IN_DELAY_S
 
 
--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -214,6 +214,22 @@
     run_scenario(scenario, seed, **SIZES)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("down_s", [1.0, 2.0, 3.1])
+def test_a_restart_of_all_agents_changes_no_leader(down_s, seed):
+    async def scenario(fleet):
+        epoch = leader_of(fleet).candidate.leader.epoch
+        for agent in fleet.agents:
+            agent.kill()
+        await fleet.settle(down_s)
+        for agent in fleet.agents:
+            agent.start()
+        await fleet.settle(5)
+        assert leader_of(fleet).candidate.leader.epoch == epoch
+
+    run_scenario(scenario, seed, **SIZES)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_leader_stays_while_no_entry_reaches_the_agents(seed):
     async def scenario(fleet):
