Keep a leader that the store does not serve at all in the group

A leader without confirmation left the group also in an outage for all entries, and a process abandoned its takeover because of a claim of its own address, which only an earlier process or a late append can have made.

Change: a leader whose joins fail too goes on trying; a claim of the own address does not count as that of another process.

--- a/dotterelspread/jobs/eligibility.py
+++ b/dotterelspread/jobs/eligibility.py
@@ -28,7 +28,8 @@
 #: Time allowed to a leader for the next confirmation after a store outage that this
 #: entry has seen too: the longest timeout of an append.
 RECONFIRMATION_TIMEOUT_S = 1.6
-#: Time without a confirmation after which a leader leaves the group.
+#: Time after which a leader leaves the group that reads from the store, but is not
+#: confirmed or has lost most agents.
 LEADER_LEAVES_AFTER_S = 0.3
 #: Shortest and longest time with working calls to the store, and in which a stand-in
 #: leads, before a near and large entry replaces it. It doubles with each short term
@@ -134,10 +135,14 @@
 
 def _choose_as_leader(standing):
     # A leader that is to be replaced does not occupy the partition of the group. One
-    # without confirmation for a moment keeps it. An able stand-in keeps it too, so that
-    # entries that its notices do not reach leave it in place.
+    # without confirmation for a moment keeps it, as does one whose membership expires
+    # since the store does not serve it at all: the outage may concern all entries. An
+    # able stand-in keeps it too, so that entries that its notices do not reach leave it
+    # in place.
     own_fault_s = standing.own_fault_s
     is_able = own_fault_s is None or own_fault_s < LEADER_LEAVES_AFTER_S
+    if not is_able and standing.store_works_s < own_fault_s:
+        return Move.JOIN
     return Move.JOIN if is_able else Move.ABSTAIN
 
 
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -120,7 +120,9 @@
         snapshot = await journal.snapshot(CELL_STREAM)
         earlier = read_leader(snapshot.records_by_key)
         if earlier is not None:
-            if known_epoch is not None and earlier.epoch > known_epoch:
+            # A claim of this address is a late one, or that of an earlier process.
+            is_other = earlier.peer_address != settings.peer_address
+            if is_other and known_epoch is not None and earlier.epoch > known_epoch:
                 raise OvertakenError(earlier.epoch)
             known_epoch = earlier.epoch
         # Without a readable record, doubling soon finds an epoch that is not fenced.
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -78,6 +78,9 @@
         (OWN_TERM, {"is_suitable": False}, JOIN),
         (OWN_TERM, {"own_fault_s": 0.2}, JOIN),
         (OWN_TERM, {"own_fault_s": 0.4}, ABSTAIN),
+        (OWN_TERM, {"own_fault_s": 5.0, "store_works_s": 5.1}, ABSTAIN),
+        # The store may be out for all entries.
+        (OWN_TERM, {"own_fault_s": 5.0, "store_works_s": 4.9}, JOIN),
         # Beside a stand-in.
         (BESIDE_STAND_IN, {}, CLAIM),
         (BESIDE_STAND_IN, {"store_works_s": 4.9}, JOIN),
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -180,3 +180,16 @@
         assert clock.now_s() - began_s < 2.0
 
     run_virtually(run())
+
+
+def test_a_late_claim_of_the_same_address_is_no_reason_to_wait():
+    async def run():
+        store = VirtualStore(random.Random(1))
+        journal = store.journal("late")
+        settings = make_settings(FleetRole.ENTRY, 9)
+        record = LeaderRecord(EPOCH, settings.peer_address, "earlier life", [])
+        await journal.append(CELL_STREAM, [leader_record(record)])
+        term = await take_over(journal, settings, known_epoch=EPOCH - 1)
+        assert term.writer.epoch == EPOCH + 1
+
+    run_virtually(run())
