--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -177,6 +177,7 @@
 
     def _apply_reply(self, reply):
         now_s = clock.now_s()
+        self._leader.agent_reach.observe(self._address)
         self._agent_clock_ms = reply.clock_ms
         self._agent_clock_read_s = clock.elapsed_s()
         self._needs_traits = bool(reply.needs_traits)
