--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -64,7 +64,7 @@
 
 
 @asynccontextmanager
-async def open_site(folder):
+async def open_site(folder, more_settings=""):
     """Serve the stand-ins and start one entry and one agent."""
     store, worker = StoreStandIn(), WorkerStandIn(make_worker())
     record = b"\x06config" + json.dumps(CONFIGURATION).encode()
@@ -88,7 +88,8 @@
         processes = {}
         for role, host in hosts.items():
             path = folder / f"{role}.toml"
-            path.write_text(PROCESS_SETTINGS.format(name=role, host=host, **addresses))
+            text = PROCESS_SETTINGS.format(name=role, host=host, **addresses)
+            path.write_text(text + more_settings)
             processes[role] = await _start(role, path)
         try:
             yield SimpleNamespace(
