Bound what each connection of the HTTP server holds

Cause: the server parsed whatever it read. It queued pipelined requests and unread responses without end, kept an object for each chunk of a body, counted heads only once a message had begun, and had no limit on connections.

Change: h1reader gives the parser one message at a time, joins chunks on arrival and counts every byte from the end of the last message. h1connection keeps at most one read while a request is in progress, waits for the peer to read responses, and times heads, the data rate of bodies and unread responses. H1Listener charges everything to a byte share, sheds unfinished requests when it is exceeded, and closes idle connections to make room for new ones. Refusals with 429 or 503 are of requests that never run.

They found two faults while this was written: Connection: close was ignored, since the parser forgets it after its callback, and one idle connection was evicted several times in a burst.

--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -1,80 +1,51 @@
 """Minimal HTTP/1.1 server for processes that are billed by memory use.
 
-Parsing is left to ``httptools``; this module manages connections, enforces limits and
-shuts down gracefully.
+`H1Listener` limits what all connections of an address hold together; `h1connection` and
+`h1reader` limit each one.
 """
 
 import asyncio
 import contextlib
+import itertools
 from dataclasses import dataclass, field
-from urllib.parse import unquote
-
-import httptools
-
-__all__ = ["H1Limits", "H1Listener", "H1Request", "H1Response", "listen_h1"]
-
-#: Reason phrases of the statuses that the processes send.
-PHRASES_BY_STATUS = {
-    200: "OK",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    410: "Gone",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-JSON_TYPE = "application/json"
 
+from .bytebudget import ByteShare
+from .h1connection import H1Connection
+from .h1messages import H1Limits, H1Request, H1Response
+from .shedding import Holding, choose_shed
+from .shedlog import ShedLog
 
-@dataclass(slots=True)
-class H1Limits:
-    """Limits on the requests of a connection; they may change while it is open."""
-
-    #: Largest head (request line and headers) of a request.
-    max_head_bytes: int = 16_384
-    #: Largest body of a request.
-    max_body_bytes: int = 262_144
-    #: Time from the first to the last byte of a request.
-    read_timeout_s: float = 3.0
-    #: Time that a connection may stay open without a request.
-    idle_timeout_s: float = 15.0
+__all__ = [
+    "H1Limits",
+    "H1Listener",
+    "H1Quota",
+    "H1Request",
+    "H1Response",
+    "listen_h1",
+]
 
-    def update_from(self, other):
-        """Copy the limits of ``other``; open connections use them as well."""
-        for name in self.__slots__:
-            setattr(self, name, getattr(other, name))
+#: Most connections that wait in the kernel to be accepted.
+BACKLOG = 512
+#: Age from which an unfinished request may be refused to make room for a connection.
+MIN_EVICTION_AGE_S = 1.0
+#: Part of a share that is freed at once when it is exceeded, so that the connections
+#: are not compared again for each read.
+SHED_MARGIN_DIVISOR = 64
 
 
-@dataclass(slots=True)
-class H1Request:
-    """A request that has been read in full."""
-
-    method: str
-    path: str
-    #: Headers by lower-case name.
-    headers: dict[str, str]
-    body: bytes
-    #: Event loop time at which the last byte was read.
-    received_s: float
-    #: Undecoded path and query string.
-    target: str = ""
-    #: First value of each query parameter.
-    query: dict[str, str] = field(default_factory=dict)
+def _make_unlimited_share():
+    return ByteShare(1 << 62)
 
 
 @dataclass(slots=True)
-class H1Response:
-    """The response of a handler."""
+class H1Quota:
+    """What all connections of a listener may take of the process."""
 
-    status: int
-    body: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
-    content_type: str = JSON_TYPE
+    share: ByteShare = field(default_factory=_make_unlimited_share)
+    max_connections: int = 1 << 30
+    #: Most connections that are accepted in one iteration of the event loop. Those that
+    #: are closed to make room stay open for some iterations more.
+    max_accepted: int = 32
 
 
 class H1Listener:
@@ -85,16 +56,149 @@
     handler : coroutine function
         Takes an `H1Request`, returns an `H1Response`.
     limits : H1Limits
+    quota : H1Quota
     """
 
-    __slots__ = ("connections", "handler", "is_closing", "limits", "server")
+    __slots__ = (
+        "_counts_by_address",
+        "_idle",
+        "_lingering",
+        "_loop",
+        "_max_connections",
+        "_numbers",
+        "_shed_log",
+        "_silent",
+        "_unfinished",
+        "_unread",
+        "connections",
+        "handler",
+        "is_closing",
+        "limits",
+        "server",
+        "share",
+    )
 
-    def __init__(self, handler, limits):
+    def __init__(self, handler, limits, quota):
         self.handler = handler
         self.limits = limits
+        self.share = quota.share
+        self._max_connections = quota.max_connections
         self.connections = set()
         self.is_closing = False
         self.server = None
+        self._counts_by_address = {}
+        self._numbers = itertools.count()
+        self._shed_log = ShedLog()
+        self._loop = asyncio.get_running_loop()
+        # Connections by state, in order of the time at which they entered it, which is
+        # the value: refused, without any request so far, idle after a request, with a
+        # response that the peer does not read, and with an unfinished request.
+        self._lingering = {}
+        self._silent = {}
+        self._idle = {}
+        self._unread = {}
+        self._unfinished = {}
+
+    def make_connection(self):
+        """Return the protocol of a new connection."""
+        return H1Connection(self, next(self._numbers))
+
+    def admit(self, connection):
+        """Register a connection.
+
+        Returns
+        -------
+        int or None
+            Status with which the connection has to be refused.
+        """
+        self.connections.add(connection)
+        max_per_address = self.limits.max_connections_per_address
+        if max_per_address:
+            peer = connection.transport.get_extra_info("peername") or ("",)
+            address = peer[0]
+            count = self._counts_by_address.get(address, 0)
+            if count >= max_per_address:
+                self.count_shed("address")
+                return 429
+            self._counts_by_address[address] = count + 1
+            connection.address = address
+        if len(self.connections) > self._max_connections and not self._make_room():
+            self.count_shed("connections")
+            return 503
+        self._enter(self._silent, connection)
+        return None
+
+    def remove(self, connection):
+        """Forget a connection that is closed."""
+        self.connections.discard(connection)
+        self.note_complete(connection)
+        address = connection.address
+        if address is not None:
+            count = self._counts_by_address.pop(address) - 1
+            if count:
+                self._counts_by_address[address] = count
+
+    def note_unfinished(self, connection):
+        """Note that part of a request was read."""
+        if connection.group is not self._unfinished:
+            self._enter(self._unfinished, connection)
+
+    def note_complete(self, connection):
+        """Note that a request was read in full, or that the connection is given up."""
+        if connection.group is not None:
+            connection.group.pop(connection, None)
+            connection.group = None
+
+    def note_unread(self, connection):
+        """Note that the peer does not read a response."""
+        self._enter(self._unread, connection)
+
+    def note_idle(self, connection):
+        """Note that a connection waits for another request."""
+        self._enter(self._idle, connection)
+
+    def _enter(self, group, connection):
+        if connection.group is not None:
+            connection.group.pop(connection, None)
+        connection.group = group
+        group[connection] = self._loop.time()
+
+    def note_lingering(self, connection):
+        """Note that a connection is given up and will soon be closed."""
+        self._enter(self._lingering, connection)
+
+    def count_shed(self, reason):
+        """Count a connection that is given up."""
+        self._shed_log.add(reason)
+
+    def shed(self):
+        """Give up unfinished requests until the share is no longer exceeded."""
+        connections = itertools.chain(self._unfinished, self._unread)
+        connections_by_number = {c.number: c for c in connections}
+        holdings = [
+            Holding(number, connection.sheddable_bytes)
+            for number, connection in connections_by_number.items()
+        ]
+        margin_bytes = self.share.max_bytes // SHED_MARGIN_DIVISOR
+        for holding in choose_shed(holdings, self.share.excess_bytes + margin_bytes):
+            connections_by_number[holding.number].shed()
+
+    def _make_room(self):
+        """Close the connection that is missed least; return whether there is one."""
+        for connections in (self._lingering, self._silent, self._idle):
+            if connections:
+                next(iter(connections)).evict()
+                return True
+        latest_s = self._loop.time() - MIN_EVICTION_AGE_S
+        for connections in (self._unread, self._unfinished):
+            for connection, since_s in connections.items():
+                if since_s > latest_s:
+                    break
+                # What follows a request in progress keeps its connection.
+                if not connection.is_in_progress:
+                    connection.evict()
+                    return True
+        return False
 
     async def drain(self, timeout_s):
         """Stop listening, answer the requests already read, and close connections.
@@ -113,7 +217,7 @@
             if asyncio.get_running_loop().time() > deadline_s:
                 break
             await asyncio.sleep(0.02)
-        return sum(connection.is_busy for connection in self.connections)
+        return sum(connection.is_in_progress for connection in self.connections)
 
     def abort(self):
         """Abort all connections."""
@@ -121,154 +225,8 @@
             connection.transport.abort()
 
 
-class _Connection(asyncio.Protocol):
-    def __init__(self, listener):
-        self.listener = listener
-        self.transport = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.loop = asyncio.get_running_loop()
-        self.timer = None
-        self.pending_requests = []
-        self.handler_task = None
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.in_head = False
-        self.url = b""
-        self.headers = {}
-        self.chunks = []
-
-    @property
-    def is_busy(self):
-        return self.handler_task is not None or bool(self.pending_requests)
-
-    def connection_made(self, transport):
-        self.transport = transport
-        self.listener.connections.add(self)
-        self._set_timer(self.listener.limits.idle_timeout_s)
-
-    def connection_lost(self, exc):
-        self.listener.connections.discard(self)
-        self._cancel_timer()
-        if self.handler_task is not None:
-            self.handler_task.cancel()
-
-    def data_received(self, data):
-        if self.transport.is_closing():
-            return
-        if self.in_head or not self.is_busy:
-            self.head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
-            self._reject(400)
-        else:
-            if self.in_head and self.head_bytes > self.listener.limits.max_head_bytes:
-                self._reject(431)
-
-    def on_message_begin(self):
-        self.in_head = True
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.url = b""
-        self.headers = {}
-        self.chunks = []
-        self._set_timer(self.listener.limits.read_timeout_s)
-
-    def on_url(self, url):
-        self.url += url
-
-    def on_header(self, name, value):
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
-
-    def on_headers_complete(self):
-        self.in_head = False
-
-    def on_body(self, chunk):
-        self.body_bytes += len(chunk)
-        if self.body_bytes > self.listener.limits.max_body_bytes:
-            self._reject(413)
-        else:
-            self.chunks.append(chunk)
-
-    def on_message_complete(self):
-        if self.transport.is_closing():
-            return
-        self._cancel_timer()
-        request = H1Request(
-            self.parser.get_method().decode("ascii"),
-            unquote(self.url.split(b"?", 1)[0].decode("latin-1")),
-            self.headers,
-            b"".join(self.chunks),
-            self.loop.time(),
-            self.url.decode("latin-1"),
-        )
-        self.pending_requests.append((request, self.parser.should_keep_alive()))
-        if self.handler_task is None:
-            self.handler_task = asyncio.ensure_future(self._run_handler())
-
-    async def _run_handler(self):
-        keep_alive = True
-        while self.pending_requests and keep_alive:
-            request, keep_alive = self.pending_requests.pop(0)
-            try:
-                response = await self.listener.handler(request)
-            except asyncio.CancelledError:
-                raise
-            except Exception:
-                self._write(H1Response(500), False)
-                self.transport.close()
-                raise
-            keep_alive = keep_alive and not self.listener.is_closing
-            self._write(response, keep_alive)
-        self.handler_task = None
-        if not keep_alive:
-            self.transport.close()
-            return
-        self._set_timer(self.listener.limits.idle_timeout_s)
-
-    def close_if_idle(self):
-        if not self.is_busy and not self.in_head:
-            self.transport.close()
-
-    def _write(self, response, keep_alive):
-        phrase = PHRASES_BY_STATUS.get(response.status, "Status")
-        lines = [
-            f"HTTP/1.1 {response.status} {phrase}",
-            f"Content-Length: {len(response.body)}",
-        ]
-        if response.body:
-            lines.append(f"Content-Type: {response.content_type}")
-        if not keep_alive:
-            lines.append("Connection: close")
-        lines.extend(f"{name}: {value}" for name, value in response.headers.items())
-        head = "\r\n".join(lines).encode("latin-1")
-        self.transport.write(head + b"\r\n\r\n" + response.body)
-
-    def _reject(self, status):
-        if not self.transport.is_closing():
-            if not self.is_busy:
-                self._write(H1Response(status), False)
-            self.transport.close()
-
-    def _set_timer(self, timeout_s):
-        self._cancel_timer()
-        self.timer = self.loop.call_later(timeout_s, self._on_timeout)
-
-    def _cancel_timer(self):
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def _on_timeout(self):
-        self.timer = None
-        if not self.is_busy:
-            self.transport.close()
-
-
 @contextlib.asynccontextmanager
-async def listen_h1(address, handler, limits=None):
+async def listen_h1(address, handler, limits=None, quota=None):
     """Serve ``handler`` at ``address`` while the context is open.
 
     Parameters
@@ -278,6 +236,8 @@
     handler : coroutine function
         Takes an `H1Request`, returns an `H1Response`.
     limits : H1Limits, optional
+    quota : H1Quota, optional
+        Without it, connections and memory are not limited.
 
     Raises
     ------
@@ -285,11 +245,16 @@
         When the address cannot be bound.
     """
     host, _, port = address.rpartition(":")
-    listener = H1Listener(handler, limits or H1Limits())
+    quota = quota or H1Quota()
+    listener = H1Listener(handler, limits or H1Limits(), quota)
     loop = asyncio.get_running_loop()
     listener.server = await loop.create_server(
-        lambda: _Connection(listener), host, int(port), backlog=512
+        listener.make_connection, host, int(port), backlog=quota.max_accepted
     )
+    for sock in listener.server.sockets:
+        # The event loop accepts as many at once as the backlog that it is given.
+        with sock.dup() as duplicate:
+            duplicate.listen(BACKLOG)
     try:
         yield listener
     finally:
