Derive the HTTP servers' limits from the instance's memory and descriptors

Cause: the limits of the HTTP server have to fit the instance; the platform states its memory and descriptors, but the settings adapter does not read them.

Change: MemoryMb and MaxFds of [Limits] are read. nodelimits divides them among the listeners of a process: the callers' or the worker's gets the most, readiness and metrics have a share of their own. Operators may set MinBodyBytesPerS and MaxConnectionsPerAddress.

--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -16,6 +16,7 @@
 from .h1server import H1Limits, H1Response, listen_h1
 from .jobs.journal import JournalError
 from .jobs.nodes import NODES_STREAM, encode_node
+from .nodelimits import NodeLimits
 from .peer import PeerPool, serve_peers
 from .processsettings import ProcessSettingsError
 from .supervision import run_supervised
@@ -67,12 +68,13 @@
 class _Node:
     """Resources and background tasks that both roles share."""
 
-    __slots__ = ("_stop", "_tasks", "journal", "pool", "settings")
+    __slots__ = ("_stop", "_tasks", "journal", "limits", "pool", "settings")
 
     def __init__(self, settings, journal, pool):
         self.settings = settings
         self.journal = journal
         self.pool = pool
+        self.limits = NodeLimits(settings.memory_mb, settings.max_fds)
         self._stop = asyncio.get_running_loop().create_future()
         self._tasks = set()
 
@@ -117,7 +119,11 @@
             loop.add_signal_handler(number, node.stop, number.name)
         loop.add_signal_handler(signal.SIGHUP, _reload, settings, reread_settings)
         async with (
-            listen_h1(metrics_address, _answer_metrics),
+            listen_h1(
+                metrics_address,
+                _answer_metrics,
+                quota=node.limits.open_reserved_quota(),
+            ),
             _open(adapters, node) as drain,
         ):
             log_decision("started", peer_address=settings.peer_address)
@@ -231,8 +237,11 @@
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
         await enter(serve_peers(settings.peer_address, handlers))
-        await enter(listen_h1(settings.readiness_address, answer_ready))
-        callers = await enter(listen_h1(settings.caller_address, answer_caller, limits))
+        quota = node.limits.open_reserved_quota()
+        await enter(listen_h1(settings.readiness_address, answer_ready, quota=quota))
+        quota = node.limits.open_main_quota()
+        listener = listen_h1(settings.caller_address, answer_caller, limits, quota)
+        callers = await enter(listener)
         node.spawn("configuration", follower.run)
         node.spawn("candidate", candidate.run)
         yield drain
@@ -260,6 +269,7 @@
         enter = stack.enter_async_context
         await enter(serve_peers(settings.peer_address, handlers))
         answer_worker = adapters.make_registry_handler(agent)
-        await enter(listen_h1(settings.control_address, answer_worker))
+        quota = node.limits.open_main_quota()
+        await enter(listen_h1(settings.control_address, answer_worker, quota=quota))
         node.spawn("agent", agent.run)
         yield drain
--- a/dotterelspread/platform/configuration.py
+++ b/dotterelspread/platform/configuration.py
@@ -59,6 +59,11 @@
     max_body_bytes: Count = msgspec.field(name="MaxBodyBytes", default=262_144)
     header_timeout_ms: Count = msgspec.field(name="HeaderTimeoutMs", default=3000)
     idle_timeout_ms: Count = msgspec.field(name="IdleTimeoutMs", default=15_000)
+    min_body_bytes_per_s: Count = msgspec.field(name="MinBodyBytesPerS", default=4096)
+    # 0 for no limit.
+    max_connections_per_address: Count = msgspec.field(
+        name="MaxConnectionsPerAddress", default=0
+    )
 
 
 class _Document(msgspec.Struct):
@@ -90,6 +95,8 @@
             limits.max_body_bytes,
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
+            limits.min_body_bytes_per_s,
+            limits.max_connections_per_address,
         ),
         overload_rejecting_services=frozenset(
             service.name for service in document.services if service.rejects_overload
--- a/dotterelspread/platform/settings.py
+++ b/dotterelspread/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,10 @@
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "DOTTERELSPREAD_BOOT"
 
+#: Amounts for which 0 means that the platform does not state them.
+NotNegative = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+NotNegativeCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+
 
 class _Listen(msgspec.Struct, rename="pascal"):
     front: str = ""
@@ -47,6 +52,8 @@
     # Share of each core that the process may use.
     cpu_share: float = msgspec.field(name="CpuShare", default=1.0)
     cores: float = msgspec.field(name="Cores", default=1.0)
+    memory_mb: NotNegative = msgspec.field(name="MemoryMb", default=0)
+    max_fds: NotNegativeCount = msgspec.field(name="MaxFds", default=0)
 
 
 class _Settings(msgspec.Struct):
@@ -110,6 +117,8 @@
         worker_address=settings.app,
         policy_address=settings.advice,
         cores=settings.limits.cpu_share * settings.limits.cores,
+        memory_mb=settings.limits.memory_mb,
+        max_fds=settings.limits.max_fds,
         bounds=FleetBounds(
             bounds.hold_max_ms,
             bounds.stop_timeout_ms,
--- a/dotterelspread/processsettings.py
+++ b/dotterelspread/processsettings.py
@@ -89,6 +89,9 @@
     policy_address: str = ""
     #: Number of cores that the process may use.
     cores: float = 1.0
+    #: Memory of the instance and file descriptors of the process; 0 if not stated.
+    memory_mb: float = 0
+    max_fds: int = 0
     bounds: FleetBounds = field(default_factory=FleetBounds)
 
     @property
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -143,6 +143,13 @@
     assert configuration.match("other", "/lohu930/abc") is None
     assert configuration.overload_rejecting_services == {"svc"}
     assert configuration.limits.read_timeout_s == 3.0
+    assert configuration.limits.max_connections_per_address == 0
+    bounded = CONFIGURATION | {
+        "Limits": {"MaxConnectionsPerAddress": 40, "MinBodyBytesPerS": 9}
+    }
+    limits = read_configuration(json.dumps(bounded).encode()).limits
+    assert limits.max_connections_per_address == 40
+    assert limits.min_body_bytes_per_s == 9
     with pytest.raises(ConfigurationFormatError):
         read_configuration(b'{"Routes": []}')
 
@@ -157,6 +164,13 @@
     assert settings.store.min_member_ttl_ms == 1000
     with pytest.raises(ProcessSettingsError, match="ListenAddrs.Control"):
         read_settings(FleetRole.AGENT, environment)
+    assert (settings.memory_mb, settings.max_fds) == (0, 0)
+    path.write_text(SETTINGS + "[Limits]\nMemoryMb = 168\nMaxFds = 4096\n")
+    settings = read_settings(FleetRole.ENTRY, environment)
+    assert (settings.memory_mb, settings.max_fds) == (168, 4096)
+    path.write_text(SETTINGS + "[Limits]\nMaxFds = -1\n")
+    with pytest.raises(ProcessSettingsError, match="MaxFds"):
+        read_settings(FleetRole.ENTRY, environment)
     path.write_text(SETTINGS.replace("NodeName", "Nodename"))
     with pytest.raises(ProcessSettingsError, match="NodeName"):
         read_settings(FleetRole.ENTRY, environment)
