Bound what peers may make a process hold

Cause: the address for peers took any number of connections and of calls, kept replies that nobody read, and up to 8 MiB of each unfinished frame.

Change: peerserver, split from peer, limits connections (the one that has been silent for longest makes room), charges unfinished frames to a share of the process's byte budget and sheds the largest, and does not read a connection with 1,000 calls or 8 MiB of them in progress or with replies that are not read; after 30 s of these it is aborted. nodelimits gives peers an eighth of the budget and of the descriptors.

Result: tests/test_peer.py passes with 4 new tests; the one for unread replies fails on the code before (it takes all 400 calls).

--- a/dotterelspread/bytebudget.py
+++ b/dotterelspread/bytebudget.py
@@ -5,7 +5,7 @@
 up when one is exhausted.
 """
 
-__all__ = ["ByteBudget", "ByteShare"]
+__all__ = ["ByteBudget", "ByteShare", "make_unlimited_share"]
 
 
 class ByteShare:
@@ -59,3 +59,8 @@
     def open_rest(self):
         """Return a new `ByteShare` of all that is left."""
         return self.open_share(self._unassigned_bytes)
+
+
+def make_unlimited_share():
+    """Return a `ByteShare` that no process can exceed."""
+    return ByteShare(1 << 62)
--- a/dotterelspread/fleetnode.py
+++ b/dotterelspread/fleetnode.py
@@ -236,7 +236,8 @@
     handlers = {"lead": take_notice, "work": forwarder.handle}
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
-        await enter(serve_peers(settings.peer_address, handlers))
+        quota = node.limits.open_peer_quota()
+        await enter(serve_peers(settings.peer_address, handlers, quota=quota))
         quota = node.limits.open_reserved_quota()
         await enter(listen_h1(settings.readiness_address, answer_ready, quota=quota))
         quota = node.limits.open_main_quota()
@@ -267,7 +268,8 @@
     }
     async with AsyncExitStack() as stack:
         enter = stack.enter_async_context
-        await enter(serve_peers(settings.peer_address, handlers))
+        quota = node.limits.open_peer_quota()
+        await enter(serve_peers(settings.peer_address, handlers, quota=quota))
         answer_worker = adapters.make_registry_handler(agent)
         quota = node.limits.open_main_quota()
         await enter(listen_h1(settings.control_address, answer_worker, quota=quota))
--- a/dotterelspread/frame.py
+++ b/dotterelspread/frame.py
@@ -70,6 +70,15 @@
         self._buffer = bytearray()
         self._max_bytes = max_bytes
 
+    @property
+    def buffered_bytes(self):
+        """Bytes of a frame that has not arrived in full."""
+        return len(self._buffer)
+
+    def clear(self):
+        """Forget a frame that has not arrived in full."""
+        self._buffer.clear()
+
     def feed(self, data):
         """Append ``data`` to the buffer and return the frames that are now complete.
 
--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -9,7 +9,7 @@
 import itertools
 from dataclasses import dataclass, field
 
-from .bytebudget import ByteShare
+from .bytebudget import ByteShare, make_unlimited_share
 from .h1connection import H1Connection
 from .h1messages import H1Limits, H1Request, H1Response
 from .shedding import Holding, choose_shed
@@ -33,15 +33,11 @@
 SHED_MARGIN_DIVISOR = 64
 
 
-def _make_unlimited_share():
-    return ByteShare(1 << 62)
-
-
 @dataclass(slots=True)
 class H1Quota:
     """What all connections of a listener may take of the process."""
 
-    share: ByteShare = field(default_factory=_make_unlimited_share)
+    share: ByteShare = field(default_factory=make_unlimited_share)
     max_connections: int = 1 << 30
     #: Most connections that are accepted in one iteration of the event loop. Those that
     #: are closed to make room stay open for some iterations more.
--- a/dotterelspread/nodelimits.py
+++ b/dotterelspread/nodelimits.py
@@ -4,6 +4,7 @@
 
 from .bytebudget import ByteBudget
 from .h1server import H1Quota
+from .peer import PeerQuota
 
 __all__ = ["NodeLimits"]
 
@@ -30,6 +31,10 @@
 RESERVED_CONNECTIONS_DIVISOR = 16
 #: Number of such listeners in a process.
 RESERVED_LISTENERS = 2
+#: Part of the budget for frames of peers, and of the descriptors for their connections,
+#: which are among the process's own.
+PEER_BYTES_DIVISOR = 8
+PEER_FDS_DIVISOR = 8
 
 
 class NodeLimits:
@@ -43,7 +48,12 @@
         File descriptors of the process; 0 if it is not known.
     """
 
-    __slots__ = ("_max_accepted", "_max_connections", "budget")
+    __slots__ = (
+        "_max_accepted",
+        "_max_connections",
+        "_peer_connections",
+        "budget",
+    )
 
     def __init__(self, memory_mb, max_fds):
         budget_bytes = int((memory_mb or DEFAULT_MEMORY_MB) * 1_000_000 * BUDGET_RATIO)
@@ -53,6 +63,7 @@
         if soft_limit != resource.RLIM_INFINITY:
             max_fds = min(max_fds, soft_limit)
         self._max_accepted = max(1, min(MAX_ACCEPTED, max_fds // MAX_ACCEPTED_DIVISOR))
+        self._peer_connections = max(1, max_fds // PEER_FDS_DIVISOR)
         left_fds = max_fds // OWN_FDS_DIVISOR + max_fds // ACCEPTED_FDS_DIVISOR
         self._max_connections = max_fds - left_fds
 
@@ -66,6 +77,11 @@
         connections = self._reserved_connections
         return H1Quota(share, connections, self._max_accepted)
 
+    def open_peer_quota(self):
+        """Return the `PeerQuota` of the address for peers."""
+        share = self.budget.open_share(self.budget.max_bytes // PEER_BYTES_DIVISOR)
+        return PeerQuota(share, self._peer_connections, self._max_accepted)
+
     def open_main_quota(self):
         """Return the `H1Quota` of callers or of the worker; it is opened last."""
         connections = self._max_connections
--- a/dotterelspread/peer.py
+++ b/dotterelspread/peer.py
@@ -3,23 +3,17 @@
 import asyncio
 import itertools
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
-
-from .frame import (
-    FrameError,
-    FrameReader,
-    decode_call,
-    decode_reply,
-    encode_call,
-    encode_error,
-    encode_reply,
-)
+
+from .frame import decode_reply, encode_call
+from .peerprotocol import PeerError, PeerProtocol, TrafficCount
+from .peerserver import PeerQuota, serve_peers
 
 __all__ = [
     "PeerError",
     "PeerFailedError",
     "PeerLostError",
     "PeerPool",
+    "PeerQuota",
     "PeerTimeoutError",
     "PeerUnsentError",
     "TrafficCount",
@@ -30,10 +24,6 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
-class PeerError(Exception):
-    """A call to a peer returned no value."""
-
-
 class PeerUnsentError(PeerError):
     """No byte of the call left this process."""
 
@@ -50,46 +40,7 @@
     """The peer answered that the call failed."""
 
 
-@dataclass(slots=True)
-class TrafficCount:
-    """Bytes and messages exchanged between this process and its peers."""
-
-    sent_bytes: int = 0
-    received_bytes: int = 0
-    sent_messages: int = 0
-    received_messages: int = 0
-
-
-class _Protocol(asyncio.Protocol):
-    """Splits a connection into frames; subclasses handle each frame."""
-
-    def __init__(self, traffic):
-        self.transport = None
-        self._reader = FrameReader()
-        self._traffic = traffic
-
-    def connection_made(self, transport):
-        self.transport = transport
-
-    def data_received(self, data):
-        self._traffic.received_bytes += len(data)
-        try:
-            for frame in self._reader.feed(data):
-                self._traffic.received_messages += 1
-                self.frame_received(frame)
-        except FrameError:
-            self.transport.abort()
-
-    def frame_received(self, frame):
-        raise NotImplementedError
-
-    def send(self, frame):
-        self._traffic.sent_bytes += len(frame)
-        self._traffic.sent_messages += 1
-        self.transport.write(frame)
-
-
-class _ClientProtocol(_Protocol):
+class _ClientProtocol(PeerProtocol):
     """Client side: matches each reply to its pending call by call id."""
 
     def __init__(self, traffic):
@@ -115,46 +66,6 @@
         self.pending_calls_by_id.clear()
 
 
-class _ServerProtocol(_Protocol):
-    """Server side: runs the handler of each call in a task of its own."""
-
-    def __init__(self, traffic, handlers_by_method, protocols):
-        super().__init__(traffic)
-        self._handlers_by_method = handlers_by_method
-        self._protocols = protocols
-        self._tasks = set()
-
-    def connection_made(self, transport):
-        super().connection_made(transport)
-        self._protocols.add(self)
-
-    def connection_lost(self, exc):
-        self._protocols.discard(self)
-
-    def frame_received(self, frame):
-        task = asyncio.ensure_future(self._handle_call(decode_call(frame)))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _handle_call(self, call):
-        handler = self._handlers_by_method.get(call.method)
-        if handler is None:
-            frame = encode_error(call.method, call.call_id, "method not served here")
-        else:
-            frame = await self._run_handler(handler, call)
-        if not self.transport.is_closing():
-            self.send(frame)
-
-    async def _run_handler(self, handler, call):
-        # A failing handler must not close the connection, which other calls share.
-        try:
-            value = await handler(call.argument)
-            return encode_reply(call.method, call.call_id, value)
-        except Exception as error:
-            detail = f"{type(error).__name__}: {error}"
-            return encode_error(call.method, call.call_id, detail)
-
-
 class PeerPool:
     """Pool of connections to peers, one per address, opened on the first call.
 
@@ -283,41 +194,3 @@
     except Exception as error:
         detail = f"{address} {method}: not encodable: {type(error).__name__}: {error}"
         raise PeerUnsentError(detail) from error
-
-
-@asynccontextmanager
-async def serve_peers(address, handlers_by_method, traffic=None):
-    """Serve calls at ``address`` while the context is open.
-
-    Parameters
-    ----------
-    address : str
-        ``host:port`` to listen on.
-    handlers_by_method : dict of str to coroutine function
-        Handler of each method: takes its argument and returns its value.
-    traffic : TrafficCount, optional
-        Counts the bytes and messages of all connections.
-
-    Raises
-    ------
-    PeerError
-        When the address cannot be bound.
-    """
-    host, _, port = address.rpartition(":")
-    traffic = traffic or TrafficCount()
-    protocols = set()
-    loop = asyncio.get_running_loop()
-    try:
-        server = await loop.create_server(
-            lambda: _ServerProtocol(traffic, handlers_by_method, protocols),
-            host.strip("[]"),
-            int(port),
-        )
-    except OSError as error:
-        raise PeerError(f"cannot listen on {address}: {error}") from error
-    try:
-        yield server
-    finally:
-        server.close()
-        for protocol in list(protocols):
-            protocol.transport.close()
--- a/tests/test_nodelimits.py
+++ b/tests/test_nodelimits.py
@@ -3,6 +3,7 @@
 import pytest
 
 from dotterelspread import nodelimits
+from dotterelspread.frame import MAX_FRAME_BYTES
 from dotterelspread.nodelimits import NodeLimits
 
 MAX_BODY_BYTES = 262_144
@@ -26,7 +27,8 @@
     memory_mb, max_fds
 ):
     limits = NodeLimits(memory_mb, max_fds)
-    quotas = [limits.open_reserved_quota() for _ in range(2)]
+    quotas = [limits.open_peer_quota()]
+    quotas += [limits.open_reserved_quota() for _ in range(2)]
     quotas.append(limits.open_main_quota())
     main = quotas[-1]
     assert sum(quota.share.max_bytes for quota in quotas) <= limits.budget.max_bytes
@@ -34,10 +36,12 @@
     # Several hundred connections with the largest submissions are normal.
     assert main.share.max_bytes >= 200 * MAX_BODY_BYTES
     assert main.max_connections >= 2000
-    connections = sum(quota.max_connections for quota in quotas)
+    assert quotas[0].share.max_bytes >= MAX_FRAME_BYTES
+    assert quotas[0].max_connections >= 500
+    connections = sum(quota.max_connections for quota in quotas[1:])
     # Own descriptors, and connections that are accepted but not yet refused.
     assert connections <= (max_fds or 4096) * 5 / 8 + 1
-    accepted = sum(quota.max_accepted for quota in quotas)
+    accepted = sum(quota.max_accepted for quota in quotas[1:])
     assert 4 * accepted <= (max_fds or 4096) / 8
     assert all(quota.share.max_bytes >= 4 * MAX_BODY_BYTES for quota in quotas)
 
@@ -50,8 +54,9 @@
 @pytest.mark.parametrize(("memory_mb", "max_fds"), [(1, 1), (0.5, 16), (10, 40)])
 def test_tiny_settings_still_admit_a_caller(memory_mb, max_fds):
     limits = NodeLimits(memory_mb, max_fds)
-    quotas = [limits.open_reserved_quota() for _ in range(2)]
+    quotas = [limits.open_peer_quota()]
+    quotas += [limits.open_reserved_quota() for _ in range(2)]
     quotas.append(limits.open_main_quota())
     assert all(quota.max_connections >= 1 for quota in quotas)
-    assert all(quota.max_accepted >= 1 for quota in quotas)
+    assert all(quota.max_accepted >= 1 for quota in quotas[1:])
     assert quotas[-1].share.max_bytes >= MAX_BODY_BYTES
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from dotterelspread import peerserver
+from dotterelspread.bytebudget import ByteShare
+from dotterelspread.frame import encode_call
 from dotterelspread.gen.peer.ttypes import (
     Answer,
     AnswerQuery,
@@ -16,6 +19,7 @@
     PeerFailedError,
     PeerLostError,
     PeerPool,
+    PeerQuota,
     PeerTimeoutError,
     PeerUnsentError,
     serve_peers,
@@ -134,3 +138,98 @@
                 await pool.call(address, "lead", None, 0.5)
 
     asyncio.run(run())
+
+
+def test_calls_are_not_collected_while_their_replies_are_not_read():
+    count = 400
+    started = 0
+
+    async def run(request):
+        nonlocal started
+        started += 1
+        return Answer(result=Result.COMPLETED, body=request.body)
+
+    async def main():
+        body = b"x" * 100_000
+        calls = [
+            encode_call("run", n, RunRequest("a", body=body)) for n in range(count)
+        ]
+        async with serve_peers("127.0.0.1:0", {"run": run}) as server:
+            port = server.sockets[0].getsockname()[1]
+            loop = asyncio.get_running_loop()
+            with socket.create_connection(("127.0.0.1", port)) as sock:
+                sock.setblocking(False)
+                sending = asyncio.ensure_future(
+                    loop.sock_sendall(sock, b"".join(calls))
+                )
+                last = -1
+                while last != started:
+                    last = started
+                    await asyncio.sleep(0.5)
+                assert not sending.done()
+                assert 0 < started < count
+                sending.cancel()
+
+    asyncio.run(main())
+
+
+def test_a_connection_with_many_calls_is_read_again_after_they_end(monkeypatch):
+    monkeypatch.setattr(peerserver, "MAX_CALLS", 5)
+
+    async def scenario(pool, address):
+        late = RunRequest(request_id="late", body=b"1")
+        pending = [
+            asyncio.ensure_future(pool.call(address, "run", late, 10)) for _ in range(8)
+        ]
+        other = PeerPool()
+        await asyncio.sleep(0.05)
+        await other.call(address, "answer", AnswerQuery(request_id="late"), 10)
+        for call in pending:
+            assert (await call).body == b"1"
+        other.replace_connection(address, abort=True)
+
+    run_with_agent(scenario)
+
+
+def test_the_largest_part_of_a_frame_is_shed_and_other_calls_are_answered():
+    async def main():
+        agent = FakeAgent()
+        quota = PeerQuota(ByteShare(300_000))
+        async with (
+            serve_peers("127.0.0.1:0", {"run": agent.run}, quota=quota) as server,
+            PeerPool.open() as pool,
+        ):
+            port = server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            frame = encode_call("run", 1, RunRequest("a", body=b"x" * 1_000_000))
+            writer.write(frame[:-1])
+            with contextlib.suppress(ConnectionError):
+                assert await asyncio.wait_for(reader.read(), 10) == b""
+            request = RunRequest(request_id="soon", body=b"2" * 100_000)
+            reply = await pool.call(f"127.0.0.1:{port}", "run", request, 10)
+            assert len(reply.body) == 100_000
+        assert quota.share.used_bytes == 0
+
+    asyncio.run(main())
+
+
+def test_silent_connections_make_room_for_peers():
+    async def main():
+        agent = FakeAgent()
+        quota = PeerQuota(max_connections=3)
+        request = RunRequest(request_id="soon", body=b"2")
+        async with (
+            serve_peers("127.0.0.1:0", {"run": agent.run}, quota=quota) as server,
+            PeerPool.open() as pool,
+        ):
+            port = server.sockets[0].getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            await pool.call(address, "run", request, 10)
+            silent = [await asyncio.open_connection("127.0.0.1", port) for _ in "abcd"]
+            assert await silent[0][0].read() == b""
+            assert await silent[1][0].read() == b""
+            assert pool.traffic.sent_messages == 1
+            assert (await pool.call(address, "run", request, 10)).body == b"2"
+            assert not silent[3][0].at_eof()
+
+    asyncio.run(main())
