Bound pipelined requests and connections of the daemon's HTTP server

Cause: uvicorn queues all requests of a read and reads on after each response, so a client that pipelines without end fills the memory; it answers requests above limit_concurrency with 503, but keeps any number of connections.

Change: a connection with 16 requests waiting is closed, and so are new connections above 1.25 times limits.max_connections.

--- a/dotterelspread/httpprotocol.py
+++ b/dotterelspread/httpprotocol.py
@@ -8,14 +8,24 @@
 from .outcome import RefusalReason, Refused
 from .problem import describe_outcome
 
-__all__ = ["MAX_HEAD_BYTES", "BoundedProtocol"]
+__all__ = ["MAX_HEAD_BYTES", "MAX_PIPELINED_REQUESTS", "BoundedProtocol"]
 
 #: Largest head of a request; exceeded by up to one read, as it is checked per read.
 MAX_HEAD_BYTES = 32 << 10
+#: Most requests that wait behind one in progress on a connection. uvicorn reads on
+#: after each response, so that their number would grow without end.
+MAX_PIPELINED_REQUESTS = 16
+#: Open connections, as a multiple of ``limits.max_connections``, above which new ones
+#: are closed without a response.
+MAX_CONNECTIONS_RATIO = 1.25
 #: Most bytes on the wire per byte of body; chunked encoding adds framing.
 MAX_CHUNK_OVERHEAD_RATIO = 8
 
 
+class PipelineError(Exception):
+    """A client has sent too many requests without waiting for responses."""
+
+
 class BoundedProtocol(HttpToolsProtocol):
     """A caller's connection, closed when a request exceeds the limits.
 
@@ -38,8 +48,14 @@
         self._received_bytes = 0
 
     def connection_made(self, transport):
-        """Start the timer for the first head."""
+        """Start the timer for the first head, or close a connection too many."""
         super().connection_made(transport)
+        max_connections = self._limits.max_connections
+        # uvicorn answers requests above the limit with 503, but keeps any number of
+        # connections open.
+        if len(self.connections) > max_connections * MAX_CONNECTIONS_RATIO:
+            transport.close()
+            return
         self._start_head_timer()
 
     def connection_lost(self, exc):
@@ -64,6 +80,9 @@
 
     def on_message_begin(self):
         """Start the timer for the head unless it is running."""
+        if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
+            # The parser ends with an error, and the connection is closed.
+            raise PipelineError(f"over {MAX_PIPELINED_REQUESTS} pipelined requests")
         super().on_message_begin()
         self._received_bytes = 0
         if self._head_timer is None:
--- a/tests/test_httpprotocol.py
+++ b/tests/test_httpprotocol.py
@@ -7,7 +7,11 @@
 import uvicorn
 from uvicorn.server import ServerState
 
-from dotterelspread.httpprotocol import MAX_HEAD_BYTES, BoundedProtocol
+from dotterelspread.httpprotocol import (
+    MAX_HEAD_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    BoundedProtocol,
+)
 from dotterelspread.settings import LimitSettings
 
 LIMITS = LimitSettings(max_body=1 << 10, header_timeout_s=5.0)
@@ -139,3 +143,39 @@
         assert len(connection.loop.requests) == count
     connection.loop.fire()
     assert not connection.transport.closing
+
+
+def test_pipelined_requests_without_end_are_not_collected(connection):
+    whole = HEAD + b"Content-Length: 3\r\n\r\nabc"
+    connection.data_received(whole * 5000)
+    assert connection.transport.closing
+    assert len(connection.pipeline) <= MAX_PIPELINED_REQUESTS
+    assert len(connection.loop.requests) == 1
+    assert connection.transport.written == b""
+
+
+def test_a_few_pipelined_requests_are_kept(connection):
+    whole = HEAD + b"Content-Length: 3\r\n\r\nabc"
+    connection.data_received(whole * 10)
+    assert not connection.transport.closing
+    assert len(connection.pipeline) == 9
+
+
+def test_connections_far_above_the_limit_are_closed():
+    state, protocols = ServerState(), []
+    config = uvicorn.Config(lambda scope: None, log_config=None, lifespan="off")
+    config.load()
+    for _ in range(200):
+        protocols.append(
+            BoundedProtocol(
+                LimitSettings(max_connections=100),
+                config=config,
+                server_state=state,
+                app_state={},
+                _loop=FakeLoop(),
+            )
+        )
+        protocols[-1].connection_made(FakeTransport())
+    open_count = sum(not protocol.transport.closing for protocol in protocols)
+    assert open_count == 100 + 25
+    assert not any(protocol.transport.closing for protocol in protocols[:100])
