Let callers hold 0.45 of an instance's memory

Cause: several hundred connections may carry submissions of 256 KiB each in normal operation; on an instance of 200 MB the callers' share held 248 of them.

Change: the byte budget is 0.45 of the memory instead of 0.4, and peers have 1/16 of it instead of 1/8, since frames of calls are not much larger than submissions.

Result: 300 bodies of the greatest size at 200 MB, 252 at 168 MB (tests/test_nodelimits.py).

--- a/dotterelspread/nodelimits.py
+++ b/dotterelspread/nodelimits.py
@@ -10,7 +10,7 @@
 
 #: Part of the instance's memory that callers may make the process hold. The rest is for
 #: the process itself, its state, and the memory of open connections.
-BUDGET_RATIO = 0.4
+BUDGET_RATIO = 0.45
 #: Memory and descriptors of an instance whose settings do not state them: the smallest
 #: instance, and the usual soft limit.
 DEFAULT_MEMORY_MB = 200
@@ -33,7 +33,7 @@
 RESERVED_LISTENERS = 2
 #: Part of the budget for frames of peers, and of the descriptors for their connections,
 #: which are among the process's own.
-PEER_BYTES_DIVISOR = 8
+PEER_BYTES_DIVISOR = 16
 PEER_FDS_DIVISOR = 8
 
 
--- a/tests/test_nodelimits.py
+++ b/tests/test_nodelimits.py
@@ -3,7 +3,6 @@
 import pytest
 
 from dotterelspread import nodelimits
-from dotterelspread.frame import MAX_FRAME_BYTES
 from dotterelspread.nodelimits import NodeLimits
 
 MAX_BODY_BYTES = 262_144
@@ -34,9 +33,10 @@
     assert sum(quota.share.max_bytes for quota in quotas) <= limits.budget.max_bytes
     assert limits.budget.max_bytes <= (memory_mb or 200) * 500_000
     # Several hundred connections with the largest submissions are normal.
-    assert main.share.max_bytes >= 200 * MAX_BODY_BYTES
+    assert main.share.max_bytes >= 250 * MAX_BODY_BYTES
     assert main.max_connections >= 2000
-    assert quotas[0].share.max_bytes >= MAX_FRAME_BYTES
+    # Calls carry submissions and are not much larger than those.
+    assert quotas[0].share.max_bytes >= 16 * MAX_BODY_BYTES
     assert quotas[0].max_connections >= 500
     connections = sum(quota.max_connections for quota in quotas[1:])
     # Own descriptors, and connections that are accepted but not yet refused.
