--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -302,3 +302,36 @@
             await attack(target, crowd, 600, behaviour)
 
     asyncio.run(scenario())
+
+
+def test_many_submissions_of_the_greatest_size_reach_no_limit(tmp_path):
+    # On the smallest entry; the handler refuses the document, so it has got the whole.
+    settings = SETTINGS.format(200, 4100)
+    head = f"POST {JOB_PATH} HTTP/1.1\r\nHost: nony24.example\r\n"
+    head += f"Content-Length: {MAX_BODY_BYTES}\r\nConnection: close\r\n\r\n"
+    body = b"x" * MAX_BODY_BYTES
+
+    async def scenario():
+        async with open_site(tmp_path, settings) as site:
+            host, port = site.hosts["entry"], site.ports.d
+            process = site.processes["entry"]
+            target = SimpleNamespace(role="entry", address=f"{host}:{port}")
+            await wait_until(lambda: serves(target))
+            clients = [await asyncio.open_connection(host, port) for _ in range(280)]
+            for _, writer in clients:
+                writer.write(head.encode() + body[:-1])
+            for _, writer in clients:
+                await writer.drain()
+            # The process holds all bodies at once.
+            await asyncio.sleep(0.5)
+            for _, writer in clients:
+                writer.write(body[-1:])
+            for reader, writer in clients:
+                response = await reader.read()
+                assert response.startswith(b"HTTP/1.1 400 ")
+                assert b"Content-Length: 0" not in response
+                writer.close()
+            print(f"peak {read_memory_mb(process.pid):.0f} MB")
+            assert read_memory_mb(process.pid) < 200
+
+    asyncio.run(scenario())
