--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -99,7 +99,7 @@
 
     def connection_lost(self, exc):
         """Release all that the connection holds; called by the transport."""
-        self._timer.cancel()
+        self._timer.close()
         self._read_ahead = None
         self._charge(0)
         self._reader.close()
