Do less for each call of a peer

Cause: the limits on peers compared counts and looked up tables for each call, also of idle processes.

Change: a connection notes that it is used once, charges only when the size of an unfinished frame changes, and checks its calls after their end only when it is paused.

--- a/dotterelspread/peerserver.py
+++ b/dotterelspread/peerserver.py
@@ -108,6 +108,8 @@
         self._number = number
         self._tasks = set()
         self._call_bytes = 0
+        self._has_too_many_calls = False
+        self._is_used = False
         self._unread_timer = None
         #: Bytes charged to the listener's share.
         self.held_bytes = 0
@@ -122,8 +124,9 @@
 
     def data_received(self, data):
         super().data_received(data)
-        if not self.transport.is_closing():
-            self._listener.charge(self, self.reader.buffered_bytes)
+        buffered_bytes = self.reader.buffered_bytes
+        if buffered_bytes != self.held_bytes and not self.transport.is_closing():
+            self._listener.charge(self, buffered_bytes)
 
     def pause_writing(self):
         loop = asyncio.get_running_loop()
@@ -145,28 +148,29 @@
 
     def frame_received(self, frame):
         task = asyncio.ensure_future(self._handle_call(decode_call(frame)))
-        self._listener.note_used(self)
+        if not self._is_used:
+            self._is_used = True
+            self._listener.note_used(self)
         frame_bytes = len(frame)
         self._call_bytes += frame_bytes
         self._tasks.add(task)
         task.add_done_callback(lambda task: self._end_call(task, frame_bytes))
-        if self._has_too_many_calls():
+        if len(self._tasks) >= MAX_CALLS or self._call_bytes >= MAX_CALL_BYTES:
+            self._has_too_many_calls = True
             self.transport.pause_reading()
 
     def _end_call(self, task, frame_bytes):
-        had_too_many_calls = self._has_too_many_calls()
         self._tasks.discard(task)
         self._call_bytes -= frame_bytes
-        if had_too_many_calls:
+        if self._has_too_many_calls:
+            is_full = len(self._tasks) >= MAX_CALLS
+            self._has_too_many_calls = is_full or self._call_bytes >= MAX_CALL_BYTES
             self._resume_reading()
 
-    def _has_too_many_calls(self):
-        return len(self._tasks) >= MAX_CALLS or self._call_bytes >= MAX_CALL_BYTES
-
     def _resume_reading(self):
         is_closing = self.transport.is_closing()
         is_unread = self._unread_timer is not None
-        if not (is_closing or is_unread or self._has_too_many_calls()):
+        if not (is_closing or is_unread or self._has_too_many_calls):
             self.transport.resume_reading()
 
     async def _handle_call(self, call):
