--- a/tests/test_waiting_load.py
+++ b/tests/test_waiting_load.py
@@ -4,7 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bench.waiting import LARGE, LARGE_KINDS, LOADS, SMALL, WaitingLoad, play
+from bench.waiting import LOADS, play
+from bench.waitingload import LARGE, LARGE_KINDS, SMALL, WaitingLoad
 from dotterelspread.jobs.placementpolicy import MAX_RESERVED_JOBS, PlacementPolicy
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.spec import StepSpec
