--- a/bench/passes.py
+++ b/bench/passes.py
@@ -3,7 +3,7 @@
 All workers are full with runs that end at different times, so that each pass searches
 for room for a backlog of small and large tasks, half of them fillers.
 
-``python -m bench passes [--workers N ...] [--tasks N ...] [--reserved N]``
+``python -m bench.passes [--workers N ...] [--tasks N ...] [--reserved N]``
 """
 
 import argparse
@@ -77,7 +77,7 @@
 
 
 def main(args):
-    parser = argparse.ArgumentParser(prog="bench passes")
+    parser = argparse.ArgumentParser(prog="bench.passes")
     parser.add_argument("--workers", type=int, nargs="+", default=[70, 160, 630])
     parser.add_argument("--tasks", type=int, nargs="+", default=[100, 1000, 5000])
     parser.add_argument("--reserved", type=int, default=2)
--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -17,11 +17,13 @@
 
 #: Time after the arrivals in which the jobs complete.
 DRAIN_S = 30.0
+#: Policy without claims: backfill for the head of each queue only.
+NO_CLAIMS = "EASY"
 POLICIES = {
     "today": PlacementPolicy(),
     "gaps": PlacementPolicy(0, True),
     "head": PlacementPolicy(1),
-    "head, no claims": PlacementPolicy(1),
+    NO_CLAIMS: PlacementPolicy(1),
     "each": PlacementPolicy(MAX_RESERVED_JOBS),
     "two and gaps": PlacementPolicy(2, True),
 }
@@ -91,7 +93,7 @@
 def play_policy(name, arrivals, large_kind, seed, seconds):
     """Play a load under a policy of `POLICIES`."""
     min_age_s = reservations.MIN_CLAIM_AGE_S
-    if "no claims" in name:
+    if name == NO_CLAIMS:
         reservations.MIN_CLAIM_AGE_S = float("inf")
     try:
         return play(arrivals, large_kind, POLICIES[name], seed, seconds)
