Count a stopped run in the timeline at once

The cached list of releases was dropped when runs or their measurements change, but not when a run is stopped: until the worker's next report, up to 0.5 s later, its capacity was expected at the end that the run would have had. The list is now dropped with the order to stop. The new test fails on the code before (the release stays 60 s away).

--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -113,6 +113,8 @@
 def stop_run(worker, run, task_id, reason):
     """Order the stop of a run for a `RunStopReason`; return the effects."""
     run.stop_reason = run.stop_reason or reason
+    # A stopped run releases its capacity earlier.
+    worker.releases = None
     if run.is_order_in_flight or not worker.is_reachable:
         # The next tick retries the order.
         return []
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -4,6 +4,8 @@
 
 from dotterelspread.jobs.cell import OrderSettled, Submitted
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.lifecycle import stop_run
+from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.jobs.timeline import (
     add,
     expected_end,
@@ -126,6 +128,16 @@
     assert release.at_s < BEGIN_S + 1.0
 
 
+def test_a_stop_is_in_the_timeline_before_the_next_report(cell):
+    # Guards against a cached list with the end that the run had without the stop.
+    start = start_run(cell, make_step(estimate_ms=60_000))
+    worker = cell.workers_by_id["i-0"]
+    assert releases_of(cell, worker, BEGIN_S)[0].at_s > BEGIN_S + 50.0
+    stop_run(worker, start.run, start.task_id, RunStopReason.CANCELLED)
+    [release] = releases_of(cell, worker, BEGIN_S)
+    assert release.at_s < BEGIN_S + 1.0
+
+
 def test_fillers_need_a_part_of_their_processors_idle_and_others_reserve_theirs():
     filler = make_step(demand=Resources(3000, 500), is_filler=True)
     assert need_of(filler, 0.7) == (0, 500, 0, 2100)
