Reserve no worker for a step that may have no more tasks there

The search for a start ignored the runs that a step with a limit per worker already has on a worker. It found room there now, so that the waiting task, which may not start there, kept the worker from others; the progress of the step's own runs renewed that for as long as they lasted (30 s in the test, 2 workers: 1 of 2 tasks started, with reservations off 2). The runs that are present now count; a run that ends within the second gives no reservation until it has. The new test fails on the code before.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -263,17 +263,10 @@
     if not _can_host(worker, step):
         return False
     if step.max_per_worker:
-        return _count_of_step(job, key, worker) < step.max_per_worker
+        return worker.count_of_step(job.job_id, key[:2]) < step.max_per_worker
     return True
 
 
-def _count_of_step(job, key, worker):
-    return sum(
-        run.job_id == job.job_id and run.key[:2] == key[:2]
-        for run in worker.runs_by_task.values()
-    )
-
-
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -193,7 +193,9 @@
         if queue.needs_permits or self._has_waited_too_long(job, queue, step):
             return False
         need, use = need_of(step, MIN_FILLER_SPEED_RATIO), use_of(step)
-        found = self._search.find(step, count, need, use, queue.service, self._held)
+        found = self._search.find(
+            job, step_key, count, need, use, queue.service, self._held
+        )
         if not found or (step.is_gang and len(found) < step.count):
             return False
         first_s, last_s = found[0][0], found[-1][0]
--- a/dotterelspread/jobs/startsearch.py
+++ b/dotterelspread/jobs/startsearch.py
@@ -40,14 +40,16 @@
         #: Free capacity of each worker at a time, if nothing is placed until then.
         self._free_by_end = {}
 
-    def find(self, step, count, need, use, service, held_of):
+    def find(self, job, step_key, count, need, use, service, held_of):
         """Return pairs of time and worker of the earliest starts of a step's tasks.
 
         Parameters
         ----------
-        step : StepSpec
+        job : Job
+        step_key : tuple of int
+            Occurrence and number of the step.
         count : int
-            Number of tasks.
+            Number of its tasks.
         need, use : tuple
             See `timeline.need_of` and `timeline.use_of`.
         service : str
@@ -55,7 +57,7 @@
         held_of : callable
             Returns the reservations on a worker.
         """
-        limit = min(count, step.max_per_worker or MAX_PER_WORKER, MAX_PER_WORKER)
+        step = job.spec.steps[step_key[1]]
         until_s = self._now_s + (
             MAX_GANG_LOOKAHEAD_S if step.is_gang else MAX_LOOKAHEAD_S
         )
@@ -74,6 +76,10 @@
                 continue
             if not self._may_run(step, worker, service):
                 continue
+            limit = min(count, MAX_PER_WORKER)
+            if step.max_per_worker:
+                present = worker.count_of_step(job.job_id, step_key)
+                limit = min(limit, step.max_per_worker - present)
             held = held_of(worker)
             times = self._fit_times(worker, need, use, limit, held, until_s)
             if not times or (
@@ -116,7 +122,7 @@
         while len(times) < limit and fits(need, free):
             times.append(self._now_s)
             free = subtract(free, use)
-        if len(times) == limit or not worker.runs_by_task:
+        if len(times) >= limit or not worker.runs_by_task:
             return times
         for release in releases_of(self._cell, worker, self._now_s):
             if release.at_s > until_s:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -270,6 +270,13 @@
         """Processors that no run is expected to use; negative if oversubscribed."""
         return self.capacity.millicores - self._current_usage()[0]
 
+    def count_of_step(self, job_id, step_key):
+        """Return the number of runs of a step on the worker."""
+        return sum(
+            run.job_id == job_id and run.key[:2] == step_key
+            for run in self.runs_by_task.values()
+        )
+
     def image_pairs(self):
         """Return the (serving image, filler image) pairs present on the worker."""
         runs = self.runs_by_task.values()
--- a/tests/test_reservations_placing.py
+++ b/tests/test_reservations_placing.py
@@ -191,6 +191,14 @@
     assert not any(isinstance(effect, ReservationsMade) for effect in effects)
 
 
+def test_no_reservation_where_a_step_has_as_many_tasks_as_it_may():
+    # Guards against workers that are kept for tasks that cannot start there.
+    play = Play(2)
+    spread = batch(1000, 30.0, 3, max_per_worker=1)
+    assert len(play.submit(0.0, spread, LARGE_QUEUE)) == 2
+    assert len(play.submit(0.6, batch(7000, 30.0, 2))) == 2
+
+
 def test_a_gang_gets_room_for_all_members_or_none():
     play = Play(2)
     [first, second] = play.submit(0.0, batch(6000, 1.2, 2, max_per_worker=1))
