Treat claiming jobs like others in the cache of unplaceable demands

Jobs with claims were placed without a look at the cache. It holds only demands that no reservation has stopped, and capacity only shrinks during a pass, so that what it covers finds no worker for a claiming job either.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -96,8 +96,7 @@
     for step_key, keys in keys_by_step.items():
         step = job.spec.steps[step_key[1]]
         filler_demand = _filler_demand(job, step, now_s)
-        has_claim = room is not None and room.has_claim(job)
-        if not has_claim and unplaceable.covers(service, step, filler_demand):
+        if unplaceable.covers(service, step, filler_demand):
             continue
         feasible = [
             worker
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -238,10 +238,6 @@
             and job.job_id not in self._claiming
         )
 
-    def has_claim(self, job):
-        """Tell whether a job has claimed room in this pass."""
-        return job.job_id in self._claiming
-
     def allows(self, job, step, worker):
         """Tell whether a task of a step may start on a worker now."""
         held = self._by_worker.get(worker.worker_id)
