Let slow fillers fill reserved room only if they end in time

Whether another task ends before a reservation was told from its run time at full speed. A filler is placed from 0.7 of that, and at any speed when its job has made no progress for 1.5 s, so it can outlast the reserved start of another filler. Its run time is now divided by the expected speed on that worker.

--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -20,7 +20,7 @@
 from .cell import ReservationsMade, StartRun
 from .gaps import GapKeeper
 from .ordering import patience_end_s, placement_class
-from .reservedroom import Reservation, leaves_room
+from .reservedroom import Reservation, latest_end_s, leaves_room
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
 from .startsearch import StartSearch
@@ -39,8 +39,6 @@
 #: Multiple of its run time after which a job that waits without progress is placed
 #: without reservations, since its estimated start has proved wrong.
 MAX_WAIT_RATIO = 3.0
-#: Margin on run times in standard deviations: one run in six lasts longer.
-MARGIN_DEVIATIONS = 1.0
 
 
 def make_reservations(cell, jobs, workers, stale_task_ids, now_s):
@@ -246,8 +244,7 @@
         held = self._holding_against(job, held)
         if not held:
             return True
-        expected = self._cell.run_times.expect(job.spec.queue.name, step)
-        end_s = self._now_s + expected.upper_s(MARGIN_DEVIATIONS)
+        end_s = latest_end_s(self._cell, job, step, worker, self._now_s)
         is_free = leaves_room(
             self._cell, worker, held, use_of(step), self._now_s, end_s
         )
--- a/dotterelspread/jobs/reservedroom.py
+++ b/dotterelspread/jobs/reservedroom.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass
 
-from .timeline import NOTHING, add, free_now, releases_of, subtract
+from .scoring import FillerDemand, expected_speed
+from .timeline import MIN_PACE_RATIO, NOTHING, add, free_now, releases_of, subtract
 
-__all__ = ["Reservation", "leaves_room"]
+__all__ = ["Reservation", "latest_end_s", "leaves_room"]
+
+#: Margin on run times in standard deviations: one run in six lasts longer.
+MARGIN_DEVIATIONS = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +26,19 @@
     claim: tuple | None = None
 
 
+def latest_end_s(cell, job, step, worker, now_s):
+    """Return when a task that starts on a worker now has ended, with a margin.
+
+    A filler that gets a part of its processors runs longer in proportion.
+    """
+    expected = cell.run_times.expect(job.spec.queue.name, step)
+    run_s = expected.upper_s(MARGIN_DEVIATIONS)
+    if step.is_filler:
+        demand = FillerDemand(step.image, step.demand.millicores, 0.0)
+        run_s /= max(MIN_PACE_RATIO, expected_speed(cell.costs, demand, worker))
+    return now_s + run_s
+
+
 def leaves_room(cell, worker, held, use, now_s, end_s):
     """Tell whether reserved tasks still fit beside a use of a worker.
 
--- a/dotterelspread/jobs/timeline.py
+++ b/dotterelspread/jobs/timeline.py
@@ -11,6 +11,7 @@
 from .worker import MAX_LISTING_GAP_S
 
 __all__ = [
+    "MIN_PACE_RATIO",
     "NOTHING",
     "Release",
     "add",
@@ -32,7 +33,7 @@
 STOPPING_S = 0.4
 #: Remaining time of a run that is past its expected end, as a share of its run time.
 OVERDUE_RATIO = 0.1
-#: Lower bound of the recent pace; keeps the remaining time of a paused run finite.
+#: Lower bound of the pace of a run; keeps the time that it takes finite.
 MIN_PACE_RATIO = 0.05
 #: Progress since the first listing from which it tells the speed of a run: percentages
 #: are rough.
--- a/tests/test_reservations_placing.py
+++ b/tests/test_reservations_placing.py
@@ -225,6 +225,19 @@
     assert len(play.submit(0.6, batch(1000, 10.0))) == 1
 
 
+@pytest.mark.parametrize(("millicores", "starts"), [(2000, 1), (2500, 0)])
+def test_a_filler_that_runs_slowly_ends_later(millicores, starts):
+    # Guards against backfill by fillers that outlast it below their full speed.
+    play = Play()
+    play.submit(0.0, batch(4000, 1.2))
+    play.submit(0.0, batch(2000, 20.0))
+    waiting = batch(7000, 2.0, is_filler=True, image="f")
+    assert play.submit(0.1, waiting, LARGE_QUEUE) == []
+    # 0.7 s until the room is needed, and 2 cores idle: full speed or 0.8 of it.
+    small = batch(millicores, 0.4, is_filler=True, image="f")
+    assert len(play.submit(0.5, small, RELAXED_QUEUE)) == starts
+
+
 def test_fillers_need_no_reserved_processors():
     # Guards against fillers that wait for processors which others only reserve.
     play = Play()
