Name the reset of the blocked flag for what it does

`forget_block` said that it notes whether a step is stopped; it clears the flag before the next step. tests/test_reservations_placing.py passes; nothing else changes.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -111,7 +111,7 @@
         if queue.needs_permits:
             usable = permitted_workers(cell, job, step_key, feasible, now_s)
         if room is not None:
-            room.forget_block()
+            room.reset_blocked()
         starts = _place_step(cell, job, step, keys, usable, now_s, room)
         effects.extend(starts)
         if len(starts) == len(keys):
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -86,7 +86,7 @@
         self._gaps = None
         self._search = StartSearch(cell, workers, now_s)
         self._class_by_job = {}
-        #: Whether a worker was passed over since `forget_block`.
+        #: Whether a worker was passed over since `reset_blocked`.
         self.is_blocked = False
 
     def keep_gaps(self, jobs):
@@ -218,8 +218,8 @@
 
     # Use by others.
 
-    def forget_block(self):
-        """Note whether the next step is stopped by reservations."""
+    def reset_blocked(self):
+        """Clear `is_blocked` before the next step."""
         self.is_blocked = False
 
     def count_block(self, job, step):
