--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -96,8 +96,7 @@
     for step_key, keys in keys_by_step.items():
         step = job.spec.steps[step_key[1]]
         filler_demand = _filler_demand(job, step, now_s)
-        has_claim = room is not None and room.has_claim(job)
-        if not has_claim and unplaceable.covers(service, step, filler_demand):
+        if unplaceable.covers(service, step, filler_demand):
             continue
         feasible = [
             worker
@@ -112,7 +111,7 @@
         if queue.needs_permits:
             usable = permitted_workers(cell, job, step_key, feasible, now_s)
         if room is not None:
-            room.forget_block()
+            room.reset_blocked()
         starts = _place_step(cell, job, step, keys, usable, now_s, room)
         effects.extend(starts)
         if len(starts) == len(keys):
@@ -263,17 +262,10 @@
     if not _can_host(worker, step):
         return False
     if step.max_per_worker:
-        return _count_of_step(job, key, worker) < step.max_per_worker
+        return worker.count_of_step(job.job_id, key[:2]) < step.max_per_worker
     return True
 
 
-def _count_of_step(job, key, worker):
-    return sum(
-        run.job_id == job.job_id and run.key[:2] == key[:2]
-        for run in worker.runs_by_task.values()
-    )
-
-
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -20,7 +20,7 @@
 from .cell import ReservationsMade, StartRun
 from .gaps import GapKeeper
 from .ordering import patience_end_s, placement_class
-from .reservedroom import Reservation, leaves_room
+from .reservedroom import Reservation, latest_end_s, leaves_room
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
 from .startsearch import StartSearch
@@ -39,8 +39,6 @@
 #: Multiple of its run time after which a job that waits without progress is placed
 #: without reservations, since its estimated start has proved wrong.
 MAX_WAIT_RATIO = 3.0
-#: Margin on run times in standard deviations: one run in six lasts longer.
-MARGIN_DEVIATIONS = 1.0
 
 
 def make_reservations(cell, jobs, workers, stale_task_ids, now_s):
@@ -88,7 +86,7 @@
         self._gaps = None
         self._search = StartSearch(cell, workers, now_s)
         self._class_by_job = {}
-        #: Whether a worker was passed over since `forget_block`.
+        #: Whether a worker was passed over since `reset_blocked`.
         self.is_blocked = False
 
     def keep_gaps(self, jobs):
@@ -193,7 +191,9 @@
         if queue.needs_permits or self._has_waited_too_long(job, queue, step):
             return False
         need, use = need_of(step, MIN_FILLER_SPEED_RATIO), use_of(step)
-        found = self._search.find(step, count, need, use, queue.service, self._held)
+        found = self._search.find(
+            job, step_key, count, need, use, queue.service, self._held
+        )
         if not found or (step.is_gang and len(found) < step.count):
             return False
         first_s, last_s = found[0][0], found[-1][0]
@@ -218,8 +218,8 @@
 
     # Use by others.
 
-    def forget_block(self):
-        """Note whether the next step is stopped by reservations."""
+    def reset_blocked(self):
+        """Clear `is_blocked` before the next step."""
         self.is_blocked = False
 
     def count_block(self, job, step):
@@ -236,10 +236,6 @@
             and job.job_id not in self._claiming
         )
 
-    def has_claim(self, job):
-        """Tell whether a job has claimed room in this pass."""
-        return job.job_id in self._claiming
-
     def allows(self, job, step, worker):
         """Tell whether a task of a step may start on a worker now."""
         held = self._by_worker.get(worker.worker_id)
@@ -248,8 +244,7 @@
         held = self._holding_against(job, held)
         if not held:
             return True
-        expected = self._cell.run_times.expect(job.spec.queue.name, step)
-        end_s = self._now_s + expected.upper_s(MARGIN_DEVIATIONS)
+        end_s = latest_end_s(self._cell, job, step, worker, self._now_s)
         is_free = leaves_room(
             self._cell, worker, held, use_of(step), self._now_s, end_s
         )
