Keep the turn after a term that another process has ended

Change: an entry leaves its turn to others only after its own failure: a claim or read that the store did not answer, or a term that ended by an error.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -73,6 +73,8 @@
         self._term_ended_s = self._started_s
         #: Time before which no claim is made.
         self._next_claim_s = self._started_s
+        #: Time before which the turn is left to others.
+        self._yields_until_s = self._started_s
         #: Number of short terms in a row that this entry has lost.
         self._lost_terms = 0
         #: Latest epoch that this process has heard of or read.
@@ -155,6 +157,7 @@
             is_leading=self.leader is not None,
             own_fault_s=self._own_fault_s(now_s),
             may_claim=is_claiming or now_s >= self._next_claim_s,
+            is_yielding=not is_claiming and now_s < self._yields_until_s,
             is_holder=self._group.is_holder,
             watched_s=now_s - self._term_ended_s,
             notice_age_s=now_s - view.last_notice_s if view.last_notice_s else None,
@@ -240,6 +243,8 @@
         except DeposedError:
             # Already logged by the leader; the group elects the next one.
             self._resigning = asyncio.ensure_future(leader.resign("the term has ended"))
+            if not leader.is_superseded:
+                self._yields_until_s = clock.now_s() + TERM_END_DELAY_S
             is_short = clock.now_s() - began_s < SHORT_TERM_S
             self._lost_terms = self._lost_terms + 1 if is_short else 0
         except OvertakenError as error:
@@ -249,8 +254,9 @@
         except JournalError as error:
             log_decision("takeover failed", error=str(error))
             self._store_failed_s = clock.now_s()
-            if isinstance(error, ClaimTimeoutError):
-                self._next_claim_s = clock.now_s() + CLAIM_TIMEOUT_DELAY_S
+            is_claim = isinstance(error, ClaimTimeoutError)
+            yield_s = CLAIM_TIMEOUT_DELAY_S if is_claim else TERM_END_DELAY_S
+            self._yields_until_s = clock.now_s() + yield_s
         except Exception as error:
             # The group elects this or another entry again.
             log_unexpected("term", error)
--- a/dotterelspread/jobs/eligibility.py
+++ b/dotterelspread/jobs/eligibility.py
@@ -61,8 +61,10 @@
     is_leading: bool = False
     #: Age of the first sign that its own term is not confirmed or reaches no agents.
     own_fault_s: float | None = None
-    #: Whether a claim may be made: none has just failed, and no own term just ended.
+    #: Whether a claim may be made: no own term or takeover has just ended.
     may_claim: bool = True
+    #: Whether this entry leaves its turn to others after an own claim or term failed.
+    is_yielding: bool = False
     #: Whether the group's partition is assigned to this entry.
     is_holder: bool = False
     #: Time since the start of the process or the end of its latest term.
@@ -93,8 +95,10 @@
         return Move.ABSTAIN
     if standing.is_leading:
         return _choose_as_leader(standing)
-    if not standing.may_claim:
+    if standing.is_yielding:
         return Move.ABSTAIN
+    if not standing.may_claim:
+        return Move.JOIN if standing.is_suitable else Move.ABSTAIN
     vacant_s = vacancy_s(standing)
     if vacant_s is None:
         return _choose_beside_leader(standing)
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -78,6 +78,8 @@
         self._started_s = clock.now_s()
         self._deposed = asyncio.get_running_loop().create_future()
         self._tasks = set()
+        #: Whether the term has ended since a later one has begun.
+        self.is_superseded = False
 
     async def run(self):
         """Run the term until it ends.
@@ -102,9 +104,10 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def depose(self, reason):
-        """End the term."""
+    def depose(self, reason, is_superseded=True):
+        """End the term; another process leads if it is superseded."""
         if not self._deposed.done():
+            self.is_superseded = is_superseded
             log_decision("term ends", epoch=self.epoch, reason=reason)
             self._deposed.set_exception(DeposedError(reason))
             self.committer.abandon(reason)
@@ -145,7 +148,7 @@
 
     async def resign(self, reason):
         """End the term and notify the other entries at once."""
-        self.depose(reason)
+        self.depose(reason, is_superseded=False)
         entries = [a for a, link in self.links_by_address.items() if link is None]
         await asyncio.gather(*(announce_once(self, address) for address in entries))
 
@@ -170,9 +173,10 @@
     def _end_term(self, task):
         if not task.cancelled() and task.exception() is not None:
             error = task.exception()
-            if not isinstance(error, DeposedError):
+            is_superseded = isinstance(error, DeposedError)
+            if not is_superseded:
                 log_unexpected("term", error, epoch=self.epoch)
-            self.depose(f"{type(error).__name__}: {error}")
+            self.depose(f"{type(error).__name__}: {error}", is_superseded)
 
     def apply(self, event):
         """Apply an event to the cell; its effects are performed after the commit.
@@ -189,7 +193,7 @@
         except Exception as error:
             log_unexpected("reducer", error, on=type(event).__name__)
             reason = f"no handling of {type(event).__name__}: {error}"
-            self.depose(reason)
+            self.depose(reason, is_superseded=False)
             raise DeposedError(reason) from error
 
     # Requests of callers.
