Wake the loops of leader notices only for a notice or a change

Cause: to tell the entries at once that the leader is unable to lead, the loop of each entry woke 10 times a second and evaluated `is_able`, which looks at all agents.

Change: the leader's tick evaluates it once for all entries and sets an event if it has changed; a loop waits for that or its next notice. A change that returns before the end of a call is now told as well, and a notice does not deny what the tick has found: `elapsed_s` varies by the time between its readings of the clocks, so that at the limit of 1.5 s the notices could say "confirmed" after a tick had found otherwise.

--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -21,7 +21,7 @@
 from .feasibility import find_infeasible_step
 from .grantauthority import GrantAuthority
 from .handlers import reduce
-from .leadernotices import announce_once
+from .leadernotices import AbilityMonitor, announce_once
 from .ordersending import OrderSender
 
 __all__ = ["InfeasibleError", "Leader", "StoreUnresponsiveError"]
@@ -89,6 +89,8 @@
         )
         self._connector = NodeConnector(self, term.nodes)
         self._started_s = clock.now_s()
+        #: Updated by each tick.
+        self.ability = AbilityMonitor()
         self._deposed = asyncio.get_running_loop().create_future()
         self._tasks = set()
 
@@ -334,5 +336,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self.apply(CellTick(clock.now_s(), clock.wall_ms()))
             self.committer.confirm_if_due()
+            reaches_agents = not self.agent_reach.lost_addresses
+            self.ability.update(self.is_confirmed, reaches_agents)
             if self.grant_authority.expire_earlier_leaders():
                 self._handle_earlier_leaders_change()
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -8,7 +8,7 @@
 from ..peer import PeerError
 from . import clock
 
-__all__ = ["LeaderView", "announce_once", "announce_periodically"]
+__all__ = ["AbilityMonitor", "LeaderView", "announce_once", "announce_periodically"]
 
 #: Interval between notices to one entry.
 NOTICE_INTERVAL_S = 0.5
@@ -16,8 +16,6 @@
 NOTICE_TIMEOUT_S = 0.8
 #: Age of the last notice up to which callers' requests are forwarded to its leader.
 NOTICE_LIFETIME_S = 2.5
-#: Interval at which a change of what the notices say is noticed.
-CHANGE_INTERVAL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -81,17 +79,47 @@
         return self.address if age_s < NOTICE_LIFETIME_S else ""
 
 
+class AbilityMonitor:
+    """Wakes the loops that notify the entries when the leader's ability has changed.
+
+    The ability depends on all agents, so it is evaluated once for all entries.
+    """
+
+    __slots__ = ("_changed", "is_confirmed", "reaches_agents")
+
+    def __init__(self):
+        self.is_confirmed = True
+        self.reaches_agents = True
+        self._changed = asyncio.Event()
+
+    def update(self, is_confirmed, reaches_agents):
+        """Record whether the store confirms the leader, and it reaches most agents."""
+        if (is_confirmed, reaches_agents) != (self.is_confirmed, self.reaches_agents):
+            self.is_confirmed = is_confirmed
+            self.reaches_agents = reaches_agents
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def next_change(self):
+        """Return an event that is set by the first change after this call."""
+        return self._changed
+
+
 async def announce_periodically(leader, address):
     """Notify the entry at ``address`` periodically, for as long as the term lasts.
 
     That the leader has become unable to lead, or able again, is notified at once.
     """
     while True:
-        told = leader.is_able
+        # Taken before the call, since its notice may not tell of a change during it.
+        change = leader.ability.next_change()
         await announce_once(leader, address)
-        due_s = clock.now_s() + NOTICE_INTERVAL_S
-        while leader.is_able == told and clock.now_s() < due_s:
-            await asyncio.sleep(CHANGE_INTERVAL_S)
+        try:
+            async with asyncio.timeout(NOTICE_INTERVAL_S):
+                await change.wait()
+        except TimeoutError:
+            # Nothing changed; the next notice is due.
+            continue
 
 
 async def announce_once(leader, address):
@@ -99,10 +127,13 @@
 
     A leader that is not confirmed, or has lost most agents, may be replaced.
     """
+    # At the time limit, readings of the clock differ slightly. A notice that denies the
+    # change that it is sent for would stand until the next one.
+    is_confirmed = leader.is_confirmed and leader.ability.is_confirmed
     notice = LeaderNotice(
         leader.epoch,
         leader.settings.peer_address,
-        leader.is_confirmed,
+        is_confirmed,
         leader.agent_reach.sample_lost(),
     )
     sent_s = clock.elapsed_s()
