Give up a takeover whose state cannot be read after the claim

Cause: after its claim an entry repeated failing reads of the state without end. It remained a member of the group all the time, and if it held the partition, no other entry claimed: the earlier leader was fenced or gone, and after silence only the holder may claim.

Change: once no read has succeeded for 1.5 s, the takeover ends like one whose claim is not answered, and the entry leaves the group for 3 s.

--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -41,6 +41,8 @@
 RETRY_INTERVAL_S = 0.15
 #: Time after which a claim without a reply is given up, so that other entries may try.
 CLAIM_TIMEOUT_S = 1.5
+#: The same for failing reads of the records before an own claim: the timeout of one.
+CATCH_UP_TIMEOUT_S = 1.5
 #: Delay of the first placement, for the first reports of the agents: the time of a
 #: connection and a call to another region.
 PLACEMENT_DELAY_S = 0.15
@@ -62,7 +64,10 @@
 
 
 class ClaimTimeoutError(JournalError):
-    """The store did not answer the claim, which it may still execute."""
+    """The store did not answer the claim, or the reads of the state after it.
+
+    The claim may have been executed, or may still be.
+    """
 
 
 @dataclass(slots=True)
@@ -110,7 +115,8 @@
     Raises
     ------
     JournalError
-        A read of the nodes or of the state failed, or the claim was not answered.
+        A read of the nodes or of the state failed, or the claim was not answered
+        (`ClaimTimeoutError`).
     OvertakenError
         Another process has claimed a later epoch.
     """
@@ -198,30 +204,35 @@
 
 
 async def _catch_up(journal, snapshot, claim_offset):
-    """Return the state up to the claim; earlier leaders cannot append after it."""
+    """Return the state up to the claim; earlier leaders cannot append after it.
+
+    Raises
+    ------
+    ClaimTimeoutError
+        No read has succeeded for `CATCH_UP_TIMEOUT_S`. The other entries wait for this
+        one while it holds the group's partition, so it must not retry for longer.
+    """
+    succeeded_s = clock.now_s()
     while snapshot.end <= claim_offset:
         try:
-            tail = await journal.follow(CELL_STREAM, snapshot.end, 0)
-        except JournalTruncatedError:
-            snapshot = await _reread_snapshot(journal, snapshot)
+            snapshot = await _read_further(journal, snapshot)
+            succeeded_s = clock.now_s()
         except JournalError as error:
             log_decision("state not read", offset=snapshot.end, error=str(error))
+            if clock.now_s() - succeeded_s > CATCH_UP_TIMEOUT_S:
+                raise ClaimTimeoutError(f"state not read: {error}") from error
             await asyncio.sleep(RETRY_INTERVAL_S)
-        else:
-            newer = {record.key: record for record in tail.records}
-            records_by_key = snapshot.records_by_key | newer
-            snapshot = StreamSnapshot(records_by_key, tail.next_offset)
     return snapshot
 
 
-async def _reread_snapshot(journal, snapshot):
-    """Return a new snapshot, or the given one if the store does not answer."""
+async def _read_further(journal, snapshot):
+    """Return the state with the records that follow it, or a new snapshot."""
     try:
+        tail = await journal.follow(CELL_STREAM, snapshot.end, 0)
+    except JournalTruncatedError:
         return await journal.snapshot(CELL_STREAM)
-    except JournalError as error:
-        log_decision("state not read", offset=snapshot.end, error=str(error))
-        await asyncio.sleep(RETRY_INTERVAL_S)
-        return snapshot
+    newer = {record.key: record for record in tail.records}
+    return StreamSnapshot(snapshot.records_by_key | newer, tail.next_offset)
 
 
 def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -18,6 +18,8 @@
 MAX_GAP_S = 4.0
 #: Time after which a gap is recorded as endless.
 OBSERVED_S = 12.0
+#: The same after a takeover that fails between its claim and the end of its reads.
+MAX_GAP_AFTER_FAILED_TAKEOVER_S = 8.0
 SUBMIT_INTERVAL_S = 0.1
 #: Time to read a large state.
 STATE_READ_S = 1.0
@@ -436,3 +438,35 @@
             assert calls[entry.address] - before[entry.address] <= 2
 
     run_scenario(scenario, **SIZES)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_successor_that_cannot_read_the_state_is_replaced(seed):
+    """Guards against a successor that claims, cannot go on and keeps the partition."""
+
+    async def scenario(fleet):
+        leader = leader_of(fleet)
+        claimed = []
+        for entry in fleet.entries:
+            make_first_claim_unreadable(fleet, entry, claimed)
+        leader.kill()
+        gaps_s = await measure_gap(fleet)
+        assert max(gaps_s) < MAX_GAP_AFTER_FAILED_TAKEOVER_S
+        assert len(claimed) == 1
+        assert leader_of(fleet).address not in claimed
+
+    run_scenario(scenario, seed, **SIZES)
+
+
+def make_first_claim_unreadable(fleet, entry, claimed):
+    journal = entry.candidate.journal
+    append = journal.append
+
+    async def append_claim(stream, records, *arguments, **options):
+        offset = await append(stream, records, *arguments, **options)
+        if stream == CELL_STREAM and not claimed and entry.candidate.leader is None:
+            claimed.append(entry.address)
+            fleet.store.unreadable.add((entry.address, CELL_STREAM))
+        return offset
+
+    journal.append = append_claim
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -193,3 +193,26 @@
         assert term.writer.epoch == EPOCH + 1
 
     run_virtually(run())
+
+
+def test_a_takeover_whose_state_cannot_be_read_is_given_up():
+    # Else the entry stays a member of the group, and none of the others claims.
+    async def run():
+        store = VirtualStore(random.Random(1))
+        journal = store.journal("successor")
+        append = journal.append
+
+        async def append_claim(*arguments):
+            offset = await append(*arguments)
+            store.unreadable.add(("successor", CELL_STREAM))
+            return offset
+
+        journal.append = append_claim
+        settings = make_settings(FleetRole.ENTRY, 9)
+        began_s = clock.now_s()
+        with pytest.raises(ClaimTimeoutError):
+            async with asyncio.timeout(60):
+                await take_over(journal, settings)
+        assert clock.now_s() - began_s < 5.0
+
+    run_virtually(run())
