Do not send starts of runs that are to be stopped

Cause: a run whose stop is requested while its assignment is appended, for example by a cancellation, was started all the same and stopped half a second later: two calls to the agent, and work that nobody wants.

Change: such a start is withheld. If no order for the run was ever sent, the run is released at once, as in an evacuated data centre; else it is stopped first, as before.

Measured: the three new tests failed before (one start call each).

--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -177,6 +177,10 @@
             reason = "evacuated" if worker.is_evacuated else "unsuitable"
             self._withhold(effect, reason)
             return
+        if run.is_stop_requested:
+            # For example, the job has been cancelled during the append.
+            self._withhold(effect, "stop requested")
+            return
         link = self._leader.links_by_address.get(worker.agent_address)
         is_cold = worker.is_cold(clock.now_s())
         send_until_ms = link.send_limit_ms() if link else None
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -41,7 +41,7 @@
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
         worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
-    elif worker.is_evacuated and run.is_unsent:
+    elif run.is_unsent and (worker.is_evacuated or run.is_stop_requested):
         # No order has reached the worker, so nothing needs to be stopped there.
         release_run(cell, worker, event.task_id)
     elif event.result == "confirmed":
--- a/tests/test_ordersending.py
+++ b/tests/test_ordersending.py
@@ -6,9 +6,10 @@
 from dotterelspread.counters import Counters
 from dotterelspread.gen.peer.ttypes import OrderReply, OrderResult
 from dotterelspread.jobs import ordersending
-from dotterelspread.jobs.cell import ReservationsMade
+from dotterelspread.jobs.cell import Cancelled, ReservationsMade
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.ordersending import OrderSender
+from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker, submit
 from tests.builders_fleet import make_step
@@ -78,3 +79,40 @@
     lines = counters.to_text().splitlines()
     assert "dotterelspread_reservations_total 2" in lines
     assert "dotterelspread_backfills_total 3" in lines
+
+
+def request_stop(worker):
+    for run in worker.runs_by_task.values():
+        run.stop_reason = RunStopReason.CANCELLED
+
+
+def test_a_start_whose_stop_is_requested_during_the_append_is_not_sent():
+    # The work until the stop would be wasted, and the stop would cost another call.
+    calls, run = perform_start(request_stop)
+    assert calls == []
+    assert not run.is_confirmed
+
+
+def test_a_run_that_was_never_sent_frees_its_room_when_its_job_is_cancelled():
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step())
+    reduce(Cancelled(0.0, start.run.job_id, 0), cell)
+    assert start.worker.runs_by_task
+    leader = FakeLeader(cell)
+    OrderSender(leader).perform(start)
+    asyncio.run(leader.coroutines[0])
+    assert leader.calls == []
+    assert not start.worker.runs_by_task
+
+
+def test_a_repeated_start_whose_stop_is_requested_keeps_its_room_until_the_stop():
+    # An earlier attempt may have reached the worker.
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step())
+    start.run.is_repeat = True
+    request_stop(start.worker)
+    leader = FakeLeader(cell)
+    OrderSender(leader).perform(start)
+    asyncio.run(leader.coroutines[0])
+    assert leader.calls == []
+    assert start.task_id in start.worker.runs_by_task
