Treat a connection with only empty lines after a request as idle

Cause: an empty line after a request was kept as bytes read ahead. After the response the connection was in no state: no timer ran, it did not make room for others, and a drain waited for it. The bytes of empty lines were charged although they are not kept.

Change: a connection is idle, with its timer, until a request has begun; a drain closes it; empty lines are not charged.

--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -198,12 +198,12 @@
 
     def _await_request(self):
         """Go on with what was read ahead, or wait for the next request."""
+        # Also with bytes read ahead, which may be no more than an empty line.
+        self._listener.note_idle(self)
+        self._timer.set(self._listener.limits.idle_timeout_s, self.transport.close)
         if self._read_ahead is None:
-            self._listener.note_idle(self)
-            self._timer.set(self._listener.limits.idle_timeout_s, self.transport.close)
             return
         (data, start), self._read_ahead = self._read_ahead, None
-        self._listener.note_complete(self)
         self._read(data, start, len(data))
         if self._read_ahead is None and not self.transport.is_closing():
             self.transport.resume_reading()
@@ -268,7 +268,7 @@
 
     def close_if_idle(self):
         """Close the connection unless a request is in progress or being read."""
-        if not (self._handler_task or self._read_ahead or self._reader.wire_bytes):
+        if not (self._handler_task or self._read_ahead or self._reader.has_begun):
             self.transport.close()
 
     def _send(self, response, keep_alive):
--- a/dotterelspread/h1reader.py
+++ b/dotterelspread/h1reader.py
@@ -88,6 +88,9 @@
     @property
     def held_bytes(self):
         """Approximate memory that the current request takes."""
+        if not self.has_begun:
+            # Empty lines are not kept.
+            return 0
         if self.in_head:
             return self.wire_bytes + self._header_cost_bytes
         return len(self._url) + self._header_cost_bytes + self.body_bytes
--- a/tests/test_h1server.py
+++ b/tests/test_h1server.py
@@ -108,6 +108,32 @@
     run(scenario)
 
 
+def test_an_empty_line_after_a_request_leaves_the_connection_idle():
+    async def ask(server):
+        reader, writer = await server.connect()
+        writer.write(post(b"x") + b"\r\n")
+        assert await read_status(reader) == 200
+        return reader, writer
+
+    async def scenario(server):
+        # The idle timeout applies.
+        reader, _ = await ask(server)
+        assert await asyncio.wait_for(reader.read(), 2) == b""
+        server.limits.idle_timeout_s = 15
+        # The connection makes room, and its empty line is not charged.
+        first = await ask(server)
+        second = await ask(server)
+        assert server.share.used_bytes == 0
+        third = await ask(server)
+        assert await asyncio.wait_for(first[0].read(), 2) == b""
+        # A drain does not wait for it.
+        assert await asyncio.wait_for(server.listener.drain(10), 2) == 0
+        for reader, _ in (second, third):
+            assert await reader.read() == b""
+
+    run(scenario, H1Limits(idle_timeout_s=0.2), max_connections=2)
+
+
 def test_pipelined_requests_run_one_at_a_time_and_are_answered_in_order():
     async def scenario(server):
         reader, writer = await server.connect()
