Do not abort a peer that reads a response slowly but steadily

Cause: the timer for an unread response ran from the first byte that the kernel did not take to the last, whatever the peer had read meanwhile, and then aborted the connection.

Change: at the end of each idle timeout the peer must have read at the least data rate that holds for bodies; what it has read is no longer charged.

The new test failed before the change and passes now, and the one of a peer that reads nothing still passes.

--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -295,5 +295,12 @@
             self._timer.set(limits.read_timeout_s, self._on_body_window)
 
     def _on_unread_response(self):
-        self._listener.count_shed("unread_response")
-        self.transport.abort()
+        limits = self._listener.limits
+        left_bytes = self.transport.get_write_buffer_size()
+        read_bytes = self._request_bytes - left_bytes
+        if read_bytes < limits.min_body_bytes_per_s * limits.idle_timeout_s:
+            self._listener.count_shed("unread_response")
+            self.transport.abort()
+        else:
+            self._charge(left_bytes)
+            self._timer.set(limits.idle_timeout_s, self._on_unread_response)
--- a/dotterelspread/h1messages.py
+++ b/dotterelspread/h1messages.py
@@ -36,10 +36,11 @@
     #: Time from the first to the last byte of a head, and interval at which the data
     #: rate of a body is checked.
     read_timeout_s: float = 3.0
-    #: Time that a connection may stay open without a request, or with a response that
-    #: the peer does not read.
+    #: Time that a connection may stay open without a request, and interval at which the
+    #: data rate of a response is checked that the peer does not read at once.
     idle_timeout_s: float = 15.0
-    #: Least average data rate of a body in each interval.
+    #: Least average data rate of the body of a request, and of a response that the peer
+    #: does not read at once, in each interval.
     min_body_bytes_per_s: int = 4096
     #: Most connections from one address; 0 for no limit, since all callers behind a
     #: load balancer may share one address.
--- a/tests/test_h1server.py
+++ b/tests/test_h1server.py
@@ -334,6 +334,23 @@
     run(scenario, H1Limits(idle_timeout_s=0.5), max_bytes=100_000_000)
 
 
+def test_a_peer_that_reads_slowly_but_steadily_gets_the_whole_response():
+    async def scenario(server):
+        server.body = b"x" * 24_000_000
+        reader, writer = await server.connect()
+        writer.write(GET % 1)
+        await server.wait_paths(1)
+        started_s = asyncio.get_running_loop().time()
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(240):
+            await reader.readexactly(100_000)
+            await asyncio.sleep(0.01)
+        # Longer than the interval at which the data rate is checked.
+        assert asyncio.get_running_loop().time() - started_s > 2.0
+
+    run(scenario, H1Limits(idle_timeout_s=0.8), max_bytes=100_000_000)
+
+
 def test_a_peer_that_reads_late_gets_all_responses():
     async def scenario(server):
         server.body = b"x" * 8_000_000
