Let as many peers wait to be accepted as HTTP clients

A connection that finds no place is tried again after 1 s, which is also the timeout of peers for connecting. All entries connect to a new leader at once.

Change: both servers create their sockets with one function, with a backlog of 512.

The new test failed before the change and passes now.

--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -12,6 +12,7 @@
 from .bytebudget import ByteShare, make_unlimited_share
 from .h1connection import H1Connection
 from .h1messages import H1Limits, H1Request, H1Response
+from .listening import create_server
 from .shedding import Holding, choose_shed
 from .shedlog import ShedLog
 
@@ -24,8 +25,6 @@
     "listen_h1",
 ]
 
-#: Most connections that wait in the kernel to be accepted.
-BACKLOG = 512
 #: Age from which an unfinished request may be refused to make room for a connection.
 MIN_EVICTION_AGE_S = 1.0
 #: Part of a share that is freed at once when it is exceeded, so that the connections
@@ -247,14 +246,9 @@
     host, _, port = address.rpartition(":")
     quota = quota or H1Quota()
     listener = H1Listener(handler, limits or H1Limits(), quota)
-    loop = asyncio.get_running_loop()
-    listener.server = await loop.create_server(
-        listener.make_connection, host, int(port), backlog=quota.max_accepted
+    listener.server = await create_server(
+        listener.make_connection, host, int(port), quota.max_accepted
     )
-    for sock in listener.server.sockets:
-        # The event loop accepts as many at once as the backlog that it is given.
-        with sock.dup() as duplicate:
-            duplicate.listen(BACKLOG)
     try:
         yield listener
     finally:
--- a/dotterelspread/peerserver.py
+++ b/dotterelspread/peerserver.py
@@ -7,6 +7,7 @@
 
 from .bytebudget import ByteShare, make_unlimited_share
 from .frame import decode_call, encode_error, encode_reply
+from .listening import create_server
 from .peerprotocol import PeerError, PeerProtocol, TrafficCount
 from .shedding import Holding, choose_shed
 from .shedlog import ShedLog
@@ -217,15 +218,14 @@
     quota = quota or PeerQuota()
     listener = _PeerListener(quota)
     numbers = itertools.count()
-    loop = asyncio.get_running_loop()
     try:
-        server = await loop.create_server(
+        server = await create_server(
             lambda: _ServerProtocol(
                 traffic, handlers_by_method, listener, next(numbers)
             ),
             host.strip("[]"),
             int(port),
-            backlog=quota.max_accepted,
+            quota.max_accepted,
         )
     except OSError as error:
         raise PeerError(f"cannot listen on {address}: {error}") from error
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -213,6 +213,22 @@
     asyncio.run(main())
 
 
+def test_all_peers_can_connect_while_the_process_is_busy():
+    async def main():
+        quota = PeerQuota(max_accepted=32)
+        async with serve_peers("127.0.0.1:0", {}, quota=quota) as server:
+            address = server.sockets[0].getsockname()
+            with contextlib.ExitStack() as stack:
+                # The event loop accepts nothing meanwhile. A connection that the kernel
+                # does not take is tried again after 1 s, when peers have given up.
+                for _ in range(195):
+                    sock = stack.enter_context(socket.socket())
+                    sock.settimeout(0.5)
+                    sock.connect(address)
+
+    asyncio.run(main())
+
+
 def test_silent_connections_make_room_for_peers():
     async def main():
         agent = FakeAgent()
