Give up unfinished requests before one that has been read in full

Cause: a request that took several reads was still listed as unfinished when the read that completed it exceeded the share, so it was given up if it held the most, although unfinished requests held enough.

Change: it is no longer listed once it is complete, as a request of a single read.

Measured: four unfinished requests of 200,000 bytes and one of 210,000 that completes, in a share of 1,000,000: the complete one got 503, now 200 (the new test).

--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -146,7 +146,10 @@
             self.refuse(reader.error_status, REASONS_BY_STATUS[reader.error_status])
             return
         self._charge(reader.held_bytes)
-        if not reader.is_complete:
+        if reader.is_complete:
+            # Unfinished requests are given up first.
+            self._listener.note_complete(self)
+        else:
             self._await_rest()
         if self._share.used_bytes > self._share.max_bytes:
             self._listener.shed()
@@ -165,7 +168,6 @@
 
     def _start_handler(self):
         self._timer.cancel()
-        self._listener.note_complete(self)
         request, keep_alive = self._reader.take(self._loop.time())
         run = self._run_handler(request, keep_alive)
         self._handler_task = asyncio.ensure_future(run)
--- a/tests/test_h1server.py
+++ b/tests/test_h1server.py
@@ -201,6 +201,24 @@
     run(scenario)
 
 
+def test_an_unfinished_request_is_shed_before_a_larger_complete_one():
+    async def scenario(server):
+        clients = [await server.connect() for _ in range(4)]
+        for _, writer in clients:
+            writer.write(post(b"x" * 200_000)[:-1])
+        await asyncio.sleep(0.1)
+        reader, writer = await server.connect()
+        data = post(b"x" * 210_000, "/complete")
+        writer.write(data[:150_000])
+        await asyncio.sleep(0.1)
+        # The share is exceeded by the read that completes the request.
+        writer.write(data[150_000:])
+        assert await read_status(reader) == 200
+        assert server.paths == ["/complete"]
+
+    run(scenario)
+
+
 def test_a_request_in_progress_is_answered_when_what_follows_it_is_shed():
     async def scenario(server):
         reader, writer = await server.connect()
