--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -183,7 +183,7 @@
             connections_by_number[holding.number].shed()
 
     def _make_room(self):
-        """Close the connection that is missed least; return whether there is one."""
+        """Close the connection that is least in use; return whether there is one."""
         for connections in (self._lingering, self._silent, self._idle):
             if connections:
                 next(iter(connections)).evict()
