Do not abort a peer that reads replies slowly but steadily

Cause: the timer for unread replies ran until the buffer fell below its low-water mark, whatever the peer had read meanwhile, and then aborted the connection with all its calls.

Change: the peer must have read 64 KiB at the end of each interval of 30 s.

The new test failed before the change for a peer that reads and passes now; one that does not read is aborted in both.

--- a/dotterelspread/peerserver.py
+++ b/dotterelspread/peerserver.py
@@ -18,8 +18,10 @@
 #: read while there are more.
 MAX_CALLS = 1000
 MAX_CALL_BYTES = 8 * 1024 * 1024
-#: Time for which a peer may leave replies unread; some cuts of links last 12 s.
+#: Interval at which it is checked that a peer reads the replies that are waiting, and
+#: least bytes that it has to read in each; some cuts of links last 12 s.
 UNREAD_TIMEOUT_S = 30.0
+MIN_READ_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -111,6 +113,9 @@
         self._call_bytes = 0
         self._has_too_many_calls = False
         self._is_used = False
+        self._reply_bytes = 0
+        # Bytes of replies that had left the process when the timer was set.
+        self._left_bytes = 0
         self._unread_timer = None
         #: Bytes charged to the listener's share.
         self.held_bytes = 0
@@ -130,20 +135,29 @@
             self._listener.charge(self, buffered_bytes)
 
     def pause_writing(self):
-        loop = asyncio.get_running_loop()
-        self._unread_timer = loop.call_later(UNREAD_TIMEOUT_S, self._on_unread)
+        self._set_unread_timer()
         self.transport.pause_reading()
 
     def resume_writing(self):
         self._cancel_unread_timer()
         self._resume_reading()
 
+    def _set_unread_timer(self):
+        self._left_bytes = self._reply_bytes - self.transport.get_write_buffer_size()
+        loop = asyncio.get_running_loop()
+        self._unread_timer = loop.call_later(UNREAD_TIMEOUT_S, self._on_unread_timer)
+
     def _cancel_unread_timer(self):
         if self._unread_timer is not None:
             self._unread_timer.cancel()
             self._unread_timer = None
 
-    def _on_unread(self):
+    def _on_unread_timer(self):
+        min_left_bytes = self._left_bytes + MIN_READ_BYTES
+        buffered_bytes = self.transport.get_write_buffer_size()
+        if self._reply_bytes - buffered_bytes >= min_left_bytes:
+            self._set_unread_timer()
+            return
         self._listener.count_unread()
         self.transport.abort()
 
@@ -181,6 +195,7 @@
         else:
             frame = await self._run_handler(handler, call)
         if not self.transport.is_closing():
+            self._reply_bytes += len(frame)
             self.send(frame)
 
     async def _run_handler(self, handler, call):
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -173,6 +173,33 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("is_read", [True, False])
+def test_only_a_peer_that_does_not_read_its_replies_is_aborted(monkeypatch, is_read):
+    monkeypatch.setattr(peerserver, "UNREAD_TIMEOUT_S", 1.0)
+    count = 40
+
+    async def run(request):
+        return Answer(result=Result.COMPLETED, body=b"x" * 1_000_000)
+
+    async def main():
+        async with serve_peers("127.0.0.1:0", {"run": run}) as server:
+            port = server.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            for number in range(count):
+                writer.write(encode_call("run", number, RunRequest("a")))
+            # A slow peer reads for longer than the timeout.
+            for _ in range(count * 10):
+                await asyncio.sleep(0.005)
+                if is_read:
+                    await reader.readexactly(100_000)
+            if not is_read:
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                    await reader.readexactly(count * 1_000_000)
+            writer.close()
+
+    asyncio.run(main())
+
+
 def test_a_connection_with_many_calls_is_read_again_after_they_end(monkeypatch):
     monkeypatch.setattr(peerserver, "MAX_CALLS", 5)
 
