--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -146,7 +146,10 @@
             self.refuse(reader.error_status, REASONS_BY_STATUS[reader.error_status])
             return
         self._charge(reader.held_bytes)
-        if not reader.is_complete:
+        if reader.is_complete:
+            # Unfinished requests are given up first.
+            self._listener.note_complete(self)
+        else:
             self._await_rest()
         if self._share.used_bytes > self._share.max_bytes:
             self._listener.shed()
@@ -165,7 +168,6 @@
 
     def _start_handler(self):
         self._timer.cancel()
-        self._listener.note_complete(self)
         request, keep_alive = self._reader.take(self._loop.time())
         run = self._run_handler(request, keep_alive)
         self._handler_task = asyncio.ensure_future(run)
@@ -198,12 +200,12 @@
 
     def _await_request(self):
         """Go on with what was read ahead, or wait for the next request."""
+        # Also with bytes read ahead, which may be no more than an empty line.
+        self._listener.note_idle(self)
+        self._timer.set(self._listener.limits.idle_timeout_s, self.transport.close)
         if self._read_ahead is None:
-            self._listener.note_idle(self)
-            self._timer.set(self._listener.limits.idle_timeout_s, self.transport.close)
             return
         (data, start), self._read_ahead = self._read_ahead, None
-        self._listener.note_complete(self)
         self._read(data, start, len(data))
         if self._read_ahead is None and not self.transport.is_closing():
             self.transport.resume_reading()
@@ -268,7 +270,7 @@
 
     def close_if_idle(self):
         """Close the connection unless a request is in progress or being read."""
-        if not (self._handler_task or self._read_ahead or self._reader.wire_bytes):
+        if not (self._handler_task or self._read_ahead or self._reader.has_begun):
             self.transport.close()
 
     def _send(self, response, keep_alive):
@@ -295,5 +297,12 @@
             self._timer.set(limits.read_timeout_s, self._on_body_window)
 
     def _on_unread_response(self):
-        self._listener.count_shed("unread_response")
-        self.transport.abort()
+        limits = self._listener.limits
+        left_bytes = self.transport.get_write_buffer_size()
+        read_bytes = self._request_bytes - left_bytes
+        if read_bytes < limits.min_body_bytes_per_s * limits.idle_timeout_s:
+            self._listener.count_shed("unread_response")
+            self.transport.abort()
+        else:
+            self._charge(left_bytes)
+            self._timer.set(limits.idle_timeout_s, self._on_unread_response)
--- a/tests/test_h1server.py
+++ b/tests/test_h1server.py
@@ -108,6 +108,32 @@
     run(scenario)
 
 
+def test_an_empty_line_after_a_request_leaves_the_connection_idle():
+    async def ask(server):
+        reader, writer = await server.connect()
+        writer.write(post(b"x") + b"\r\n")
+        assert await read_status(reader) == 200
+        return reader, writer
+
+    async def scenario(server):
+        # The idle timeout applies.
+        reader, _ = await ask(server)
+        assert await asyncio.wait_for(reader.read(), 2) == b""
+        server.limits.idle_timeout_s = 15
+        # The connection makes room, and its empty line is not charged.
+        first = await ask(server)
+        second = await ask(server)
+        assert server.share.used_bytes == 0
+        third = await ask(server)
+        assert await asyncio.wait_for(first[0].read(), 2) == b""
+        # A drain does not wait for it.
+        assert await asyncio.wait_for(server.listener.drain(10), 2) == 0
+        for reader, _ in (second, third):
+            assert await reader.read() == b""
+
+    run(scenario, H1Limits(idle_timeout_s=0.2), max_connections=2)
+
+
 def test_pipelined_requests_run_one_at_a_time_and_are_answered_in_order():
     async def scenario(server):
         reader, writer = await server.connect()
@@ -175,6 +201,24 @@
     run(scenario)
 
 
+def test_an_unfinished_request_is_shed_before_a_larger_complete_one():
+    async def scenario(server):
+        clients = [await server.connect() for _ in range(4)]
+        for _, writer in clients:
+            writer.write(post(b"x" * 200_000)[:-1])
+        await asyncio.sleep(0.1)
+        reader, writer = await server.connect()
+        data = post(b"x" * 210_000, "/complete")
+        writer.write(data[:150_000])
+        await asyncio.sleep(0.1)
+        # The share is exceeded by the read that completes the request.
+        writer.write(data[150_000:])
+        assert await read_status(reader) == 200
+        assert server.paths == ["/complete"]
+
+    run(scenario)
+
+
 def test_a_request_in_progress_is_answered_when_what_follows_it_is_shed():
     async def scenario(server):
         reader, writer = await server.connect()
@@ -308,6 +352,23 @@
     run(scenario, H1Limits(idle_timeout_s=0.5), max_bytes=100_000_000)
 
 
+def test_a_peer_that_reads_slowly_but_steadily_gets_the_whole_response():
+    async def scenario(server):
+        server.body = b"x" * 24_000_000
+        reader, writer = await server.connect()
+        writer.write(GET % 1)
+        await server.wait_paths(1)
+        started_s = asyncio.get_running_loop().time()
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(240):
+            await reader.readexactly(100_000)
+            await asyncio.sleep(0.01)
+        # Longer than the interval at which the data rate is checked.
+        assert asyncio.get_running_loop().time() - started_s > 2.0
+
+    run(scenario, H1Limits(idle_timeout_s=0.8), max_bytes=100_000_000)
+
+
 def test_a_peer_that_reads_late_gets_all_responses():
     async def scenario(server):
         server.body = b"x" * 8_000_000
