Define the percentage of a complete run once

Three modules defined DONE_PERCENT, and Release.margin_s was set but never read by the placement. The constant is now part of taskrun, and the field is gone; expected_end still returns the margin.

--- a/dotterelspread/jobs/runtimes.py
+++ b/dotterelspread/jobs/runtimes.py
@@ -11,6 +11,7 @@
 from math import exp, log
 from statistics import median
 
+from .taskrun import DONE_PERCENT
 from .worker import MAX_LISTING_GAP_S
 
 __all__ = ["DEFAULT_RUN_S", "RunTime", "RunTimes", "measure_run_s"]
@@ -35,7 +36,6 @@
 DEVIATIONS_PER_MAD = 1.4826
 #: Least part of a run that must have been observed if it did not start from scratch.
 MIN_OBSERVED_PERCENT = 50
-DONE_PERCENT = 100
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -12,7 +12,7 @@
 from .lifecycle import stop_run
 from .placing import choose_worker
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
-from .taskrun import RunStopReason
+from .taskrun import DONE_PERCENT, RunStopReason
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
 
@@ -46,7 +46,6 @@
 MAX_STARTS_PER_TASK = 4
 #: Time for which a worker on which a run stalled is in cooldown.
 STALLED_WORKER_COOLDOWN_S = 3.0
-DONE_PERCENT = 100
 
 
 def move_stragglers(cell, now_s):
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -6,10 +6,12 @@
 from ..resources import Resources
 from .spec import TaskKey
 
-__all__ = ["SERVING_PEAK_CPU_RATIO", "RunStopReason", "TaskRun"]
+__all__ = ["DONE_PERCENT", "SERVING_PEAK_CPU_RATIO", "RunStopReason", "TaskRun"]
 
 #: Share of its requested processors that a serving task uses at peak load.
 SERVING_PEAK_CPU_RATIO = 0.75
+#: Progress of a run that is complete, as workers list it.
+DONE_PERCENT = 100
 #: Time constant of the exponential smoothing of a run's pace: longer than load peaks of
 #: serving tasks, shorter than the run time of most fillers.
 PACE_SMOOTHING_S = 4.0
--- a/dotterelspread/jobs/timeline.py
+++ b/dotterelspread/jobs/timeline.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from math import ceil
 
+from .taskrun import DONE_PERCENT
 from .worker import MAX_LISTING_GAP_S
 
 __all__ = [
@@ -28,6 +29,7 @@
 #: use.
 Amounts = tuple[float, float, float, float]
 
+#: No capacity.
 NOTHING = (0, 0, 0, 0)
 #: Time until a stopped run has ended: that of an order and of the stop.
 STOPPING_S = 0.4
@@ -38,7 +40,6 @@
 #: Progress since the first listing from which it tells the speed of a run: percentages
 #: are rough.
 MIN_WORKED_PERCENT = 10
-DONE_PERCENT = 100
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,8 +49,6 @@
     #: On the leader's clock.
     at_s: float
     amounts: Amounts
-    #: Time after the expected end by which few runs have not ended.
-    margin_s: float
 
 
 def add(one, other):
@@ -147,13 +146,13 @@
             run.expected_millicores,
         )
         if run.is_stop_requested:
-            yield Release(now_s + STOPPING_S, amounts, STOPPING_S)
+            yield Release(now_s + STOPPING_S, amounts)
             continue
         job = cell.jobs_by_id.get(run.job_id)
         if job is None or job.step_of(run.key).is_service:
             continue
-        end = expected_end(cell, job, run, now_s)
-        yield Release(end[0], amounts, end[1])
+        end_s, _ = expected_end(cell, job, run, now_s)
+        yield Release(end_s, amounts)
 
 
 def expected_end(cell, job, run, now_s):
