Use plain names and docstrings in the election and the reservations

Some names were figurative (patience, told), several docstrings opened as questions, and two constants quoted trial figures, so that a new reader had to guess what was meant. Names and docstrings now state what they describe; the trial figures are left to docs/design. Behaviour is unchanged.

--- a/bench/passes.py
+++ b/bench/passes.py
@@ -48,6 +48,7 @@
 
 
 def make_full_cell(workers, tasks, policy):
+    """Return a `Cell` of full workers with a backlog of tasks."""
     rng = random.Random(1)
     cell = make_cell(workers)
     cell.configuration = FleetConfiguration(1, {"small": SMALL, "large": LARGE})
--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -1,4 +1,4 @@
-"""What small and large jobs get under placement policies, on virtual time.
+"""Waiting times of small and large jobs by placement policy, on virtual time.
 
 All policies get the same jobs of `waitingload`.
 
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Arrivals:
-    """What happens in a load beside the steady arrivals."""
+    """Events of a load in addition to the steady arrivals."""
 
     #: Small jobs submitted together just before a large one.
     burst: int = 0
--- a/bench/waitingload.py
+++ b/bench/waitingload.py
@@ -42,7 +42,7 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """What the callers of one kind of jobs got."""
+    """Results of the jobs of one kind."""
 
     #: Time from when a task was due until its first start, by task.
     waits_s: list = field(default_factory=list)
--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class H1Quota:
-    """What all connections of a listener may take of the process."""
+    """Limits on all connections of a listener together."""
 
     share: ByteShare = field(default_factory=make_unlimited_share)
     max_connections: int = 1 << 30
--- a/dotterelspread/httpprotocol.py
+++ b/dotterelspread/httpprotocol.py
@@ -48,7 +48,7 @@
         self._received_bytes = 0
 
     def connection_made(self, transport):
-        """Start the timer for the first head, or close a connection too many."""
+        """Start the timer for the first head, or close a connection above the limit."""
         super().connection_made(transport)
         max_connections = self._limits.max_connections
         # uvicorn answers requests above the limit with 503, but keeps any number of
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -120,7 +120,7 @@
         return self._agent_clock_ms + int((passed_s + validity_s) * 1000)
 
     def _is_evacuated(self):
-        """Return whether the agent's worker is; None before its first report."""
+        """Return whether the worker's data centre is evacuated; None if unknown."""
         worker = self._leader.cell.workers_by_id.get(self._worker_id)
         return None if worker is None else worker.is_evacuated
 
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -111,7 +111,9 @@
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
         self.cold_until_ms = self.clock_ms() + announcement.cold_ms
-        if current is None or _lasting(current) != _lasting(announcement):
+        if current is None or _without_changing_fields(
+            current
+        ) != _without_changing_fields(announcement):
             log_decision(
                 "worker announced",
                 worker_id=announcement.worker_id,
@@ -332,6 +334,6 @@
         return build_watch_reply(self)
 
 
-def _lasting(announcement):
-    """Return an announcement without what differs between any two heartbeats."""
+def _without_changing_fields(announcement):
+    """Return an announcement without the fields that differ in each heartbeat."""
     return replace(announcement, sequence=0, cold_ms=int(announcement.cold_ms > 0))
--- a/dotterelspread/jobs/agentreach.py
+++ b/dotterelspread/jobs/agentreach.py
@@ -1,4 +1,4 @@
-"""Which agents a leader does not reach, and whether another entry reaches them."""
+"""Agents that a leader does not reach, and probes of them by another entry."""
 
 import asyncio
 import random
--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -27,7 +27,7 @@
 NODES_INTERVAL_S = 10.0
 #: Time after the end of an own term in which its successor announces itself.
 TERM_END_DELAY_S = 0.6
-#: Time given to a claim that the store has shown and no notice has told of.
+#: Time left to the author of a later claim in the store to send its first notice.
 OVERTAKEN_DELAY_S = 1.0
 #: Time left to others after the store did not answer an own claim.
 CLAIM_TIMEOUT_DELAY_S = 3.0
@@ -79,7 +79,7 @@
         self._started_s = clock.now_s()
         self._nodes_refreshed_s = clock.now_s()
         self._term_task = None
-        #: Tells the other entries of the end of the latest own term.
+        #: Task that notifies the other entries of the end of the latest own term.
         self._resigning = None
         self._term_ended_s = self._started_s
         #: Time before which no claim is made.
@@ -114,13 +114,19 @@
             await asyncio.sleep(max(0.05, JOIN_INTERVAL_S - elapsed_s))
 
     async def _check_store(self):
-        """Call the store if this entry does not do so anyway and the leader is in need.
+        """Call the store beside an unconfirmed leader if nothing else here calls it.
 
-        A stand-in learns by it whether the store is out for all entries. It does not
-        join the group for that, as it might get the partition before a larger entry.
+        A stand-in learns by it whether the store is unavailable to all entries. It does
+        not join the group for that, as it might get the partition before a larger one.
         """
-        is_in_need = self.leader is None and self.view.unconfirmed_since_s is not None
-        if is_in_need and not self._group.is_member and not self._sizes.is_suitable:
+        is_beside_unconfirmed = (
+            self.leader is None and self.view.unconfirmed_since_s is not None
+        )
+        if (
+            is_beside_unconfirmed
+            and not self._group.is_member
+            and not self._sizes.is_suitable
+        ):
             await self._refresh_nodes()
 
     async def _take_part(self):
@@ -150,7 +156,7 @@
             self._term_task = asyncio.ensure_future(self._lead())
 
     async def _is_fit_for_failback(self):
-        """Whether this entry reaches agents; if not, it claims only much later."""
+        """Return whether this entry reaches agents; if not, delay its next claim."""
         if await reaches_any_agent(self.pool, self._sizes.agent_addresses):
             return True
         self._next_claim_s = clock.now_s() + FAILBACK_RETRY_DELAY_S
@@ -190,7 +196,7 @@
         return _age_s(now_s, self._own_fault_since_s)
 
     async def _compare_agents(self):
-        """Find out whether this entry reaches agents that the leader does not reach."""
+        """Probe agents that the leader does not reach, and note whether they answer."""
         if self.leader is not None or not self.view.lost_agents:
             self._cut_off_since_s = None
             return
--- a/dotterelspread/jobs/eligibility.py
+++ b/dotterelspread/jobs/eligibility.py
@@ -13,8 +13,8 @@
 #: Age of the last notice from which a leader counts as silent: two notices missed.
 LEADER_TIMEOUT_S = 1.2
 #: Time for which a leader is without confirmation, silent or cut off from the agents
-#: before stand-ins act. The holder among near and large entries serves callers about
-#: 0.3 s after the first sign on virtual time.
+#: before stand-ins act. It exceeds the time that the holder among near and large
+#: entries needs to take over.
 STAND_IN_DELAY_S = 0.8
 #: Time for which a leader is cut off from agents before near and large entries act.
 #: After a restart of agents, this entry may reach them just before the leader does.
@@ -25,9 +25,9 @@
 #: Further time before a member claims that does not hold the group's partition, if the
 #: leader itself says that it is unable to lead. The holder may be unable to claim, and
 #: a failed member holds the partition for up to 1 s.
-HOLDER_PATIENCE_S = 0.7
-#: Time allowed to a leader for the next confirmation after a store outage that this
-#: entry has seen too: the longest timeout of an append.
+HOLDER_TURN_S = 0.7
+#: Time allowed to a leader for the next confirmation after a store outage that also
+#: affected this entry: the longest timeout of an append.
 RECONFIRMATION_TIMEOUT_S = 1.6
 #: Time after which a leader leaves the group that reads from the store, but is not
 #: confirmed or has lost most agents.
@@ -40,7 +40,7 @@
 
 
 class Move(enum.Enum):
-    """What an entry does in the leader election."""
+    """Action of an entry in the leader election."""
 
     #: Leave the group, or stay out of it.
     ABSTAIN = enum.auto()
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Standing:
-    """What an entry knows of itself, the leader and the store; ages in seconds."""
+    """State of the entry, the leader and the store as known to it; ages in seconds."""
 
     has_configuration: bool = True
     #: Whether this entry is near the store and among the largest ones.
@@ -111,9 +111,9 @@
         return Move.CLAIM
     # Silence alone may be a fault between this entry and a healthy leader, which then
     # holds the partition.
-    is_told = _has_notices(standing) and _has_told_inability(standing)
-    is_patient = vacant_s > delay_s + HOLDER_PATIENCE_S + standing.offset_s
-    return Move.CLAIM if is_told and is_patient else Move.JOIN
+    is_reported = _has_notices(standing) and _is_inability_reported(standing)
+    is_turn_over = vacant_s > delay_s + HOLDER_TURN_S + standing.offset_s
+    return Move.CLAIM if is_reported and is_turn_over else Move.JOIN
 
 
 def vacancy_s(standing):
@@ -142,8 +142,8 @@
     # A leader that is to be replaced does not occupy the partition of the group. One
     # without confirmation for a moment keeps it, as does one whose membership expires
     # since the store does not serve it at all: the outage may concern all entries. An
-    # able stand-in keeps it too, so that entries that its notices do not reach leave it
-    # in place.
+    # able stand-in keeps it too, so that entries that its notices do not reach do not
+    # replace it.
     own_fault_s = standing.own_fault_s
     is_able = own_fault_s is None or own_fault_s < LEADER_LEAVES_AFTER_S
     if not is_able and standing.store_works_s < own_fault_s:
@@ -169,8 +169,8 @@
 
 def _delay_s(standing):
     if standing.is_suitable:
-        is_told = standing.unconfirmed_s is not None
-        is_able = _has_notices(standing) and not is_told
+        is_confirmed = standing.unconfirmed_s is None
+        is_able = _has_notices(standing) and is_confirmed
         return CUT_OFF_DELAY_S if is_able else 0.0
     return STARTUP_DELAY_S if standing.notice_age_s is None else STAND_IN_DELAY_S
 
@@ -180,11 +180,11 @@
     return age_s is not None and age_s <= LEADER_TIMEOUT_S
 
 
-def _has_told_inability(standing):
+def _is_inability_reported(standing):
     return standing.unconfirmed_s is not None or standing.cut_off_s is not None
 
 
 def _may_be_reconfirmed(standing):
-    """Whether the leader may be confirmed soon, as the store was out for both."""
+    """Return whether the leader may be confirmed soon after an outage of the store."""
     is_recent = standing.store_works_s < RECONFIRMATION_TIMEOUT_S
     return _has_notices(standing) and is_recent
--- a/dotterelspread/jobs/entrysizes.py
+++ b/dotterelspread/jobs/entrysizes.py
@@ -1,4 +1,4 @@
-"""How an entry compares with the other entries: distance to the store, and size."""
+"""Comparison of the entries by their distance to the store and their size."""
 
 from ..decisionlog import log_decision
 from ..processsettings import FleetRole
@@ -80,7 +80,7 @@
         return not is_far and self._settings.cores >= MIN_CORES_RATIO * largest
 
     def is_suitable_leader(self, address):
-        """Whether the leader at an address is not much smaller nor in another region.
+        """Return whether a leader is of this region and not much smaller.
 
         A leader whose record has not been read yet gives no reason to replace it.
         """
--- a/dotterelspread/jobs/gaps.py
+++ b/dotterelspread/jobs/gaps.py
@@ -7,7 +7,7 @@
 
 
 class GapKeeper:
-    """Tells what a task would take from the largest waiting ones.
+    """Measures the capacity that a task would take from the largest waiting ones.
 
     Parameters
     ----------
--- a/dotterelspread/jobs/ordering.py
+++ b/dotterelspread/jobs/ordering.py
@@ -13,9 +13,9 @@
 __all__ = [
     "Lateness",
     "order_jobs",
-    "patience_end_s",
     "placement_class",
     "remaining_work",
+    "yield_end_s",
 ]
 
 #: Multiple of the objective up to which a late job is still useful.
@@ -63,7 +63,7 @@
     return service != ServiceClass.INTERRUPTED, queue.priority, service, lateness
 
 
-def patience_end_s(queue, job):
+def yield_end_s(queue, job):
     """Return until when a job may be kept waiting for others and still be on time.
 
     That is half of the time by which its objective exceeds its critical path; the other
--- a/dotterelspread/jobs/placementpolicy.py
+++ b/dotterelspread/jobs/placementpolicy.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PlacementPolicy:
-    """How placement provides for work that does not fit yet; by default not at all.
+    """Provisions of placement for work that does not fit yet; none by default.
 
     Raises
     ------
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -1,4 +1,4 @@
-"""Capacity for waiting work: who gets the room that becomes free in the next seconds.
+"""Capacity for waiting work: its assignment for the next seconds.
 
 A task that does not fit now gets a reservation: the worker and the time at which it is
 expected to fit. Other tasks may use that room if they end before, with a margin, or if
@@ -11,15 +11,15 @@
 jobs of other queues in the same class of the order, as long as they can start after the
 claimed time and still have half of their slack; the order within a queue is kept.
 
-Serving tasks neither hold reservations nor heed them: they stay, so that no time would
-come at which they do not take the room, and they are to start at once.
+Serving tasks neither hold reservations nor observe them: they do not end by themselves,
+and they are to start at once.
 """
 
 from dataclasses import replace
 
 from .cell import ReservationsMade, StartRun
 from .gaps import GapKeeper
-from .ordering import patience_end_s, placement_class
+from .ordering import placement_class, yield_end_s
 from .reservedroom import Reservation, latest_end_s, leaves_room
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
@@ -75,6 +75,7 @@
         self._start_by_step = {}
         self._count = 0
         self._backfills = 0
+        #: Ids of jobs with claims.
         self._claiming = set()
         #: Claims with the ids of their workers, by job and step key.
         self._claims_by_step = {}
@@ -137,7 +138,7 @@
             queue = self._cell.queue_of(job)
             found = (
                 placement_class(self._cell, job, self._now_s),
-                patience_end_s(queue, job),
+                yield_end_s(queue, job),
             )
             self._class_by_job[job.job_id] = found
         return found
@@ -228,7 +229,7 @@
         self._blocked_by_kind[kind] = self._blocked_by_kind.get(kind, 0) + 1
 
     def skips(self, job, step):
-        """Tell whether a step is left out since many of its kind were stopped."""
+        """Return whether a step is left out since many of its kind were stopped."""
         kind = (job.spec.queue.name, step.required_label)
         return (
             self._blocked_by_kind.get(kind, 0) >= BACKFILL_DEPTH
@@ -237,7 +238,7 @@
         )
 
     def allows(self, job, step, worker):
-        """Tell whether a task of a step may start on a worker now."""
+        """Return whether a task of a step may start on a worker now."""
         held = self._by_worker.get(worker.worker_id)
         if held is None or step.is_service:
             return True
@@ -257,9 +258,9 @@
             if one.job_id == job.job_id:
                 continue
             if one.claim is not None:
-                queue_name, place = one.claim
-                own_place, until_s = self._class_of(job)
-                if queue_name == job.spec.queue.name or place != own_place:
+                queue_name, claim_class = one.claim
+                job_class, until_s = self._class_of(job)
+                if queue_name == job.spec.queue.name or claim_class != job_class:
                     continue
                 if one.start_s >= until_s:
                     continue
--- a/dotterelspread/jobs/reservedroom.py
+++ b/dotterelspread/jobs/reservedroom.py
@@ -40,7 +40,7 @@
 
 
 def leaves_room(cell, worker, held, use, now_s, end_s):
-    """Tell whether reserved tasks still fit beside a use of a worker.
+    """Return whether reserved tasks still fit beside a use of a worker.
 
     Parameters
     ----------
@@ -73,7 +73,7 @@
 
 
 def _is_undisturbed(needed, use, free):
-    """Tell whether a use takes none of the room that reserved tasks need."""
+    """Return whether a use takes none of the room that reserved tasks need."""
     return all(
         not needed[kind] or not use[kind] or needed[kind] <= free[kind]
         for kind in range(len(needed))
--- a/dotterelspread/jobs/startsearch.py
+++ b/dotterelspread/jobs/startsearch.py
@@ -8,15 +8,14 @@
 __all__ = ["StartSearch"]
 
 #: Longest time until the start of a reserved task. Ends further away are not known
-#: well enough: with 5 s capacity stays idle, and large fillers wait 1.3 s instead of
-#: 0.9 s at the median of a steady load.
+#: well enough, so that capacity would stay idle.
 MAX_LOOKAHEAD_S = 1.0
 #: The same for a gang, which collects the capacity of several workers.
 MAX_GANG_LOOKAHEAD_S = 5.0
 #: Maximum number of tasks of a step that are reserved on one worker.
 MAX_PER_WORKER = 8
 #: Number of possible starts for each task after which no more workers are searched: the
-#: earliest of a few is early enough, and a pass would take 60 ms at 630 workers.
+#: earliest of a few is early enough, and a search of all would slow down the pass.
 CANDIDATES_PER_TASK = 4
 
 
@@ -139,7 +138,7 @@
 
 
 def _is_tolerated(costs, demand, worker):
-    """Tell whether the serving tasks of a worker let a filler run fast enough."""
+    """Return whether the serving tasks of a worker let a filler run fast enough."""
     speed = expected_speed(costs, demand, worker)
     if speed >= demand.min_speed_ratio or not demand.millicores:
         return speed >= demand.min_speed_ratio
--- a/dotterelspread/jobs/timeline.py
+++ b/dotterelspread/jobs/timeline.py
@@ -72,7 +72,7 @@
 
 
 def fits(need, free):
-    """Tell whether free capacity covers an amount; parts that need nothing always do.
+    """Return whether free capacity covers an amount; parts that need nothing always do.
 
     Processors in use may exceed the capacity, which concerns only fillers.
     """
--- a/dotterelspread/peerprotocol.py
+++ b/dotterelspread/peerprotocol.py
@@ -1,4 +1,4 @@
-"""What both sides of a connection between processes share."""
+"""Common part of both sides of a connection between processes."""
 
 import asyncio
 from dataclasses import dataclass
--- a/dotterelspread/peerserver.py
+++ b/dotterelspread/peerserver.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class PeerQuota:
-    """What all connections of peers may take of the process."""
+    """Limits on all connections of peers together."""
 
     #: Bytes of frames that have not arrived in full.
     share: ByteShare = field(default_factory=make_unlimited_share)
--- a/dotterelspread/shedding.py
+++ b/dotterelspread/shedding.py
@@ -7,7 +7,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Holding:
-    """What the request of one connection makes the process hold."""
+    """Memory held for the request of one connection."""
 
     #: Rank of the connection by the time at which it was opened.
     number: int
