Split the acceptance of jobs from the leader

Submission, the wait for the store and the feasibility check, with their errors, are now in jobacceptance.py; the leader delegates to it. Behaviour is unchanged.

--- a/dotterelspread/jobs/forwarding.py
+++ b/dotterelspread/jobs/forwarding.py
@@ -14,7 +14,7 @@
 from ..peer import PeerError, PeerLostError, PeerUnsentError
 from . import clock
 from .committing import DeposedError
-from .leader import InfeasibleError, StoreUnresponsiveError
+from .jobacceptance import InfeasibleError, StoreUnresponsiveError
 from .records import decode_spec
 
 __all__ = ["Forwarder", "Verb", "make_request"]
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -13,36 +13,22 @@
     Configured,
     EarlierTermsEnded,
     Evacuated,
-    Submitted,
-    Withdrawn,
 )
 from .committing import STORE_TIMEOUT_S, Committer, DeposedError
 from .connecting import NodeConnector
-from .feasibility import find_infeasible_step
 from .grantauthority import GrantAuthority
 from .handlers import reduce
+from .jobacceptance import JobAcceptance, StoreUnresponsiveError
 from .leadernotices import AbilityMonitor, announce_once
 from .ordersending import OrderSender
 
-__all__ = ["InfeasibleError", "Leader", "StoreUnresponsiveError"]
+__all__ = ["Leader"]
 
 #: Interval between two ticks of the cell.
 TICK_INTERVAL_S = 0.1
 #: Longest time since the last confirmation before another entry may take over: the
 #: confirmation interval and the duration of an append.
 MAX_CONFIRMATION_AGE_S = 1.5
-#: Time from the start of a term until jobs are checked for feasibility. By then the
-#: agents have reported the shapes of their workers: it covers one heartbeat interval of
-#: the workers and the start of an agent.
-FEASIBILITY_CHECK_DELAY_S = 3.0
-
-
-class StoreUnresponsiveError(Exception):
-    """The store has not answered an append in time; new requests are rejected."""
-
-
-class InfeasibleError(Exception):
-    """No worker has the resources or labels for the job; it was not accepted."""
 
 
 class Leader:
@@ -88,7 +74,7 @@
             self.committer, term.earlier_leaders, term.waived_addresses
         )
         self._connector = NodeConnector(self, term.nodes)
-        self._started_s = clock.now_s()
+        self._acceptance = JobAcceptance(self)
         #: Updated by each tick.
         self.ability = AbilityMonitor()
         self._deposed = asyncio.get_running_loop().create_future()
@@ -225,57 +211,7 @@
         DeposedError
             The term ended before the commit was confirmed.
         """
-        if spec.job_id not in self.cell.jobs_by_id:
-            if self.committer.is_store_unresponsive:
-                raise StoreUnresponsiveError("the store does not answer")
-            self._check_feasible(spec)
-            self.apply(Submitted(clock.now_s(), spec, clock.wall_ms()))
-        if self.state_of(spec.job_id) is None:
-            await self._wait_accepted(spec.job_id)
-        log_decision("job accepted", job_id=spec.job_id, queue=spec.queue.name)
-
-    async def _wait_accepted(self, job_id):
-        """Wait until a job is committed; withdraw it if the store stops answering.
-
-        Only a job that no append has carried yet can be withdrawn. The others may be in
-        the store, so their callers wait.
-        """
-        if self.is_deposed:
-            raise DeposedError("the term is over")
-        commit = self.committer.current_commit()
-        while commit is not None and not commit.done():
-            await asyncio.wait({commit}, timeout=TICK_INTERVAL_S)
-            if self.committer.is_store_unresponsive:
-                self._withdraw(job_id)
-        if commit is not None:
-            commit.result()
-        if self.state_of(job_id) is None:
-            # Another caller with the same job has withdrawn it.
-            raise StoreUnresponsiveError("the store did not answer in time")
-
-    def _withdraw(self, job_id):
-        """Withdraw a job, or return if an append may have carried it.
-
-        Raises
-        ------
-        StoreUnresponsiveError
-            The job is withdrawn.
-        """
-        if self.committer.has_sent(job_id):
-            return
-        self.apply(Withdrawn(clock.now_s(), job_id))
-        if job_id not in self.cell.jobs_by_id:
-            log_decision("job withdrawn", job_id=job_id, epoch=self.epoch)
-            raise StoreUnresponsiveError("the store does not answer")
-
-    def _check_feasible(self, spec):
-        if clock.now_s() - self._started_s < FEASIBILITY_CHECK_DELAY_S:
-            return
-        service = self.cell.service_of(spec.queue)
-        shapes = self.cell.shapes_by_service.get(service, ())
-        obstacle = find_infeasible_step(spec, shapes)
-        if obstacle:
-            raise InfeasibleError(obstacle)
+        await self._acceptance.submit(spec)
 
     async def cancel(self, job_id):
         """Cancel a job; return False if it is unknown."""
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,7 +5,8 @@
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.forwarding import Verb, make_request
-from dotterelspread.jobs.leader import Leader, StoreUnresponsiveError
+from dotterelspread.jobs.jobacceptance import StoreUnresponsiveError
+from dotterelspread.jobs.leader import Leader
 from dotterelspread.jobs.takeover import take_over
 from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
