Use usual names for reservations in placing, and in their tests and bench

The parameter room held the Reservations of a pass, the policy today of the bench was placement without reservations, and tests spoke of plays and trouble. They are named by what they are; no check has changed.

--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -20,7 +20,7 @@
 #: Policy without claims: backfill for the head of each queue only.
 NO_CLAIMS = "EASY"
 POLICIES = {
-    "today": PlacementPolicy(),
+    "off": PlacementPolicy(),
     "gaps": PlacementPolicy(0, True),
     "head": PlacementPolicy(1),
     NO_CLAIMS: PlacementPolicy(1),
@@ -53,7 +53,7 @@
 }
 
 
-def play(arrivals, large_kind, policy, seed, seconds):
+def simulate(arrivals, large_kind, policy, seed, seconds):
     """Play a load and return the `WaitingLoad`, with all work of its arrivals over."""
     load = WaitingLoad(policy, seed, arrivals.estimate_ratio)
     # The same jobs for each policy, whatever the order of the draws.
@@ -65,7 +65,7 @@
     at_s = 1.0
     while (at_s := at_s + times.expovariate(small_rate)) < seconds:
         events.append((at_s, "small"))
-    # Large jobs are few; at random times some plays would have none.
+    # Large jobs are few; at random times some runs would have none.
     events += [
         ((number + 0.5) / large_rate, "large")
         for number in range(round(seconds * large_rate))
@@ -91,12 +91,12 @@
 
 
 def play_policy(name, arrivals, large_kind, seed, seconds):
-    """Play a load under a policy of `POLICIES`."""
+    """Simulate a load under a policy of `POLICIES`."""
     min_age_s = reservations.MIN_CLAIM_AGE_S
     if name == NO_CLAIMS:
         reservations.MIN_CLAIM_AGE_S = float("inf")
     try:
-        return play(arrivals, large_kind, POLICIES[name], seed, seconds)
+        return simulate(arrivals, large_kind, POLICIES[name], seed, seconds)
     finally:
         reservations.MIN_CLAIM_AGE_S = min_age_s
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -56,39 +56,41 @@
         unplaceable = UnplaceableDemands()
         stale_task_ids = find_tasks_with_stale_runs(cell)
         jobs = order_jobs(cell, now_s)
-        room = make_reservations(cell, jobs, workers, stale_task_ids, now_s)
+        reservations = make_reservations(cell, jobs, workers, stale_task_ids, now_s)
         for job in jobs:
             groups = ready_by_step(cell, job, stale_task_ids)
-            if room is None:
+            if reservations is None:
                 starts = _place_job(cell, job, groups, workers, unplaceable, now_s)
             else:
                 starts = _place_and_hold(
-                    cell, job, groups, workers, unplaceable, now_s, room
+                    cell, job, groups, workers, unplaceable, now_s, reservations
                 )
             effects.extend(starts)
-        if room is not None:
-            effects.extend(room.effects())
+        if reservations is not None:
+            effects.extend(reservations.effects())
     return effects
 
 
-def _place_and_hold(cell, job, keys_by_step, workers, unplaceable, now_s, room):
+def _place_and_hold(cell, job, keys_by_step, workers, unplaceable, now_s, reservations):
     """Place the tasks of a job, and reserve room for those that do not fit."""
-    room.release(job)
+    reservations.release(job)
     keys_by_step = {
         step_key: keys
         for step_key, keys in keys_by_step.items()
-        if not room.skips(job, job.spec.steps[step_key[1]])
+        if not reservations.skips(job, job.spec.steps[step_key[1]])
     }
-    effects = _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, room)
-    room.note_starts(effects)
+    effects = _place_job(
+        cell, job, keys_by_step, workers, unplaceable, now_s, reservations
+    )
+    reservations.note_starts(effects)
     for step_key, keys in keys_by_step.items():
         waiting = sum(cell.is_ready(job, key) for key in keys)
         if waiting:
-            room.hold(job, step_key, waiting)
+            reservations.hold(job, step_key, waiting)
     return effects
 
 
-def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, room=None):
+def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, reservations=None):
     queue = cell.queue_of(job)
     service = queue.service
     effects = []
@@ -110,18 +112,18 @@
         usable = feasible
         if queue.needs_permits:
             usable = permitted_workers(cell, job, step_key, feasible, now_s)
-        if room is not None:
-            room.reset_blocked()
-        starts = _place_step(cell, job, step, keys, usable, now_s, room)
+        if reservations is not None:
+            reservations.reset_blocked()
+        starts = _place_step(cell, job, step, keys, usable, now_s, reservations)
         effects.extend(starts)
         if len(starts) == len(keys):
             continue
         if queue.needs_permits:
             query = PermitQuery(job, step_key, queue.permit_timing, feasible)
             effects.extend(ask_permits(cell, query, now_s))
-        elif room is not None and room.is_blocked:
+        elif reservations is not None and reservations.is_blocked:
             # Others may be allowed to use the room that is reserved.
-            room.count_block(job, step)
+            reservations.count_block(job, step)
         elif not step.is_gang and not step.max_per_worker:
             # With a limit per worker, only this step's own tasks may stand in the way;
             # other steps with the same demand may still fit.
@@ -129,12 +131,12 @@
     return effects
 
 
-def _place_step(cell, job, step, keys, workers, now_s, room):
+def _place_step(cell, job, step, keys, workers, now_s, reservations):
     if step.is_gang:
-        return _place_gang(cell, job, step, keys, workers, now_s, room)
+        return _place_gang(cell, job, step, keys, workers, now_s, reservations)
     starts = []
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, room)
+        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
         if worker is None:
             break
         starts.append(_assign(cell, job, key, worker, now_s))
@@ -142,12 +144,12 @@
     return starts
 
 
-def _place_gang(cell, job, step, keys, workers, now_s, room):
+def _place_gang(cell, job, step, keys, workers, now_s, reservations):
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
     for racks in _rack_choices(step, workers, now_s):
-        chosen = _choose_members(cell, job, keys, step, racks, now_s, room)
+        chosen = _choose_members(cell, job, keys, step, racks, now_s, reservations)
         if chosen:
             break
     else:
@@ -175,12 +177,12 @@
         yield pool
 
 
-def _choose_members(cell, job, keys, step, workers, now_s, room):
+def _choose_members(cell, job, keys, step, workers, now_s, reservations):
     """Return (key, worker) pairs of all members; empty if any member does not fit."""
     chosen = []
     tentative = []
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, room)
+        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
         if worker is None:
             chosen = []
             break
@@ -193,7 +195,7 @@
     return chosen
 
 
-def choose_worker(cell, job, key, step, workers, now_s, room=None):
+def choose_worker(cell, job, key, step, workers, now_s, reservations=None):
     """Return the best worker for a task, or None if it fits nowhere.
 
     Parameters
@@ -205,7 +207,7 @@
     workers : list of Worker
         Workers that accept tasks of the job's queue.
     now_s : float
-    room : Reservations or None
+    reservations : Reservations or None
         Room that is kept for other tasks.
     """
     best = None
@@ -221,11 +223,11 @@
         suitability = placement_score(cell, step, worker, filler_demand)
         if suitability is None:
             continue
-        if room is not None:
-            if not room.allows(job, step, worker):
+        if reservations is not None:
+            if not reservations.allows(job, step, worker):
                 continue
             speed, *rest = suitability
-            suitability = (speed, -room.gap_loss(step, worker), *rest)
+            suitability = (speed, -reservations.gap_loss(step, worker), *rest)
         is_near = not step.preferred_rack or worker.rack == step.preferred_rack
         has_failed = worker.worker_id == task.avoided_worker_id
         score = (
--- a/tests/test_cold_workers.py
+++ b/tests/test_cold_workers.py
@@ -130,7 +130,7 @@
         assert 4900 < cold_ms_reported(agent) <= 5000
         version = agent.version
         agent.announce(replace(HEARTBEAT, sequence=2, cold_ms=4900))
-        # The time alone is no news; each heartbeat would end the leader's poll.
+        # A change of the time alone must not end the leader's poll at each heartbeat.
         assert agent.version == version
         assert 4800 < cold_ms_reported(agent) <= 4900
         agent.announce(replace(HEARTBEAT, sequence=3, cold_ms=0))
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -355,7 +355,7 @@
                 step = make_step(count=rng.randint(1, 6), is_gang=rng.random() < 0.2)
                 fleet.durations[f"{number:016x}"] = rng.choice([0.3, 2.0])
                 await fleet.submit(make_job(number, (step,)), rng.randrange(2), 800)
-            await _cause_trouble(fleet, rng)
+            await _inject_faults(fleet, rng)
             await fleet.settle(rng.choice([0.3, 1.5, 5.0]))
             fleet.store.mode_by_node.clear()
             fleet.network.partitioned.clear()
@@ -370,7 +370,7 @@
     run_evacuation(scenario, seed, **sizes)
 
 
-async def _cause_trouble(fleet, rng):
+async def _inject_faults(fleet, rng):
     kind = rng.choice(["none", "kill", "store", "store of one", "partition", "worker"])
     process = rng.choice([*fleet.entries, *fleet.agents])
     if kind == "kill":
--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -1,4 +1,4 @@
-"""Takeover from a leader that leads on in name only, measured by what callers get.
+"""Takeover from a leader that is unable to lead, as observed by callers.
 
 Guards against a leader that is cut from the store, or from the agents, and is left in
 place because its notices still arrive.
--- a/tests/test_waiting_load.py
+++ b/tests/test_waiting_load.py
@@ -1,10 +1,10 @@
-"""Played loads of small and large jobs: what callers get with reservations."""
+"""Simulated loads of small and large jobs, with and without reservations."""
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bench.waiting import LOADS, play
+from bench.waiting import LOADS, simulate
 from bench.waitingload import LARGE, LARGE_KINDS, SMALL, WaitingLoad
 from dotterelspread.jobs.placementpolicy import MAX_RESERVED_JOBS, PlacementPolicy
 from dotterelspread.jobs.queues import Queue
@@ -31,21 +31,21 @@
 @pytest.mark.parametrize("large_kind", LARGE_KINDS)
 def test_the_small_are_served_beside_reservations(load_name, large_kind):
     # Guards against reservations that starve the small jobs or leave room idle.
-    load = play(LOADS[load_name], large_kind, POLICY, 1, SECONDS)
-    today = play(LOADS[load_name], large_kind, PlacementPolicy(), 1, SECONDS)
+    load = simulate(LOADS[load_name], large_kind, POLICY, 1, SECONDS)
+    baseline = simulate(LOADS[load_name], large_kind, PlacementPolicy(), 1, SECONDS)
     assert load.violations == []
     served_ratio = load.outcome(SMALL).served_ratio
     assert served_ratio >= min(
-        MIN_SMALL_SERVED_RATIO, today.outcome(SMALL).served_ratio
+        MIN_SMALL_SERVED_RATIO, baseline.outcome(SMALL).served_ratio
     )
-    assert load.used_ratio >= today.used_ratio - 0.05
+    assert load.used_ratio >= baseline.used_ratio - 0.05
 
 
 def test_gangs_wait_less_behind_a_burst_of_small_jobs():
-    # Guards against gangs that find room for all members only when the small rest.
+    # Guards against gangs that find room for all members only when no small tasks run.
     waits_s = {}
     for policy in (PlacementPolicy(), POLICY):
-        load = play(LOADS["small burst ahead"], "gang", policy, 1, SECONDS)
+        load = simulate(LOADS["small burst ahead"], "gang", policy, 1, SECONDS)
         waits = load.outcome(LARGE).waits_s
         waits_s[policy] = sum(waits) / len(waits)
     assert waits_s[POLICY] <= waits_s[PlacementPolicy()]
