Log the first lists of an incarnation and why a worker is given up

Cause: logs did not tell whether a lease was extended by a call to an earlier life of the worker or counted from the wrong moment by the leader. Change: line `incarnation listed` of the agent with the lease that the call asked for and the worker's clock in its reply; silence, end of the lease and start time in `worker given up`.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -229,6 +229,8 @@
         if born_ms != self.born_ms and self._is_other_incarnation(listing.born_ms):
             # The reply may be the last one of an incarnation that has ended meanwhile.
             return
+        if self.listing is None or self._is_other_incarnation(listing.born_ms):
+            self._log_first_listing(listing, until_ms)
         self.apply_listing(listing, listed_ms)
         await send_paces(self)
         if self.ended_by_number:
@@ -240,6 +242,18 @@
                 # No leader has acknowledged the ends in time; list the runs again.
                 return
 
+    def _log_first_listing(self, listing, until_ms):
+        """Log the first lists of an incarnation and the lease that their call gave."""
+        log_decision(
+            "incarnation listed",
+            worker_id=self._worker_id,
+            born_ms=listing.born_ms,
+            known_born_ms=self.born_ms,
+            lease_until_ms=until_ms,
+            worker_clock_ms=listing.clock_ms,
+            runs=len(listing.running),
+        )
+
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
         now_ms = self.clock_ms()
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -83,11 +83,15 @@
     @perform.register
     def _(self, effect: WorkerGivenUp):
         counters.add("workers_given_up")
+        worker = effect.worker
         log_decision(
             "worker given up",
-            worker_id=effect.worker.worker_id,
-            agent=effect.worker.agent_address,
+            worker_id=worker.worker_id,
+            born_ms=worker.born_ms,
+            agent=worker.agent_address,
             epoch=self._leader.epoch,
+            silent_s=round(clock.now_s() - worker.unreachable_since_s, 3),
+            lease_over_s=round(clock.now_s() - worker.lease_end_s, 3),
             runs=len(effect.task_ids),
             task_ids=effect.task_ids[:MAX_LOGGED_TASKS],
         )
