--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -101,6 +101,13 @@
     run_scenario(scenario, max_lease_ms=10_000)
 
 
+async def wait_confirmed(fleet):
+    """Return just after the store has confirmed the leader."""
+    leader = next(e.candidate.leader for e in fleet.entries if e.candidate.leader)
+    while leader.committer.unconfirmed_s > 0.05:
+        await fleet.settle(0.05)
+
+
 async def cut_off_leader(fleet, agent, successor):
     """Leave the leader with one agent, which its successor does not reach."""
     leader = next(e for e in fleet.entries if e.candidate.leader)
@@ -126,6 +133,7 @@
         fleet.network.partitioned.clear()
         await fleet.settle(1.5)
         successor = next(e for e in fleet.entries if not e.candidate.leader)
+        await wait_confirmed(fleet)
         await cut_off_leader(fleet, agent, successor)
         # The leader grants for 2 s without the store and an answer of the successor.
         await fleet.settle(5)
