Test inherited leases after a late call and after a change of the leader

Cause: the tests passed without the record of heirs, and no late call reached the new incarnation before its own first call. Change: a late call gives it its longest lease; leaders are killed or resign after that.

--- a/tests/test_inherited_leases.py
+++ b/tests/test_inherited_leases.py
@@ -6,40 +6,71 @@
 
 #: Longest lease of the workers, which is longer than any that a leader grants.
 MAX_LEASE_MS = 10_000
-#: Longer than any lease.
-CUT_S = 14.0
+#: Time in which a worker is down, and longer than any lease.
+RESTART_S, CUT_S = 0.6, 14.0
+#: End of a lease on the clock of an earlier incarnation.
+EARLIER_LEASE_END_MS = 3_600_000
 #: Runs of this job outlast every lease.
 LONG_JOB = make_job(1, (make_step(count=6),))
 LONG_RUN_S = 30.0
 
 
-async def restart_and_cut_off(fleet, connected_s=1.5, then=None):
-    """Restart a busy worker under its id, and cut its agent off soon after."""
+async def restart_busy_worker(fleet, has_late_call=False):
+    """Restart a busy worker under its id; return its agent's process."""
     fleet.durations[LONG_JOB.job_id] = LONG_RUN_S
     await fleet.submit(LONG_JOB)
     # The clock of the worker is well ahead of that of its next incarnation.
     await fleet.settle(12.0)
     agent = next(a for a in fleet.agents if a.worker.running)
     agent.worker.crash()
-    await fleet.settle(0.6)
+    await fleet.settle(RESTART_S)
     agent.worker.begin_incarnation()
-    await fleet.settle(connected_s)
-    if then is not None:
-        then(fleet)
+    if has_late_call:
+        agent.worker._extend(EARLIER_LEASE_END_MS)
+    return agent
+
+
+async def cut_off(fleet, agent):
+    """Cut an agent off for longer than any lease."""
     fleet.network.partitioned.add(agent.address)
     await fleet.settle(CUT_S)
     fleet.network.partitioned.discard(agent.address)
-    return agent
 
 
+@pytest.mark.parametrize("has_late_call", [False, True])
 @pytest.mark.parametrize("seed", range(3))
-def test_a_lease_meant_for_an_earlier_incarnation_does_not_outlast_its_grant(seed):
-    run_scenario(restart_and_cut_off, seed, max_lease_ms=MAX_LEASE_MS)
+def test_a_lease_meant_for_an_earlier_incarnation_does_not_outlast_its_grant(
+    seed, has_late_call
+):
+    async def scenario(fleet):
+        agent = await restart_busy_worker(fleet, has_late_call)
+        await fleet.settle(1.5)
+        await cut_off(fleet, agent)
+
+    run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
 
 
-@pytest.mark.parametrize("seed", range(3))
-def test_a_successor_does_not_start_what_runs_under_such_a_lease(seed):
+async def end_term(fleet):
+    """End the leader's term; its successor learns that it grants no leases any more."""
+    leader = next(e.candidate.leader for e in fleet.entries if e.candidate.leader)
+    await leader.resign("planned stop")
+
+
+async def kill(fleet):
+    """Kill the leader."""
+    kill_leader(fleet)
+
+
+@pytest.mark.parametrize("lose_leader", [end_term, kill])
+@pytest.mark.parametrize("connected_s", [0.6, 1.5])
+@pytest.mark.parametrize("seed", range(2))
+def test_a_successor_does_not_start_what_runs_under_an_inherited_lease(
+    seed, connected_s, lose_leader
+):
     async def scenario(fleet):
-        await restart_and_cut_off(fleet, then=kill_leader)
+        agent = await restart_busy_worker(fleet, has_late_call=True)
+        await fleet.settle(connected_s)
+        await lose_leader(fleet)
+        await cut_off(fleet, agent)
 
     run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
