Keep a session confirmed when an older query of the leader arrives late

Cause: a late query names an older session, which took back the confirmation, so that leases were not extended until the next query. Change: the confirmed number only rises within an epoch. In the same change holds that the worker refuses for their token are counted.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -291,6 +291,7 @@
         if isinstance(error, WorkerFencedError):
             # An earlier process of this agent has begun sessions that no leader knows.
             self.session.begin_next()
+            counters.add("fenced_holds")
         now_ms = self.clock_ms()
         if self._departure.observe_failure(error):
             self.is_reachable = False
--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -63,7 +63,7 @@
         if not self.has_begun or number > self.number:
             # Earlier processes have begun the sessions up to this number.
             self.number = number + 1
-        self._confirmed_number = number
+        self._confirmed_number = max(self._confirmed_number, number)
 
     def begin_next(self):
         """Begin a session with another incarnation."""
