Never confirm a session under a number that only an earlier process has reported

Cause: an agent process that climbed to the number of an earlier one by refused calls was confirmed by the leader's word for that, and both shared a token. Change: a number equal to one's own confirms only what this process has told a leader; else the next one begins.

--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -15,7 +15,7 @@
         known=known,
         epoch=agent.epoch,
         reachable=agent.is_reachable,
-        session=agent.session.number,
+        session=agent.session.report(),
         inherited_lease_ms=agent.inherited_lease.remaining_ms(),
     )
     if known:
--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -20,7 +20,13 @@
     what the worker runs, since the next agent process might use the same number.
     """
 
-    __slots__ = ("_confirmed_number", "epoch", "number")
+    __slots__ = (
+        "_confirmed_number",
+        "_is_reported",
+        "epoch",
+        "has_been_confirmed",
+        "number",
+    )
 
     def __init__(self):
         #: Epoch of the leader that the agent follows.
@@ -28,6 +34,10 @@
         #: Number of the session; 0 until a leader has told the latest one.
         self.number = 0
         self._confirmed_number = 0
+        #: Whether this process has told a leader the number.
+        self._is_reported = False
+        #: Whether the leader of this or of an earlier epoch has heard of the session.
+        self.has_been_confirmed = False
 
     @property
     def token(self):
@@ -58,14 +68,25 @@
             0 if it has heard of none; None if it does not tell.
         """
         if number is None:
-            self.number = self._confirmed_number = self.number or 1
-            return
-        if not self.has_begun or number > self.number:
+            number = self.number = self.number or 1
+        elif number > self.number or not self._is_reported and number == self.number:
             # Earlier processes have begun the sessions up to this number.
-            self.number = number + 1
+            self._begin(number + 1)
         self._confirmed_number = max(self._confirmed_number, number)
+        if self.is_confirmed:
+            self.has_been_confirmed = True
+
+    def report(self):
+        """Return the number for a reply to the leader."""
+        self._is_reported = self.has_begun
+        return self.number
 
     def begin_next(self):
         """Begin a session with another incarnation."""
         if self.has_begun:
-            self.number += 1
+            self._begin(self.number + 1)
+
+    def _begin(self, number):
+        self.number = number
+        self._is_reported = False
+        self.has_been_confirmed = False
