Test the sessions of an agent with its worker

Cause: nothing tested the numbers of sessions by themselves, and a token used for two incarnations would show only in a rare sequence of restarts.

With the session not moved past the leader's number, confirmed without the leader, or not advanced by a restart, the property test fails in each case.

--- /dev/null
+++ b/tests/test_workersession.py
@@ -0,0 +1,184 @@
+"""Sessions of an agent with incarnations of its worker, and their fencing tokens."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dotterelspread.jobs.workersession import WorkerSession
+
+
+def make_session(epoch, *numbers):
+    """Return the session of a new process after the numbers that its leader told."""
+    session = WorkerSession()
+    session.follow(epoch)
+    for number in numbers:
+        session.confirm(number)
+    return session
+
+
+def test_a_later_incarnation_is_not_called_under_the_token_of_an_earlier_one():
+    session = make_session(3, 0)
+    tokens = [session.token]
+    for _ in range(3):
+        session.begin_next()
+        tokens.append(session.token)
+    assert tokens == sorted(set(tokens))
+
+
+def test_a_session_under_a_later_leader_is_not_refused_for_its_token():
+    many_incarnations = make_session(3, 1000)
+    assert make_session(4, 0).token > many_incarnations.token
+
+
+def test_following_a_later_leader_does_not_lower_the_number_of_the_session():
+    session = make_session(3, 6)
+    session.follow(4)
+    session.confirm(0)
+    assert session.number == 7
+
+
+@pytest.mark.parametrize("told", [0, 1, 6])
+def test_a_new_process_does_not_use_the_number_of_an_earlier_one(told):
+    session = make_session(3, told)
+    assert session.number == told + 1
+    assert not session.is_confirmed
+
+
+def test_no_session_begins_before_a_leader_has_told_the_latest_one():
+    session = make_session(3)
+    session.begin_next()
+    assert not session.has_begun
+    assert not session.is_confirmed
+
+
+@pytest.mark.parametrize(
+    ("numbers", "is_confirmed"),
+    [
+        ((6, 7), True),
+        ((6, 6), False),
+        ((6, 7, 6), False),
+        # The leader has heard of a later session of another process.
+        ((6, 9), False),
+        ((6, 9, 10), True),
+        # A leader of an earlier version tells no numbers.
+        ((None,), True),
+        ((6, None), True),
+    ],
+)
+def test_a_session_is_confirmed_only_by_a_leader_that_has_heard_of_it(
+    numbers, is_confirmed
+):
+    assert make_session(3, *numbers).is_confirmed == is_confirmed
+
+
+def test_a_number_that_another_process_may_have_used_is_passed():
+    session = make_session(3, 2, 8)
+    assert session.number == 9
+
+
+@pytest.mark.parametrize("change", ["begin_next", "follow"])
+def test_a_confirmation_does_not_outlast_its_session_or_its_epoch(change):
+    session = make_session(3, 6, 7)
+    if change == "begin_next":
+        session.begin_next()
+    else:
+        session.follow(4)
+    assert not session.is_confirmed
+    session.confirm(session.number)
+    assert session.is_confirmed
+
+
+def test_a_leader_that_tells_no_numbers_confirms_each_later_session():
+    session = make_session(3, None)
+    session.begin_next()
+    assert not session.is_confirmed
+    session.confirm(None)
+    assert session.is_confirmed
+    assert session.number == 2
+
+
+class ModelledAgent:
+    """An agent, its worker and its leaders; replies to polls may be late or lost."""
+
+    def __init__(self):
+        self.session = make_session(1)
+        self.incarnation = 1
+        #: Latest session that the leader has heard of, as in `AgentLink`.
+        self.heard = 0
+        #: Epoch and session in the replies that are under way.
+        self.replies = []
+        self.incarnations_by_token = {}
+
+    def restart_process(self):
+        self.session = make_session(self.session.epoch)
+
+    def restart_worker(self):
+        self.incarnation += 1
+        self.session.begin_next()
+
+    def refuse_token(self):
+        self.session.begin_next()
+
+    def change_leader(self):
+        self.session.follow(self.session.epoch + 1)
+        self.heard = 0
+
+    def poll(self):
+        self.session.confirm(self.heard)
+        self.replies.append((self.session.epoch, self.session.number))
+
+    def receive_reply(self):
+        if self.replies:
+            epoch, number = self.replies.pop(0)
+            if epoch == self.session.epoch:
+                self.heard = max(self.heard, number)
+
+    def exchange(self):
+        self.poll()
+        self.receive_reply()
+
+    def lose_reply(self):
+        if self.replies:
+            self.replies.pop(0)
+
+    def check(self):
+        if self.session.is_confirmed:
+            token = self.session.token
+            known = self.incarnations_by_token.setdefault(token, self.incarnation)
+            assert known == self.incarnation
+
+
+STEPS = st.sampled_from(
+    [
+        ModelledAgent.restart_process,
+        ModelledAgent.restart_worker,
+        ModelledAgent.refuse_token,
+        ModelledAgent.change_leader,
+        ModelledAgent.exchange,
+        ModelledAgent.poll,
+        ModelledAgent.receive_reply,
+        ModelledAgent.lose_reply,
+    ]
+)
+
+
+@settings(derandomize=True, max_examples=1000, deadline=None)
+@given(st.lists(STEPS, min_size=20, max_size=60))
+def test_no_two_incarnations_are_changed_under_one_token(steps):
+    agent = ModelledAgent()
+    for step in steps:
+        step(agent)
+        agent.check()
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(STEPS, min_size=20, max_size=60))
+def test_a_session_does_not_stay_unconfirmed_once_polls_are_answered(steps):
+    agent = ModelledAgent()
+    for step in steps:
+        step(agent)
+    agent.replies.clear()
+    agent.exchange()
+    agent.poll()
+    assert agent.session.is_confirmed
+    agent.check()
