Test what a successor learns of inherited leases

Cause: a successor that misses the record i/WORKER starts elsewhere what still runs, and one that finds a stale record waits for longer than it has to.

Change: tests of the records in a new tests/test_changedrecords.py, and of the waits after a takeover in tests/test_takeover.py. Records of a run come from one builder there, and the wait is counted beyond one grant, which equals the longest lease in the tests so far.

--- /dev/null
+++ b/tests/test_changedrecords.py
@@ -0,0 +1,143 @@
+"""What the journal tells a successor of the leases that workers may inherit."""
+
+from dataclasses import replace
+
+from dotterelspread.jobs.cell import CellTick
+from dotterelspread.jobs.changedrecords import ChangedRecords
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.leaseinheritance import REMOVED_WORKER_RETENTION_S
+from dotterelspread.jobs.records import (
+    LeaderRecord,
+    inheritance_record,
+    read_inheriting_workers,
+)
+from tests.builders_cell import make_cell, make_report
+from tests.virtualloop import run_virtually
+
+WORKER_ID = "i-0"
+LEADER = LeaderRecord(5, "leader:1", "instance")
+
+
+class RecordedCell:
+    """A cell, and the journal with its records.
+
+    Parameters
+    ----------
+    inheriting_worker_ids : tuple of str
+        Workers with a record of an earlier term.
+    """
+
+    def __init__(self, inheriting_worker_ids=()):
+        self.cell = make_cell()
+        # As after a takeover.
+        self.cell.removed_s_by_worker_id = dict.fromkeys(inheriting_worker_ids, 9.0)
+        self._changes = ChangedRecords(
+            self.cell, LEADER, (), inheriting_worker_ids, frozenset()
+        )
+        records = [inheritance_record(w, True) for w in inheriting_worker_ids]
+        self._records_by_key = {record.key: record for record in records}
+
+    def commit(self):
+        """Append what is due; return the keys of the records."""
+        records = self._changes.take([])
+        self._records_by_key.update({record.key: record for record in records})
+        return {record.key for record in records}
+
+    def report(self, now_s, inherited_s=10.0, **changes):
+        """Report the worker; return the keys of the records that follow."""
+        event = make_report(0, now_s)
+        end_s = now_s + inherited_s if inherited_s else 0.0
+        details = replace(event.report, **changes)
+        reduce(replace(event, report=details, inherited_lease_end_s=end_s), self.cell)
+        return self.commit()
+
+    def tick(self, now_s):
+        reduce(CellTick(now_s, 0), self.cell)
+        self.commit()
+
+    @property
+    def is_recorded(self):
+        return WORKER_ID in read_inheriting_workers(self._records_by_key)
+
+
+def play(scenario, *inheriting_worker_ids):
+    async def run():
+        scenario(RecordedCell(inheriting_worker_ids))
+
+    run_virtually(run())
+
+
+def test_a_successor_does_not_miss_that_a_worker_has_started_again():
+    def scenario(recorded):
+        recorded.report(10.0)
+        assert not recorded.is_recorded
+        recorded.report(20.0, born_ms=2)
+        assert recorded.is_recorded
+
+    play(scenario)
+
+
+def test_a_successor_does_not_wait_for_an_inherited_lease_that_has_expired():
+    def scenario(recorded):
+        recorded.report(10.0)
+        recorded.report(20.0, born_ms=2)
+        recorded.report(31.0, inherited_s=0.0, born_ms=2)
+        assert not recorded.is_recorded
+
+    play(scenario)
+
+
+def test_a_record_of_an_earlier_term_does_not_stay_for_ever():
+    def scenario(recorded):
+        recorded.report(10.0)
+        assert recorded.is_recorded
+        recorded.report(11.0, inherited_s=0.0)
+        assert not recorded.is_recorded
+
+    play(scenario, WORKER_ID)
+
+
+def test_the_record_of_a_worker_that_does_not_come_back_does_not_stay_for_ever():
+    def scenario(recorded):
+        recorded.tick(9.0 + REMOVED_WORKER_RETENTION_S - 1.0)
+        assert recorded.is_recorded
+        recorded.tick(9.0 + REMOVED_WORKER_RETENTION_S + 1.0)
+        assert not recorded.is_recorded
+
+    play(scenario, WORKER_ID)
+
+
+def test_a_successor_does_not_miss_that_a_removed_worker_may_start_again():
+    def scenario(recorded):
+        recorded.report(10.0)
+        recorded.report(11.0, has_left=True)
+        for now_s in (12.0, 10.0 + REMOVED_WORKER_RETENTION_S):
+            recorded.tick(now_s)
+            assert recorded.is_recorded
+        recorded.tick(12.0 + REMOVED_WORKER_RETENTION_S)
+        assert not recorded.is_recorded
+
+    play(scenario)
+
+
+def test_a_worker_that_was_given_up_is_recorded_until_it_is_back_in_session():
+    def scenario(recorded):
+        recorded.report(10.0)
+        recorded.report(11.0, is_reachable=False)
+        recorded.tick(16.0)
+        assert recorded.is_recorded
+        recorded.report(17.0)
+        assert recorded.is_recorded
+        recorded.report(28.0, inherited_s=0.0)
+        assert not recorded.is_recorded
+
+    play(scenario)
+
+
+def test_reports_without_a_change_cause_no_appends():
+    def scenario(recorded):
+        recorded.report(10.0)
+        recorded.report(20.0, born_ms=2)
+        assert not recorded.report(21.0, born_ms=2)
+
+    play(scenario)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,26 +7,31 @@
 import pytest
 
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.cell import EarlierTermsEnded
 from dotterelspread.jobs.earlierleaders import (
     CONFIRMED_GRANT_S,
     MAX_UNCONFIRMED_GRANT_S,
 )
+from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.leaseend import lease_end_s
+from dotterelspread.jobs.leaseinheritance import expects_inheritance
 from dotterelspread.jobs.records import (
     CELL_STREAM,
     LeaderRecord,
+    inheritance_record,
     job_records,
     leader_record,
     suspension_record,
     waiver_record,
+    worker_record,
 )
 from dotterelspread.jobs.takeover import (
     ClaimTimeoutError,
     OvertakenError,
     take_over,
 )
-from dotterelspread.processsettings import FleetRole
+from dotterelspread.processsettings import FleetBounds, FleetRole
 from tests.builders_cell import make_worker
 from tests.builders_fleet import make_job, make_settings
 from tests.builders_store import VirtualStore
@@ -34,10 +39,18 @@
 
 EPOCH = 5
 KEY = (0, 0, 0)
+WORKER_ID = "i-0"
 
 
-def wait_after(leader, *records, late_records=(), heard_addresses=()):
-    """Take over a worker with one run; return the wait beyond one lease in seconds.
+def records_of_run(leader):
+    """Return the records of a leader that has started one run on a worker."""
+    job = Job.from_spec(make_job(1), 0.0)
+    job.assign(KEY, make_worker(0), 1)
+    return [leader_record(leader), *job_records(job, is_new=True)]
+
+
+def wait_after(leader, *records, late_records=(), heard_addresses=(), bounds=None):
+    """Take over a worker with one run; return the wait beyond one grant in seconds.
 
     Parameters
     ----------
@@ -47,6 +60,7 @@
         Appended by the leader just before the claim of its successor.
     heard_addresses : collection of str
         Leaders that the successor has heard.
+    bounds : FleetBounds, optional
     """
 
     async def run():
@@ -58,18 +72,14 @@
             await append(stream, list(late_records))
             return await append(stream, claim, writer)
 
-        worker = make_worker(0)
-        job = Job.from_spec(make_job(1), 0.0)
-        job.assign(KEY, worker, 1)
-        stored = [leader_record(leader), *job_records(job, is_new=True), *records]
-        await journal.append(CELL_STREAM, stored)
+        await journal.append(CELL_STREAM, [*records_of_run(leader), *records])
         if late_records:
             journal.append = append_claim
-        settings = make_settings(FleetRole.ENTRY, 9)
+        settings = make_settings(FleetRole.ENTRY, 9, bounds)
         term = await take_over(journal, settings, heard_addresses)
-        adopted = term.cell.workers_by_id[worker.worker_id]
-        one_lease_s = lease_end_s(clock.now_s(), settings.bounds.max_lease_ms)
-        return adopted.lease_end_s - one_lease_s
+        adopted = term.cell.workers_by_id[WORKER_ID]
+        one_grant_s = lease_end_s(clock.now_s(), settings.bounds.lease_ms)
+        return adopted.lease_end_s - one_grant_s
 
     return run_virtually(run())
 
@@ -134,6 +144,64 @@
         assert waited_s == pytest.approx(wait_s, abs=0.1)
 
 
+#: Leases of workers that are longer than any grant.
+LONG_LEASES = FleetBounds(max_lease_ms=10_000)
+SUSPENDED = suspension_record(WORKER_ID, EPOCH)
+INHERITING = inheritance_record(WORKER_ID, True)
+#: How much longer such a lease lasts than a grant, on a slow clock.
+BEYOND_GRANT_S = lease_end_s(0.0, 10_000) - lease_end_s(0.0, LONG_LEASES.lease_ms)
+
+
+@pytest.mark.parametrize(
+    ("records", "wait_s"),
+    [
+        ((SUSPENDED,), 0.0),
+        ((SUSPENDED, INHERITING), BEYOND_GRANT_S),
+        ((SUSPENDED, inheritance_record(WORKER_ID, False)), 0.0),
+        ((SUSPENDED, inheritance_record("i-9", True)), 0.0),
+        ((), CONFIRMED_GRANT_S),
+        # Grants of the earlier leader do not add to an inherited lease.
+        ((INHERITING,), max(BEYOND_GRANT_S, CONFIRMED_GRANT_S)),
+    ],
+)
+def test_a_successor_does_not_give_up_a_worker_before_its_inherited_lease(
+    records, wait_s
+):
+    waited_s = wait_after(
+        make_leader(), *records, heard_addresses={"leader:1"}, bounds=LONG_LEASES
+    )
+    assert waited_s == pytest.approx(wait_s, abs=0.1)
+
+
+def cell_after(*records):
+    """Return the cell of a successor that takes over a worker with one run."""
+
+    async def run():
+        store = VirtualStore(random.Random(1))
+        journal = store.journal("successor")
+        await journal.append(CELL_STREAM, [*records_of_run(make_leader()), *records])
+        settings = make_settings(FleetRole.ENTRY, 9, LONG_LEASES)
+        return (await take_over(journal, settings)).cell
+
+    return run_virtually(run())
+
+
+def test_the_end_of_earlier_terms_does_not_shorten_an_inherited_lease():
+    cell = cell_after(INHERITING)
+    before_s = cell.workers_by_id[WORKER_ID].lease_end_s
+    reduce(EarlierTermsEnded(0.0, before_s - 5.0), cell)
+    assert cell.workers_by_id[WORKER_ID].lease_end_s == before_s
+
+
+@pytest.mark.parametrize(
+    "record", [worker_record("i-9", "agent9:1"), inheritance_record("i-9", True)]
+)
+def test_a_worker_without_runs_that_has_started_again_is_expected_to_inherit(record):
+    cell = cell_after(record)
+    assert expects_inheritance(cell, "i-9")
+    assert not expects_inheritance(cell, WORKER_ID)
+
+
 def test_a_claim_that_this_process_did_not_know_of_is_left_in_place():
     async def run():
         store = VirtualStore(random.Random(1))
