Test orders in sessions that are not confirmed or are outdated

Cause: an order that goes out before the leader has heard of the session can reach an incarnation under a token that another one has used; a leader that takes a refusal of an outdated session for its own fault ends its term.

Change: tests of starts and stops in both cases.

--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from dotterelspread.gen.peer.ttypes import OrderResult, StartOrder, WatchQuery
-from dotterelspread.jobs import clock
+from dotterelspread.gen.peer.ttypes import OrderResult, StopOrder, WatchQuery
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.workeradapter import (
@@ -15,16 +14,12 @@
     WorkerReplyError,
     WorkerUnsentError,
 )
-from tests.builders_agent import HEARTBEAT
+from tests.builders_agent import HEARTBEAT, clock_ms, make_start
 from tests.virtualloop import run_virtually
 
 LEASE_MS = 4000
 
 
-def clock_ms():
-    return int(clock.now_s() * 1000)
-
-
 class PausedWorker(WorkerAdapter):
     """Leaves the first start without a reply, while its agent is paused."""
 
@@ -48,20 +43,6 @@
     return agent
 
 
-def make_start(grant_until_ms):
-    return StartOrder(
-        epoch=1,
-        worker_id=HEARTBEAT.worker_id,
-        born_ms=HEARTBEAT.born_ms,
-        task_id="t",
-        run=1,
-        program="p",
-        checkpoint="",
-        grant_until_ms=grant_until_ms,
-        repeat=False,
-    )
-
-
 def start_with_pause(pause_s):
     """Return the order of a start before a pause, the reply and the worker."""
 
@@ -162,3 +143,99 @@
         assert reply.result == result
 
     run_virtually(run())
+
+
+class FencingWorker(WorkerAdapter):
+    """Refuses each order for its token; the agent may begin a session meanwhile."""
+
+    def __init__(self):
+        self.agent = None
+        self.count = 0
+        self.has_later_session = False
+
+    async def start(self, worker_id, token, order, until_ms):
+        self.count += 1
+        if self.has_later_session:
+            self.agent.session.begin_next()
+        return StartAnswer.FENCED, clock_ms()
+
+    async def stop(self, worker_id, token, order):
+        return await self.start(worker_id, token, order, 0)
+
+
+def make_stop(**changes):
+    values = {
+        "epoch": 1,
+        "worker_id": HEARTBEAT.worker_id,
+        "born_ms": HEARTBEAT.born_ms,
+        "task_id": "t",
+        "run": 1,
+    }
+    return StopOrder(**(values | changes))
+
+
+async def send_order(handler, method, **changes):
+    """Send a start or a stop to an agent, and return the result."""
+    if method == "start_run":
+        order = make_start(clock_ms() + LEASE_MS, **changes)
+    else:
+        order = make_stop(**changes)
+    return (await getattr(handler, method)(order)).result
+
+
+@pytest.mark.parametrize(
+    ("method", "result"),
+    [("start_run", OrderResult.NOT_SENT), ("stop_run", OrderResult.UNKNOWN)],
+)
+@pytest.mark.parametrize("session", [0, 6])
+def test_an_order_is_not_passed_on_before_the_leader_has_heard_of_the_session(
+    method, result, session
+):
+    async def run():
+        worker = FencingWorker()
+        agent = make_agent(worker)
+        handler = OrderHandler(agent)
+        assert await send_order(handler, method, session=session) == result
+        assert not worker.count
+        assert agent.session.number == session + 1
+        await send_order(handler, method, session=session + 1)
+        assert worker.count == 1
+
+    run_virtually(run())
+
+
+@pytest.mark.parametrize("method", ["start_run", "stop_run"])
+@pytest.mark.parametrize(
+    ("has_later_session", "result"),
+    [(True, OrderResult.GONE), (False, OrderResult.FENCED)],
+)
+def test_a_leader_does_not_resign_for_an_order_that_a_later_session_has_fenced(
+    method, has_later_session, result
+):
+    async def run():
+        worker = FencingWorker()
+        worker.has_later_session = has_later_session
+        worker.agent = make_agent(worker)
+        handler = OrderHandler(worker.agent)
+        assert await send_order(handler, method, session=None) == result
+        assert worker.count == 1
+
+    run_virtually(run())
+
+
+def test_a_start_of_which_an_attempt_was_sent_does_not_count_as_not_sent():
+    class LosingWorker(FencingWorker):
+        async def start(self, *arguments):
+            await super().start(*arguments)
+            raise WorkerReplyError("no reply")
+
+    async def run():
+        worker = LosingWorker()
+        worker.has_later_session = True
+        worker.agent = make_agent(worker)
+        handler = OrderHandler(worker.agent)
+        result = await send_order(handler, "start_run", session=None)
+        assert result == OrderResult.UNKNOWN
+        assert worker.count == 1
+
+    run_virtually(run())
