Test the calls of an agent around a restart of its worker

Cause: the first calls to a new incarnation decide which earlier calls it still takes and on which clock its leases end; only whole fleets with chance restarts exercised them.

Change: tests of the tokens, lease ends and acknowledgements of these calls, of refused tokens and of late replies to orders. The stand-in of the worker can delay its replies.

--- a/tests/builders_agent.py
+++ b/tests/builders_agent.py
@@ -109,6 +109,8 @@
         #: Highest fencing token that this incarnation has seen.
         self.token = 0
         self.holds = []
+        #: Delay of the replies to these calls.
+        self.reply_delay_s = 0.0
         #: Delay of the reply to a start, and the worker's clock in it.
         self.start_delay_s = 0.0
         self.start_clock_ms = 0
@@ -134,7 +136,7 @@
         self.token = token
         # The reply may arrive after the worker has begun its next incarnation.
         born_ms, ended = self.born_ms, self.ended
-        await asyncio.sleep(wait_ms / 1000)
+        await asyncio.sleep(wait_ms / 1000 + self.reply_delay_s)
         if self.is_paused:
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise WorkerReplyError("no reply")
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -3,9 +3,19 @@
 import asyncio
 from dataclasses import replace
 
+import pytest
+
+from dotterelspread.jobs.agentpart import LISTING_POLL_TIMEOUT_MS
 from dotterelspread.jobs.departure import RETRY_INTERVAL_S
+from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.worker import EndedRun, RunEnd
-from tests.builders_agent import HEARTBEAT, run_agent
+from tests.builders_agent import (
+    HEARTBEAT,
+    clock_ms,
+    make_query,
+    make_start,
+    run_agent,
+)
 
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
 
@@ -139,3 +149,121 @@
         assert agent.has_left
 
     run_agent(scenario)
+
+
+async def begin_confirmed_session(agent):
+    """Announce the worker, and poll the agent until its session is confirmed."""
+    agent.announce(HEARTBEAT)
+    await agent.watch(make_query(0))
+    await agent.watch(make_query(agent.session.number))
+    await asyncio.sleep(2)
+    assert agent.is_in_session
+
+
+def test_calls_to_an_earlier_incarnation_are_refused_from_the_first_lists_on():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        worker.begin_incarnation(5000)
+        await asyncio.sleep(1.2)
+        first, second = worker.holds_of(5000)[:2]
+        assert second.token > first.token
+        assert second.wait_ms == 0
+        listed_s = first.arrived_s + LISTING_POLL_TIMEOUT_MS / 1000
+        assert second.arrived_s == pytest.approx(listed_s, abs=0.01)
+        assert agent.inherited_lease.is_bounded
+
+    run_agent(scenario)
+
+
+def test_inherited_leases_are_not_bounded_by_a_call_under_an_earlier_token():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        worker.begin_incarnation(5000)
+        worker.reply_delay_s = 0.1
+        while agent.born_ms != 5000:
+            await asyncio.sleep(0.01)
+        # The call under the token of the session is under way.
+        assert not agent.inherited_lease.is_bounded
+        await asyncio.sleep(0.2)
+        assert agent.inherited_lease.is_bounded
+
+    run_agent(scenario)
+
+
+@pytest.mark.parametrize(
+    ("heard", "is_confirmed"), [((0,), False), ((0, 0), False), ((0, 1), True)]
+)
+def test_no_lease_and_no_acknowledgement_goes_out_in_an_unconfirmed_session(
+    heard, is_confirmed
+):
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(1)
+        for session in heard:
+            until_ms = clock_ms() + 4000
+            query = make_query(session, 1, agent.born_ms, 3, until_ms)
+            await agent.watch(query)
+        worker.holds.clear()
+        await asyncio.sleep(2)
+        assert len(worker.holds) > 2
+        given = {(call.seen, call.until_ms) for call in worker.holds}
+        assert given == ({(3, until_ms)} if is_confirmed else {(0, 0)})
+
+    run_agent(scenario)
+
+
+def test_no_lease_of_an_earlier_incarnation_goes_out_to_a_later_one():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        session, until_ms = agent.session.number, clock_ms() + 4000
+        await agent.watch(make_query(session, 1, agent.born_ms, 3, until_ms))
+        await asyncio.sleep(1)
+        assert worker.holds[-1].until_ms == until_ms
+        worker.begin_incarnation(5000)
+        await asyncio.sleep(1.2)
+        # The first call left before the agent had heard of the incarnation.
+        later = worker.holds_of(5000)[1:]
+        assert later
+        assert {(call.seen, call.until_ms) for call in later} == {(0, 0)}
+        await agent.watch(make_query(agent.session.number))
+        await asyncio.sleep(1)
+        assert (worker.holds[-1].seen, worker.holds[-1].until_ms) == (0, until_ms)
+
+    run_agent(scenario)
+
+
+@pytest.mark.parametrize("earlier_sessions", [1, 4])
+def test_a_restarted_agent_does_not_stay_under_a_token_that_its_worker_refuses(
+    earlier_sessions,
+):
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await agent.watch(make_query(0))
+        # No leader has heard of the sessions of the earlier process.
+        worker.token = agent.session.token + earlier_sessions
+        await asyncio.sleep(1 + earlier_sessions * 2 * RETRY_INTERVAL_S)
+        assert agent.is_reachable
+        assert agent.session.token >= worker.token
+        assert (await agent.watch(make_query(0))).session == 1 + earlier_sessions
+        assert not agent.is_in_session
+        await agent.watch(make_query(1 + earlier_sessions))
+        assert agent.is_in_session
+
+    run_agent(scenario)
+
+
+def test_a_reply_to_an_order_of_an_earlier_incarnation_does_not_set_the_clock():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        offset_ms = agent.clock_offset_ms
+        # The reply arrives while no list is due.
+        worker.start_delay_s, worker.start_clock_ms = 1.2, clock_ms() + 3_600_000
+        order = make_start(clock_ms() + 4000)
+        starting = asyncio.ensure_future(OrderHandler(agent).start_run(order))
+        await asyncio.sleep(0.1)
+        worker.begin_incarnation(5000)
+        await starting
+        assert agent.born_ms == 5000
+        assert agent.clock_offset_ms == offset_ms
+
+    run_agent(scenario)
