Test that a new connection extends no lease

Cause: a new connection may reach another incarnation, whose lease would then last too long; a refused token that passes for a silent worker would leave the agent without a session.

Change: tests of the first and second call on two connections, and of the statuses of a hold.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,7 +19,11 @@
 )
 from dotterelspread.jobs.placementpolicy import PlacementPolicy
 from dotterelspread.jobs.worker import RunEnd
-from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
+from dotterelspread.jobs.workeradapter import (
+    StartAnswer,
+    WorkerFencedError,
+    WorkerReplyError,
+)
 from dotterelspread.platform.callers import CallerHandler
 from dotterelspread.platform.configuration import (
     ConfigurationFormatError,
@@ -342,6 +346,36 @@
     run_on_loopback(WorkerStandIn(), scenario)
 
 
+def test_a_new_connection_does_not_extend_the_lease_of_another_incarnation():
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [(200, {"ClockMs": 5, "born": 3})] * 4
+        for _ in range(2):
+            for _ in range(2):
+                await worker.hold("i-1", 4, 57, 99, 0)
+            worker.close()
+        carried = [body.get("UntilMs") for _, _, body in standin.calls]
+        assert carried == [None, 99, None, 99]
+        assert [body["LastSeen"] for _, _, body in standin.calls] == [0, 57, 0, 57]
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
+@pytest.mark.parametrize(
+    ("status", "is_fenced"), [(409, True), (421, False), (503, False)]
+)
+def test_a_hold_under_an_outdated_token_is_told_from_other_failures(status, is_fenced):
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [(status, {"ClockMs": 5, "Reason": "fence"})]
+        with pytest.raises(WorkerReplyError) as error:
+            await worker.hold("i-1", 4, 57, 99, 0)
+        assert isinstance(error.value, WorkerFencedError) == is_fenced
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
 def test_replies_of_the_leader_are_mapped_to_responses():
     from dotterelspread.gen.peer.ttypes import WorkReply, WorkResult
 
