Add failing tests of late starts and of connections without lists

Cause: two ways remain in which a new incarnation takes what was meant for an earlier one. A start without a reply may be executed by the next incarnation before its agent calls it; if the agent is cut off before it reports that incarnation, neither the leader nor a successor counts its longest lease. And a connection counts as known after any reply, also after one that names no incarnation.

The simulated worker can execute one start late, in whichever incarnation has the id by then.

--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -69,6 +69,8 @@
         self.slowness = 1.0
         #: Ratio of orders that are executed late and get no reply.
         self.late_ratio = 0.0
+        #: Delay of the next start; by then another incarnation may have the id.
+        self.next_start_delay_s = None
         self.is_failing = False
         #: Whether calls to the worker are lost; its runs go on.
         self.is_cut_off = False
@@ -154,6 +156,12 @@
         return self.incarnation if worker_id == self.worker_id else 0
 
     async def start(self, worker_id, token, order, until_ms):
+        if self.next_start_delay_s is not None:
+            delay_s, self.next_start_delay_s = self.next_start_delay_s, None
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._start_late, token, order, until_ms)
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            raise WorkerReplyError("no reply")
         reached = self._reached(worker_id)
         execute = partial(self._start, reached, token, order, until_ms)
         return await self._execute(worker_id, execute)
@@ -167,6 +175,9 @@
             raise WorkerReplyError("no reply")
         return execute(), self.clock_ms()
 
+    def _start_late(self, token, order, until_ms):
+        self._start(self.incarnation, token, order, until_ms)
+
     def _start(self, incarnation, token, order, until_ms):
         if not self.is_up or incarnation != self.incarnation:
             return StartAnswer.OTHER_INCARNATION
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -361,6 +361,25 @@
     run_on_loopback(WorkerStandIn(), scenario)
 
 
+@pytest.mark.parametrize(
+    "first_reply", [(503, {}), (200, {"ClockMs": 5, "born": 3, "Ended": [[]]})]
+)
+def test_a_connection_without_valid_lists_yet_may_be_to_another_incarnation(
+    first_reply,
+):
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [first_reply, (200, {"ClockMs": 5, "born": 3})]
+        with pytest.raises(WorkerReplyError):
+            await worker.hold("i-1", 4, 57, 99, 0)
+        await worker.hold("i-1", 4, 57, 99, 0)
+        assert [body["LastSeen"] for _, _, body in standin.calls] == [0, 0]
+        assert [body.get("UntilMs") for _, _, body in standin.calls] == [None, None]
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
 @pytest.mark.parametrize(
     ("status", "is_fenced"), [(409, True), (421, False), (503, False)]
 )
