Know the incarnation on a connection only after its first lists

Cause: a connection whose first reply had status 503 or invalid rows counted as one to the known incarnation, and the next call carried a lease end and an acknowledgement that may have been meant for an earlier one. Change: both are sent only on the connection that returned the latest lists.

--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -71,6 +71,8 @@
     def __init__(self, address):
         self._order_client = H1Client(address)
         self._hold_client = H1Client(address)
+        #: Number of connections for `hold` when one of them last returned lists.
+        self._listed_connections = 0
 
     def close(self):
         """Close all connections."""
@@ -113,9 +115,8 @@
 
     async def hold(self, worker_id, token, seen, until_ms, wait_ms):
         """Renew the lease and list runs; see `WorkerAdapter.hold`."""
-        if not self._hold_client.is_connected:
-            # A new connection may reach another incarnation, which numbers its ended
-            # runs afresh and has another clock.
+        if not self._is_incarnation_known:
+            # Another incarnation numbers its ended runs afresh and has another clock.
             seen = until_ms = 0
         body = {"FencingToken": token, "LastSeen": seen, "WaitMs": wait_ms}
         if until_ms:
@@ -124,19 +125,15 @@
         reply = await self._call(
             self._hold_client, "/api/hold", worker_id, body, timeout_s
         )
-        if reply.status == STATUS_OTHER_INCARNATION:
-            raise WorkerGoneError("hold failed: another incarnation answered")
-        if reply.status == STATUS_CONFLICT:
-            raise WorkerFencedError("hold failed: the fencing token is outdated")
-        if reply.status != 200:
-            raise WorkerReplyError(f"hold failed: status {reply.status}")
-        lists = _decode(reply, _Lists)
-        try:
-            running = tuple(RunningTask(*_running_row(row)) for row in lists.running)
-            ended = tuple(EndedRun(*_ended_row(row)) for row in lists.ended)
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
-            raise WorkerReplyError(f"hold: invalid rows in reply: {error}") from error
-        return Listing(lists.born, lists.clock_ms, running, ended)
+        listing = _read_listing(reply)
+        self._listed_connections = self._hold_client.opened_connections
+        return listing
+
+    @property
+    def _is_incarnation_known(self):
+        """Whether lists have shown which incarnation the next `hold` reaches."""
+        is_same = self._listed_connections == self._hold_client.opened_connections
+        return self._hold_client.is_connected and is_same
 
     async def _order(self, target, worker_id, body):
         reply = await self._call(
@@ -167,6 +164,23 @@
             raise WorkerReplyError(str(error)) from error
 
 
+def _read_listing(reply):
+    """Return the `Listing` in a reply to `hold`."""
+    if reply.status == STATUS_OTHER_INCARNATION:
+        raise WorkerGoneError("hold failed: another incarnation answered")
+    if reply.status == STATUS_CONFLICT:
+        raise WorkerFencedError("hold failed: the fencing token is outdated")
+    if reply.status != 200:
+        raise WorkerReplyError(f"hold failed: status {reply.status}")
+    lists = _decode(reply, _Lists)
+    try:
+        running = tuple(RunningTask(*_running_row(row)) for row in lists.running)
+        ended = tuple(EndedRun(*_ended_row(row)) for row in lists.ended)
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        raise WorkerReplyError(f"hold: invalid rows in reply: {error}") from error
+    return Listing(lists.born, lists.clock_ms, running, ended)
+
+
 def _decode(reply, message_type):
     try:
         return decode_json(reply.body, message_type)
