Send a pace again that the worker refused

Cause: a pace answered with a refusal (an outdated token, another incarnation, an unhealthy worker) counted as in force, since only calls without a reply were looked at. Change: any other answer than a confirmation has all paces sent again.

--- a/dotterelspread/jobs/pacesending.py
+++ b/dotterelspread/jobs/pacesending.py
@@ -4,7 +4,7 @@
 
 from ..counters import counters
 from ..decisionlog import log_decision
-from .workeradapter import WorkerReplyError
+from .workeradapter import StartAnswer, WorkerReplyError
 
 __all__ = ["send_paces"]
 
@@ -32,12 +32,21 @@
         for c in changes
     ]
     for result in await asyncio.gather(*calls, return_exceptions=True):
-        if isinstance(result, WorkerReplyError):
+        error = _error_of(result)
+        if error:
             log_decision(
                 "worker did not confirm a new pace; all paces will be sent again",
-                error=str(result),
+                error=error,
             )
             # Forces all paces to be sent again.
             agent.pacer.pace_by_run.clear()
-        elif isinstance(result, BaseException):
-            raise result
+
+
+def _error_of(result):
+    """Return why a pace is not in force; empty if it is."""
+    if isinstance(result, WorkerReplyError):
+        return str(result)
+    if isinstance(result, BaseException):
+        raise result
+    answer, _ = result
+    return "" if answer is StartAnswer.RUNNING else answer.name.lower()
