Ask about each incarnation of a worker that the policy service left out

Cause: a worker that may not run a step was remembered by its id alone, also after it had started again, possibly as another kind. Change: the start time belongs to the key. Result: tests/test_permits.py passes, with a test of it.

--- a/dotterelspread/jobs/permits.py
+++ b/dotterelspread/jobs/permits.py
@@ -82,7 +82,8 @@
     """Answers of the policy service for one step."""
 
     permits_by_worker: dict[str, _Permit] = field(default_factory=dict)
-    refused: set[str] = field(default_factory=set)
+    #: Id and start time of the incarnations that may not run the step.
+    refused: set[tuple[str, int]] = field(default_factory=set)
     is_query_in_flight: bool = False
     #: Leader's clock before which no query is sent.
     next_query_s: float = 0.0
@@ -94,6 +95,10 @@
             return ""
         return permit.text if now_s < permit.usable_until_s else ""
 
+    def is_refused(self, worker):
+        """Tell whether this incarnation of a worker may not run the step."""
+        return (worker.worker_id, worker.born_ms) in self.refused
+
 
 @dataclass(slots=True, frozen=True)
 class AskPermits(Effect):
@@ -149,7 +154,7 @@
     unknown = [
         worker
         for worker in query.workers
-        if worker.worker_id not in permits.refused and not permits.of(worker, now_s)
+        if not permits.is_refused(worker) and not permits.of(worker, now_s)
     ]
     if not unknown:
         return []
@@ -219,7 +224,7 @@
             permit = _Permit(text, born_ms, usable_until_s)
             permits.permits_by_worker[worker_id] = permit
         else:
-            permits.refused.add(worker_id)
+            permits.refused.add((worker_id, born_ms))
     cell.is_placing_due = True
     return []
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import msgspec
 import pytest
 
 from dotterelspread.h1server import H1Response, listen_h1
-from dotterelspread.jobs.permits import PermitServiceError
+from dotterelspread.jobs.permits import Permits, PermitServiceError
 from dotterelspread.jobs.queues import FleetConfiguration, PermitTiming
 from dotterelspread.platform.configuration import read_configuration
 from dotterelspread.platform.policy import PlatformPermits
 from standins.site import free_port
+from tests.builders_cell import make_worker
 from tests.builders_fleet import QUEUE, make_job, make_step, run_scenario
 from tests.builders_platform import CONFIGURATION
 
@@ -195,6 +197,13 @@
     asyncio.run(scenario())
 
 
+def test_a_later_incarnation_of_a_refused_worker_is_not_refused_unasked():
+    permits = Permits(refused={("i-0", 1)})
+    worker = make_worker(0)
+    assert permits.is_refused(worker)
+    assert not permits.is_refused(replace(worker, born_ms=2))
+
+
 def test_without_a_policy_service_nothing_is_permitted():
     with pytest.raises(PermitServiceError):
         asyncio.run(PlatformPermits("").ask("s", ["i-1"], 0.1))
