Bound epochs so that their fencing tokens are exact numbers

Cause: the bound was chosen for epochs, and tokens are 2^20 times larger. Change: the bound is that much lower. Result: tests/test_records.py and tests/test_invalid_records.py pass.

--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -10,6 +10,7 @@
 from .paircost import CostEstimate, PairCosts
 from .spec import JobSpec, check_spec
 from .unreadable import UNREADABLE_ERRORS, log_unreadable
+from .workersession import MAX_SESSIONS
 
 __all__ = [
     "CELL_STREAM",
@@ -56,8 +57,8 @@
 #: Number of tasks in one progress record. A task needs about 110 bytes at most, so a
 #: record stays well below the store's limit of 256 KiB.
 TASKS_PER_RECORD = 1000
-#: Largest epoch that every peer and worker represents exactly.
-MAX_EPOCH = 2**53
+#: Largest epoch whose fencing tokens every worker represents exactly.
+MAX_EPOCH = 2**53 // MAX_SESSIONS - 1
 
 
 class LeaderRecord(msgspec.Struct, array_like=True, frozen=True):
--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -6,7 +6,7 @@
 such call on, the worker refuses calls of earlier sessions, however late they arrive.
 """
 
-__all__ = ["WorkerSession"]
+__all__ = ["MAX_SESSIONS", "WorkerSession"]
 
 #: Number of sessions in one epoch of the leader that fencing tokens can tell apart.
 MAX_SESSIONS = 1 << 20
