Send lease ends that are over and acknowledgements that are done no more

Cause: each call to list runs carried the latest lease end and acknowledged number, whether or not they still meant anything; carried out late by the next incarnation, the first gives it the longest lease and the second discards ends that no leader has seen. Change: the end only before it is over, the number only while the worker lists ends up to it. Result: tests/test_agentpart.py has a test of each.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -236,7 +236,7 @@
         listed_ms = self.clock_ms()
         session_number = self.session.number
         until_ms = self.lease_until_ms() if self.is_in_session else 0
-        seen = self.seen if self.is_in_session else 0
+        seen = self._acknowledged_number() if self.is_in_session else 0
         try:
             listing = await self.adapter.hold(
                 worker_id, self.session.token, seen, until_ms, self._hold_wait_ms()
@@ -299,6 +299,14 @@
             runs=len(listing.running),
         )
 
+    def _acknowledged_number(self):
+        """Return the number up to which the worker may discard ends; 0 if it has.
+
+        A late call must not acknowledge ends of a later incarnation.
+        """
+        is_due = any(end.number <= self.seen for end in self.listing.ended)
+        return self.seen if is_due else 0
+
     def _handle_hold_failure(self, error):
         counters.add("silent_holds")
         if isinstance(error, WorkerFencedError):
@@ -333,7 +341,10 @@
             self._adopt(successor)
 
     def lease_until_ms(self):
-        """Return the granted end of the lease on the worker's clock; 0 if unknown."""
+        """Return the granted end of the lease on the worker's clock; 0 if none."""
+        if self.grant.until_ms <= self.clock_ms():
+            # A later incarnation might take an end that is over for a time to come.
+            return 0
         return self.to_worker_clock(self.grant.until_ms)
 
     def to_worker_clock(self, until_ms):
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -17,6 +17,7 @@
     run_agent,
 )
 
+LAST_END = EndedRun(3, "t", 1, RunEnd.COMPLETED, "")
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
 
 
@@ -197,6 +198,7 @@
     heard, is_confirmed
 ):
     async def scenario(agent, worker):
+        worker.ended = (LAST_END,)
         agent.announce(HEARTBEAT)
         await asyncio.sleep(1)
         for session in heard:
@@ -212,6 +214,34 @@
     run_agent(scenario)
 
 
+def test_a_late_call_acknowledges_no_ends_that_the_worker_has_discarded():
+    async def scenario(agent, worker):
+        worker.ended = (LAST_END,)
+        await begin_confirmed_session(agent)
+        query = make_query(agent.session.number, 1, agent.born_ms, LAST_END.number)
+        await agent.watch(query)
+        await asyncio.sleep(1)
+        assert worker.holds[-1].seen == LAST_END.number
+        worker.ended = ()
+        await asyncio.sleep(2)
+        assert worker.holds[-1].seen == 0
+
+    run_agent(scenario)
+
+
+def test_no_lease_end_that_is_over_goes_out():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        until_ms = clock_ms() + 1500
+        await agent.watch(make_query(agent.session.number, grant_until_ms=until_ms))
+        await asyncio.sleep(1)
+        assert worker.holds[-1].until_ms == until_ms
+        await asyncio.sleep(2)
+        assert worker.holds[-1].until_ms == 0
+
+    run_agent(scenario)
+
+
 def test_no_lease_of_an_earlier_incarnation_goes_out_to_a_later_one():
     async def scenario(agent, worker):
         await begin_confirmed_session(agent)
