--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,11 +108,9 @@
 
 
 def start(site, number, job_id, run=1):
-    order = SimpleNamespace(
-        task_id=f"{job_id}.0.0.0", run=run, epoch=1, program="program 1"
-    )
+    order = SimpleNamespace(task_id=f"{job_id}.0.0.0", run=run, program="program 1")
     worker = site.workers[number]
-    return worker._start(worker.incarnation, order, worker.clock_ms() + 3000)
+    return worker._start(worker.incarnation, 1, order, worker.clock_ms() + 3000)
 
 
 def test_a_task_on_two_workers_or_after_its_end_is_found(tmp_path):
