--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -80,6 +80,7 @@
     await fleet.settle(6.0)
 
 
+@pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize(
     "scenario",
     [
@@ -91,6 +92,5 @@
         restart_after_lease,
     ],
 )
-@pytest.mark.parametrize("seed", range(3))
 def test_a_late_start_does_not_run_a_task_twice_on_a_later_incarnation(scenario, seed):
     run_late_start(scenario, seed)
