Send orders on connections whose lists have named the incarnation

Cause: a new connection for orders could reach an incarnation that the agent did not know yet, while its connection for lists was silent. Change: a connection for orders begins with a call that lists runs and changes nothing; an order for another incarnation is not sent on it.

--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -71,6 +71,8 @@
     def __init__(self, address):
         self._order_client = H1Client(address)
         self._hold_client = H1Client(address)
+        #: Incarnation that the connections for orders reach; 0 if unknown.
+        self._order_born_ms = 0
         #: Number of connections for `hold` when one of them last returned lists.
         self._listed_connections = 0
 
@@ -92,7 +94,7 @@
             body["Checkpoint"] = order.checkpoint
         if order.permit:
             body["Ticket"] = order.permit
-        return await self._order("/api/run-start", worker_id, body)
+        return await self._order("/api/run-start", worker_id, token, order, body)
 
     async def stop(self, worker_id, token, order):
         """Stop a run; see `WorkerAdapter.stop`."""
@@ -101,7 +103,7 @@
             "RunId": order.run,
             "FencingToken": token,
         }
-        return await self._order("/api/run-stop", worker_id, body)
+        return await self._order("/api/run-stop", worker_id, token, order, body)
 
     async def pace(self, worker_id, token, task_id, run, percent):
         """Throttle a run to a percentage of its speed; see `WorkerAdapter.pace`."""
@@ -111,7 +113,8 @@
             "Percent": percent,
             "FencingToken": token,
         }
-        return await self._order("/api/pace", worker_id, body)
+        await self._connect_for_orders(worker_id, token)
+        return await self._send("/api/pace", worker_id, body)
 
     async def hold(self, worker_id, token, seen, until_ms, wait_ms):
         """Renew the lease and list runs; see `WorkerAdapter.hold`."""
@@ -135,7 +138,36 @@
         is_same = self._listed_connections == self._hold_client.opened_connections
         return self._hold_client.is_connected and is_same
 
-    async def _order(self, target, worker_id, body):
+    async def _order(self, target, worker_id, token, order, body):
+        """Send an order on a connection to the incarnation that it is meant for."""
+        if self._order_born_ms not in (0, order.born_ms):
+            self._order_client.close()
+        await self._connect_for_orders(worker_id, token)
+        if self._order_born_ms not in (0, order.born_ms):
+            return StartAnswer.OTHER_INCARNATION, 0
+        return await self._send(target, worker_id, body)
+
+    async def _connect_for_orders(self, worker_id, token):
+        """Open a connection unless one is idle, and find which incarnation it reaches.
+
+        Its lists tell that, and the call changes nothing.
+
+        Raises
+        ------
+        WorkerUnsentError
+        """
+        body = {"FencingToken": token, "LastSeen": 0, "WaitMs": 0}
+        while not self._order_client.is_connected:
+            try:
+                reply = await self._call(
+                    self._order_client, "/api/hold", worker_id, body, ORDER_TIMEOUT_S
+                )
+                self._order_born_ms = _read_listing(reply).born_ms
+            except WorkerReplyError as error:
+                self._order_client.close()
+                raise WorkerUnsentError(str(error)) from error
+
+    async def _send(self, target, worker_id, body):
         reply = await self._call(
             self._order_client, target, worker_id, body, ORDER_TIMEOUT_S
         )
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -160,6 +160,7 @@
     return SimpleNamespace(
         task_id="5c0e7a21d94b36f8.0.0.1",
         run=2,
+        born_ms=3,
         program="text",
         checkpoint="c",
         permit="t",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -23,6 +23,7 @@
     StartAnswer,
     WorkerFencedError,
     WorkerReplyError,
+    WorkerUnsentError,
 )
 from dotterelspread.platform.callers import CallerHandler
 from dotterelspread.platform.configuration import (
@@ -291,6 +292,7 @@
     async def scenario(address, standin):
         worker = PlatformWorker(address)
         standin.replies = [
+            (200, {"ClockMs": 5, "born": 3}),
             (200, {"ClockMs": 5}),
             (409, {"ClockMs": 6, "Reason": "fence"}),
             (409, {"ClockMs": 7, "Reason": "old"}),
@@ -303,7 +305,7 @@
         for name in [*expected, "OTHER_INCARNATION"]:
             answer, _ = await worker.start("i-1", 4, make_order(), 99)
             assert answer is StartAnswer[name]
-        path, headers, body = standin.calls[0]
+        path, headers, body = standin.calls[1]
         assert path == "/api/run-start"
         assert headers["x-expect-instance"] == "i-1"
         assert body == {
@@ -320,6 +322,47 @@
     run_on_loopback(WorkerStandIn(), scenario)
 
 
+def test_an_order_does_not_reach_a_later_incarnation_on_a_new_connection():
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [(200, {"ClockMs": 5, "born": 4})]
+        answer, _ = await worker.start("i-1", 4, make_order(), 99)
+        assert answer is StartAnswer.OTHER_INCARNATION
+        ((path, _, body),) = standin.calls
+        assert path == "/api/hold"
+        assert body == {"FencingToken": 4, "LastSeen": 0, "WaitMs": 0}
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
+def test_an_order_is_not_sent_on_a_connection_that_has_shown_no_incarnation():
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [(503, {})]
+        with pytest.raises(WorkerUnsentError):
+            await worker.stop("i-1", 4, make_order())
+        assert len(standin.calls) == 1
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
+def test_an_idle_connection_to_a_later_incarnation_is_not_used_for_an_earlier_one():
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        lists = (200, {"ClockMs": 5, "born": 4})
+        standin.replies = [lists, (200, {"ClockMs": 5}), lists]
+        await worker.pace("i-1", 4, "t", 2, 40)
+        answer, _ = await worker.start("i-1", 4, make_order(), 99)
+        assert answer is StartAnswer.OTHER_INCARNATION
+        paths = [path for path, _, _ in standin.calls]
+        assert paths == ["/api/hold", "/api/pace", "/api/hold"]
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
 def test_the_lists_of_a_worker_are_decoded_and_a_new_connection_acknowledges_none():
     async def scenario(address, standin):
         worker = PlatformWorker(address)
@@ -331,7 +374,7 @@
         }
         bad = lists | {"Ended": [[7, "u", 2, "vanished", ""]]}
         standin.replies = [(200, lists), (200, lists), (409, {}), (200, bad)]
-        listing = await worker.hold("i-1", 4, 57, 0, 0)
+        listing = await worker.hold("i-1", 4, 57, 99, 0)
         assert listing.running[0].figure == 12
         assert (listing.ended[0].how, listing.born_ms) == (RunEnd.COMPLETED, 3)
         await worker.hold("i-1", 4, 57, 99, 0)
