Name the lease from calls to an earlier incarnation a residual lease

Cause: a reader of the change stumbled over heirs and inheritance, three modules whose names could not be told apart, a function that changed state and returned a time, and a constant in the wrong place. Change: `residuallease` in the agent, `restartedworkers` in the leader, and `leaseend` for times; the record r/WORKER; the update no longer returns a time.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2660,7 +2660,7 @@
      - gone
      - cold_ms
      - session
-     - inherited_lease_ms
+     - residual_lease_ms
 
     """
 
@@ -2688,11 +2688,11 @@
         'gone',
         'cold_ms',
         'session',
-        'inherited_lease_ms',
+        'residual_lease_ms',
     )
 
 
-    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None, cold_ms=None, session=None, inherited_lease_ms=None,):
+    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None, cold_ms=None, session=None, residual_lease_ms=None,):
         self.version = version
         self.clock_ms = clock_ms
         self.known = known
@@ -2716,7 +2716,7 @@
         self.gone = gone
         self.cold_ms = cold_ms
         self.session = session
-        self.inherited_lease_ms = inherited_lease_ms
+        self.residual_lease_ms = residual_lease_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2861,7 +2861,7 @@
                     iprot.skip(ftype)
             elif fid == 24:
                 if ftype == TType.I32:
-                    self.inherited_lease_ms = iprot.readI32()
+                    self.residual_lease_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2975,9 +2975,9 @@
             oprot.writeFieldBegin('session', TType.I64, 23)
             oprot.writeI64(self.session)
             oprot.writeFieldEnd()
-        if self.inherited_lease_ms is not None:
-            oprot.writeFieldBegin('inherited_lease_ms', TType.I32, 24)
-            oprot.writeI32(self.inherited_lease_ms)
+        if self.residual_lease_ms is not None:
+            oprot.writeFieldBegin('residual_lease_ms', TType.I32, 24)
+            oprot.writeI32(self.residual_lease_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4110,7 +4110,7 @@
     (21, TType.BOOL, 'gone', None, None, ),  # 21
     (22, TType.I32, 'cold_ms', None, None, ),  # 22
     (23, TType.I64, 'session', None, None, ),  # 23
-    (24, TType.I32, 'inherited_lease_ms', None, None, ),  # 24
+    (24, TType.I32, 'residual_lease_ms', None, None, ),  # 24
 )
 all_structs.append(StartOrder)
 StartOrder.thrift_spec = (
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -9,7 +9,7 @@
 from . import clock
 from .cell import AgentLost, Reported
 from .evacuation import start_validity_s
-from .leaseend import inherited_lease_end_s, lease_end_s
+from .leaseend import lease_end_s, residual_lease_end_s
 from .watchreport import ReportError, check_reply, read_report
 from .worker import LeaseGrants
 
@@ -189,12 +189,12 @@
         self._was_known = True
         can_be_granted = is_first or reply.reachable
         end_s = lease_end_s(now_s, bounds.lease_ms) if can_be_granted else 0.0
-        inherited_end_s = inherited_lease_end_s(
-            now_s, reply.inherited_lease_ms, bounds.max_lease_ms
+        residual_end_s = residual_lease_end_s(
+            now_s, reply.residual_lease_ms, bounds.max_lease_ms
         )
         self._log_ends(reply)
         report = read_report(self._address, reply)
-        event = Reported(now_s, report, end_s, clock.wall_ms(), inherited_end_s)
+        event = Reported(now_s, report, end_s, clock.wall_ms(), residual_end_s)
         self._leader.apply(event)
 
     def _log_ends(self, reply):
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -13,11 +13,11 @@
 from . import clock
 from .announcements import AnnouncementFilter
 from .departure import Departure
-from .inheritedlease import InheritedLease
 from .leasegrant import LeaseGrant
 from .pacesending import send_paces
 from .pacing import FillerPacer
 from .paircost import CostEstimate
+from .residuallease import ResidualLease
 from .strayruns import stop_stray_runs
 from .watchreply import build_watch_reply
 from .workeradapter import WorkerFencedError, WorkerGoneError, WorkerReplyError
@@ -61,7 +61,7 @@
         self.session = WorkerSession()
         self.grant = LeaseGrant(max_lease_ms, clock_ms)
         self._max_lease_ms = max_lease_ms
-        self.inherited_lease = InheritedLease(max_lease_ms, clock_ms)
+        self.residual_lease = ResidualLease(max_lease_ms, clock_ms)
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
@@ -215,7 +215,7 @@
         self.seen = 0
         self.clock_offset_ms = None
         self.session.begin_next()
-        self.inherited_lease = InheritedLease(self._max_lease_ms, self.clock_ms)
+        self.residual_lease = ResidualLease(self._max_lease_ms, self.clock_ms)
         self.is_reachable = False
         self._departure = Departure()
         self._increment_version()
@@ -257,7 +257,7 @@
             self._log_first_listing(listing, session_number)
         self.apply_listing(listing, listed_ms)
         if self.session.has_begun and session_number == self.session.number:
-            self.inherited_lease.bound()
+            self.residual_lease.bound()
         await stop_stray_runs(self)
         await send_paces(self)
         if self.ended_by_number:
@@ -284,7 +284,7 @@
         answer after a failure, and calls to earlier ones may change it before the first
         call under its own session.
         """
-        is_unfenced = self.session.has_begun and not self.inherited_lease.is_bounded
+        is_unfenced = self.session.has_begun and not self.residual_lease.is_bounded
         is_due = self.listing is None or self._has_hold_failed or is_unfenced
         return 0 if is_due else LISTING_POLL_TIMEOUT_MS
 
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -169,7 +169,7 @@
     wall_ms: int
     #: The same for leases from calls to earlier incarnations of the worker; 0 if none
     #: can last.
-    inherited_lease_end_s: float = 0.0
+    residual_lease_end_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -3,17 +3,17 @@
 import msgspec
 
 from . import clock
-from .leaseinheritance import expects_inheritance
 from .records import (
     costs_record,
     drop_records,
-    inheritance_record,
     job_records,
     leader_record,
+    residual_lease_record,
     suspension_record,
     waiver_record,
     worker_record,
 )
+from .restartedworkers import may_hold_residual_lease
 from .worker import LeaseGrants
 
 __all__ = ["ChangedRecords", "split_into_chunks"]
@@ -31,8 +31,8 @@
     leader : LeaderRecord
     suspended_worker_ids : iterable of str
         Workers with a record that their grants are suspended.
-    inheriting_worker_ids : iterable of str
-        Workers with a record that they may hold an inherited lease.
+    residual_lease_worker_ids : iterable of str
+        Workers with a record that they may hold a residual lease.
     waived_addresses : frozenset of str
         Entries with a record that their answers may not be needed.
     """
@@ -42,7 +42,7 @@
         "_costs_due_s",
         "_due_waivers",
         "_included_job_ids",
-        "_inheriting_worker_ids",
+        "_residual_lease_worker_ids",
         "_is_confirmation_due",
         "_is_leader_record_due",
         "_leader",
@@ -55,7 +55,7 @@
         cell,
         leader,
         suspended_worker_ids,
-        inheriting_worker_ids,
+        residual_lease_worker_ids,
         waived_addresses,
     ):
         self._cell = cell
@@ -63,7 +63,7 @@
         self._is_leader_record_due = False
         self._is_confirmation_due = False
         self._suspended_worker_ids = set(suspended_worker_ids)
-        self._inheriting_worker_ids = set(inheriting_worker_ids)
+        self._residual_lease_worker_ids = set(residual_lease_worker_ids)
         self._waived_addresses = self._due_waivers = waived_addresses
         #: Jobs whose specification an append has carried.
         self._included_job_ids = set(cell.jobs_by_id)
@@ -126,7 +126,7 @@
             address = worker.agent_address if worker else ""
             records.append(worker_record(worker_id, address))
             records.extend(self._take_suspension(worker_id, worker))
-            records.extend(self._take_inheritance(worker_id))
+            records.extend(self._take_residual_lease(worker_id))
         return records
 
     def _take_suspension(self, worker_id, worker):
@@ -139,12 +139,12 @@
         self._suspended_worker_ids.remove(worker_id)
         return [suspension_record(worker_id, 0)]
 
-    def _take_inheritance(self, worker_id):
-        inherits = expects_inheritance(self._cell, worker_id)
-        if inherits == (worker_id in self._inheriting_worker_ids):
+    def _take_residual_lease(self, worker_id):
+        may_hold = may_hold_residual_lease(self._cell, worker_id)
+        if may_hold == (worker_id in self._residual_lease_worker_ids):
             return []
-        self._inheriting_worker_ids ^= {worker_id}
-        return [inheritance_record(worker_id, inherits)]
+        self._residual_lease_worker_ids ^= {worker_id}
+        return [residual_lease_record(worker_id, may_hold)]
 
     def _take_waivers(self):
         changed = sorted(self._due_waivers ^ self._waived_addresses)
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -87,7 +87,7 @@
             term.cell,
             leader,
             term.suspended_worker_ids,
-            term.inheriting_worker_ids,
+            term.residual_lease_worker_ids,
             term.waived_addresses,
         )
         self._append_since_s = None
--- a/dotterelspread/jobs/grantauthority.py
+++ b/dotterelspread/jobs/grantauthority.py
@@ -6,7 +6,7 @@
 from . import clock
 from .earlierleaders import CONFIRMED_GRANT_S, MAX_UNCONFIRMED_GRANT_S
 from .entryanswers import EntryAnswers
-from .inheritedlease import MAX_CLOCK_DRIFT_RATIO
+from .leaseend import MAX_CLOCK_DRIFT_RATIO
 
 __all__ = ["GrantAuthority"]
 
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -1,8 +1,8 @@
 """Incarnations of workers: adoption after a failover, replacement and removal."""
 
 from .job import Phase
-from .leaseinheritance import make_heir, note_removed_worker
 from .lifecycle import end_reason, make_run, requeue
+from .restartedworkers import mark_if_restarted, note_removed_worker
 from .worker import Worker
 
 __all__ = [
@@ -105,7 +105,7 @@
         worker.add(task_id, run)
     remove_worker(cell, earlier, now_s)
     cell.workers_by_id[worker.worker_id] = worker
-    make_heir(cell, worker)
+    mark_if_restarted(cell, worker)
     return worker
 
 
--- a/dotterelspread/jobs/leaseend.py
+++ b/dotterelspread/jobs/leaseend.py
@@ -1,9 +1,9 @@
 """Leader's time by which the leases of a worker have certainly expired."""
 
-from .inheritedlease import MAX_CLOCK_DRIFT_RATIO
-
-__all__ = ["inherited_lease_end_s", "lease_end_s"]
+__all__ = ["MAX_CLOCK_DRIFT_RATIO", "lease_end_s", "residual_lease_end_s"]
 
+#: Largest factor by which a slow worker clock may stretch a lease.
+MAX_CLOCK_DRIFT_RATIO = 1.03
 #: Time added to the end of a lease before its tasks are started elsewhere.
 LEASE_EXPIRY_MARGIN_S = 0.5
 
@@ -23,7 +23,7 @@
     )
 
 
-def inherited_lease_end_s(now_s, remaining_ms, max_lease_ms):
+def residual_lease_end_s(now_s, remaining_ms, max_lease_ms):
     """Return the same for leases from calls to earlier incarnations of a worker.
 
     Parameters
--- a/dotterelspread/jobs/leasesuspension.py
+++ b/dotterelspread/jobs/leasesuspension.py
@@ -53,6 +53,6 @@
 def _(event: EarlierTermsEnded, cell):
     cell.are_earlier_terms_over = True
     for worker in cell.workers_by_id.values():
-        if not worker.has_reported and not worker.inherits_lease:
+        if not worker.has_reported and not worker.may_hold_residual_lease:
             worker.lease_end_s = min(worker.lease_end_s, event.lease_end_s)
     return []
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -20,12 +20,12 @@
     "decode_spec",
     "drop_records",
     "encode_spec",
-    "inheritance_record",
+    "residual_lease_record",
     "job_records",
     "leader_record",
     "read_agent_addresses",
     "read_costs",
-    "read_inheriting_workers",
+    "read_residual_lease_workers",
     "read_jobs",
     "read_leader",
     "read_suspended_workers",
@@ -47,7 +47,7 @@
 #: Prefix of the keys of workers to which no leases are granted.
 SUSPENSION_PREFIX = "u/"
 #: Prefix of the keys of workers that may hold a lease from an earlier incarnation.
-INHERITANCE_PREFIX = "i/"
+RESIDUAL_LEASE_PREFIX = "r/"
 #: Prefix of the keys of entries whose answers a leader may not need.
 WAIVER_PREFIX = "v/"
 
@@ -174,14 +174,14 @@
     return epoch_by_id
 
 
-def inheritance_record(worker_id, inherits):
-    """Return the record that a worker may hold an inherited lease, or its removal."""
-    return KeyedRecord(INHERITANCE_PREFIX + worker_id, b"1" if inherits else b"")
+def residual_lease_record(worker_id, may_hold):
+    """Return the record that a worker may hold a residual lease, or its removal."""
+    return KeyedRecord(RESIDUAL_LEASE_PREFIX + worker_id, b"1" if may_hold else b"")
 
 
-def read_inheriting_workers(records_by_key):
-    """Return the ids of the workers that may hold an inherited lease."""
-    return _read_names(records_by_key, INHERITANCE_PREFIX)
+def read_residual_lease_workers(records_by_key):
+    """Return the ids of the workers that may hold a residual lease."""
+    return _read_names(records_by_key, RESIDUAL_LEASE_PREFIX)
 
 
 def waiver_record(address, is_waived):
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -4,11 +4,11 @@
 from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
 from .crashes import has_crashed, remove_crashed_worker
 from .incarnations import release_run, remove_worker
-from .leaseinheritance import forget_removed_workers
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
+from .restartedworkers import forget_removed_workers
 from .silentlosses import keep_silent_loss
 from .stragglers import move_stragglers
 from .taskrun import RunStopReason
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -14,12 +14,12 @@
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
-from .leaseinheritance import make_heir, update_inheritance
 from .leasesuspension import resume_grants
 from .lifecycle import make_run, stop_run
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
 from .placing import place
+from .restartedworkers import mark_if_restarted, update_residual_lease
 from .silentlosses import settle_silent_loss
 from .spec import parse_task_id
 from .taskrun import RunStopReason, TaskRun
@@ -50,7 +50,7 @@
         )
         cell.workers_by_id[report.worker_id] = worker
         cell.dirty_worker_ids.add(report.worker_id)
-        make_heir(cell, worker)
+        mark_if_restarted(cell, worker)
     elif worker.born_ms != report.born_ms:
         worker, crash_effects = _replace_incarnation(cell, worker, event)
         effects.extend(crash_effects)
@@ -137,8 +137,10 @@
         # The agent now follows this leader, so the end assumed at the failover is
         # obsolete.
         worker.lease_end_s = event.lease_end_s
-    inherited_end_s = update_inheritance(cell, worker, event)
-    worker.lease_end_s = max(worker.lease_end_s, event.lease_end_s, inherited_end_s)
+    worker.lease_end_s = max(worker.lease_end_s, event.lease_end_s)
+    update_residual_lease(cell, worker, event)
+    if worker.may_hold_residual_lease:
+        worker.lease_end_s = max(worker.lease_end_s, event.residual_lease_end_s)
 
 
 def _apply_running(cell, worker, event):
--- a/dotterelspread/jobs/inheritedlease.py
+++ b/dotterelspread/jobs/residuallease.py
@@ -1,4 +1,4 @@
-"""Lease that a worker may have got from calls to an earlier incarnation.
+"""Residual lease: a lease that a worker got from calls to an earlier incarnation.
 
 Lease ends are times on the worker's clock, which starts anew with each incarnation. To
 a later incarnation the end of an earlier lease may be far ahead, and it then holds the
@@ -7,14 +7,13 @@
 
 from math import ceil
 
-__all__ = ["MAX_CLOCK_DRIFT_RATIO", "InheritedLease"]
+from .leaseend import MAX_CLOCK_DRIFT_RATIO
 
-#: Largest factor by which a slow worker clock may stretch a lease.
-MAX_CLOCK_DRIFT_RATIO = 1.03
+__all__ = ["ResidualLease"]
 
 
-class InheritedLease:
-    """Upper bound of the leases from calls to earlier incarnations of a worker.
+class ResidualLease:
+    """Bound on the residual lease of one incarnation, kept by its agent.
 
     Parameters
     ----------
@@ -24,11 +23,12 @@
         The agent's clock.
     """
 
-    __slots__ = ("_clock_ms", "_end_ms", "_max_lease_ms")
+    __slots__ = ("_clock_ms", "_end_ms", "_longest_ms")
 
     def __init__(self, max_lease_ms, clock_ms):
         self._clock_ms = clock_ms
-        self._max_lease_ms = ceil(max_lease_ms * MAX_CLOCK_DRIFT_RATIO)
+        #: Duration of the longest lease, by a slow clock of the worker.
+        self._longest_ms = ceil(max_lease_ms * MAX_CLOCK_DRIFT_RATIO)
         #: None while calls to earlier incarnations may still extend the lease.
         self._end_ms = None
 
@@ -40,10 +40,10 @@
     def bound(self):
         """Record that the worker refuses calls to earlier incarnations from now on."""
         if self._end_ms is None:
-            self._end_ms = self._clock_ms() + self._max_lease_ms
+            self._end_ms = self._clock_ms() + self._longest_ms
 
     def remaining_ms(self):
         """Return the time by which such a lease has certainly expired."""
         if self._end_ms is None:
-            return self._max_lease_ms
+            return self._longest_ms
         return max(0, self._end_ms - self._clock_ms())
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -27,9 +27,9 @@
     leader_record,
     read_agent_addresses,
     read_costs,
-    read_inheriting_workers,
     read_jobs,
     read_leader,
+    read_residual_lease_workers,
     read_suspended_workers,
     read_waived_addresses,
 )
@@ -83,8 +83,8 @@
     earlier_leaders: EarlierLeaders
     #: Workers with a record that their grants are suspended, of whatever term.
     suspended_worker_ids: set[str]
-    #: Workers with a record that they may hold an inherited lease.
-    inheriting_worker_ids: frozenset[str]
+    #: Workers with a record that they may hold a residual lease.
+    residual_lease_worker_ids: frozenset[str]
     #: Entries with a record that their answers may not be needed.
     waived_addresses: frozenset[str]
 
@@ -167,7 +167,7 @@
                 claim.sent_s,
                 earlier_leaders,
                 set(suspended),
-                read_inheriting_workers(snapshot.records_by_key),
+                read_residual_lease_workers(snapshot.records_by_key),
                 waived,
             )
 
@@ -249,35 +249,35 @@
     )
     cell.are_earlier_terms_over = earlier_leaders.have_all_ended
     ended_s = lease_end_s(now_s, bounds.lease_ms)
-    inherited_s = lease_end_s(now_s, bounds.max_lease_ms)
+    residual_s = lease_end_s(now_s, bounds.max_lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
     granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.lease_ms)
     epoch_by_id = read_suspended_workers(snapshot.records_by_key)
     suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
 
-    inheriting_ids = read_inheriting_workers(snapshot.records_by_key)
+    residual_lease_ids = read_residual_lease_workers(snapshot.records_by_key)
 
     def lease_end_s_of(worker_id):
         has_no_grants = cell.are_earlier_terms_over or worker_id in suspended_ids
         end_s = ended_s if has_no_grants else granted_s
-        return max(end_s, inherited_s) if worker_id in inheriting_ids else end_s
+        return max(end_s, residual_s) if worker_id in residual_lease_ids else end_s
 
     cell.costs = read_costs(snapshot.records_by_key)
     addresses = read_agent_addresses(snapshot.records_by_key)
     for job in read_jobs(snapshot.records_by_key, now_s):
         add_job(cell, job, clock.wall_ms())
         adopt_assigned(cell, job, addresses, lease_end_s_of, now_s)
-    for worker_id in inheriting_ids.union(addresses):
-        _adopt_inheritance(cell, worker_id, worker_id in inheriting_ids, now_s)
+    for worker_id in residual_lease_ids.union(addresses):
+        _adopt_residual_lease(cell, worker_id, worker_id in residual_lease_ids, now_s)
     _log_adopted(cell, suspended_ids, now_s)
     return cell
 
 
-def _adopt_inheritance(cell, worker_id, is_recorded, now_s):
-    """Restore what is known of the leases that a worker may inherit."""
+def _adopt_residual_lease(cell, worker_id, is_recorded, now_s):
+    """Restore what is known of the residual lease of a worker."""
     worker = cell.workers_by_id.get(worker_id)
     if worker is not None:
-        worker.inherits_lease = is_recorded
+        worker.may_hold_residual_lease = is_recorded
     else:
         # It may have started again since it was recorded.
         cell.removed_s_by_worker_id[worker_id] = now_s
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -16,7 +16,7 @@
         epoch=agent.epoch,
         reachable=agent.is_reachable,
         session=agent.session.report(),
-        inherited_lease_ms=agent.inherited_lease.remaining_ms(),
+        residual_lease_ms=agent.residual_lease.remaining_ms(),
     )
     if known:
         _fill_worker(reply, agent)
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -125,7 +125,7 @@
     #: Leader's clock since when it has been unreachable.
     unreachable_since_s: float = 0.0
     #: Whether it may hold a lease from calls to an earlier incarnation.
-    inherits_lease: bool = False
+    may_hold_residual_lease: bool = False
     grants: LeaseGrants = LeaseGrants.ALLOWED
     #: Number of the latest suspension of its grants in this term; 0 if none.
     suspension_number: int = 0
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -171,12 +171,12 @@
         assert second.wait_ms == 0
         listed_s = first.arrived_s + LISTING_POLL_TIMEOUT_MS / 1000
         assert second.arrived_s == pytest.approx(listed_s, abs=0.01)
-        assert agent.inherited_lease.is_bounded
+        assert agent.residual_lease.is_bounded
 
     run_agent(scenario)
 
 
-def test_inherited_leases_are_not_bounded_by_a_call_under_an_earlier_token():
+def test_residual_leases_are_not_bounded_by_a_call_under_an_earlier_token():
     async def scenario(agent, worker):
         await begin_confirmed_session(agent)
         worker.begin_incarnation(5000)
@@ -184,9 +184,9 @@
         while agent.born_ms != 5000:
             await asyncio.sleep(0.01)
         # The call under the token of the session is under way.
-        assert not agent.inherited_lease.is_bounded
+        assert not agent.residual_lease.is_bounded
         await asyncio.sleep(0.2)
-        assert agent.inherited_lease.is_bounded
+        assert agent.residual_lease.is_bounded
 
     run_agent(scenario)
 
--- a/tests/test_changedrecords.py
+++ b/tests/test_changedrecords.py
@@ -1,16 +1,16 @@
-"""What the journal tells a successor of the leases that workers may inherit."""
+"""What the journal tells a successor of the residual leases of workers."""
 
 from dataclasses import replace
 
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.changedrecords import ChangedRecords
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.leaseinheritance import REMOVED_WORKER_RETENTION_S
 from dotterelspread.jobs.records import (
     LeaderRecord,
-    inheritance_record,
-    read_inheriting_workers,
+    read_residual_lease_workers,
+    residual_lease_record,
 )
+from dotterelspread.jobs.restartedworkers import REMOVED_WORKER_RETENTION_S
 from tests.builders_cell import make_cell, make_report
 from tests.virtualloop import run_virtually
 
@@ -23,18 +23,18 @@
 
     Parameters
     ----------
-    inheriting_worker_ids : tuple of str
+    residual_lease_worker_ids : tuple of str
         Workers with a record of an earlier term.
     """
 
-    def __init__(self, inheriting_worker_ids=()):
+    def __init__(self, residual_lease_worker_ids=()):
         self.cell = make_cell()
         # As after a takeover.
-        self.cell.removed_s_by_worker_id = dict.fromkeys(inheriting_worker_ids, 9.0)
+        self.cell.removed_s_by_worker_id = dict.fromkeys(residual_lease_worker_ids, 9.0)
         self._changes = ChangedRecords(
-            self.cell, LEADER, (), inheriting_worker_ids, frozenset()
+            self.cell, LEADER, (), residual_lease_worker_ids, frozenset()
         )
-        records = [inheritance_record(w, True) for w in inheriting_worker_ids]
+        records = [residual_lease_record(w, True) for w in residual_lease_worker_ids]
         self._records_by_key = {record.key: record for record in records}
 
     def commit(self):
@@ -43,12 +43,12 @@
         self._records_by_key.update({record.key: record for record in records})
         return {record.key for record in records}
 
-    def report(self, now_s, inherited_s=10.0, **changes):
+    def report(self, now_s, residual_s=10.0, **changes):
         """Report the worker; return the keys of the records that follow."""
         event = make_report(0, now_s)
-        end_s = now_s + inherited_s if inherited_s else 0.0
+        end_s = now_s + residual_s if residual_s else 0.0
         details = replace(event.report, **changes)
-        reduce(replace(event, report=details, inherited_lease_end_s=end_s), self.cell)
+        reduce(replace(event, report=details, residual_lease_end_s=end_s), self.cell)
         return self.commit()
 
     def tick(self, now_s):
@@ -57,12 +57,12 @@
 
     @property
     def is_recorded(self):
-        return WORKER_ID in read_inheriting_workers(self._records_by_key)
+        return WORKER_ID in read_residual_lease_workers(self._records_by_key)
 
 
-def play(scenario, *inheriting_worker_ids):
+def play(scenario, *residual_lease_worker_ids):
     async def run():
-        scenario(RecordedCell(inheriting_worker_ids))
+        scenario(RecordedCell(residual_lease_worker_ids))
 
     run_virtually(run())
 
@@ -77,11 +77,11 @@
     play(scenario)
 
 
-def test_a_successor_does_not_wait_for_an_inherited_lease_that_has_expired():
+def test_a_successor_does_not_wait_for_an_residual_lease_that_has_expired():
     def scenario(recorded):
         recorded.report(10.0)
         recorded.report(20.0, born_ms=2)
-        recorded.report(31.0, inherited_s=0.0, born_ms=2)
+        recorded.report(31.0, residual_s=0.0, born_ms=2)
         assert not recorded.is_recorded
 
     play(scenario)
@@ -91,7 +91,7 @@
     def scenario(recorded):
         recorded.report(10.0)
         assert recorded.is_recorded
-        recorded.report(11.0, inherited_s=0.0)
+        recorded.report(11.0, residual_s=0.0)
         assert not recorded.is_recorded
 
     play(scenario, WORKER_ID)
@@ -128,7 +128,7 @@
         assert recorded.is_recorded
         recorded.report(17.0)
         assert recorded.is_recorded
-        recorded.report(28.0, inherited_s=0.0)
+        recorded.report(28.0, residual_s=0.0)
         assert not recorded.is_recorded
 
     play(scenario)
--- a/tests/test_inherited_leases.py
+++ b/tests/test_residual_leases.py
@@ -68,7 +68,7 @@
 @pytest.mark.parametrize("lose_leader", [end_term, kill])
 @pytest.mark.parametrize("connected_s", [0.6, 1.5])
 @pytest.mark.parametrize("seed", range(2))
-def test_a_successor_does_not_start_what_runs_under_an_inherited_lease(
+def test_a_successor_does_not_start_what_runs_under_an_residual_lease(
     seed, connected_s, lose_leader
 ):
     async def scenario(fleet):
--- a/tests/test_inheritedlease.py
+++ b/tests/test_residuallease.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dotterelspread.jobs.inheritedlease import InheritedLease
+from dotterelspread.jobs.residuallease import ResidualLease
 
 MAX_LEASE_MS = 10_000
 #: Clock of a worker that runs 2 % slow, relative to that of its agent.
@@ -19,7 +19,7 @@
 
 def make_lease():
     clock = Clock()
-    return InheritedLease(MAX_LEASE_MS, clock), clock
+    return ResidualLease(MAX_LEASE_MS, clock), clock
 
 
 @pytest.mark.parametrize("waited_ms", [0, 1, 60_000])
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -15,17 +15,17 @@
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.leaseend import lease_end_s
-from dotterelspread.jobs.leaseinheritance import expects_inheritance
 from dotterelspread.jobs.records import (
     CELL_STREAM,
     LeaderRecord,
-    inheritance_record,
     job_records,
     leader_record,
+    residual_lease_record,
     suspension_record,
     waiver_record,
     worker_record,
 )
+from dotterelspread.jobs.restartedworkers import may_hold_residual_lease
 from dotterelspread.jobs.takeover import (
     ClaimTimeoutError,
     OvertakenError,
@@ -147,7 +147,7 @@
 #: Leases of workers that are longer than any grant.
 LONG_LEASES = FleetBounds(max_lease_ms=10_000)
 SUSPENDED = suspension_record(WORKER_ID, EPOCH)
-INHERITING = inheritance_record(WORKER_ID, True)
+INHERITING = residual_lease_record(WORKER_ID, True)
 #: How much longer such a lease lasts than a grant, on a slow clock.
 BEYOND_GRANT_S = lease_end_s(0.0, 10_000) - lease_end_s(0.0, LONG_LEASES.lease_ms)
 
@@ -157,14 +157,14 @@
     [
         ((SUSPENDED,), 0.0),
         ((SUSPENDED, INHERITING), BEYOND_GRANT_S),
-        ((SUSPENDED, inheritance_record(WORKER_ID, False)), 0.0),
-        ((SUSPENDED, inheritance_record("i-9", True)), 0.0),
+        ((SUSPENDED, residual_lease_record(WORKER_ID, False)), 0.0),
+        ((SUSPENDED, residual_lease_record("i-9", True)), 0.0),
         ((), CONFIRMED_GRANT_S),
-        # Grants of the earlier leader do not add to an inherited lease.
+        # Grants of the earlier leader do not add to a residual lease.
         ((INHERITING,), max(BEYOND_GRANT_S, CONFIRMED_GRANT_S)),
     ],
 )
-def test_a_successor_does_not_give_up_a_worker_before_its_inherited_lease(
+def test_a_successor_does_not_give_up_a_worker_before_its_residual_lease(
     records, wait_s
 ):
     waited_s = wait_after(
@@ -186,7 +186,7 @@
     return run_virtually(run())
 
 
-def test_the_end_of_earlier_terms_does_not_shorten_an_inherited_lease():
+def test_the_end_of_earlier_terms_does_not_shorten_an_residual_lease():
     cell = cell_after(INHERITING)
     before_s = cell.workers_by_id[WORKER_ID].lease_end_s
     reduce(EarlierTermsEnded(0.0, before_s - 5.0), cell)
@@ -194,12 +194,12 @@
 
 
 @pytest.mark.parametrize(
-    "record", [worker_record("i-9", "agent9:1"), inheritance_record("i-9", True)]
+    "record", [worker_record("i-9", "agent9:1"), residual_lease_record("i-9", True)]
 )
-def test_a_worker_without_runs_that_has_started_again_is_expected_to_inherit(record):
+def test_a_worker_without_runs_that_has_started_again_may_hold_a_residual_lease(record):
     cell = cell_after(record)
-    assert expects_inheritance(cell, "i-9")
-    assert not expects_inheritance(cell, WORKER_ID)
+    assert may_hold_residual_lease(cell, "i-9")
+    assert not may_hold_residual_lease(cell, WORKER_ID)
 
 
 def test_a_claim_that_this_process_did_not_know_of_is_left_in_place():
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -243,9 +243,9 @@
   22: optional i32 cold_ms,
   // Session between the agent and its worker.
   23: optional i64 session,
-  // Longest time that a lease may last which the worker got from calls to its earlier
-  // lives; none from agents that do not tell.
-  24: optional i32 inherited_lease_ms,
+  // Longest time that a lease may last which the worker got from calls to an earlier
+  // incarnation; none from agents that do not tell.
+  24: optional i32 residual_lease_ms,
 }
 
 struct StartOrder {
