--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -1,7 +1,8 @@
 """Agent of a worker: renews the worker's lease, tracks its runs and follows one leader.
 
 It extends the worker's lease no further than the leader grants and rejects leaders of
-earlier epochs. `orderhandler` executes orders, `watchreply` builds the reports.
+earlier epochs. `workerpolling` calls the worker, `orderhandler` executes orders and
+`watchreply` builds the reports.
 """
 
 import asyncio
@@ -14,23 +15,18 @@
 from .announcements import AnnouncementFilter
 from .departure import Departure
 from .leasegrant import LeaseGrant
-from .pacesending import send_paces
 from .pacing import FillerPacer
 from .paircost import CostEstimate
 from .residuallease import ResidualLease
-from .strayruns import stop_stray_runs
 from .watchreply import build_watch_reply
-from .workeradapter import WorkerFencedError, WorkerGoneError, WorkerReplyError
+from .workeradapter import WorkerFencedError, WorkerGoneError
+from .workerpolling import WorkerPoller
 from .workersession import WorkerSession
 
 __all__ = ["Agent"]
 
-#: Longest time that a worker waits for the end of a run before it lists its runs.
-LISTING_POLL_TIMEOUT_MS = 500
 #: Time without a reply after which the worker is reported as unreachable.
 WORKER_TIMEOUT_S = 1.0
-#: Longest wait for the leader to acknowledge ended runs before they are listed again.
-ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
 #: Number of tasks that are not running whose traits are kept.
 MAX_IDLE_TASK_TRAITS = 500
 
@@ -65,7 +61,6 @@
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
-        self._has_hold_failed = False
         #: Whether the leader says that operators have evacuated the data centre.
         self.is_evacuated = False
         #: When the worker is no longer cold, by its latest heartbeat.
@@ -76,7 +71,7 @@
         self.traits_by_task = {}
         self.pacer = FillerPacer()
         self.costs_by_pair = {}
-        self._announced = asyncio.Event()
+        self._poller = WorkerPoller(self)
         self._changed = asyncio.Event()
         self._acknowledged = asyncio.Event()
 
@@ -84,7 +79,7 @@
 
     def announce(self, announcement):
         """Apply a heartbeat; return False if it does not take effect now."""
-        self._announced.set()
+        self._poller.wake()
         listed_born_ms = self.listing.born_ms if self.listing else None
         takes_effect = self._announcements.accepts(announcement, listed_born_ms)
         if takes_effect:
@@ -106,6 +101,11 @@
         """Whether the process of this incarnation is not there any more."""
         return self._departure.is_gone
 
+    @property
+    def retry_interval_s(self):
+        """Delay before a failed poll of the worker is repeated."""
+        return self._departure.retry_interval_s(self.clock_ms())
+
     @property
     def epoch(self):
         """Epoch of the leader that this agent follows."""
@@ -113,11 +113,12 @@
 
     @property
     def is_in_session(self):
-        """Whether orders may be passed on to the worker that was listed last."""
+        """Whether calls may change what the worker that was listed last runs."""
         return self.listing is not None and self.session.is_confirmed
 
     @property
-    def _worker_id(self):
+    def worker_id(self):
+        """Id of the announced worker; empty before the first heartbeat."""
         return self.announcement.worker_id if self.announcement else ""
 
     def _adopt(self, announcement):
@@ -154,7 +155,7 @@
             Start time of the incarnation that shuts down; 0 if unknown.
         """
         is_known = self.announcement and self.announcement.worker_id == worker_id
-        if is_known and not (self.born_ms and self._is_other_incarnation(born_ms)):
+        if is_known and not (self.born_ms and self.is_other_incarnation(born_ms)):
             self._departure.announce(self.clock_ms())
             self._increment_version()
             log_decision("worker leaves", worker_id=worker_id, born_ms=self.born_ms)
@@ -183,14 +184,15 @@
         """Begin the incarnation that a list of the worker names."""
         if self.announcement is None or not born_ms:
             return
-        if self._is_other_incarnation(born_ms):
+        if self.is_other_incarnation(born_ms):
             # The worker that answers is the current one, whatever its start time.
             self._begin_incarnation(born_ms)
         successor = self._announcements.successor
         if successor is not None and self._is_this_incarnation(successor):
             self._adopt(successor)
 
-    def _is_other_incarnation(self, born_ms):
+    def is_other_incarnation(self, born_ms):
+        """Tell whether a start time is not that of the present incarnation."""
         return born_ms not in (0, self.born_ms)
 
     def _is_this_incarnation(self, announcement):
@@ -227,80 +229,9 @@
 
     async def run(self):
         """Renew the worker's lease and refresh its lists indefinitely."""
-        while True:
-            await self._hold_once()
-
-    async def _hold_once(self):
-        worker_id = self._worker_id
-        born_ms = self.born_ms
-        listed_ms = self.clock_ms()
-        session_number = self.session.number
-        until_ms = self.lease_until_ms() if self.is_in_session else 0
-        seen = self._acknowledged_number() if self.is_in_session else 0
-        try:
-            listing = await self.adapter.hold(
-                worker_id, self.session.token, seen, until_ms, self._hold_wait_ms()
-            )
-        except WorkerReplyError as error:
-            self._has_hold_failed = True
-            self._handle_hold_failure(error)
-            await self._wait_to_retry()
-            return
-        self._has_hold_failed = False
-        self.session.accept()
-        if worker_id != self._worker_id:
-            return
-        if born_ms != self.born_ms and self._is_other_incarnation(listing.born_ms):
-            # The reply may be the last one of an incarnation that has ended meanwhile.
-            return
-        if self.listing is None or self._is_other_incarnation(listing.born_ms):
-            self._log_first_listing(listing, session_number)
-        self.apply_listing(listing, listed_ms)
-        if self.session.has_begun and session_number == self.session.number:
-            self.residual_lease.bound()
-        await stop_stray_runs(self)
-        await send_paces(self)
-        if self.ended_by_number:
-            self._acknowledged.clear()
-            try:
-                async with asyncio.timeout(ACKNOWLEDGEMENT_TIMEOUT_S):
-                    await self._acknowledged.wait()
-            except TimeoutError:
-                # No leader has acknowledged the ends in time; list the runs again.
-                return
+        await self._poller.run()
 
-    async def _wait_to_retry(self):
-        """Wait before the next call, until a heartbeat shows that a worker is up."""
-        self._announced.clear()
-        interval_s = self._departure.retry_interval_s(self.clock_ms())
-        with suppress(TimeoutError):
-            async with asyncio.timeout(interval_s):
-                await self._announced.wait()
-
-    def _hold_wait_ms(self):
-        """Return how long the worker waits for the end of a run before it replies.
-
-        Nothing is known of an incarnation before its first listing, another one may
-        answer after a failure, and calls to earlier ones may change it before the first
-        call under its own session.
-        """
-        is_unfenced = self.session.has_begun and not self.residual_lease.is_bounded
-        is_due = self.listing is None or self._has_hold_failed or is_unfenced
-        return 0 if is_due else LISTING_POLL_TIMEOUT_MS
-
-    def _log_first_listing(self, listing, session_number):
-        """Log the first lists of an incarnation."""
-        log_decision(
-            "incarnation listed",
-            worker_id=self._worker_id,
-            born_ms=listing.born_ms,
-            known_born_ms=self.born_ms,
-            session=session_number,
-            worker_clock_ms=listing.clock_ms,
-            runs=len(listing.running),
-        )
-
-    def _acknowledged_number(self):
+    def acknowledged_number(self):
         """Return the number up to which the worker may discard ends; 0 if it has.
 
         A late call must not acknowledge ends of a later incarnation.
@@ -308,7 +239,8 @@
         is_due = any(end.number <= self.seen for end in self.listing.ended)
         return self.seen if is_due else 0
 
-    def _handle_hold_failure(self, error):
+    def handle_failure(self, error):
+        """Apply a poll of the worker that returned no lists."""
         counters.add("silent_holds")
         if isinstance(error, WorkerFencedError):
             self.session.pass_refused()
@@ -338,7 +270,7 @@
 
     def _adopt_other(self, successor):
         # The same worker's next incarnation is taken up when it answers.
-        if successor.worker_id != self._worker_id:
+        if successor.worker_id != self.worker_id:
             self._adopt(successor)
 
     def lease_until_ms(self):
@@ -404,6 +336,13 @@
             del self.ended_by_number[number]
         self._acknowledged.set()
 
+    async def wait_acknowledged(self, timeout_s):
+        """Wait until the leader acknowledges ended runs."""
+        self._acknowledged.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._acknowledged.wait()
+
     def _reply(self):
         return build_watch_reply(self)
 
--- /dev/null
+++ b/dotterelspread/jobs/workerpolling.py
@@ -0,0 +1,111 @@
+"""Polls the worker of an agent: renews its lease and lists its runs."""
+
+import asyncio
+from contextlib import suppress
+
+from ..decisionlog import log_decision
+from .pacesending import send_paces
+from .strayruns import stop_stray_runs
+from .workeradapter import WorkerReplyError
+
+__all__ = ["WorkerPoller"]
+
+#: Longest time that a worker waits for the end of a run before it lists its runs.
+LISTING_POLL_TIMEOUT_MS = 500
+#: Longest wait for the leader to acknowledge ended runs before they are listed again.
+ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
+
+
+class WorkerPoller:
+    """Loop of one agent, with one call to the worker at a time.
+
+    Parameters
+    ----------
+    agent : Agent
+    """
+
+    __slots__ = ("_agent", "_has_failed", "_heartbeat")
+
+    def __init__(self, agent):
+        self._agent = agent
+        #: Whether the latest call got no lists.
+        self._has_failed = False
+        self._heartbeat = asyncio.Event()
+
+    def wake(self):
+        """End a wait for the next attempt, since a heartbeat shows that it is up."""
+        self._heartbeat.set()
+
+    async def run(self):
+        """Poll the worker indefinitely."""
+        while True:
+            await self._poll()
+
+    async def _poll(self):
+        agent = self._agent
+        worker_id, born_ms = agent.worker_id, agent.born_ms
+        session_number = agent.session.number
+        listed_ms = agent.clock_ms()
+        try:
+            listing = await self._call(worker_id)
+        except WorkerReplyError as error:
+            self._has_failed = True
+            agent.handle_failure(error)
+            await self._wait_to_retry()
+            return
+        self._has_failed = False
+        agent.session.accept()
+        if worker_id != agent.worker_id:
+            return
+        if born_ms != agent.born_ms and agent.is_other_incarnation(listing.born_ms):
+            # The reply may be the last one of an incarnation that has ended meanwhile.
+            return
+        if agent.listing is None or agent.is_other_incarnation(listing.born_ms):
+            self._log_first_listing(listing, session_number)
+        agent.apply_listing(listing, listed_ms)
+        if agent.session.has_begun and session_number == agent.session.number:
+            agent.residual_lease.bound()
+        await stop_stray_runs(agent)
+        await send_paces(agent)
+        if agent.ended_by_number:
+            # Unless a leader acknowledges the ends in time, the runs are listed again.
+            await agent.wait_acknowledged(ACKNOWLEDGEMENT_TIMEOUT_S)
+
+    async def _call(self, worker_id):
+        agent = self._agent
+        until_ms, seen = 0, 0
+        if agent.is_in_session:
+            until_ms, seen = agent.lease_until_ms(), agent.acknowledged_number()
+        token = agent.session.token
+        wait_ms = self._wait_ms()
+        return await agent.adapter.hold(worker_id, token, seen, until_ms, wait_ms)
+
+    def _wait_ms(self):
+        """Return how long the worker waits for the end of a run before it replies.
+
+        Nothing is known of an incarnation before its first listing, another one may
+        answer after a failure, and calls to earlier ones may change it before the first
+        call under its own session.
+        """
+        agent = self._agent
+        is_unfenced = agent.session.has_begun and not agent.residual_lease.is_bounded
+        is_due = agent.listing is None or self._has_failed or is_unfenced
+        return 0 if is_due else LISTING_POLL_TIMEOUT_MS
+
+    async def _wait_to_retry(self):
+        self._heartbeat.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._agent.retry_interval_s):
+                await self._heartbeat.wait()
+
+    def _log_first_listing(self, listing, session_number):
+        """Log the first lists of an incarnation."""
+        log_decision(
+            "incarnation listed",
+            worker_id=self._agent.worker_id,
+            born_ms=listing.born_ms,
+            known_born_ms=self._agent.born_ms,
+            session=session_number,
+            worker_clock_ms=listing.clock_ms,
+            runs=len(listing.running),
+        )
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from dotterelspread.jobs.agentpart import LISTING_POLL_TIMEOUT_MS
 from dotterelspread.jobs.departure import RETRY_INTERVAL_S
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.worker import EndedRun, RunEnd
+from dotterelspread.jobs.workerpolling import LISTING_POLL_TIMEOUT_MS
 from tests.builders_agent import (
     HEARTBEAT,
     clock_ms,
