Let an agent that no leader polls leave the worker to another process of it

Change: a refused token is passed only within 2 s of a poll, and only runs in the first lists under the incarnation's own token count as stray: later ones can't come from earlier calls. Result: that test passes, and those of stray runs.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -27,6 +27,9 @@
 
 #: Time without a reply after which the worker is reported as unreachable.
 WORKER_TIMEOUT_S = 1.0
+#: Time without a poll of the leader after which an agent competes with no other process
+#: for its worker; polls follow each other within 0.7 s.
+LEADER_TIMEOUT_MS = 2000
 #: Number of tasks that are not running whose traits are kept.
 MAX_IDLE_TASK_TRAITS = 500
 
@@ -58,6 +61,9 @@
         self.grant = LeaseGrant(max_lease_ms, clock_ms)
         self._max_lease_ms = max_lease_ms
         self.residual_lease = ResidualLease(max_lease_ms, clock_ms)
+        #: Task id and number of the runs that calls to an earlier incarnation may have
+        #: started in this one.
+        self.early_runs = frozenset()
         #: Lower bound of the worker's clock minus the agent's; None if unknown.
         self.clock_offset_ms = None
         self.is_reachable = False
@@ -67,6 +73,8 @@
         self.cold_until_ms = 0
         self._departure = Departure()
         self.answered_ms = clock_ms()
+        #: When the leader last polled this agent.
+        self._polled_ms = 0
         self.version = 1
         self.traits_by_task = {}
         self.pacer = FillerPacer()
@@ -180,6 +188,14 @@
             self._increment_version()
         self._discard_idle_traits()
 
+    def bound_residual_lease(self):
+        """Record that the latest lists are of a call under the session's own token."""
+        if not self.residual_lease.is_bounded:
+            self.residual_lease.bound()
+            self.early_runs = frozenset(
+                (row.task_id, row.run) for row in self.listing.running
+            )
+
     def _apply_born(self, born_ms):
         """Begin the incarnation that a list of the worker names."""
         if self.announcement is None or not born_ms:
@@ -218,6 +234,7 @@
         self.clock_offset_ms = None
         self.session.begin_next()
         self.residual_lease = ResidualLease(self._max_lease_ms, self.clock_ms)
+        self.early_runs = frozenset()
         self.is_reachable = False
         self._departure = Departure()
         self._increment_version()
@@ -242,11 +259,13 @@
     def handle_failure(self, error):
         """Apply a poll of the worker that returned no lists."""
         counters.add("silent_holds")
+        now_ms = self.clock_ms()
         if isinstance(error, WorkerFencedError):
-            self.session.pass_refused()
-            self._increment_version()
             counters.add("fenced_holds")
-        now_ms = self.clock_ms()
+            if now_ms - self._polled_ms <= LEADER_TIMEOUT_MS:
+                # Without a leader, another process of this agent may have its place.
+                self.session.pass_refused()
+                self._increment_version()
         if self._departure.observe_failure(error, now_ms):
             self.is_reachable = False
             # Another incarnation answers the next call.
@@ -301,6 +320,7 @@
         """Answer the leader's long poll after a change or at the end of the wait."""
         if not self.accepts(query.epoch):
             return self._reply()
+        self._polled_ms = self.clock_ms()
         self.session.confirm(query.session)
         self._note_evacuation(query)
         self.grant.extend(query.grant_until_ms)
--- a/dotterelspread/jobs/strayruns.py
+++ b/dotterelspread/jobs/strayruns.py
@@ -21,26 +21,33 @@
 
 
 async def stop_stray_runs(agent):
-    """Stop all runs in the latest list if no leader can have ordered them.
+    """Stop the early runs in the latest list if no leader has heard of them.
 
     Parameters
     ----------
     agent : Agent
     """
-    if agent.session.has_been_confirmed or not agent.listing.running:
+    if agent.session.has_been_confirmed or not _is_grant_ending(agent):
         return
-    grant_end_ms = agent.grant.until_ms
-    if not grant_end_ms or grant_end_ms - agent.clock_ms() > STOP_LEAD_MS:
+    early = agent.early_runs
+    strays = [row for row in agent.listing.running if (row.task_id, row.run) in early]
+    if not strays:
         return
-    counters.add("stray_runs", len(agent.listing.running))
+    counters.add("stray_runs", len(strays))
     log_decision(
         "stray runs stopped",
         worker_id=agent.announcement.worker_id,
         born_ms=agent.born_ms,
-        runs=len(agent.listing.running),
-        task_ids=[row.task_id for row in agent.listing.running[:MAX_LOGGED_TASKS]],
+        runs=len(strays),
+        task_ids=[row.task_id for row in strays[:MAX_LOGGED_TASKS]],
     )
-    await asyncio.gather(*(_stop(agent, row) for row in agent.listing.running))
+    await asyncio.gather(*(_stop(agent, row) for row in strays))
+
+
+def _is_grant_ending(agent):
+    """Tell whether a grant is over or is about to be."""
+    end_ms = agent.grant.until_ms
+    return end_ms > 0 and end_ms - agent.clock_ms() <= STOP_LEAD_MS
 
 
 async def _stop(agent, row):
--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -64,7 +64,7 @@
             self._log_first_listing(listing, session_number)
         agent.apply_listing(listing, listed_ms)
         if agent.session.has_begun and session_number == agent.session.number:
-            agent.residual_lease.bound()
+            agent.bound_residual_lease()
         await stop_stray_runs(agent)
         await send_paces(agent)
         if agent.ended_by_number:
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -273,7 +273,9 @@
         worker.token = agent.session.token + earlier_sessions
         # Each refusal passes twice as many.
         refusals = earlier_sessions.bit_length()
-        await asyncio.sleep(1 + refusals * 2 * RETRY_INTERVAL_S)
+        for _ in range(2 + refusals):
+            await asyncio.sleep(2 * RETRY_INTERVAL_S)
+            await agent.watch(make_query(0))
         assert agent.is_reachable
         assert agent.session.token >= worker.token
         session = (await agent.watch(make_query(0))).session
@@ -285,6 +287,16 @@
     run_agent(scenario)
 
 
+def test_an_agent_that_no_leader_polls_does_not_fence_another_process_of_it():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        worker.token = agent.session.token + 1
+        await asyncio.sleep(60)
+        assert agent.session.token <= worker.token
+
+    run_agent(scenario)
+
+
 def test_a_reply_to_an_order_of_an_earlier_incarnation_does_not_set_the_clock():
     async def scenario(agent, worker):
         await begin_confirmed_session(agent)
