Restart a worker and cut its agent off in the soak, with leases longer than granted

Cause: the soak's workers accepted leases of 4 s at most, the very lease that leaders grant, and no fault cut off a worker that had just restarted under its id. Leases meant for an earlier incarnation could not show. The fault restart_and_cut_off restarts the busiest worker under its id and cuts its agent off from the leader one to three seconds later for longer than a lease; some cuts begin before the restart, half of them cover the path to the worker, and some come with a kill of the leader or the agent. One job in five has tasks of 12 s.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from dotterelspread.h1client import H1Client, H1Error
+from dotterelspread.resources import Resources
 from tests.builders_fleet import make_job, make_step
 from tests.builders_platform import job_document, job_state
 
@@ -17,6 +18,11 @@
 DEADLINE_S = 3.5
 MAX_SUBMIT_INTERVAL_S = 0.5
 MAX_ATTEMPTS = 4
+#: Ratio of the jobs whose tasks outlast each lease.
+LONG_JOB_RATIO = 0.2
+LONG_RUN_S = 12.0
+#: Demand of such a task. It is small, so that workers keep room for the other jobs.
+LONG_TASK_DEMAND = Resources(250, 250)
 #: Time after the last fault within which all accepted jobs must complete.
 COMPLETION_TIMEOUT_S = 40.0
 #: Time after the last fault within which a published version must take effect.
@@ -76,6 +82,8 @@
 
     def _make_spec(self, number):
         rng = self.site.rng
+        if rng.random() < LONG_JOB_RATIO:
+            return self._make_long_spec(number)
         steps = [make_step(count=rng.randint(1, 5))]
         if rng.random() < 0.4:
             steps.append(make_step(count=2, depends_on=(0,)))
@@ -85,6 +93,17 @@
         self.site.durations[spec.job_id] = rng.choice((0.3, 0.6, 2.0))
         return spec
 
+    def _make_long_spec(self, number):
+        estimate_ms = int(LONG_RUN_S * 1000)
+        step = make_step(
+            count=self.site.rng.randint(1, 5),
+            demand=LONG_TASK_DEMAND,
+            estimate_ms=estimate_ms,
+        )
+        spec = make_job(number, [step])
+        self.site.durations[spec.job_id] = LONG_RUN_S
+        return spec
+
     async def _call(self, method, job_id, body=b""):
         """Return the status of a call, or 0 if there was no complete reply."""
         client = self.site.rng.choice(self._clients)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 FAULT_INTERVAL_RANGE_S = (0.3, 2.0)
 #: Number of requests in progress when an entry is stopped gracefully.
 REQUESTS_IN_PROGRESS = 5
+#: Modes in which a network path fails.
+PATH_FAILURES = ("cut", "silence", "forward-only")
 
 
 @contextmanager
@@ -36,9 +38,12 @@
 
 async def kill(site):
     """Kill some processes at the same time."""
-    chosen = _choose_healthy(site, site.processes, len(site.processes))
-    with _mark_faulty(chosen):
-        for process in chosen:
+    await _kill(_choose_healthy(site, site.processes, len(site.processes)))
+
+
+async def _kill(processes):
+    with _mark_faulty(processes):
+        for process in processes:
             process.signal(signal.SIGKILL)
         await asyncio.sleep(1.0)
 
@@ -91,7 +96,7 @@
 
 async def _cut(site, processes, relay_of):
     """Cut or silence a network path of some processes."""
-    mode = site.rng.choice(("cut", "silence", "forward-only"))
+    mode = site.rng.choice(PATH_FAILURES)
     chosen = _choose_healthy(site, processes, 2)
     with _mark_faulty(chosen):
         for process in chosen:
@@ -167,7 +172,11 @@
 
 
 def _free_workers(site):
-    return [w for w in site.workers if w.is_up and not w.is_draining]
+    return [
+        worker
+        for worker in site.workers
+        if worker.is_up and not worker.is_draining and not worker.has_fault
+    ]
 
 
 async def crash_worker(site):
@@ -177,6 +186,60 @@
         await worker.crash_and_return(site.rng.uniform(0.1, 6.0), is_same)
 
 
+async def restart_and_cut_off(site):
+    """Restart the busiest worker under its ID, and cut its agent off soon after."""
+    agents_by_worker = {
+        worker: site.agents[worker.number]
+        for worker in _free_workers(site)
+        if not site.agents[worker.number].has_fault
+    }
+    if not agents_by_worker:
+        return
+    worker = max(agents_by_worker, key=attrgetter("remaining_s"))
+    agent = agents_by_worker[worker]
+    with _mark_faulty([agent, worker]):
+        site.log_event(f"restart of {worker.worker_id}, runs {len(worker.running)}")
+        await _restart_behind_path(site, worker, agent.peer_relay)
+        await asyncio.sleep(site.rng.uniform(1.0, 3.0))
+        site.log_event(f"cut off {worker.worker_id}, runs {len(worker.running)}")
+        killing = asyncio.ensure_future(_kill_in_between(site, agent))
+        relays = [agent.peer_relay]
+        if site.rng.random() < 0.5:
+            relays.append(worker.relay)
+        await _cut_for_longer_than_lease(site, relays)
+        await killing
+
+
+async def _restart_behind_path(site, worker, peer_relay):
+    """Restart a worker, in some cases while its agent is cut off from the leader."""
+    if site.rng.random() < 0.3:
+        peer_relay.apply(site.rng.choice(PATH_FAILURES))
+    worker.late_ratio = site.rng.choice((0.0, 0.3))
+    await worker.crash_and_return(site.rng.uniform(0.1, 2.0), is_same=True)
+    worker.late_ratio = 0.0
+    if site.rng.random() < 0.7:
+        peer_relay.apply("pass")
+
+
+async def _kill_in_between(site, agent):
+    """Kill the agent, the leader or none of them."""
+    victim = site.rng.choice((agent, site.leader, None, None))
+    if victim is agent:
+        # Its mark outlasts the restart.
+        agent.signal(signal.SIGKILL)
+    elif victim is not None and not victim.has_fault:
+        await _kill([victim])
+
+
+async def _cut_for_longer_than_lease(site, relays):
+    mode = site.rng.choice(PATH_FAILURES)
+    for relay in relays:
+        relay.apply(mode)
+    await asyncio.sleep(site.bounds.lease_ms / 1000 + site.rng.uniform(1.0, 5.0))
+    for relay in relays:
+        relay.apply("pass")
+
+
 async def drain_worker(site):
     """Drain a worker and replace it."""
     for worker in _free_workers(site)[-1:]:
@@ -222,6 +285,8 @@
     rebalance,
     publish,
     crash_worker,
+    restart_and_cut_off,
+    restart_and_cut_off,
     drain_worker,
     delay_orders,
     fail_tasks,
--- a/soak/site.py
+++ b/soak/site.py
@@ -22,7 +22,9 @@
 
 __all__ = ["SoakError", "SoakProcess", "SoakSite"]
 
-LEASE_MS = 4000
+#: Longest leases that workers accept, by the seed modulo their number. The first is
+#: granted in full, the second is longer than any lease that a leader grants.
+MAX_LEASES_MS = (4000, 10_000)
 GRACE_S = 6
 #: Delay after which an exited process is restarted, as the platform does.
 RESTART_S = 0.5
@@ -76,7 +78,7 @@
                 ready=READY_PORT,
                 control=CONTROL_PORT,
                 store=f"{self.host}:{RELAY_PORT}",
-                lease_ms=LEASE_MS,
+                lease_ms=self.site.bounds.max_lease_ms,
                 grace_s=grace_s,
             )
         )
@@ -147,7 +149,8 @@
         self.rng = random.Random(seed)
         self.block = 10 + seed % 200
         self.store_host = f"127.{self.block}.0.1"
-        self.bounds = FleetBounds(max_lease_ms=LEASE_MS)
+        max_lease_ms = MAX_LEASES_MS[seed % len(MAX_LEASES_MS)]
+        self.bounds = FleetBounds(max_lease_ms=max_lease_ms)
         self.policy = None
         self.specs = {}
         self.durations = {}
@@ -179,6 +182,13 @@
         """All processes."""
         return [*self.entries, *self.agents]
 
+    @property
+    def leader(self):
+        """Entry to which the store has assigned the leaders' group; None if none."""
+        names = (entry.name for entry in self.entries)
+        by_name = dict(zip(names, self.entries, strict=True))
+        return by_name.get(self.store.holder)
+
     def duration_of(self, task_id):
         """Return the run time of a task in seconds."""
         return self.durations.get(task_id.split(".")[0], 0.5)
--- a/soak/store.py
+++ b/soak/store.py
@@ -31,7 +31,8 @@
         #: announce; both have the same length, as they are replaced inside records.
         self.relay_address_by_address = {}
         self._expiry_by_member = {}
-        self._holder = ""
+        #: Member to which the only partition of the group is assigned; may be empty.
+        self.holder = ""
         self._generation = 1
 
     async def handle(self, request):
@@ -59,17 +60,17 @@
         now_s = asyncio.get_running_loop().time()
         self._expiry_by_member[body["Member"]] = now_s + body["TtlMs"] / 1000
         alive = [m for m, end_s in self._expiry_by_member.items() if end_s > now_s]
-        if self._holder not in alive:
+        if self.holder not in alive:
             self._assign(alive)
-        parts = [[body["Topics"][0], 0, 0]] if self._holder == body["Member"] else []
+        parts = [[body["Topics"][0], 0, 0]] if self.holder == body["Member"] else []
         return _json_response({"Generation": self._generation, "parts": parts})
 
     async def do_log_leave(self, request):
         """Remove a member."""
         member = json.loads(request.body)["Member"]
         self._expiry_by_member.pop(member, None)
-        if self._holder == member:
-            self._holder = ""
+        if self.holder == member:
+            self.holder = ""
         return _json_response({})
 
     def rebalance(self):
@@ -77,7 +78,7 @@
         self._assign(list(self._expiry_by_member))
 
     def _assign(self, members):
-        self._holder = self.rng.choice(members) if members else ""
+        self.holder = self.rng.choice(members) if members else ""
         self._generation += 1
 
 
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -14,6 +14,9 @@
 HEARTBEAT_INTERVAL_S = 0.5
 #: Time after the acknowledgement of a drain in which starts are still allowed.
 DRAIN_GRACE_S = 2.5
+#: Longest run on a worker that slows its runs down, so that all jobs can complete in
+#: the time after the last fault.
+MAX_RUN_S = 16.0
 
 
 class SoakWorker(VirtualWorker):
@@ -31,8 +34,23 @@
         self._drained_s = None
         self._control = H1Client(control_address)
         self.relay = None
+        #: Whether a fault is active on the worker; other faults then skip it.
+        self.has_fault = False
         super().__init__(site, number)
 
+    def begin_incarnation(self):
+        """Restart with a new clock and without runs."""
+        super().begin_incarnation()
+        # The agent's HTTP client resets the arguments of a call on a new connection
+        # itself; the worker applies all calls as they are.
+        self.connected_incarnation = self.incarnation
+
+    @property
+    def remaining_s(self):
+        """Sum of the times for which its runs still go on."""
+        now_s = clock.now_s()
+        return sum(run.end_s - now_s for run in self.running.values())
+
     async def handle(self, request):
         """Handle a call of the agent."""
         return await WorkerStandIn(self).handle(request)
@@ -40,7 +58,11 @@
     def _start(self, incarnation, token, order, until_ms):
         is_new = order.task_id not in self.running
         answer = super()._start(incarnation, token, order, until_ms)
-        if is_new and answer is StartAnswer.RUNNING and self._is_long_drained:
+        if not is_new or answer is not StartAnswer.RUNNING:
+            return answer
+        run = self.running[order.task_id]
+        run.end_s = min(run.end_s, run.started_s + MAX_RUN_S)
+        if self._is_long_drained:
             text = f"{order.task_id} starts late on {self.worker_id}, which is draining"
             self.fleet.checker.violations.append(text)
         return answer
