--- a/soak/faults.py
+++ b/soak/faults.py
@@ -266,7 +266,7 @@
     worker.is_failing = False
 
 
-#: All faults; one that is listed twice is chosen twice as often.
+#: All faults; one that is listed more often is chosen more often.
 FAULTS = (
     kill,
     kill,
@@ -287,6 +287,7 @@
     crash_worker,
     restart_and_cut_off,
     restart_and_cut_off,
+    restart_and_cut_off,
     drain_worker,
     delay_orders,
     fail_tasks,
