--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 
 from absl import app, flags
 
+from .faults import FAULTS, choose_faults
 from .run import soak
 
 FLAGS = flags.FLAGS
@@ -22,6 +23,12 @@
 flags.DEFINE_integer(
     "agents", 4, "Number of agents, and of workers, in each run.", lower_bound=1
 )
+flags.DEFINE_multi_enum(
+    "fault",
+    [],
+    sorted({fault.__name__ for fault in FAULTS}),
+    "Fault to inject, may be repeated; all faults if it is not given.",
+)
 flags.DEFINE_string("keep", "", "Folder for the logs of failed runs.")
 
 
@@ -36,7 +43,8 @@
         async with limit:
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             arguments = (FLAGS.seconds, FLAGS.entries, FLAGS.agents)
-            violations, summary = await soak(folder, seed, *arguments)
+            faults = choose_faults(FLAGS.fault)
+            violations, summary = await soak(folder, seed, *arguments, faults)
             print(
                 f"seed {seed}: {summary}; {violations or 'no violations'}",
                 flush=True,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 
 from .site import FRONT_PORT
 
-__all__ = ["FAULTS", "run_faults"]
+__all__ = ["FAULTS", "choose_faults", "run_faults"]
 
 #: Minimum and maximum time between the starts of two faults.
 FAULT_INTERVAL_RANGE_S = (0.3, 2.0)
@@ -288,19 +288,25 @@
     restart_and_cut_off,
     restart_and_cut_off,
     restart_and_cut_off,
+    restart_and_cut_off,
     drain_worker,
     delay_orders,
     fail_tasks,
 )
 
 
-async def run_faults(site, seconds):
+def choose_faults(names):
+    """Return the faults with the given names, or all if there are none."""
+    return tuple(fault for fault in FAULTS if not names or fault.__name__ in names)
+
+
+async def run_faults(site, seconds, faults):
     """Start faults at random intervals; return when all have healed."""
     loop = asyncio.get_running_loop()
     end_s = loop.time() + seconds
     running = []
     while loop.time() < end_s:
-        fault = site.rng.choice(FAULTS)
+        fault = site.rng.choice(faults)
         site.log_event(f"fault {fault.__name__}")
         running.append(asyncio.ensure_future(fault(site)))
         await asyncio.sleep(site.rng.uniform(*FAULT_INTERVAL_RANGE_S))
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from .callers import Callers
-from .faults import run_faults
+from .faults import FAULTS, run_faults
 from .site import SoakSite
 
 __all__ = ["soak"]
@@ -12,7 +12,7 @@
 STARTUP_S = 3.0
 
 
-async def soak(folder, seed, seconds, entries, agents):
+async def soak(folder, seed, seconds, entries, agents, faults=FAULTS):
     """Run one soak and return the violated invariants.
 
     Parameters
@@ -23,6 +23,8 @@
     seconds : float
         Duration of job submission and fault injection.
     entries, agents : int
+    faults : sequence of coroutine functions
+        Faults to choose from.
 
     Returns
     -------
@@ -33,7 +35,7 @@
     async with site.open():
         await asyncio.sleep(STARTUP_S)
         callers = Callers(site)
-        await asyncio.gather(callers.run(seconds), run_faults(site, seconds))
+        await asyncio.gather(callers.run(seconds), run_faults(site, seconds, faults))
         await callers.check()
     for process in site.processes:
         for code in process.unexpected_exit_codes:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from dotterelspread.h1client import H1Reply
 from dotterelspread.jobs.worker import RunEnd
 from soak.callers import Callers
+from soak.faults import restart_and_cut_off
 from soak.run import soak
 from soak.site import PEER_PORT, SoakError, SoakSite
 
@@ -29,6 +30,13 @@
     assert not broken, (tmp_path / "soak.log").read_text()
 
 
+def test_nothing_is_broken_when_restarted_workers_are_cut_off(tmp_path):
+    # Guards against leases that a worker got from calls to its earlier incarnation.
+    seed, faults = 3083, (restart_and_cut_off,)
+    broken, _ = asyncio.run(soak(tmp_path, seed, 6, 2, 3, faults))
+    assert not broken, (tmp_path / "soak.log").read_text()
+
+
 def test_what_an_earlier_soak_left_running_is_named(tmp_path):
     async def scenario():
         site = SoakSite(tmp_path, 150)
