Log which process a soak kills before it cuts a worker off

Cause: the log of a soak did not tell whether the leader, the agent or none was killed. Change: one line with its name, and a shorter look-up of the leader.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -224,10 +224,13 @@
 async def _kill_in_between(site, agent):
     """Kill the agent, the leader or none of them."""
     victim = site.rng.choice((agent, site.leader, None, None))
+    if victim is None:
+        return
+    site.log_event(f"kill of {victim.name}")
     if victim is agent:
         # Its mark outlasts the restart.
         agent.signal(signal.SIGKILL)
-    elif victim is not None and not victim.has_fault:
+    elif not victim.has_fault:
         await _kill([victim])
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -185,9 +185,8 @@
     @property
     def leader(self):
         """Entry to which the store has assigned the leaders' group; None if none."""
-        names = (entry.name for entry in self.entries)
-        by_name = dict(zip(names, self.entries, strict=True))
-        return by_name.get(self.store.holder)
+        holder = self.store.holder
+        return next((entry for entry in self.entries if entry.name == holder), None)
 
     def duration_of(self, task_id):
         """Return the run time of a task in seconds."""
