Let a simulated worker that restarts execute calls meant for its earlier life

Cause: the clock of each simulated incarnation started at 5 s, an order executed late reached only the incarnation that it was sent to, and a `hold` was never late, so tests with restarts under an id could not show what a call to the earlier incarnation does to the next one.

Change: the clock of an incarnation starts lower or higher than that of the one before, fixed by worker and incarnation. Late starts, stops and holds are executed by whatever incarnation has the id then.

A late order is lost if it comes before the first call to a new incarnation, for at most 0.75 s: such a worker has seen no fencing token, so that a late copy of a start runs a task again that has ended and been acknowledged on the earlier incarnation.

--- a/soak/workers.py
+++ b/soak/workers.py
@@ -37,9 +37,9 @@
         """Handle a call of the agent."""
         return await WorkerStandIn(self).handle(request)
 
-    def _start(self, incarnation, token, order, until_ms):
+    def _start(self, worker_id, token, order, until_ms):
         is_new = order.task_id not in self.running
-        answer = super()._start(incarnation, token, order, until_ms)
+        answer = super()._start(worker_id, token, order, until_ms)
         if is_new and answer is StartAnswer.RUNNING and self._is_long_drained:
             text = f"{order.task_id} starts late on {self.worker_id}, which is draining"
             self.fleet.checker.violations.append(text)
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -21,9 +21,9 @@
 class CrashingWorker(VirtualWorker):
     """Worker that crashes under a crashing task and comes back after an outage."""
 
-    def _start(self, incarnation, token, order, until_ms):
+    def _start(self, worker_id, token, order, until_ms):
         runs_before = self.fleet.checker.runs
-        answer = super()._start(incarnation, token, order, until_ms)
+        answer = super()._start(worker_id, token, order, until_ms)
         if self.fleet.checker.runs > runs_before:
             assert answer is StartAnswer.RUNNING
             self._note_start(order.task_id)
--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -5,7 +5,7 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
-from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
+from dotterelspread.jobs.workeradapter import WorkerReplyError
 from tests.builders_evacuation import evacuate, restore
 from tests.builders_fleet import CallOutcome, Network, VirtualFleet, make_job, make_step
 from tests.builders_worker import ORDER_TIMEOUT_S, VirtualWorker
@@ -48,18 +48,9 @@
 class _ScriptedWorker(VirtualWorker):
     poll_interval_s = 0.1
 
-    async def start(self, worker_id, token, order, until_ms):
-        def execute():
-            if worker_id != self.worker_id:
-                return StartAnswer.OTHER_INCARNATION
-            # A late order reaches the next incarnation if that has the same ID.
-            return self._start(self.incarnation, token, order, until_ms)
-
-        return await self._execute(worker_id, execute)
-
-    async def _execute(self, worker_id, execute):
+    async def _execute(self, execute):
         outcome = self.fleet.choose_outcome("worker", tuple(CallOutcome))
-        await self._receive(worker_id)
+        await self._receive()
         answer = None
         if outcome in (CallOutcome.ANSWERED, CallOutcome.REPLY_LOST):
             answer = execute()
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -298,7 +298,7 @@
 
     async def do_hold(self, body):
         listing = await self.worker.hold(
-            "",
+            self.worker.worker_id,
             body["FencingToken"],
             body["LastSeen"],
             body.get("UntilMs", 0),
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -22,13 +22,32 @@
 CAPACITY = Resources(8000, 16_000, 0)
 #: Time after which the caller of an order that gets no reply times out.
 ORDER_TIMEOUT_S = 0.7
-
+#: Added to the wait of a `hold` call to get the time after which its caller times out.
+HOLD_MARGIN_S = 1.0
+#: Shortest and longest delay of calls that are executed late.
+LATE_CALL_DELAYS_S = (2, 6)
+#: Age by which a running agent has called an incarnation. A late order for an earlier
+#: one is lost before that call: nothing would keep the worker from starting a task that
+#: has ended since.
+FIRST_CALL_TIMEOUT_S = 0.75
+#: Lowest value at which the clock of an incarnation starts, and the steps above it.
+MIN_CLOCK_START_MS, CLOCK_START_STEP_MS, CLOCK_START_STEPS = 5000, 1_000_000, 5
 
 #: Time after which a worker that has shrunk may no longer be given tasks for its
 #: earlier capacity.
 CAPACITY_NOTICE_S = 5.5
 
 
+def _clock_start_ms(number, incarnation):
+    """Return the worker's clock at the start of an incarnation.
+
+    It is higher than that of the incarnation before for some, and lower for others: to
+    one of them the end of a lease that was meant for the other is far ahead.
+    """
+    steps = (3 * incarnation + 2 * number + 3) % CLOCK_START_STEPS
+    return MIN_CLOCK_START_MS + steps * CLOCK_START_STEP_MS
+
+
 @dataclass
 class _VirtualRun:
     run: int
@@ -61,14 +80,19 @@
         #: (time, task id) of each start.
         self.starts = []
         self.incarnation = 0
-        #: Incarnation to which the agent's connection was opened.
+        #: Incarnation to which the agent's connection was opened; 0 if it was closed.
         self.connected_incarnation = 0
+        #: Executes the latest `hold` call for another time; None if it was answered.
+        self._unanswered_hold = None
         self.is_up = True
         self.is_draining = False
         #: Factor on the duration of runs started here; infinite for a stalled worker.
         self.slowness = 1.0
-        #: Ratio of orders that are executed late and get no reply.
+        #: Ratio of orders that are executed late and get no reply, and of `hold` calls
+        #: broken by a crash that the next incarnation executes.
         self.late_ratio = 0.0
+        #: Ratio of other `hold` calls that are executed late and get no reply.
+        self.late_hold_ratio = 0.0
         self.is_failing = False
         #: Whether calls to the worker are lost; its runs go on.
         self.is_cut_off = False
@@ -83,6 +107,7 @@
         self.incarnation += 1
         self.born_s = clock.now_s()
         self.born_ms = int((self.born_s + self.time_of_day_step_s) * 1000)
+        self.clock_start_ms = _clock_start_ms(self.number, self.incarnation)
         self.sequence = 0
         self.token = 0
         self.lease_end_s = 0.0
@@ -90,9 +115,16 @@
         self.ended = []
         self.highest_run_by_task_id = {}
         self.is_up = True
+        self._execute_unanswered_hold()
+
+    def _execute_unanswered_hold(self):
+        """Execute a call to the earlier incarnation before any to this one."""
+        execute, self._unanswered_hold = self._unanswered_hold, None
+        if execute is not None and self.late_ratio and self._is_order_late():
+            execute()
 
     def clock_ms(self):
-        return int((clock.now_s() - self.born_s) * 1000) + 5000
+        return int((clock.now_s() - self.born_s) * 1000) + self.clock_start_ms
 
     def change_capacity(self, capacity):
         """Change the capacity that the next heartbeat announces."""
@@ -130,18 +162,30 @@
             self.cold_ms,
         )
 
-    async def _receive(self, worker_id, can_be_late=False):
+    async def _receive(self):
         await asyncio.sleep(0.0005)
         await self._check_connected()
         if not self.is_up:
             raise WorkerGoneError("worker is down")
-        return can_be_late and self.rng.random() < self.late_ratio
 
     async def _check_connected(self):
         if self.is_cut_off:
             await asyncio.sleep(ORDER_TIMEOUT_S)
             raise WorkerReplyError("no reply")
 
+    def _is_order_late(self):
+        return self.rng.random() < self.late_ratio
+
+    def _is_hold_late(self):
+        return self.late_hold_ratio > 0 and self.rng.random() < self.late_hold_ratio
+
+    async def _execute_late(self, execute, timeout_s):
+        """Execute a call late, by whatever incarnation is there, and lose the reply."""
+        delay_s = self.rng.uniform(*LATE_CALL_DELAYS_S)
+        asyncio.get_running_loop().call_later(delay_s, execute)
+        await asyncio.sleep(timeout_s)
+        raise WorkerReplyError("no reply")
+
     def _accept_token(self, token):
         self.end_due_runs()
         if token < self.token:
@@ -149,26 +193,29 @@
         self.token = token
         return True
 
-    def _reached(self, worker_id):
-        """Return the incarnation that a call reaches; 0 if it names another worker."""
-        return self.incarnation if worker_id == self.worker_id else 0
+    def _is_for_this_worker(self, worker_id):
+        """Tell whether a call names this worker, whatever incarnation it was for."""
+        return self.is_up and worker_id == self.worker_id
 
     async def start(self, worker_id, token, order, until_ms):
-        reached = self._reached(worker_id)
-        execute = partial(self._start, reached, token, order, until_ms)
-        return await self._execute(worker_id, execute)
+        execute = partial(self._start, worker_id, token, order, until_ms)
+        return await self._execute(execute)
 
-    async def _execute(self, worker_id, execute):
+    async def _execute(self, execute):
         """Execute an order and reply, or execute it late without a reply."""
-        if await self._receive(worker_id, can_be_late=True):
-            delay_s = self.rng.uniform(2, 6)
-            asyncio.get_running_loop().call_later(delay_s, execute)
-            await asyncio.sleep(ORDER_TIMEOUT_S)
-            raise WorkerReplyError("no reply")
+        await self._receive()
+        if self._is_order_late():
+            late = partial(self._execute_after_first_call, execute)
+            await self._execute_late(late, ORDER_TIMEOUT_S)
         return execute(), self.clock_ms()
 
-    def _start(self, incarnation, token, order, until_ms):
-        if not self.is_up or incarnation != self.incarnation:
+    def _execute_after_first_call(self, execute):
+        is_called = self.connected_incarnation == self.incarnation
+        if is_called or clock.now_s() > self.born_s + FIRST_CALL_TIMEOUT_S:
+            execute()
+
+    def _start(self, worker_id, token, order, until_ms):
+        if not self._is_for_this_worker(worker_id):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(token):
             return StartAnswer.FENCED
@@ -198,15 +245,15 @@
 
     def _extend(self, until_ms):
         longest_s = clock.now_s() + self.fleet.bounds.max_lease_ms / 1000
-        until_s = self.born_s + (until_ms - 5000) / 1000
+        until_s = self.born_s + (until_ms - self.clock_start_ms) / 1000
         self.lease_end_s = max(self.lease_end_s, min(until_s, longest_s))
 
     async def stop(self, worker_id, token, order):
-        execute = partial(self._stop, self._reached(worker_id), token, order)
-        return await self._execute(worker_id, execute)
+        execute = partial(self._stop, worker_id, token, order)
+        return await self._execute(execute)
 
-    def _stop(self, incarnation, token, order):
-        if not self.is_up or incarnation != self.incarnation:
+    def _stop(self, worker_id, token, order):
+        if not self._is_for_this_worker(worker_id):
             return StartAnswer.OTHER_INCARNATION
         if not self._accept_token(token):
             return StartAnswer.FENCED
@@ -222,19 +269,43 @@
         return StartAnswer.RUNNING
 
     async def hold(self, worker_id, token, seen, until_ms, wait_ms):
-        await self._receive(worker_id)
+        await self._receive()
         if worker_id and worker_id != self.worker_id:
             raise WorkerGoneError("another incarnation")
         if self.connected_incarnation != self.incarnation:
             # `PlatformWorker` does the same on a new connection.
             self.connected_incarnation = self.incarnation
             seen = until_ms = 0
-        if not self._accept_token(token):
+        execute = partial(self._hold_late, self.worker_id, token, seen, until_ms)
+        if self._is_hold_late():
+            # The caller closes a connection on which it gets no reply in time.
+            self.connected_incarnation = 0
+            await self._execute_late(execute, wait_ms / 1000 + HOLD_MARGIN_S)
+        if not self._hold(token, seen, until_ms):
             raise WorkerFencedError("fenced")
+        self._unanswered_hold = execute
+        listing = await self._list_runs(wait_ms)
+        self._unanswered_hold = None
+        return listing
+
+    def _hold(self, token, seen, until_ms):
+        """Extend the lease and forget ended runs, or return False for an old token."""
+        if not self._accept_token(token):
+            return False
         if until_ms:
             self._extend(until_ms)
         self.fleet.checker.record_acknowledgement(self, seen)
         self.ended = [end for end in self.ended if end.number > seen]
+        return True
+
+    def _hold_late(self, worker_id, token, seen, until_ms):
+        if self._is_for_this_worker(worker_id):
+            # Another incarnation may have ended fewer runs.
+            last = self.fleet.checker.count_ends(self)
+            self._hold(token, min(seen, last), until_ms)
+
+    async def _list_runs(self, wait_ms):
+        """Return the `Listing` after the end of a run or at the end of the wait."""
         incarnation = self.incarnation
         deadline_s = clock.now_s() + wait_ms / 1000
         while not self.ended and clock.now_s() < deadline_s:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,7 +112,8 @@
         task_id=f"{job_id}.0.0.0", run=run, epoch=1, program="program 1"
     )
     worker = site.workers[number]
-    return worker._start(worker.incarnation, order, worker.clock_ms() + 3000)
+    until_ms = worker.clock_ms() + 3000
+    return worker._start(worker.worker_id, order.epoch, order, until_ms)
 
 
 def test_a_task_on_two_workers_or_after_its_end_is_found(tmp_path):
