Cut a restarted worker off in the enumeration of a small fleet's runs

Cause: workers of the fleet accepted leases of 4 s, which is what their leader granted, so a lease that a restarted worker inherits ended no later than the leader expected.

Change: leases of up to 10 s, of which leaders grant 6 s, and four events: a busy worker starts again under its id and its agent is cut off 1.5 s later for longer than any lease; the same with the call that the crash broke executed 4 s after the restart, or with the leader killed at the cut; and a worker that restarts while its agent is cut off, which is cut off again after the cut has healed. The crash breaks a `hold`, which the next incarnation executes, and the runs of that incarnation outlast its lease. An outage longer than a granted lease now takes 7 s in place of 6 s, since 6 s are granted in place of 4 s; a call between entries and agents that is late is delivered after as long, in place of 5 s, for the same reason. No other bound has changed.

--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -25,8 +25,19 @@
 TASK_DURATION_S = 2.5
 #: Delay of a late order to a worker; shorter than the lease that the order grants.
 WORKER_ORDER_DELAY_S = 2.5
-#: Durations of an outage that is shorter, and of one that is longer, than a lease.
-SHORT_OUTAGE_S, LONG_OUTAGE_S = 1.0, 6.0
+#: Longest lease of the workers, which is longer than any that a leader grants.
+MAX_LEASE_MS = 10_000
+#: Durations of an outage that is shorter, and of one that is longer, than a lease that
+#: a leader grants.
+SHORT_OUTAGE_S, LONG_OUTAGE_S = 1.0, 7.0
+#: Duration of an outage that is longer than any lease.
+INHERITED_LEASE_OUTAGE_S = 14.0
+#: Time between a restart of a worker and a cut, in which it is given tasks again.
+RECONNECTED_S = 1.5
+#: Delay of a late `hold` call, by which it comes after the cut.
+LATE_HOLD_DELAY_S = 4.0
+#: Slows the runs of a worker so much that they outlast every lease.
+OUTLASTING_SLOWNESS = 6.0
 COMPLETION_TIMEOUT_S = 40
 #: Time in which a job has to be accepted: refusals come at once while both entries are
 #: cut off from the store, one after the other for `LONG_OUTAGE_S` each.
@@ -39,6 +50,10 @@
 
 
 class _ScriptedNetwork(Network):
+    def __init__(self, fleet):
+        super().__init__(fleet)
+        self.late_delivery_s = LONG_OUTAGE_S
+
     def outcome_of(self, method):
         if method not in ORDER_METHODS:
             return CallOutcome.ANSWERED
@@ -47,6 +62,18 @@
 
 class _ScriptedWorker(VirtualWorker):
     poll_interval_s = 0.1
+    #: Time after its start at which the next incarnation executes the `hold` call that
+    #: the crash of this one leaves without a reply; None if it does not.
+    late_hold_delay_s = None
+
+    def _execute_unanswered_hold(self):
+        execute, self._unanswered_hold = self._unanswered_hold, None
+        if execute is None or self.late_hold_delay_s is None:
+            return
+        if self.late_hold_delay_s:
+            asyncio.get_running_loop().call_later(self.late_hold_delay_s, execute)
+        else:
+            execute()
 
     async def _execute(self, execute):
         outcome = self.fleet.choose_outcome("worker", tuple(CallOutcome))
@@ -75,7 +102,11 @@
 
     def __init__(self, choices):
         super().__init__(
-            1, agents=2, data_centres=DATA_CENTRES, evacuate_ms=EVACUATE_MS
+            1,
+            agents=2,
+            max_lease_ms=MAX_LEASE_MS,
+            data_centres=DATA_CENTRES,
+            evacuate_ms=EVACUATE_MS,
         )
         self.choices = choices
         #: Number of evacuations in force, by data centre.
@@ -146,6 +177,65 @@
     worker.begin_incarnation()
 
 
+def _restart_with_late_hold(worker, delay_s=0.0):
+    """Restart a worker under its ID; it executes the unanswered call after a delay.
+
+    Its runs outlast the lease that this call may extend.
+    """
+    worker.crash()
+    worker.slowness = OUTLASTING_SLOWNESS
+    worker.late_hold_delay_s = delay_s
+    worker.begin_incarnation()
+    worker.late_hold_delay_s = None
+
+
+async def _cut_off(fleet, agent):
+    """Cut an agent off for longer than any lease of its worker."""
+    fleet.network.partitioned.add(agent.address)
+    await asyncio.sleep(INHERITED_LEASE_OUTAGE_S)
+    fleet.network.partitioned.discard(agent.address)
+    agent.worker.slowness = 1.0
+
+
+async def restart_and_cut_off_worker(fleet):
+    """Restart a busy worker under its ID, and cut its agent off soon after.
+
+    The worker executes the unanswered call before all others.
+    """
+    agent = fleet.busy_agent
+    _restart_with_late_hold(agent.worker)
+    await asyncio.sleep(RECONNECTED_S)
+    await _cut_off(fleet, agent)
+
+
+async def restart_and_cut_off_worker_with_late_hold(fleet):
+    """Do the same, with the unanswered call executed after newer ones."""
+    agent = fleet.busy_agent
+    _restart_with_late_hold(agent.worker, LATE_HOLD_DELAY_S)
+    await asyncio.sleep(RECONNECTED_S)
+    await _cut_off(fleet, agent)
+
+
+async def restart_and_cut_off_worker_and_kill_leader(fleet):
+    """Do as `restart_and_cut_off_worker`, and restart the leader at the cut."""
+    agent = fleet.busy_agent
+    _restart_with_late_hold(agent.worker)
+    await asyncio.sleep(RECONNECTED_S)
+    await asyncio.gather(_cut_off(fleet, agent), kill_leader(fleet))
+
+
+async def restart_cut_off_worker(fleet):
+    """Restart a busy worker while its agent is cut off, heal, and cut it off again."""
+    agent = fleet.busy_agent
+    fleet.network.partitioned.add(agent.address)
+    await asyncio.sleep(SHORT_OUTAGE_S)
+    _restart_with_late_hold(agent.worker)
+    await asyncio.sleep(SHORT_OUTAGE_S)
+    fleet.network.partitioned.discard(agent.address)
+    await asyncio.sleep(RECONNECTED_S)
+    await _cut_off(fleet, agent)
+
+
 async def crash_worker(fleet):
     """Crash a busy worker and restart it after a short outage."""
     worker = fleet.busy_agent.worker
@@ -209,6 +299,10 @@
     kill_agent,
     partition_agent,
     restart_worker,
+    restart_and_cut_off_worker,
+    restart_and_cut_off_worker_with_late_hold,
+    restart_and_cut_off_worker_and_kill_leader,
+    restart_cut_off_worker,
     crash_worker,
     drain_worker,
     partition_leader_from_store,
