Test calls to earlier incarnations in random order, on clocks that fall

Cause: the workers' clocks may now rise at a restart, and then the end of a lease that was meant for the earlier incarnation is over: the test of one would see no fault. Late calls together with restarts and cuts had no test with leases longer than granted.

Change: the test takes a worker whose clock falls, and another plays late orders, restarts under an id and cuts of 2 to 14 s by a seed.

--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -126,6 +126,11 @@
     def clock_ms(self):
         return int((clock.now_s() - self.born_s) * 1000) + self.clock_start_ms
 
+    @property
+    def is_next_clock_lower(self):
+        """Whether the clock of the next incarnation starts lower than this one's."""
+        return _clock_start_ms(self.number, self.incarnation + 1) < self.clock_start_ms
+
     def change_capacity(self, capacity):
         """Change the capacity that the next heartbeat announces."""
         until_s = clock.now_s() + CAPACITY_NOTICE_S
--- a/tests/test_inherited_leases.py
+++ b/tests/test_inherited_leases.py
@@ -19,7 +19,9 @@
     await fleet.submit(LONG_JOB)
     # The clock of the worker is well ahead of that of its next incarnation.
     await fleet.settle(12.0)
-    agent = next(a for a in fleet.agents if a.worker.running)
+    agent = next(
+        a for a in fleet.agents if a.worker.running and a.worker.is_next_clock_lower
+    )
     agent.worker.crash()
     await fleet.settle(0.6)
     agent.worker.begin_incarnation()
@@ -43,3 +45,29 @@
         await restart_and_cut_off(fleet, then=kill_leader)
 
     run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_calls_to_earlier_incarnations_start_no_task_twice(seed):
+    """Guards against calls that are late, on clocks that rise and fall at restarts."""
+
+    async def scenario(fleet):
+        rng = fleet.rng
+        for worker in fleet.workers:
+            worker.late_ratio = 0.3
+        for number in range(1, 9):
+            job = make_job(number, (make_step(count=4),))
+            fleet.durations[job.job_id] = rng.choice([0.5, 3.0, 12.0])
+            await fleet.submit(job, rng.randrange(2), 2500)
+            await fleet.settle(rng.choice([0.3, 1.5]))
+            agent = rng.choice(fleet.agents)
+            agent.worker.crash()
+            await fleet.settle(rng.choice([0.0, 0.6]))
+            agent.worker.begin_incarnation()
+            await fleet.settle(rng.uniform(0.2, 3.0))
+            fleet.network.partitioned.add(agent.address)
+            await fleet.settle(rng.choice([2.0, 8.0, CUT_S]))
+            fleet.network.partitioned.discard(agent.address)
+        await fleet.expect_completed(90)
+
+    run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
