--- a/soak/workers.py
+++ b/soak/workers.py
@@ -55,9 +55,9 @@
         """Handle a call of the agent."""
         return await WorkerStandIn(self).handle(request)
 
-    def _start(self, incarnation, token, order, until_ms):
+    def _start(self, worker_id, token, order, until_ms):
         is_new = order.task_id not in self.running
-        answer = super()._start(incarnation, token, order, until_ms)
+        answer = super()._start(worker_id, token, order, until_ms)
         if not is_new or answer is not StartAnswer.RUNNING:
             return answer
         run = self.running[order.task_id]
--- a/tests/builders_late_starts.py
+++ b/tests/builders_late_starts.py
@@ -28,6 +28,11 @@
     #: When the late start is executed.
     late_start_at_s = 0.0
 
+    def begin_incarnation(self):
+        super().begin_incarnation()
+        # Behind that of the earlier incarnation, whose lease ends are then far ahead.
+        self.clock_start_ms = 0
+
     async def start(self, worker_id, token, order, until_ms):
         delay_s, self.late_start_s = self.late_start_s, None
         if delay_s is None:
@@ -40,7 +45,7 @@
         raise WorkerReplyError("no reply")
 
     def _start_late(self, token, order, until_ms):
-        self._start(self.incarnation, token, order, until_ms)
+        self._start(self.worker_id, token, order, until_ms)
 
     async def begin_before_late_start(self, window_s):
         """Begin an incarnation this long before the late start is executed."""
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -299,7 +299,7 @@
 
     async def do_hold(self, body):
         listing = await self.worker.hold(
-            "",
+            self.worker.worker_id,
             body["FencingToken"],
             body["LastSeen"],
             body.get("UntilMs", 0),
@@ -333,6 +333,8 @@
     return SimpleNamespace(
         task_id=body["Task"],
         run=body["RunId"],
+        # The adapter sends orders on connections to their incarnation only.
+        born_ms=0,
         program=body.get("Spec", ""),
     )
 
--- a/tests/test_residual_leases.py
+++ b/tests/test_residual_leases.py
@@ -13,7 +13,7 @@
 #: Delay of a start that is executed late.
 LATE_START_S = 0.9
 #: End of a lease on the clock of an earlier incarnation.
-EARLIER_LEASE_END_MS = 3_600_000
+EARLIER_LEASE_END_MS = 1_000_000_000
 #: Runs of this job outlast every lease.
 LONG_JOB = make_job(1, (make_step(count=6),))
 LONG_RUN_S = 30.0
@@ -25,7 +25,9 @@
     await fleet.submit(LONG_JOB)
     # The clock of the worker is well ahead of that of its next incarnation.
     await fleet.settle(12.0)
-    agent = next(a for a in fleet.agents if a.worker.running)
+    agent = next(
+        a for a in fleet.agents if a.worker.running and a.worker.is_next_clock_lower
+    )
     agent.worker.crash()
     await fleet.settle(RESTART_S)
     agent.worker.begin_incarnation()
@@ -84,7 +86,7 @@
     """Have a start executed by the incarnation after the one it was meant for."""
     fleet.durations[LONG_JOB.job_id] = LONG_RUN_S
     await fleet.settle(12.0)
-    agent = fleet.agents[0]
+    agent = next(a for a in fleet.agents if a.worker.is_next_clock_lower)
     agent.worker.next_start_delay_s = LATE_START_S
     await fleet.submit(LONG_JOB)
     while agent.worker.next_start_delay_s is not None:
@@ -124,3 +126,29 @@
         await start_late_after_a_restart(fleet, cut_after_s, then=kill_leader)
 
     run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_calls_to_earlier_incarnations_start_no_task_twice(seed):
+    """Guards against calls that are late, on clocks that rise and fall at restarts."""
+
+    async def scenario(fleet):
+        rng = fleet.rng
+        for worker in fleet.workers:
+            worker.late_ratio = 0.3
+        for number in range(1, 9):
+            job = make_job(number, (make_step(count=4),))
+            fleet.durations[job.job_id] = rng.choice([0.5, 3.0, 12.0])
+            await fleet.submit(job, rng.randrange(2), 2500)
+            await fleet.settle(rng.choice([0.3, 1.5]))
+            agent = rng.choice(fleet.agents)
+            agent.worker.crash()
+            await fleet.settle(rng.choice([0.0, 0.6]))
+            agent.worker.begin_incarnation()
+            await fleet.settle(rng.uniform(0.2, 3.0))
+            fleet.network.partitioned.add(agent.address)
+            await fleet.settle(rng.choice([2.0, 8.0, CUT_S]))
+            fleet.network.partitioned.discard(agent.address)
+        await fleet.expect_completed(90)
+
+    run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
