Let a job fail in two tests only under crashes of its workers

A task of 12 s can be on five of them, and is then given up. The order of sets in a process decides it: 0 of 21 hash seeds showed it here for seed 4, and 3 of 160 other seeds did (18, 85, 87). The traces name five crashes of different incarnations under a run of the task each time.

Change: the checker of the virtual fleet counts the incarnations that crash under a run of a task. Both tests now accept a failed job only if at least MAX_LEADING_CRASHES workers crashed under one task of it, which also finds a crash that is counted twice. Ruled out: counting one crash twice. Leaders that had not recorded a crash count it again, from the stored number.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -9,6 +9,7 @@
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.candidate import LeaderCandidate
 from dotterelspread.jobs.configurationfollower import ConfigurationFollower
+from dotterelspread.jobs.crashes import MAX_LEADING_CRASHES
 from dotterelspread.jobs.evacuation import EvacuatedDataCentres
 from dotterelspread.jobs.forwarding import Forwarder, Verb, make_request
 from dotterelspread.jobs.journal import (
@@ -459,6 +460,14 @@
         """Wait until all accepted jobs have completed or failed."""
         await self._expect_states({"COMPLETED", "FAILED"}, within_s)
 
+    async def expect_completed_or_given_up(self, within_s=20):
+        """Wait for the accepted jobs; a job may fail only for crashes under a task."""
+        await self.expect_ended(within_s)
+        for job_id in self.accepted:
+            if (await self.state(job_id)).state == "FAILED":
+                crashes = self.checker.count_crashes(job_id)
+                assert crashes >= MAX_LEADING_CRASHES, (job_id, crashes)
+
     async def _expect_states(self, expected, within_s):
         for _ in range(int(within_s / 0.2)):
             await self.settle(0.2)
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -151,6 +151,7 @@
         return largest
 
     def crash(self):
+        self.fleet.checker.record_crash(self)
         for task_id in list(self.running):
             self._remove(task_id, None)
         self.is_up = False
--- a/tests/fleetchecker.py
+++ b/tests/fleetchecker.py
@@ -21,6 +21,8 @@
         self.acknowledged_by_incarnation = {}
         self.void_ends_by_incarnation = {}
         self.runs = 0
+        #: Incarnations that crashed under a run of a task.
+        self.crashed_by_task_id = {}
 
     def add_violation(self, text):
         self.violations.append(f"{clock.now_s():.3f} {text}")
@@ -75,6 +77,22 @@
         if how == RunEnd.COMPLETED:
             self.done.setdefault(task_id, clock.now_s())
 
+    def record_crash(self, worker):
+        incarnation = (worker.number, worker.incarnation)
+        for task_id in worker.running:
+            self.crashed_by_task_id.setdefault(task_id, set()).add(incarnation)
+
+    def count_crashes(self, job_id):
+        """Return the largest number of workers that crashed under a task of a job."""
+        return max(
+            (
+                len(crashed)
+                for task_id, crashed in self.crashed_by_task_id.items()
+                if parse_task_id(task_id)[0] == job_id
+            ),
+            default=0,
+        )
+
     def _is_batch(self, task_id):
         job_id, key = parse_task_id(task_id)
         return not self.fleet.specs[job_id].steps[key[1]].is_service
--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -96,6 +96,6 @@
         for worker in fleet.workers:
             worker.change_capacity(CAPACITY)
         await fleet.settle(10)
-        await fleet.expect_completed(90)
+        await fleet.expect_completed_or_given_up(90)
 
     run_scenario(scenario, seed)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -49,6 +49,9 @@
     def record_lease_expiry(self, worker):
         pass
 
+    def record_crash(self, worker):
+        pass
+
 
 def make_worker():
     fleet = SimpleNamespace(
--- a/tests/test_residual_leases.py
+++ b/tests/test_residual_leases.py
@@ -14,6 +14,8 @@
 LATE_START_S = 0.9
 #: End of a lease on the clock of an earlier incarnation.
 EARLIER_LEASE_END_MS = 1_000_000_000
+#: The first seeds, and those in which five workers crash under a long task.
+SEEDS = [*range(8), 18, 85, 87]
 #: Runs of this job outlast every lease.
 LONG_JOB = make_job(1, (make_step(count=6),))
 LONG_RUN_S = 30.0
@@ -128,7 +130,7 @@
     run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
 
 
-@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("seed", SEEDS)
 def test_calls_to_earlier_incarnations_start_no_task_twice(seed):
     """Guards against calls that are late, on clocks that rise and fall at restarts."""
 
@@ -149,6 +151,6 @@
             fleet.network.partitioned.add(agent.address)
             await fleet.settle(rng.choice([2.0, 8.0, CUT_S]))
             fleet.network.partitioned.discard(agent.address)
-        await fleet.expect_completed(90)
+        await fleet.expect_completed_or_given_up(90)
 
     run_scenario(scenario, seed, max_lease_ms=MAX_LEASE_MS)
