Divide the builders of the simulated fleet by subject

Change: tests/builders_network.py, builders_processes.py and builders_permits.py hold the first three; the classes of the processes lose their underscores, since another module uses them. No test changes what it checks.

--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -1,42 +1,22 @@
 """Simulated fleet on virtual time: real entries and agents on a faulty network."""
 
 import asyncio
-import enum
 import random
 
 from dotterelspread.gen.peer.ttypes import LeaderNotice
 from dotterelspread.jobs import clock
-from dotterelspread.jobs.agentpart import Agent
-from dotterelspread.jobs.candidate import LeaderCandidate
-from dotterelspread.jobs.configurationfollower import ConfigurationFollower
 from dotterelspread.jobs.crashes import MAX_LEADING_CRASHES
-from dotterelspread.jobs.evacuation import EvacuatedDataCentres
-from dotterelspread.jobs.forwarding import Forwarder, Verb, make_request
-from dotterelspread.jobs.journal import (
-    JournalError,
-)
-from dotterelspread.jobs.leadernotices import LeaderView
-from dotterelspread.jobs.nodes import NODES_STREAM, encode_node
-from dotterelspread.jobs.orderhandler import OrderHandler
-from dotterelspread.jobs.permits import PermitService, PermitServiceError
-from dotterelspread.jobs.queues import FleetConfiguration, PermitTiming, Queue
+from dotterelspread.jobs.forwarding import Verb, make_request
+from dotterelspread.jobs.queues import FleetConfiguration, Queue
 from dotterelspread.jobs.records import encode_spec
 from dotterelspread.jobs.spec import JobSpec, StepSpec
-from dotterelspread.peer import PeerLostError, PeerTimeoutError, PeerUnsentError
-from dotterelspread.platform.configuration import (
-    CONFIGURATION_KEY,
-    CONFIGURATION_STREAM,
-    ConfigurationFormatError,
-    read_configuration,
-)
-from dotterelspread.platform.evacuations import read_evacuated_data_centre
 from dotterelspread.processsettings import (
     FleetBounds,
-    FleetRole,
-    ProcessSettings,
-    StoreSettings,
 )
 from dotterelspread.resources import Resources
+from tests.builders_network import Network
+from tests.builders_permits import VirtualPolicy
+from tests.builders_processes import AgentProcess, EntryProcess
 from tests.builders_store import VirtualStore
 from tests.builders_worker import VirtualWorker
 from tests.cellchecker import check_every_event
@@ -45,21 +25,14 @@
 
 __all__ = [
     "QUEUE",
-    "CallOutcome",
-    "Network",
     "VirtualFleet",
     "kill_leader",
     "make_job",
-    "make_settings",
     "make_step",
     "run_scenario",
     "worker_that_runs",
 ]
 
-#: Delay of a late call, which is longer than a lease.
-LATE_DELIVERY_S = 5.0
-#: Mean delay of calls to the store from another region; the shortest is half of it.
-FAR_STORE_DELAY_S = 0.08
 QUEUE = Queue("q", "host", "/q/", "svc", 0, 3, 2.0, 500)
 CONFIGURATION = FleetConfiguration(1, {"q": QUEUE})
 
@@ -79,281 +52,6 @@
     return JobSpec(**(values | changes))
 
 
-def make_settings(role, number, bounds=None, cores=1.0, region="r"):
-    return ProcessSettings(
-        instance_id=f"{role}-{number}",
-        role=role,
-        host=f"{role}{number}",
-        data_centre="dc",
-        region=region,
-        peer_ports=(7000, 7010),
-        store=StoreSettings("store:1"),
-        cores=cores,
-        bounds=bounds or FleetBounds(max_lease_ms=4000),
-    )
-
-
-class CallOutcome(enum.Enum):
-    """Outcome of a simulated call."""
-
-    ANSWERED = enum.auto()
-    NOT_DELIVERED = enum.auto()
-    REPLY_LOST = enum.auto()
-    #: Executed after `Network.late_delivery_s`, without a reply.
-    LATE = enum.auto()
-
-
-class Network:
-    """Simulated calls between processes with delays, partitions and lost replies."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.handlers_by_address = {}
-        self.partitioned = set()
-        #: Pairs of addresses, as frozensets, that cannot reach each other.
-        self.cut_pairs = set()
-        #: Addresses of instances without power, to which no connection can be opened.
-        self.powered_off = set()
-        self.loss = 0.0
-        self.late_delivery_s = LATE_DELIVERY_S
-        #: Whether orders to agents are not delivered.
-        self.lost_orders = False
-
-    def outcome_of(self, method):
-        """Draw the `CallOutcome` of a call."""
-        if self.lost_orders and method in ("start_run", "stop_run"):
-            return CallOutcome.NOT_DELIVERED
-        is_lost = self.fleet.rng.random() < self.loss
-        return CallOutcome.REPLY_LOST if is_lost else CallOutcome.ANSWERED
-
-    def deliver_late(self, handler, argument):
-        """Deliver a call after `late_delivery_s` and discard the reply."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            self.late_delivery_s, lambda: loop.create_task(handler(argument))
-        )
-
-    def is_partitioned(self, left, right):
-        is_cut = frozenset({left, right}) in self.cut_pairs
-        return is_cut or left in self.partitioned or right in self.partitioned
-
-    def pool(self, address):
-        return _VirtualPool(self, address)
-
-
-class _VirtualPool:
-    def __init__(self, network, address):
-        self.network = network
-        self.address = address
-
-    def replace_connection(self, address, abort=False):
-        """Do nothing, since there are no real connections."""
-
-    async def call(self, address, method, argument, timeout_s, on_sent=None):
-        network = self.network
-        rng = network.fleet.rng
-        await asyncio.sleep(0.001 * (0.5 + rng.random()))
-        if address in network.powered_off:
-            await asyncio.sleep(timeout_s)
-            raise PeerUnsentError("instance powered off")
-        if on_sent is not None:
-            on_sent()
-        if network.is_partitioned(self.address, address):
-            await asyncio.sleep(timeout_s)
-            raise PeerTimeoutError("network partition")
-        handlers = network.handlers_by_address.get(address)
-        if handlers is None:
-            raise PeerUnsentError("connection refused")
-        outcome = network.outcome_of(method)
-        if outcome is CallOutcome.LATE:
-            network.deliver_late(handlers[method], argument)
-        if outcome in (CallOutcome.NOT_DELIVERED, CallOutcome.LATE):
-            await asyncio.sleep(timeout_s)
-            raise PeerTimeoutError("call lost")
-        work = asyncio.ensure_future(handlers[method](argument))
-        if outcome is CallOutcome.REPLY_LOST:
-            await asyncio.sleep(timeout_s)
-            raise PeerLostError("reply lost")
-        try:
-            async with asyncio.timeout(timeout_s):
-                reply = await asyncio.shield(work)
-        except TimeoutError:
-            raise PeerTimeoutError("no reply in time") from None
-        if network.is_partitioned(self.address, address):
-            raise PeerLostError("network partition during the call")
-        await asyncio.sleep(0.0005)
-        return reply
-
-
-class _EntryProcess:
-    def __init__(self, fleet, number, cores, is_far=False):
-        self.fleet = fleet
-        region = "far" if is_far else "r"
-        self.settings = make_settings(
-            FleetRole.ENTRY, number, fleet.bounds, cores, region
-        )
-        self.address = self.settings.peer_address
-        if is_far:
-            fleet.store.delay_s_by_node[self.address] = FAR_STORE_DELAY_S
-        #: Configuration of this entry if it does not have that of the fleet.
-        self.configuration = None
-        self.tasks = []
-
-    def start(self):
-        fleet = self.fleet
-        journal = fleet.store.journal(self.address)
-        pool = fleet.network.pool(self.address)
-        self.view = LeaderView()
-        self.evacuations = EvacuatedDataCentres(
-            read_evacuated_data_centre, self._evacuate
-        )
-        self.candidate = LeaderCandidate(
-            self.settings,
-            journal,
-            pool,
-            self.view,
-            lambda: self.configuration or fleet.configuration,
-            fleet.policy,
-            self.evacuations,
-        )
-        self.forwarder = Forwarder(self.candidate, pool)
-
-        async def lead(notice):
-            return self.candidate.receive_notice(notice)
-
-        fleet.network.handlers_by_address[self.address] = {
-            "lead": lead,
-            "work": self.forwarder.handle,
-        }
-        self.tasks = [
-            asyncio.ensure_future(self.candidate.run()),
-            asyncio.ensure_future(_register(journal, self.settings)),
-        ]
-        if self.settings.bounds.evacuate_ms:
-            follower = ConfigurationFollower(
-                journal,
-                CONFIGURATION_STREAM,
-                CONFIGURATION_KEY,
-                read_configuration,
-                ConfigurationFormatError,
-                lambda configuration: None,
-                self.evacuations,
-                lambda: self.candidate.leader is not None,
-            )
-            self.tasks.append(asyncio.ensure_future(follower.run()))
-
-    def _evacuate(self, data_centres):
-        if self.candidate.leader is not None:
-            self.candidate.leader.evacuate(data_centres)
-
-    def kill(self):
-        self.fleet.network.handlers_by_address.pop(self.address, None)
-        tasks = list(self.tasks)
-        if self.candidate._term_task is not None:
-            tasks.append(self.candidate._term_task)
-        if self.candidate.leader is not None:
-            self.candidate.leader.stop()
-        for task in tasks:
-            task.cancel()
-
-
-class _AgentProcess:
-    def __init__(self, fleet, number, worker):
-        self.fleet = fleet
-        self.worker = worker
-        self.settings = make_settings(FleetRole.AGENT, number, fleet.bounds)
-        self.address = self.settings.peer_address
-        #: Start of the clock of the agent's instance.
-        self.booted_s = 0.0
-        self.tasks = []
-
-    def start(self):
-        self.agent = Agent(
-            self.worker,
-            self.fleet.bounds.max_lease_ms,
-            lambda: int((clock.now_s() - self.booted_s) * 1000),
-        )
-        order_handler = OrderHandler(self.agent)
-        self.fleet.network.handlers_by_address[self.address] = {
-            "watch": self.agent.watch,
-            "start_run": order_handler.start_run,
-            "stop_run": order_handler.stop_run,
-        }
-        journal = self.fleet.store.journal(self.address)
-        self.tasks = [
-            asyncio.ensure_future(self.agent.run()),
-            asyncio.ensure_future(_register(journal, self.settings)),
-            asyncio.ensure_future(self._send_heartbeats()),
-        ]
-
-    async def _send_heartbeats(self):
-        while True:
-            if self.worker.is_up:
-                self.agent.announce(self.worker.announcement())
-            await asyncio.sleep(0.5)
-
-    def kill(self):
-        self.fleet.network.handlers_by_address.pop(self.address, None)
-        for task in self.tasks:
-            task.cancel()
-
-
-async def _register(journal, settings):
-    while True:
-        try:
-            await journal.append(NODES_STREAM, [encode_node(settings)])
-        except JournalError:
-            await asyncio.sleep(0.3)
-        else:
-            return
-
-
-class VirtualPolicy(PermitService):
-    """Simulated policy that permits a step on some workers."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.timing = PermitTiming(decide_ms=40, per_worker_ms=2, valid_ms=1500)
-        self.is_unresponsive = False
-        #: Whether all workers are permitted; else every other one, by their numbers.
-        self.permits_all = False
-        #: Numbers of workers in the queries.
-        self.query_sizes = []
-        #: Expiry time of each permit.
-        self.expiry_by_permit = {}
-        self.request_count = 0
-        self.refused_starts = 0
-
-    def allows(self, step_id, worker_id):
-        return (
-            self.permits_all
-            or (int(step_id[-1]) + int(worker_id.split("-")[1])) % 2 == 0
-        )
-
-    async def ask(self, step_id, worker_ids, expected_s):
-        self.request_count += 1
-        self.query_sizes.append(len(worker_ids))
-        await asyncio.sleep(self.timing.query_ms(len(worker_ids)) / 1000)
-        if self.is_unresponsive:
-            raise PermitServiceError("no reply from the policy service")
-        end_s = clock.now_s() + self.timing.valid_ms / 1000
-        permits = {w: f"{step_id} {w}" for w in worker_ids if self.allows(step_id, w)}
-        self.expiry_by_permit.update(dict.fromkeys(permits.values(), end_s))
-        return permits, self.timing.valid_ms
-
-    def accepts(self, worker, order):
-        """Tell whether a worker may execute an order to start a run."""
-        spec = self.fleet.specs[order.task_id.split(".")[0]]
-        queues_by_name = self.fleet.configuration.queues_by_name
-        if not queues_by_name[spec.queue.name].needs_permits:
-            return True
-        step_id = order.task_id.rpartition(".")[0]
-        is_own = order.permit == f"{step_id} {worker.worker_id}"
-        is_valid = self.expiry_by_permit.get(order.permit, 0.0) > clock.now_s()
-        self.refused_starts += not (is_own and is_valid)
-        return is_own and is_valid
-
-
 class VirtualFleet:
     """Entries, agents, workers and a store on the running virtual loop.
 
@@ -408,11 +106,11 @@
         for worker in self.workers:
             worker.data_centre = data_centres[worker.number % len(data_centres)]
         self.entries = [
-            _EntryProcess(self, number, cores, number >= len(entries) - far_entries)
+            EntryProcess(self, number, cores, number >= len(entries) - far_entries)
             for number, cores in enumerate(entries)
         ]
         self.agents = [
-            _AgentProcess(self, number, worker)
+            AgentProcess(self, number, worker)
             for number, worker in enumerate(self.workers)
         ]
 
--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -7,7 +7,8 @@
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from tests.builders_evacuation import evacuate, restore
-from tests.builders_fleet import CallOutcome, Network, VirtualFleet, make_job, make_step
+from tests.builders_fleet import VirtualFleet, make_job, make_step
+from tests.builders_network import CallOutcome, Network
 from tests.builders_worker import ORDER_TIMEOUT_S, VirtualWorker
 from tests.cellchecker import check_every_event
 from tests.virtualloop import run_virtually
--- a/tests/test_entrysizes.py
+++ b/tests/test_entrysizes.py
@@ -7,7 +7,7 @@
 from dotterelspread.jobs.entrysizes import EntrySizes
 from dotterelspread.jobs.nodes import NODES_STREAM, encode_node
 from dotterelspread.processsettings import FleetRole
-from tests.builders_fleet import FAR_STORE_DELAY_S, make_settings
+from tests.builders_processes import FAR_STORE_DELAY_S, make_settings
 from tests.builders_store import VirtualStore
 from tests.virtualloop import run_virtually
 
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -18,7 +18,8 @@
     starts_after,
     workers_in,
 )
-from tests.builders_fleet import CallOutcome, kill_leader, make_job, make_step
+from tests.builders_fleet import kill_leader, make_job, make_step
+from tests.builders_network import CallOutcome
 
 #: Half of the bound is kept as a margin.
 MAX_START_DELAY_S = EVACUATE_S / 2
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -11,10 +11,10 @@
 from dotterelspread.processsettings import FleetRole
 from tests.builders_fleet import (
     make_job,
-    make_settings,
     make_step,
     run_scenario,
 )
+from tests.builders_processes import make_settings
 
 #: Id of a job that nobody has submitted.
 ID = "0" * 16
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -33,7 +33,8 @@
 )
 from dotterelspread.processsettings import FleetBounds, FleetRole
 from tests.builders_cell import make_worker
-from tests.builders_fleet import make_job, make_settings
+from tests.builders_fleet import make_job
+from tests.builders_processes import make_settings
 from tests.builders_store import VirtualStore
 from tests.virtualloop import run_virtually
 
