Divide the state of an agent by subject

It kept the ended runs that wait for an acknowledgement, what the leader tells of tasks and images for the pacing of fillers, the worker's clock, and which announcements are news.

The tests of the agent, its orders, paces and replies, of residual leases, restarted workers, invalid heartbeats and the mixed fleet pass.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -6,20 +6,20 @@
 """
 
 import asyncio
-from contextlib import suppress
-from dataclasses import replace
 
 from ..counters import counters
 from ..decisionlog import log_decision
 from . import clock
 from .announcements import AnnouncementFilter
 from .departure import Departure
+from .endedruns import EndedRuns
 from .leasegrant import LeaseGrant
 from .pacing import FillerPacer
-from .paircost import CostEstimate
+from .pacingfacts import PacingFacts
 from .residuallease import ResidualLease
 from .watchreply import build_watch_reply
 from .workeradapter import WorkerFencedError, WorkerGoneError
+from .workerclock import WorkerClock
 from .workerpolling import WorkerPoller
 from .workersession import WorkerSession
 
@@ -30,8 +30,6 @@
 #: Time without a poll of the leader after which an agent competes with no other process
 #: for its worker; polls follow each other within 0.7 s.
 LEADER_TIMEOUT_MS = 2000
-#: Number of tasks that are not running whose traits are kept.
-MAX_IDLE_TASK_TRAITS = 500
 
 
 class Agent:
@@ -50,13 +48,11 @@
         self.adapter = adapter
         self.clock_ms = clock_ms
         self._announcements = AnnouncementFilter()
-        #: Start time of the incarnation of `listing` and `ended_by_number`.
+        #: Start time of the incarnation of `listing` and `ended`.
         self.born_ms = 0
         self.listing = None
         self.listed_ms = 0
-        self.ended_by_number = {}
-        #: Number up to which the leader has acknowledged ended runs.
-        self.seen = 0
+        self.ended = EndedRuns()
         self.session = WorkerSession()
         self.grant = LeaseGrant(max_lease_ms, clock_ms)
         self._max_lease_ms = max_lease_ms
@@ -64,24 +60,21 @@
         #: Task id and number of the runs that calls to an earlier incarnation may have
         #: started in this one.
         self.early_runs = frozenset()
-        #: Lower bound of the worker's clock minus the agent's; None if unknown.
-        self.clock_offset_ms = None
+        self.worker_clock = WorkerClock(clock_ms)
         self.is_reachable = False
         #: Whether the leader says that operators have evacuated the data centre.
         self.is_evacuated = False
         #: When the worker is no longer cold, by its latest heartbeat.
         self.cold_until_ms = 0
-        self._departure = Departure()
+        self.departure = Departure()
         self.answered_ms = clock_ms()
         #: When the leader last polled this agent.
         self._polled_ms = 0
         self.version = 1
-        self.traits_by_task = {}
+        self.pacing_facts = PacingFacts()
         self.pacer = FillerPacer()
-        self.costs_by_pair = {}
         self._poller = WorkerPoller(self)
         self._changed = asyncio.Event()
-        self._acknowledged = asyncio.Event()
 
     # Heartbeats and replies of the worker.
 
@@ -99,21 +92,6 @@
         """Latest `Announcement` of the worker; None before the first."""
         return self._announcements.current
 
-    @property
-    def has_left(self):
-        """Whether this incarnation of the worker has shut down."""
-        return self._departure.has_left
-
-    @property
-    def is_gone(self):
-        """Whether the process of this incarnation is not there any more."""
-        return self._departure.is_gone
-
-    @property
-    def retry_interval_s(self):
-        """Delay before a failed poll of the worker is repeated."""
-        return self._departure.retry_interval_s(self.clock_ms())
-
     @property
     def epoch(self):
         """Epoch of the leader that this agent follows."""
@@ -135,22 +113,11 @@
         is_new_incarnation = current is None or (
             (current.worker_id, self.born_ms) != (announcement.worker_id, born_ms)
         )
-        self._announcements.adopt(announcement)
+        is_changed = self._announcements.adopt(announcement)
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
         self.cold_until_ms = self.clock_ms() + announcement.cold_ms
-        if current is None or _without_changing_fields(
-            current
-        ) != _without_changing_fields(announcement):
-            log_decision(
-                "worker announced",
-                worker_id=announcement.worker_id,
-                born_ms=announcement.born_ms,
-                sequence=announcement.sequence,
-                service=announcement.service,
-                is_draining=announcement.is_draining,
-                cold_ms=announcement.cold_ms,
-            )
+        if is_changed:
             self._increment_version()
 
     def leave(self, worker_id, born_ms=0):
@@ -164,7 +131,7 @@
         """
         is_known = self.announcement and self.announcement.worker_id == worker_id
         if is_known and not (self.born_ms and self.is_other_incarnation(born_ms)):
-            self._departure.announce(self.clock_ms())
+            self.departure.announce(self.clock_ms())
             self._increment_version()
             log_decision("worker leaves", worker_id=worker_id, born_ms=self.born_ms)
         else:
@@ -174,19 +141,15 @@
         """Apply the lists of running and ended runs, requested at ``listed_ms``."""
         self._apply_born(listing.born_ms)
         self.answered_ms = self.clock_ms()
-        self.clock_offset_ms = listing.clock_ms - self.clock_ms()
+        self.worker_clock.observe(listing.clock_ms)
         self.listing = listing
         self.listed_ms = listed_ms
-        has_returned = self._departure.observe_answer(listed_ms)
-        is_changed = has_returned or not self.is_reachable
-        self.is_reachable = True
-        for end in listing.ended:
-            if end.number > self.seen and end.number not in self.ended_by_number:
-                self.ended_by_number[end.number] = end
-                is_changed = True
-        if is_changed:
+        has_returned = self.departure.observe_answer(listed_ms)
+        has_ended_runs = self.ended.add(listing.ended)
+        if has_returned or has_ended_runs or not self.is_reachable:
             self._increment_version()
-        self._discard_idle_traits()
+        self.is_reachable = True
+        self.pacing_facts.discard_idle(listing.running)
 
     def bound_residual_lease(self):
         """Record that the latest lists are of a call under the session's own token."""
@@ -217,26 +180,18 @@
             and announcement.born_ms == self.born_ms
         )
 
-    def _discard_idle_traits(self):
-        if len(self.traits_by_task) <= MAX_IDLE_TASK_TRAITS + len(self.listing.running):
-            return
-        running = {row.task_id for row in self.listing.running}
-        for task_id in [t for t in self.traits_by_task if t not in running]:
-            del self.traits_by_task[task_id]
-
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
-        self.ended_by_number.clear()
-        self.seen = 0
-        self.clock_offset_ms = None
+        self.ended.clear()
+        self.worker_clock = WorkerClock(self.clock_ms)
         self.session.begin_next()
         self.residual_lease = ResidualLease(self._max_lease_ms, self.clock_ms)
         self.early_runs = frozenset()
         self.is_reachable = False
-        self._departure = Departure()
+        self.departure = Departure()
         self._increment_version()
 
     def _increment_version(self):
@@ -253,8 +208,9 @@
 
         A late call must not acknowledge ends of a later incarnation.
         """
-        is_due = any(end.number <= self.seen for end in self.listing.ended)
-        return self.seen if is_due else 0
+        number = self.ended.acknowledged
+        is_due = any(end.number <= number for end in self.listing.ended)
+        return number if is_due else 0
 
     def handle_failure(self, error):
         """Apply a poll of the worker that returned no lists."""
@@ -266,14 +222,14 @@
                 # Without a leader, another process of this agent may have its place.
                 self.session.pass_refused()
                 self._increment_version()
-        if self._departure.observe_failure(error, now_ms):
+        if self.departure.observe_failure(error, now_ms):
             self.is_reachable = False
             # Another incarnation answers the next call.
             self.session.begin_next()
             log_decision(
                 "worker gone",
                 born_ms=self.born_ms,
-                has_left=self.has_left,
+                has_left=self.departure.has_left,
                 error=str(error),
             )
             self._increment_version()
@@ -297,13 +253,7 @@
         if self.grant.until_ms <= self.clock_ms():
             # A later incarnation might take an end that is over for a time to come.
             return 0
-        return self.to_worker_clock(self.grant.until_ms)
-
-    def to_worker_clock(self, until_ms):
-        """Convert a time from the agent's to the worker's clock; 0 if unknown."""
-        if self.clock_offset_ms is None or not until_ms:
-            return 0
-        return max(0, until_ms + self.clock_offset_ms)
+        return self.worker_clock.convert(self.grant.until_ms)
 
     # Calls of the leader.
 
@@ -324,14 +274,9 @@
         self.session.confirm(query.session)
         self._note_evacuation(query)
         self.grant.extend(query.grant_until_ms)
-        if query.born_ms == self.born_ms and query.seen > self.seen:
-            self._discard_acknowledged_ends(query.seen)
-        for traits in query.traits or ():
-            self.traits_by_task[traits.task_id] = traits
-        for cost in query.costs or ():
-            estimate = CostEstimate(cost.per_core, cost.uncertainty)
-            pair = (cost.serving_image, cost.filler_image)
-            self.costs_by_pair[pair] = estimate
+        if query.born_ms == self.born_ms:
+            self.ended.acknowledge(query.seen)
+        self.pacing_facts.apply(query)
         if self.version <= query.version and query.wait_ms:
             try:
                 async with asyncio.timeout(query.wait_ms / 1000):
@@ -350,23 +295,5 @@
             self.is_evacuated = is_evacuated
             log_decision("evacuation learned", is_evacuated=is_evacuated)
 
-    def _discard_acknowledged_ends(self, seen):
-        self.seen = seen
-        for number in [n for n in self.ended_by_number if n <= seen]:
-            del self.ended_by_number[number]
-        self._acknowledged.set()
-
-    async def wait_acknowledged(self, timeout_s):
-        """Wait until the leader acknowledges ended runs."""
-        self._acknowledged.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self._acknowledged.wait()
-
     def _reply(self):
         return build_watch_reply(self)
-
-
-def _without_changing_fields(announcement):
-    """Return an announcement without the fields that differ in each heartbeat."""
-    return replace(announcement, sequence=0, cold_ms=int(announcement.cold_ms > 0))
--- a/dotterelspread/jobs/announcements.py
+++ b/dotterelspread/jobs/announcements.py
@@ -5,6 +5,10 @@
 that doesn't fit those before it, the next one must confirm it.
 """
 
+from dataclasses import replace
+
+from ..decisionlog import log_decision
+
 __all__ = ["AnnouncementFilter"]
 
 #: Largest distance between the sequence numbers of two heartbeats of which the later
@@ -28,11 +32,18 @@
         self._earlier = None
 
     def adopt(self, announcement):
-        """Put an announcement into effect."""
+        """Put an announcement into effect; tell whether it says anything new."""
+        is_changed = self.current is None or (
+            _without_changing_fields(self.current)
+            != _without_changing_fields(announcement)
+        )
+        if is_changed:
+            _log_announced(announcement)
         self.current = announcement
         self.successor = None
         self._unconfirmed = None
         self._earlier = None
+        return is_changed
 
     def accepts(self, announcement, listed_born_ms):
         """Return whether a heartbeat takes effect now.
@@ -85,6 +96,23 @@
         return earlier is not None and _follows(announcement, earlier)
 
 
+def _log_announced(announcement):
+    log_decision(
+        "worker announced",
+        worker_id=announcement.worker_id,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+        service=announcement.service,
+        is_draining=announcement.is_draining,
+        cold_ms=announcement.cold_ms,
+    )
+
+
+def _without_changing_fields(announcement):
+    """Return an announcement without the fields that differ in each heartbeat."""
+    return replace(announcement, sequence=0, cold_ms=int(announcement.cold_ms > 0))
+
+
 def _order(announcement):
     return announcement.born_ms, announcement.sequence
 
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -50,7 +50,7 @@
             return self._order_reply(OrderResult.UNKNOWN, ORDER_EXPIRED)
         self._agent.session.confirm(order.session)
         self._agent.grant.extend(order.grant_until_ms)
-        self._agent.traits_by_task[order.task_id] = TaskTraits(
+        self._agent.pacing_facts.traits_by_task[order.task_id] = TaskTraits(
             order.task_id,
             order.target_ms,
             order.filler,
@@ -127,7 +127,7 @@
 
     async def _send_start(self, order):
         # The worker refuses the start once the order itself has expired.
-        until_ms = self._agent.to_worker_clock(order.grant_until_ms)
+        until_ms = self._agent.worker_clock.convert(order.grant_until_ms)
         token = self._agent.session.token
         try:
             answer, _ = await self._agent.adapter.start(
--- a/dotterelspread/jobs/pacesending.py
+++ b/dotterelspread/jobs/pacesending.py
@@ -15,8 +15,8 @@
     changes = agent.pacer.update(
         worker.capacity.millicores if worker else 0,
         agent.listing.running,
-        agent.traits_by_task,
-        agent.costs_by_pair,
+        agent.pacing_facts.traits_by_task,
+        agent.pacing_facts.costs_by_pair,
     )
     if not changes:
         return
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -36,8 +36,8 @@
     reply.memory_mb = worker.capacity.memory_mb
     reply.accelerators = worker.capacity.accelerators
     reply.draining = worker.is_draining
-    reply.left = agent.has_left
-    reply.gone = agent.is_gone
+    reply.left = agent.departure.has_left
+    reply.gone = agent.departure.is_gone
     reply.cold_ms = max(0, agent.cold_until_ms - reply.clock_ms) or None
 
 
@@ -47,9 +47,10 @@
     reply.running = [_running_row(agent, row) for row in running]
     reply.ended = [
         EndedRow(end.number, end.task_id, end.run, end.how, end.checkpoint)
-        for end in agent.ended_by_number.values()
+        for end in agent.ended.by_number.values()
     ]
-    reply.needs_traits = any(row.task_id not in agent.traits_by_task for row in running)
+    traits_by_task = agent.pacing_facts.traits_by_task
+    reply.needs_traits = any(row.task_id not in traits_by_task for row in running)
 
 
 def _running_row(agent, row):
--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -67,9 +67,9 @@
             agent.bound_residual_lease()
         await stop_stray_runs(agent)
         await send_paces(agent)
-        if agent.ended_by_number:
+        if agent.ended.by_number:
             # Unless a leader acknowledges the ends in time, the runs are listed again.
-            await agent.wait_acknowledged(ACKNOWLEDGEMENT_TIMEOUT_S)
+            await agent.ended.wait_acknowledged(ACKNOWLEDGEMENT_TIMEOUT_S)
 
     async def _call(self, worker_id):
         agent = self._agent
@@ -94,8 +94,10 @@
 
     async def _wait_to_retry(self):
         self._heartbeat.clear()
+        agent = self._agent
+        interval_s = agent.departure.retry_interval_s(agent.clock_ms())
         with suppress(TimeoutError):
-            async with asyncio.timeout(self._agent.retry_interval_s):
+            async with asyncio.timeout(interval_s):
                 await self._heartbeat.wait()
 
     def _log_first_listing(self, listing, session_number):
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -86,7 +86,7 @@
         await asyncio.sleep(2)
         assert agent.born_ms == 5000
         assert agent.is_reachable
-        assert not agent.ended_by_number
+        assert not agent.ended.by_number
 
     run_agent(scenario)
 
@@ -147,7 +147,7 @@
         agent.leave(HEARTBEAT.worker_id, 1000)
         worker.is_up = False
         await asyncio.sleep(0.8)
-        assert agent.has_left
+        assert agent.departure.has_left
 
     run_agent(scenario)
 
@@ -300,7 +300,7 @@
 def test_a_reply_to_an_order_of_an_earlier_incarnation_does_not_set_the_clock():
     async def scenario(agent, worker):
         await begin_confirmed_session(agent)
-        offset_ms = agent.clock_offset_ms
+        offset_ms = agent.worker_clock.offset_ms
         # The reply arrives while no list is due.
         worker.start_delay_s, worker.start_clock_ms = 1.2, clock_ms() + 3_600_000
         order = make_start(clock_ms() + 4000)
@@ -309,6 +309,6 @@
         worker.begin_incarnation(5000)
         await starting
         assert agent.born_ms == 5000
-        assert agent.clock_offset_ms == offset_ms
+        assert agent.worker_clock.offset_ms == offset_ms
 
     run_agent(scenario)
--- a/tests/test_invalid_heartbeats.py
+++ b/tests/test_invalid_heartbeats.py
@@ -211,7 +211,7 @@
         agent.leave("i-1", 1000)
         worker.is_up = False
         await asyncio.sleep(0.8)
-        assert not agent.has_left
+        assert not agent.departure.has_left
 
     run_agent(scenario)
 
@@ -268,6 +268,6 @@
         worker.is_unhealthy = False
         worker.is_up = False
         await asyncio.sleep(0.1)
-        assert agent.has_left
+        assert agent.departure.has_left
 
     run_agent(scenario)
--- a/tests/test_pacesending.py
+++ b/tests/test_pacesending.py
@@ -7,6 +7,7 @@
 
 from dotterelspread.jobs.pacesending import send_paces
 from dotterelspread.jobs.pacing import PaceChange
+from dotterelspread.jobs.pacingfacts import PacingFacts
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from dotterelspread.jobs.workersession import WorkerSession
 from tests.builders_agent import HEARTBEAT
@@ -36,8 +37,7 @@
         announcement=HEARTBEAT,
         pacer=OnePacer(),
         listing=SimpleNamespace(running=()),
-        traits_by_task={},
-        costs_by_pair={},
+        pacing_facts=PacingFacts(),
         session=WorkerSession(),
         adapter=SimpleNamespace(pace=pace),
     )
