--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -9,10 +9,10 @@
 process is gone makes a crash; `silentlosses` waits for it.
 """
 
-from .cell import TaskGivenUp, WorkerCrashed
 from .incarnations import is_current, remove_worker
 from .job import Phase
 from .lifecycle import end_job
+from .reportedeffects import TaskGivenUp, WorkerCrashed
 from .workerloss import LostRun, WorkerLoss
 
 __all__ = [
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -12,15 +12,11 @@
     AcknowledgeEnds,
     GrantsResumed,
     OrderSettled,
-    ReservationsMade,
     ResumeGrants,
     StartRun,
     StopRun,
-    TaskGivenUp,
-    WorkerCrashed,
-    WorkerGivenUp,
-    WorkerReturned,
 )
+from .effectlog import log_effect
 from .lifecycle import is_suitable
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
 
@@ -28,8 +24,6 @@
 
 #: Timeout of an order, during which the agent retries it on the worker.
 ORDER_TIMEOUT_S = 2.5
-#: Largest number of task ids in one log line.
-MAX_LOGGED_TASKS = 20
 
 _RESULT_NAMES = {
     OrderResult.CONFIRMED: "confirmed",
@@ -58,7 +52,7 @@
     @singledispatchmethod
     def perform(self, effect):
         """Perform an effect without waiting for its outcome."""
-        raise TypeError(f"no handler for effect {type(effect).__name__}")
+        log_effect(effect, self._leader.epoch)
 
     @perform.register
     def _(self, effect: StartRun):
@@ -80,71 +74,11 @@
             GrantsResumed(clock.now_s(), effect.worker_id, effect.suspension_number)
         )
 
-    @perform.register
-    def _(self, effect: WorkerGivenUp):
-        counters.add("workers_given_up")
-        worker = effect.worker
-        log_decision(
-            "worker given up",
-            worker_id=worker.worker_id,
-            born_ms=worker.born_ms,
-            agent=worker.agent_address,
-            epoch=self._leader.epoch,
-            silent_s=round(clock.now_s() - worker.unreachable_since_s, 3),
-            lease_over_s=round(clock.now_s() - worker.lease_end_s, 3),
-            runs=len(effect.task_ids),
-            task_ids=effect.task_ids[:MAX_LOGGED_TASKS],
-        )
-
-    @perform.register
-    def _(self, effect: WorkerReturned):
-        log_decision(
-            "worker has not crashed",
-            worker_id=effect.worker_id,
-            agent=effect.agent_address,
-            runs=effect.runs,
-        )
-
     @perform.register
     def _(self, effect: AskPermits):
         run = partial(self._ask_permits, effect)
         self._leader.spawn("permits", run, job_id=effect.job_id)
 
-    @perform.register
-    def _(self, effect: WorkerCrashed):
-        counters.add("worker_crashes")
-        log_decision(
-            "worker crashed",
-            worker_id=effect.worker_id,
-            agent=effect.agent_address,
-            suspects=effect.suspects[:MAX_LOGGED_TASKS],
-            others=effect.others,
-        )
-
-    @perform.register
-    def _(self, effect: TaskGivenUp):
-        counters.add("tasks_given_up")
-        log_decision(
-            "task given up",
-            task_id=effect.task_id,
-            worker_id=effect.worker_id,
-            early_crashes=effect.early_crashes,
-            crashes=effect.crashes,
-        )
-
-    @perform.register
-    def _(self, effect: ReservationsMade):
-        if effect.backfills:
-            counters.add("backfills", effect.backfills)
-        for job_id, (occurrence, number), start_in_s in effect.made:
-            counters.add("reservations")
-            log_decision(
-                "reservation made",
-                job_id=job_id,
-                step=f"{occurrence}.{number}",
-                start_in_s=start_in_s,
-            )
-
     def _spawn(self, name, send, effect):
         self._leader.spawn(name, partial(send, effect), task_id=effect.task_id)
 
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -1,13 +1,14 @@
 """Handlers of ticks and order replies: retries, lost workers, due occurrences."""
 
 from ..reducer import reduce
-from .cell import AppendDone, CellTick, DropJob, OrderSettled, WorkerGivenUp
+from .cell import AppendDone, CellTick, DropJob, OrderSettled
 from .crashes import has_crashed, remove_crashed_worker
 from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
+from .reportedeffects import WorkerGivenUp
 from .restartedworkers import forget_removed_workers
 from .silentlosses import keep_silent_loss
 from .stragglers import move_stragglers
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -17,9 +17,10 @@
 
 from dataclasses import replace
 
-from .cell import ReservationsMade, StartRun
+from .cell import StartRun
 from .gaps import GapKeeper
 from .ordering import placement_class, yield_end_s
+from .reportedeffects import ReservationsMade
 from .reservedroom import Reservation, latest_end_s, leaves_room
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
--- a/dotterelspread/jobs/silentlosses.py
+++ b/dotterelspread/jobs/silentlosses.py
@@ -4,8 +4,8 @@
 that crashed is replaced by another incarnation, or its address refuses connections.
 """
 
-from .cell import WorkerReturned
 from .crashes import conclude_crash, count_crash, make_worker_loss
+from .reportedeffects import WorkerReturned
 
 __all__ = ["keep_silent_loss", "settle_silent_loss"]
 
--- a/tests/test_ordersending.py
+++ b/tests/test_ordersending.py
@@ -1,12 +1,9 @@
 """Tests of the orders that the leader sends for runs after their commit."""
 
 import asyncio
-from unittest import mock
 
-from dotterelspread.counters import Counters
 from dotterelspread.gen.peer.ttypes import OrderReply, OrderResult
-from dotterelspread.jobs import ordersending
-from dotterelspread.jobs.cell import Cancelled, ReservationsMade
+from dotterelspread.jobs.cell import Cancelled
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.ordersending import OrderSender
 from dotterelspread.jobs.taskrun import RunStopReason
@@ -65,22 +62,6 @@
     assert run.is_confirmed
 
 
-def test_reservations_are_logged_and_counted():
-    # Guards against a new effect without a handler, which would end the term.
-    counters = Counters()
-    effect = ReservationsMade((("j1", (0, 1), 0.4), ("j2", (0, 0), 0.9)), 3)
-    with (
-        mock.patch.object(ordersending, "counters", counters),
-        mock.patch.object(ordersending, "log_decision") as log,
-    ):
-        OrderSender(FakeLeader(make_cell())).perform(effect)
-    first = mock.call("reservation made", job_id="j1", step="0.1", start_in_s=0.4)
-    assert log.call_args_list[0] == first
-    lines = counters.to_text().splitlines()
-    assert "dotterelspread_reservations_total 2" in lines
-    assert "dotterelspread_backfills_total 3" in lines
-
-
 def request_stop(worker):
     for run in worker.runs_by_task.values():
         run.stop_reason = RunStopReason.CANCELLED
--- a/tests/test_reservations_placing.py
+++ b/tests/test_reservations_placing.py
@@ -7,7 +7,6 @@
 from dotterelspread.jobs.cell import (
     CellTick,
     OrderSettled,
-    ReservationsMade,
     StartRun,
     Submitted,
 )
@@ -18,6 +17,7 @@
     PlacementPolicyError,
 )
 from dotterelspread.jobs.queues import Queue
+from dotterelspread.jobs.reportedeffects import ReservationsMade
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker
--- a/tests/test_restartedworkers.py
+++ b/tests/test_restartedworkers.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from dotterelspread.jobs.cell import CellTick, WorkerGivenUp
+from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.reportedeffects import WorkerGivenUp
 from dotterelspread.jobs.restartedworkers import (
     REMOVED_WORKER_RETENTION_S,
     may_hold_residual_lease,
