Keep stand-ins and sample documents of the platform apart in the tests

Change: the HTTP stand-ins of the store and of workers are in tests/builders_standins.py. No test changes what it checks.

--- a/tests/test_invalid_registrations.py
+++ b/tests/test_invalid_registrations.py
@@ -13,7 +13,8 @@
 from dotterelspread.platform.worker import PlatformWorker
 from dotterelspread.supervision import run_supervised
 from tests.builders_invalid import DEEP_JSON, HUGE_INTEGERS
-from tests.builders_platform import HEARTBEAT, HoldStandIn, run_on_loopback
+from tests.builders_platform import HEARTBEAT
+from tests.builders_standins import HoldStandIn, run_on_loopback
 
 PREFIX = "/api/Instances.Heartbeat/"
 LEAVE = "/api/Instances.Deregister/"
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -38,12 +38,8 @@
 from dotterelspread.supervision import run_supervised
 from standins.site import free_port
 from tests.builders_fleet import QUEUE, make_job, make_step, run_scenario
-from tests.builders_platform import (
-    CONFIGURATION,
-    HEARTBEAT,
-    JOB,
-    run_on_loopback,
-)
+from tests.builders_platform import CONFIGURATION, HEARTBEAT, JOB
+from tests.builders_standins import run_on_loopback
 from tests.virtualloop import run_virtually
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,15 +39,8 @@
 from dotterelspread.resources import Resources
 from standins.site import free_port
 from tests.builders_fleet import QUEUE
-from tests.builders_platform import (
-    CONFIGURATION,
-    HEARTBEAT,
-    JOB,
-    SETTINGS,
-    StoreStandIn,
-    make_order,
-    run_on_loopback,
-)
+from tests.builders_platform import CONFIGURATION, HEARTBEAT, JOB, SETTINGS, make_order
+from tests.builders_standins import StoreStandIn, run_on_loopback
 
 JOB_ID = "5c0e7a21d94b36f8"
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -15,15 +15,8 @@
 from dotterelspread.platform.settings import SETTINGS_VARIABLE
 from dotterelspread.processsettings import FleetBounds
 from standins.site import free_port
-from tests.builders_platform import (
-    CONFIGURATION,
-    HEARTBEAT,
-    JOB,
-    PROCESS_SETTINGS,
-    StoreStandIn,
-    WorkerStandIn,
-    with_query,
-)
+from tests.builders_platform import CONFIGURATION, HEARTBEAT, JOB, PROCESS_SETTINGS
+from tests.builders_standins import StoreStandIn, WorkerStandIn, with_query
 from tests.builders_worker import VirtualWorker
 
 JOB_PATH = "/lohu930/5c0e7a21d94b36f8"
