Test sessions of a process that first follows an outdated leader

Found by reading: the model of an agent let a new process follow the latest leader only. A process that starts while an outdated leader still polls it tells that one its number. If the latest leader has heard of the same number from an earlier process of the agent, it counts as confirmed, and two incarnations are changed under one fencing token. A late start of the earlier one is then not refused.

The model now plays such a process, and a leader hears the replies to its own polls also after a change of the leader.

--- a/tests/test_workersession.py
+++ b/tests/test_workersession.py
@@ -58,6 +58,15 @@
     assert not session.is_confirmed
 
 
+def test_a_number_that_an_earlier_process_has_told_a_later_leader_is_passed():
+    # The process has told the number to an earlier leader only.
+    session = make_session(3, 1)
+    session.follow(4)
+    session.confirm(2)
+    assert session.number == 3
+    assert not session.is_confirmed
+
+
 def test_no_session_begins_before_a_leader_has_told_the_latest_one():
     session = make_session(3)
     session.begin_next()
@@ -118,8 +127,8 @@
     def __init__(self):
         self.session = make_session(1)
         self.incarnation = 1
-        #: Latest session that the leader has heard of, as in `AgentLink`.
-        self.heard = 0
+        #: Latest session that each leader has heard of, as in `AgentLink`.
+        self.heard_by_epoch = {1: 0}
         #: Epoch and session in the replies that are under way.
         self.replies = []
         self.incarnations_by_token = {}
@@ -127,6 +136,10 @@
     def restart_process(self):
         self.session = make_session(self.session.epoch)
 
+    def restart_process_beside_earlier_leader(self):
+        """Begin a process that an outdated leader polls before the latest one does."""
+        self.session = make_session(max(1, self.session.epoch - 1))
+
     def restart_worker(self):
         self.incarnation += 1
         self.session.begin_next()
@@ -136,17 +149,17 @@
 
     def change_leader(self):
         self.session.follow(self.session.epoch + 1)
-        self.heard = 0
+        self.heard_by_epoch.setdefault(self.session.epoch, 0)
 
     def poll(self):
-        self.session.confirm(self.heard)
+        self.session.confirm(self.heard_by_epoch[self.session.epoch])
         self.replies.append((self.session.epoch, self.session.report()))
 
     def receive_reply(self):
         if self.replies:
             epoch, number = self.replies.pop(0)
-            if epoch == self.session.epoch:
-                self.heard = max(self.heard, number)
+            heard = self.heard_by_epoch[epoch]
+            self.heard_by_epoch[epoch] = max(heard, number)
 
     def exchange(self):
         self.poll()
@@ -166,6 +179,7 @@
 STEPS = st.sampled_from(
     [
         ModelledAgent.restart_process,
+        ModelledAgent.restart_process_beside_earlier_leader,
         ModelledAgent.restart_worker,
         ModelledAgent.refuse_token,
         ModelledAgent.change_leader,
