Confirm a session only after telling its number to the leader of the epoch

Whether a process had told its number outlasted the leader that it told. A later leader that had heard of the same number from an earlier process of the agent confirmed it, so that two incarnations shared a fencing token.

A process that follows a later leader counts as not having told it anything. A leader that knows the number is passed by one; the session of a process that did nothing wrong is confirmed one poll later, as after each start.

--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -35,7 +35,7 @@
         #: Number of the session; 0 until a leader has told the latest one.
         self.number = 0
         self._confirmed_number = 0
-        #: Whether this process has told a leader the number.
+        #: Whether this process has told the leader of this epoch the number.
         self._is_reported = False
         #: Whether the leader of this or of an earlier epoch has heard of the session.
         self.has_been_confirmed = False
@@ -61,6 +61,8 @@
         """Follow the leader of a later epoch, which has not heard of the session."""
         self.epoch = epoch
         self._confirmed_number = 0
+        # It may have heard of the same number from an earlier process of the agent.
+        self._is_reported = False
 
     def confirm(self, number):
         """Apply the number of the latest session that the leader has heard of.
