Test sessions after many refusals under an outdated leader

Found by reading: each refused call passes twice as many sessions as the one before. An agent process that has started again under an outdated leader is refused until the later one reaches it, and after 20 refusals, 4 s, its number is the largest of the epoch. The number was kept under the later leader, where each further incarnation was then called under the same fencing token.

--- a/tests/test_workersession.py
+++ b/tests/test_workersession.py
@@ -67,6 +67,20 @@
     assert not session.is_confirmed
 
 
+def test_refusals_under_an_outdated_leader_do_not_use_up_the_later_sessions():
+    # The worker has seen the tokens of the later leader.
+    session = make_session(3, 0)
+    for _ in range(30):
+        session.pass_refused()
+    session.follow(4)
+    session.confirm(0)
+    tokens = [session.token]
+    for _ in range(3):
+        session.begin_next()
+        tokens.append(session.token)
+    assert tokens == sorted(set(tokens))
+
+
 def test_no_session_begins_before_a_leader_has_told_the_latest_one():
     session = make_session(3)
     session.begin_next()
