Begin the sessions under a later leader anew after many refusals

An agent kept the number of its session under each later leader, also the largest one, which refusals under an outdated leader reach within 4 s. No further session could begin then, so that later incarnations shared a token and took calls to earlier ones.

A number above half of the range is not kept: the agent begins like a new process, after the number that the later leader has heard of. The step of refusals starts anew with each leader too.

--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -10,6 +10,9 @@
 
 #: Number of sessions in one epoch of the leader that fencing tokens can tell apart.
 MAX_SESSIONS = 1 << 20
+#: Largest number that is kept under a later leader, under which that many incarnations
+#: and refusals may follow.
+MAX_KEPT_NUMBER = MAX_SESSIONS // 2
 
 
 class WorkerSession:
@@ -63,6 +66,10 @@
         self._confirmed_number = 0
         # It may have heard of the same number from an earlier process of the agent.
         self._is_reported = False
+        self._refusal_step = 1
+        if self.number > MAX_KEPT_NUMBER:
+            # As in a new process; any token of this epoch is higher than the earlier.
+            self.number = 0
 
     def confirm(self, number):
         """Apply the number of the latest session that the leader has heard of.
