Complete a task also through a run that is not its latest one

A worker that was given up, or its next incarnation, may carry out a start late and complete the run. The leader ignored that end, since another run was the latest, and acknowledged it; the task was then started again, or ran on elsewhere, after the acknowledged end.

Such an end now completes the task, as one of the latest run does, and the latest run is withheld or stopped. Ends of services, of closed jobs and of runs that were never assigned are left out, and so are failures.

--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -2,8 +2,10 @@
 
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
+from .job import Phase
 from .lifecycle import add_due_steps, end_job, requeue, stop_run
 from .runtimes import measure_run_s
+from .spec import parse_task_id
 from .taskrun import RunStopReason
 from .worker import RunEnd
 
@@ -36,11 +38,11 @@
 def _apply_end(cell, worker, end, event):
     run = worker.runs_by_task.get(end.task_id)
     if run is None or run.run != end.run:
-        return []
+        return _apply_earlier_end(cell, end, event)
     worker.remove(end.task_id)
     job = cell.jobs_by_id.get(run.job_id)
     if job is None or not is_current(job, run, worker):
-        return []
+        return _apply_earlier_end(cell, end, event)
     if not job.is_open:
         requeue(cell, job, run.key, end.checkpoint)
         return []
@@ -48,30 +50,52 @@
     if end.how == RunEnd.COMPLETED:
         worker.failed_job_ids = frozenset()
         if not step.is_service:
-            return _complete(cell, job, run, event)
+            _learn_from(cell, job, run, event)
+            return _complete(cell, job, run.key, event)
     elif end.how == RunEnd.FAILED:
         return _fail(cell, job, run, worker, end, event)
     requeue(cell, job, run.key, end.checkpoint)
     return []
 
 
-def _complete(cell, job, run, event):
-    occurrence, number, _ = run.key
+def _apply_earlier_end(cell, end, event):
+    """Complete a task if a run of it completed that is not its latest one.
+
+    A worker may carry out a start late, after the leader has given the run up. Once the
+    end is acknowledged, the task must not start again.
+    """
+    parsed = parse_task_id(end.task_id)
+    job = parsed and cell.jobs_by_id.get(parsed[0])
+    if not job or not job.is_open or end.how != RunEnd.COMPLETED:
+        return []
+    task = job.tasks_by_key.get(parsed[1])
+    if task is None or task.phase == Phase.COMPLETED or end.run > task.run:
+        return []
+    if job.step_of(parsed[1]).is_service:
+        return []
+    return _complete(cell, job, parsed[1], event)
+
+
+def _learn_from(cell, job, run, event):
+    """Record the run time of a completed run."""
     if run.is_listed:
-        durations = job.durations_by_step.setdefault((occurrence, number), [])
+        durations = job.durations_by_step.setdefault(run.key[:2], [])
         durations.append(event.now_s - run.first_listed_s)
-    step = job.step_of(run.key)
-    _learn_run_time(cell, job, run, step, event)
+    _learn_run_time(cell, job, run, job.step_of(run.key), event)
+
+
+def _complete(cell, job, key, event):
+    occurrence, number, _ = key
     effects = []
-    keys = [run.key]
-    if step.is_gang:
+    keys = [key]
+    if job.step_of(key).is_gang:
         # The completion of one member completes the whole gang.
         keys = job.keys_of_step(occurrence, number)
-    for key in keys:
-        task = job.tasks_by_key[key]
-        effects.extend(_stop_other_run(cell, job, key, task))
-        job.complete(key)
-        cell.clear_ready(job, key)
+    for member in keys:
+        task = job.tasks_by_key[member]
+        effects.extend(_stop_other_run(cell, job, member, task))
+        job.complete(member)
+        cell.clear_ready(job, member)
     cell.dirty_job_ids.add(job.job_id)
     if job.is_complete:
         return effects + end_job(cell, job, event.wall_ms)
