Test connections to a worker that closes or that starts again unnoticed

An agent that has not noticed the restart of its worker polls it on a new connection, under the token of the earlier session, and waits there for up to 500 ms before it begins the next session. Late starts are carried out until then. And an order to a worker that closes each connection after its reply asks for the lists again and again, without end.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -280,12 +280,14 @@
     def __init__(self):
         self.replies = []
         self.calls = []
+        #: Headers of the replies.
+        self.headers = {}
 
     async def handle(self, request):
         body = json.loads(request.body)
         self.calls.append((request.path, request.headers, body))
         status, answer = self.replies.pop(0)
-        return H1Response(status, json.dumps(answer).encode())
+        return H1Response(status, json.dumps(answer).encode(), self.headers)
 
 
 def test_replies_of_a_worker_are_mapped_to_start_answers():
@@ -348,6 +350,19 @@
     run_on_loopback(WorkerStandIn(), scenario)
 
 
+def test_a_worker_that_closes_each_connection_gets_no_calls_without_end():
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.headers = {"Connection": "close"}
+        standin.replies = [(200, {"ClockMs": 5, "born": 3})] * 50
+        with pytest.raises(WorkerUnsentError):
+            await worker.start("i-1", 4, make_order(), 99)
+        assert len(standin.calls) <= 3
+        worker.close()
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
 def test_an_idle_connection_to_a_later_incarnation_is_not_used_for_an_earlier_one():
     async def scenario(address, standin):
         worker = PlatformWorker(address)
@@ -404,6 +419,21 @@
     run_on_loopback(WorkerStandIn(), scenario)
 
 
+def test_the_first_lists_on_a_new_connection_are_not_waited_for():
+    # A late start may reach another incarnation until it is called under its session.
+    async def scenario(address, standin):
+        worker = PlatformWorker(address)
+        standin.replies = [(200, {"ClockMs": 5, "born": 3})] * 4
+        for _ in range(2):
+            for _ in range(2):
+                await worker.hold("i-1", 4, 57, 99, 500)
+            worker.close()
+        waits_ms = [body["WaitMs"] for _, _, body in standin.calls]
+        assert waits_ms == [0, 500, 0, 500]
+
+    run_on_loopback(WorkerStandIn(), scenario)
+
+
 @pytest.mark.parametrize(
     "first_reply", [(503, {}), (200, {"ClockMs": 5, "born": 3, "Ended": [[]]})]
 )
