Ask for the first lists on a new connection without a wait

The agent may not have noticed the restart of its worker, and then polled the new incarnation under the token of the session with the earlier one, for up to 500 ms. Only after that it began the next session, so that late starts had the longer for it.

The first poll on a connection is now answered at once, as the first one after a failure is. The simulated worker, which stands for the adapter too, does the same.

--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -114,7 +114,8 @@
             End of the lease; 0 leaves it as it is. Not sent on such a connection
             either.
         wait_ms : int
-            Longest time that the worker waits for the end of a run before it replies.
+            Longest time that the worker waits for the end of a run before it replies;
+            0 on such a connection.
         """
         raise NotImplementedError
 
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -119,8 +119,9 @@
     async def hold(self, worker_id, token, seen, until_ms, wait_ms):
         """Renew the lease and list runs; see `WorkerAdapter.hold`."""
         if not self._is_incarnation_known:
-            # Another incarnation numbers its ended runs afresh and has another clock.
-            seen = until_ms = 0
+            # Another incarnation numbers its ended runs afresh and has another clock,
+            # and must soon be called under a session of its own.
+            seen = until_ms = wait_ms = 0
         body = {"FencingToken": token, "LastSeen": seen, "WaitMs": wait_ms}
         if until_ms:
             body["UntilMs"] = until_ms
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -300,7 +300,7 @@
         if self.connected_incarnation != self.incarnation:
             # `PlatformWorker` does the same on a new connection.
             self.connected_incarnation = self.incarnation
-            seen = until_ms = 0
+            seen = until_ms = wait_ms = 0
         execute = partial(self._hold_late, self.worker_id, token, seen, until_ms)
         if self._is_hold_late():
             # The caller closes a connection on which it gets no reply in time.
