Bound the connections that an order opens to a worker

An order asked for the lists on new connections until one stayed open. With a worker that closes each connection after its reply that had no end, and each repetition of the order by the leader added another such loop.

The second connection that does not last makes the order unsent.

tests/test_platform.py: the new test failed and passes; 224 tests of it, test_malformed, test_invalid_registrations and test_orderhandler pass.

--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -21,6 +21,8 @@
 INCARNATION_HEADER = "X-Expect-Instance"
 JSON_HEADER = {"Content-Type": "application/json"}
 ORDER_TIMEOUT_S = 0.7
+#: Connections that are opened for an order until one outlasts its first reply.
+MAX_ORDER_CONNECTIONS = 2
 #: Added to the requested wait time of a long poll to get its timeout.
 HOLD_MARGIN_S = 1.0
 #: Status of a call that reached another incarnation of the worker.
@@ -158,7 +160,9 @@
         WorkerUnsentError
         """
         body = {"FencingToken": token, "LastSeen": 0, "WaitMs": 0}
-        while not self._order_client.is_connected:
+        for _ in range(MAX_ORDER_CONNECTIONS):
+            if self._order_client.is_connected:
+                return
             try:
                 reply = await self._call(
                     self._order_client, "/api/hold", worker_id, body, ORDER_TIMEOUT_S
@@ -167,6 +171,8 @@
             except WorkerReplyError as error:
                 self._order_client.close()
                 raise WorkerUnsentError(str(error)) from error
+        if not self._order_client.is_connected:
+            raise WorkerUnsentError("the worker closes each connection")
 
     async def _send(self, target, worker_id, body):
         reply = await self._call(
