Test crashes that only some records of an earlier leader tell of

It can, if the leader ended between two appends of the records of a new incarnation and the successor reads a task of the earlier one first: it adopts the worker as the earlier incarnation, counts the crash when the later one is reported, and counts it for the tasks too whose records tell of it already.

Read in the other order nothing counts twice, and a task whose record does not tell of the crash misses it.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from dotterelspread.jobs.cell import OrderSettled, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.incarnations import adopt_assigned
@@ -70,6 +72,28 @@
     assert not find_violations(cell)
 
 
+@pytest.mark.parametrize("recorded_first", [True, False])
+def test_a_crash_that_only_some_records_tell_of_counts_no_more_than_once(
+    recorded_first,
+):
+    cell = make_cell(make_worker(0))
+    submit(cell, make_step(), number=1)
+    submit(cell, make_step(), number=2)
+    # The leader died after the first of two appends of the new incarnation.
+    jobs = list(cell.jobs_by_id.values())
+    tasks = [job.tasks_by_key[0, 0, 0] for job in jobs]
+    recorded = tasks[0 if recorded_first else 1]
+    recorded.born_ms, recorded.crashes = 2, 1
+    cell.workers_by_id.clear()
+    for job in jobs:
+        adopt_assigned(cell, job, {}, lambda worker_id: 20.0, 0.0)
+    reduce(report(1.0, born_ms=2), cell)
+    # Tasks whose records do not tell of it may be left out.
+    assert recorded.crashes == 1
+    assert max(task.crashes for task in tasks) == 1
+    assert not find_violations(cell)
+
+
 def test_a_worker_that_moves_is_recorded_at_its_new_address():
     cell = make_cell(make_worker(0))
     cell.dirty_worker_ids.clear()
