Do not count a crash again for tasks whose records tell of it

A leader may end between two appends of the records of a new incarnation. Its successor adopted the worker as either incarnation, and if that was the earlier one, the report of the later one counted the crash for all of its runs.

A run keeps the incarnation that its record names if another one was adopted, and a loss leaves out the runs that are recorded in the reported incarnation. Tasks whose records do not tell of the crash still miss it if the later incarnation was adopted.

--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -46,8 +46,17 @@
     return not (worker.is_draining or worker.is_agent_lost)
 
 
-def make_worker_loss(cell, worker):
-    """Return the `WorkerLoss` of a worker that still has its runs."""
+def make_worker_loss(cell, worker, successor_born_ms=0):
+    """Return the `WorkerLoss` of a worker that still has its runs.
+
+    Parameters
+    ----------
+    cell : Cell
+    worker : Worker
+    successor_born_ms : int, optional
+        Start of its next incarnation, if known. Records that name that one tell of the
+        loss.
+    """
     lost = []
     suspects = _suspects(worker)
     for run in worker.runs_by_task.values():
@@ -56,6 +65,8 @@
             continue
         if not run.may_have_started:
             continue
+        if run.recorded_born_ms and run.recorded_born_ms == successor_born_ms:
+            continue
         is_early = any(run is suspect for suspect in suspects)
         if job.step_of(run.key).is_service and not is_early:
             # It lasts for hours, in which many workers may crash.
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -42,12 +42,13 @@
                 lease_end_s=lease_end_s_of(task.worker_id),
             )
             cell.workers_by_id[task.worker_id] = worker
+        run = make_run(job, key, task.run)
         if task.born_ms != worker.born_ms:
             # The last append of an earlier leader told of the new incarnation, but not
             # for all jobs. Until the agent reports, either may be the current one.
+            run.recorded_born_ms = task.born_ms
             task.born_ms = worker.born_ms
             cell.dirty_job_ids.add(job.job_id)
-        run = make_run(job, key, task.run)
         run.is_repeat = True
         run.stop_reason = "" if job.is_open else end_reason(job)
         worker.add(job.task_id(key), run)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -110,7 +110,7 @@
     born_ms = event.report.born_ms
     if not has_crashed(worker):
         return replace_incarnation(cell, worker, born_ms, event.now_s), []
-    loss = make_worker_loss(cell, worker)
+    loss = make_worker_loss(cell, worker, born_ms)
     count_crash(cell, loss, worker.worker_id)
     successor = replace_incarnation(cell, worker, born_ms, event.now_s)
     return successor, conclude_crash(cell, loss, event)
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -61,6 +61,9 @@
     is_repeat: bool = False
     #: Whether no order for the run has reached the worker.
     is_unsent: bool = False
+    #: Start of the incarnation that the journal names, if another one was adopted for
+    #: it; else 0.
+    recorded_born_ms: int = 0
     #: Whether the task may crash its worker soon, since it may have crashed others.
     is_on_probation: bool = False
     #: Leader's clock of the latest order for the run.
