Test restarts of a worker under a run that was not ordered again

A job failed with two workers crashed under its task, while five crashes were counted: a run stays on the worker for each next incarnation, and counted as started there before any order for it went out. An incarnation that is gone within 0.5 s of its first report is enough; five of them fail a job whose task has not run.

--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -139,6 +139,19 @@
     assert (task.crashes, task.early_crashes) == (1, 0)
 
 
+def test_restarts_under_a_run_that_was_not_ordered_again_count_no_crashes():
+    cell = make_cell(make_worker(0))
+    submit(cell, make_step())
+    reduce(OrderSettled(0.1, "i-0", 1, CRASHING_TASK, 1, "unknown", 100), cell)
+    # Each incarnation is gone before the start is repeated there.
+    for born_ms in range(2, 10):
+        event = make_report(0, born_ms / 10)
+        reduce(replace(event, report=replace(event.report, born_ms=born_ms)), cell)
+    (task,) = cell.jobs_by_id[CRASHING_JOB.job_id].tasks_by_key.values()
+    assert (task.crashes, task.early_crashes) == (1, 0)
+    assert cell.jobs_by_id[CRASHING_JOB.job_id].is_open
+
+
 def test_an_instance_that_crashes_by_itself_fails_no_job():
     async def scenario(fleet):
         for number in range(30):
