Count crashes only under runs that were ordered on the incarnation

A run that stays on a worker for its next incarnation counted as started there, since a late copy of an earlier order may start it. Restarts in close succession counted as crashes under it, and the fifth failed its job.

It counts again once an order to the incarnation is under way or was answered, or once the incarnation lists it.

tests/test_crashes.py: the new test failed and passes; 151 tests of 8 files pass.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -93,6 +93,7 @@
         run.is_order_in_flight = False
         run.is_repeat = True
         run.is_unsent = False
+        run.is_carried_over = True
         run.observed_s = 0.0
         run.last_answer_ms = 0
         run.confirmed_ms = 0
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -36,6 +36,7 @@
     run.is_order_in_flight = False
     was_unsent = run.is_unsent or not run.is_repeat
     run.is_unsent = event.result == "unsent" and was_unsent
+    run.is_carried_over &= event.result == "unsent"
     run.is_repeat = True
     run.last_order_s = event.now_s
     if event.result == "refused":
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -61,6 +61,8 @@
     is_repeat: bool = False
     #: Whether no order for the run has reached the worker.
     is_unsent: bool = False
+    #: Whether no order for it went to this incarnation; an earlier one had the run.
+    is_carried_over: bool = False
     #: Start of the incarnation that the journal names, if another one was adopted for
     #: it; else 0.
     recorded_born_ms: int = 0
@@ -91,6 +93,7 @@
 
     def mark_listed(self, percent, now_s):
         """Record the first time that the worker lists the run as running."""
+        self.is_carried_over = False
         self.first_listed_s = now_s
         self.first_listed_percent = percent
         self.percent = percent
@@ -132,8 +135,12 @@
 
     @property
     def may_have_started(self):
-        """Whether an order for the run may have reached the worker."""
-        return self.is_order_in_flight or not self.is_unsent
+        """Whether an order for the run may have reached this incarnation.
+
+        That leaves out late orders to an earlier one, which are rare.
+        """
+        has_no_order = self.is_unsent or self.is_carried_over
+        return self.is_order_in_flight or not has_no_order
 
     @property
     def is_serving(self):
