Call a worker that was given up under another session when it returns

A worker that is given up at the end of its lease and answers again is granted leases, and its agent called it under the same fencing token as before. A start that had got no answer before was carried out then, while the task ran elsewhere.

The leader tells the agent a later session once the worker is removed, as if another process of the agent had begun it. The agent begins the next one, and extends no lease before the worker is called under it.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -41,6 +41,7 @@
         "_agent_clock_ms",
         "_agent_clock_read_s",
         "_born_ms",
+        "_has_worker",
         "_is_granting",
         "_last_report_s",
         "_leader",
@@ -59,6 +60,8 @@
         #: Worker of the latest report, and the start of its incarnation.
         self._worker_id = ""
         self._born_ms = 0
+        #: Whether the cell had that worker after the report.
+        self._has_worker = False
         self._acknowledged_number = 0
         #: Number of the latest logged end of a run.
         self._logged_number = 0
@@ -68,7 +71,8 @@
         self._agent_clock_read_s = clock.elapsed_s()
         #: When the latest reply that tells of a worker arrived.
         self._last_report_s = clock.now_s()
-        #: Latest session between the agent and its worker that is known; 0 if none.
+        #: Latest session between the agent and its worker that is known, or one more if
+        #: the agent has to begin another one; 0 if none.
         self.session = 0
         self._is_granting = False
         self._was_known = False
@@ -114,7 +118,18 @@
         while True:
             await self._poll()
 
+    def _find_removal(self):
+        """Have the agent begin another session if its worker was given up.
+
+        The worker may answer again and be granted leases, under which it would carry
+        out late starts whose tasks run elsewhere. It refuses those of other sessions.
+        """
+        if self._has_worker and self._worker_id not in self._leader.cell.workers_by_id:
+            self._has_worker = False
+            self.session += 1
+
     async def _poll(self):
+        self._find_removal()
         wait_ms = WATCH_POLL_TIMEOUT_MS if self._version else 0
         query = WatchQuery(
             epoch=self._leader.epoch,
@@ -162,6 +177,7 @@
             self._leader.apply(AgentLost(clock.now_s(), self._address))
 
     def _apply_reply(self, reply):
+        self._find_removal()
         now_s = clock.now_s()
         self._leader.agent_reach.observe(self._address)
         self._agent_clock_ms = reply.clock_ms
@@ -196,6 +212,7 @@
         report = read_report(self._address, reply)
         event = Reported(now_s, report, end_s, clock.wall_ms(), residual_end_s)
         self._leader.apply(event)
+        self._has_worker = self._worker_id in self._leader.cell.workers_by_id
 
     def _log_ends(self, reply):
         for row in reply.ended:
