--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -12,6 +12,10 @@
 LONG_RUN_S = 30.0
 #: Time in which a short run ends and its end is acknowledged.
 ACKNOWLEDGED_S = 2.0
+#: The same if the first call to the later incarnation gets no answer.
+UNANSWERED_WINDOW_S = 0.5
+#: Time in which the agent makes that call, which it repeats later at the earliest.
+FIRST_CALL_S = 0.05
 #: Longer than any lease.
 LEASES_S = 14.0
 
@@ -25,6 +29,18 @@
     await fleet.settle(3.0)
 
 
+async def restart_without_answer_after_done(fleet):
+    """Restart the worker of a task that is done; the agent's first call is late."""
+    agent = await start_with_late_copy(fleet, SHORT_RUN_S, 6.0)
+    await fleet.settle(ACKNOWLEDGED_S)
+    agent.worker.crash()
+    agent.worker.late_hold_ratio = 1.0
+    await agent.worker.begin_before_late_start(UNANSWERED_WINDOW_S)
+    await fleet.settle(FIRST_CALL_S)
+    agent.worker.late_hold_ratio = 0.0
+    await fleet.settle(3.0)
+
+
 async def reboot_after_done_without_leader(fleet):
     """Restart the worker of a task that is done, its agent and the leader."""
     agent = await start_with_late_copy(fleet, SHORT_RUN_S, 6.0)
@@ -85,6 +101,7 @@
     "scenario",
     [
         restart_after_done,
+        restart_without_answer_after_done,
         reboot_after_done_without_leader,
         restart_while_cut_off,
         reboot_while_cut_off,
