Repeat the first calls to an incarnation after 0.1 and 0.3 s

Until a call under its own session is executed, a worker that has started again carries out late starts. A first call that got no answer was repeated only after 1.2 s, the timeout and the delay of any other.

A call that may reach another incarnation is tried with timeouts of 0.1 and 0.2 s before it has the usual one. Such calls change nothing and may be executed twice or late.

--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -12,6 +12,12 @@
 
 #: Longest time that a worker waits for the end of a run before it lists its runs.
 LISTING_POLL_TIMEOUT_MS = 500
+#: Timeout of the first attempt of a call to what may be another incarnation. It doubles
+#: with each, and the last one has that of the adapter. Until one is executed, an
+#: incarnation takes calls to earlier ones.
+FIRST_ATTEMPT_TIMEOUT_S = 0.1
+#: Number of attempts with such timeouts.
+MAX_SHORT_ATTEMPTS = 2
 #: Longest wait for the leader to acknowledge ended runs before they are listed again.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
 
@@ -72,6 +78,14 @@
             await agent.wait_acknowledged(ACKNOWLEDGEMENT_TIMEOUT_S)
 
     async def _call(self, worker_id):
+        """Return the worker's lists, by several attempts if it may have restarted."""
+        for attempt in range(MAX_SHORT_ATTEMPTS if self._is_urgent() else 0):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_ATTEMPT_TIMEOUT_S * 2**attempt):
+                    return await self._hold(worker_id)
+        return await self._hold(worker_id)
+
+    async def _hold(self, worker_id):
         agent = self._agent
         until_ms, seen = 0, 0
         if agent.is_in_session:
@@ -81,7 +95,11 @@
         return await agent.adapter.hold(worker_id, token, seen, until_ms, wait_ms)
 
     def _wait_ms(self):
-        """Return how long the worker waits for the end of a run before it replies.
+        """Return how long the worker waits for the end of a run before it replies."""
+        return 0 if self._is_urgent() else LISTING_POLL_TIMEOUT_MS
+
+    def _is_urgent(self):
+        """Tell whether a reply is needed at once.
 
         Nothing is known of an incarnation before its first listing, another one may
         answer after a failure, and calls to earlier ones may change it before the first
@@ -89,8 +107,7 @@
         """
         agent = self._agent
         is_unfenced = agent.session.has_begun and not agent.residual_lease.is_bounded
-        is_due = agent.listing is None or self._has_failed or is_unfenced
-        return 0 if is_due else LISTING_POLL_TIMEOUT_MS
+        return agent.listing is None or self._has_failed or is_unfenced
 
     async def _wait_to_retry(self):
         self._heartbeat.clear()
