Play changing capacities with late lists too

No test let the calls that list runs be late beside starts, stops, crashes and changes of the leader.

--- a/tests/test_changing_capacity.py
+++ b/tests/test_changing_capacity.py
@@ -12,6 +12,10 @@
 )
 #: The first seeds, and those in which a start exceeded a capacity.
 SEEDS = [*range(4), 10, 16, 28, 35]
+#: Seeds in which a task ran twice, or a job failed, when lists were late too.
+LATE_LISTS_SEEDS = [48, 89, 91, 124, 138, 167, 168, 192]
+#: Seeds in which a task ran twice, or a job failed, when calls that list were late too.
+LATE_LISTS_SEEDS = [48, 89, 91, 124, 138, 167, 168, 192]
 #: Time within which a leader has to know the capacity that a worker announces.
 MAX_NOTICE_S = 1.5
 SERVICE_ID = f"{1:016x}"
@@ -66,14 +70,19 @@
     run_scenario(scenario)
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_no_start_exceeds_a_changing_capacity(seed):
+@pytest.mark.parametrize(
+    ("seed", "are_lists_late"),
+    [(seed, False) for seed in SEEDS] + [(seed, True) for seed in LATE_LISTS_SEEDS],
+)
+def test_no_start_exceeds_a_changing_capacity(seed, are_lists_late):
     async def scenario(fleet):
         rng = fleet.rng
         fleet.store.loss = rng.choice([0.0, 0.2])
         fleet.network.loss = rng.choice([0.0, 0.05])
         for worker in fleet.workers:
             worker.late_ratio = rng.choice([0.0, 0.3])
+            if are_lists_late:
+                worker.late_hold_ratio = worker.late_ratio
         for number in range(2, 22):
             fleet.durations[f"{number:016x}"] = rng.choice([0.5, 3.0, 8.0])
             step = make_step(count=rng.randint(1, 6), demand=Resources(1500, 100))
