--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -10,6 +10,9 @@
 
 #: Number of sessions in one epoch of the leader that fencing tokens can tell apart.
 MAX_SESSIONS = 1 << 20
+#: Largest number that is kept under a later leader, under which that many incarnations
+#: and refusals may follow.
+MAX_KEPT_NUMBER = MAX_SESSIONS // 2
 
 
 class WorkerSession:
@@ -35,7 +38,7 @@
         #: Number of the session; 0 until a leader has told the latest one.
         self.number = 0
         self._confirmed_number = 0
-        #: Whether this process has told a leader the number.
+        #: Whether this process has told the leader of this epoch the number.
         self._is_reported = False
         #: Whether the leader of this or of an earlier epoch has heard of the session.
         self.has_been_confirmed = False
@@ -61,6 +64,12 @@
         """Follow the leader of a later epoch, which has not heard of the session."""
         self.epoch = epoch
         self._confirmed_number = 0
+        # It may have heard of the same number from an earlier process of the agent.
+        self._is_reported = False
+        self._refusal_step = 1
+        if self.number > MAX_KEPT_NUMBER:
+            # As in a new process; any token of this epoch is higher than the earlier.
+            self.number = 0
 
     def confirm(self, number):
         """Apply the number of the latest session that the leader has heard of.
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -193,9 +193,18 @@
         """Execute a call late, by whatever incarnation is there, and lose the reply."""
         delay_s = self.rng.uniform(*LATE_CALL_DELAYS_S)
         asyncio.get_running_loop().call_later(delay_s, execute)
-        await asyncio.sleep(timeout_s)
+        await self._wait_in_vain(timeout_s)
         raise WorkerReplyError("no reply")
 
+    async def _wait_in_vain(self, timeout_s):
+        """Wait for a reply until the timeout, or the end of the process called."""
+        incarnation, end_s = self.incarnation, clock.now_s() + timeout_s
+        while self.is_up and incarnation == self.incarnation:
+            remaining_s = end_s - clock.now_s()
+            if remaining_s <= 0:
+                return
+            await asyncio.sleep(min(self.poll_interval_s, remaining_s))
+
     def _accept_token(self, token):
         self.end_due_runs()
         if token < self.token:
@@ -300,7 +309,7 @@
         if self.connected_incarnation != self.incarnation:
             # `PlatformWorker` does the same on a new connection.
             self.connected_incarnation = self.incarnation
-            seen = until_ms = 0
+            seen = until_ms = wait_ms = 0
         execute = partial(self._hold_late, self.worker_id, token, seen, until_ms)
         if self._is_hold_late():
             # The caller closes a connection on which it gets no reply in time.
