Show that records which the store does not take stop the fleet

Change: the virtual store refuses records, keys and requests above the limits of the platform's store, and a virtual worker can have a checkpoint for its runs.

--- a/tests/builders_store.py
+++ b/tests/builders_store.py
@@ -20,9 +20,15 @@
     Tail,
 )
 
-__all__ = ["SLOW_APPEND_S", "VirtualStore"]
+__all__ = ["MAX_RECORD_BYTES", "SLOW_APPEND_S", "VirtualStore"]
 
 SLOW_APPEND_S = 2.0
+#: Limits of the platform's store on a record, on all of one call, and on a key.
+MAX_RECORD_BYTES = 262_144
+MAX_REQUEST_BYTES = 2_097_152
+MAX_KEY_BYTES = 255
+#: Bytes of a record's length, which count in a request but not in the record.
+LENGTH_BYTES = 4
 
 
 @dataclass
@@ -69,6 +75,7 @@
         return _VirtualJournal(self, node)
 
     def append(self, name, records, writer, expected_end):
+        _check_sizes(records)
         stream = self.stream(name)
         if writer is not None:
             reply = self._check_writer(stream, writer)
@@ -115,6 +122,18 @@
             self.generation += 1
 
 
+def _check_sizes(records):
+    request_bytes = 0
+    for record in records:
+        key_bytes = len(record.key.encode())
+        record_bytes = 1 + key_bytes + len(record.value)
+        if key_bytes > MAX_KEY_BYTES or record_bytes > MAX_RECORD_BYTES:
+            raise JournalRejectedError(f"{record.key}: {record_bytes} bytes")
+        request_bytes += LENGTH_BYTES + record_bytes
+    if request_bytes > MAX_REQUEST_BYTES:
+        raise JournalRejectedError(f"request of {request_bytes} bytes")
+
+
 class _VirtualJournal(Journal):
     def __init__(self, store, node):
         self.store = store
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -79,6 +79,10 @@
         self.cold_ms = 0
         #: (time, task id) of each start.
         self.starts = []
+        #: Checkpoint that runs of this worker have, while they run and at a stop.
+        self.checkpoint = ""
+        #: Checkpoint that the latest start of each task carried.
+        self.resumed_by_task_id = {}
         self.incarnation = 0
         #: Incarnation to which the agent's connection was opened; 0 if it was closed.
         self.connected_incarnation = 0
@@ -264,6 +268,7 @@
             order.run, now_s, now_s + duration_s, how
         )
         self.starts.append((now_s, order.task_id))
+        self.resumed_by_task_id[order.task_id] = order.checkpoint
         self.fleet.checker.record_start(self, order)
         return StartAnswer.RUNNING
 
@@ -340,7 +345,7 @@
         if not self.is_up or incarnation != self.incarnation:
             raise WorkerReplyError("worker crashed during the call")
         running = tuple(
-            RunningTask(task_id, run.run, "", run.percent, 0)
+            RunningTask(task_id, run.run, self.checkpoint, run.percent, 0)
             for task_id, run in self.running.items()
         )
         return Listing(self.born_ms, self.clock_ms(), running, tuple(self.ended))
@@ -366,5 +371,7 @@
         )
         if how is not None:
             number = 1 + self.fleet.checker.count_ends(self)
-            self.ended.append(EndedRun(number, task_id, run.run, how, ""))
+            checkpoint = self.checkpoint if how == RunEnd.STOPPED else ""
+            ended = EndedRun(number, task_id, run.run, how, checkpoint)
+            self.ended.append(ended)
         self.fleet.checker.record_end(self, task_id, run, how)
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -78,3 +78,14 @@
     (restored,) = read_jobs(records | {key: KeyedRecord(key, value)}, 0.0)
     task = restored.tasks_by_key[0, 0, 0]
     assert task == TaskProgress(Phase.ASSIGNED, 2, "i-1", 7, 1, "c", "i-0", 0, 0)
+
+
+def test_the_records_of_a_job_fit_whatever_the_ids_of_its_workers_are():
+    job = make_large_job(1000)
+    for task in job.tasks_by_key.values():
+        task.run = task.failures = task.crashes = task.early_crashes = 2**31
+        task.worker_id = task.avoided_worker_id = "i" * 128
+    records = job_records(job, is_new=True)
+    assert max(len(r.value) + len(r.key) for r in records) < MAX_RECORD_BYTES
+    (restored,) = read_jobs({record.key: record for record in records}, 0.0)
+    assert restored.tasks_by_key[0, 0, 999].worker_id == "i" * 128
