Give long checkpoints records of their own, and drop those of ended jobs

Cause: a progress record holds up to 1,000 tasks, on the assumption of 110 bytes a task, but a checkpoint has no bound, and the checkpoints of ended jobs were kept. After the cancelling of a job of 160 tasks with checkpoints of 2,000 characters the record was larger than the 262,144 bytes that the store takes. The store refuses such an append as a whole, the leader takes that as the end of its term, and as the ends of the tasks were then not acknowledged, each successor built the same record.

Change: a checkpoint of over 40 bytes has the record c/TASK, written when it has changed and removed when its task or job has ended; ended jobs and completed tasks keep none. The id of a worker to avoid is recorded up to 40 bytes, so that a task takes at most 261 bytes of a progress record. Records of earlier versions, with all checkpoints in the progress, are read as before.

--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from . import clock
+from .checkpoints import take_checkpoint_records
 from .records import (
     costs_record,
     drop_records,
@@ -114,7 +115,10 @@
         records = []
         for job_id in sorted(dirty_job_ids):
             job = self._cell.jobs_by_id[job_id]
+            checkpoints, removed_checkpoints = take_checkpoint_records(job)
+            records.extend(checkpoints)
             records.extend(job_records(job, not self.have_included(job_id)))
+            records.extend(removed_checkpoints)
             self._included_job_ids.add(job_id)
         return records
 
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -5,9 +5,23 @@
 
 import msgspec
 
+from .checkpoints import is_inline
 from .spec import JobSpec, TaskKey, task_id_of
 
-__all__ = ["Job", "JobRecord", "JobState", "Phase", "TaskProgress"]
+__all__ = [
+    "MAX_TASK_RECORD_BYTES",
+    "Job",
+    "JobRecord",
+    "JobState",
+    "Phase",
+    "TaskProgress",
+]
+
+#: Longest id of a worker that a record names as one to avoid. That is a preference, so
+#: that a successor can do without it.
+MAX_AVOIDED_ID_BYTES = 40
+#: Size of a task in a record, with the longest id of a worker and numbers of 4 bytes.
+MAX_TASK_RECORD_BYTES = 261
 
 
 class Phase(enum.IntEnum):
@@ -40,6 +54,7 @@
     born_ms: int = 0
     #: Number of failed runs.
     failures: int = 0
+    #: Empty if it has a record of its own.
     checkpoint: str = ""
     #: Worker on which a run last failed or was too slow; other workers are preferred.
     avoided_worker_id: str = ""
@@ -80,6 +95,8 @@
     last_active_s: float = 0.0
     #: Run times of completed runs in seconds, by occurrence and step.
     durations_by_step: dict[tuple[int, int], list[float]] = field(default_factory=dict)
+    #: Checkpoints with a record of their own in the journal, or in an append under way.
+    recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
 
     @classmethod
     def from_spec(cls, spec, now_s):
@@ -117,7 +134,9 @@
     def to_record(self, keys):
         """Return a journal record of the job and of the given tasks that ever ran."""
         tasks = [
-            (*key, self.tasks_by_key[key]) for key in keys if self.tasks_by_key[key].run
+            (*key, _bound_size(self.tasks_by_key[key]))
+            for key in keys
+            if self.tasks_by_key[key].run
         ]
         return JobRecord(self.is_cancelled, self.has_failed, self.ended_ms, tasks)
 
@@ -175,9 +194,31 @@
         """Make a task pending again."""
         self._set_phase(key, self.tasks_by_key[key], Phase.PENDING)
 
+    def keep_checkpoint(self, key, checkpoint):
+        """Keep a checkpoint of a task, unless it is empty or the job has ended."""
+        if checkpoint and self.is_open:
+            self.tasks_by_key[key].checkpoint = checkpoint
+
+    def restore_checkpoints(self, checkpoints):
+        """Apply the checkpoints that have records of their own to a new job.
+
+        A progress record with a checkpoint is newer than the separate record of one.
+        """
+        self.recorded_checkpoints = checkpoints
+        for key, checkpoint in checkpoints.items():
+            task = self.tasks_by_key.get(key)
+            if task is not None and not task.checkpoint:
+                self.keep_checkpoint(key, checkpoint)
+
+    def drop_checkpoints(self):
+        """Drop the checkpoints of a job that has ended."""
+        for task in self.tasks_by_key.values():
+            task.checkpoint = ""
+
     def complete(self, key):
-        """Mark a task as completed."""
+        """Mark a task as completed; its checkpoint is not needed any more."""
         task = self.tasks_by_key[key]
+        task.checkpoint = ""
         if task.phase != Phase.COMPLETED:
             self._set_phase(key, task, Phase.COMPLETED)
             self.incomplete_by_step[key[:2]] -= 1
@@ -192,3 +233,13 @@
     def is_complete(self):
         """Whether every task has completed."""
         return not any(self.incomplete_by_step.values())
+
+
+def _bound_size(task):
+    """Return a task as `MAX_TASK_RECORD_BYTES` can hold it."""
+    changes = {}
+    if not is_inline(task.checkpoint):
+        changes["checkpoint"] = ""
+    if len(task.avoided_worker_id.encode()) > MAX_AVOIDED_ID_BYTES:
+        changes["avoided_worker_id"] = ""
+    return msgspec.structs.replace(task, **changes) if changes else task
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -75,8 +75,7 @@
 def requeue(cell, job, key, checkpoint):
     """Make a task pending again after its run ended without completing."""
     job.requeue(key)
-    if checkpoint:
-        job.tasks_by_key[key].checkpoint = checkpoint
+    job.keep_checkpoint(key, checkpoint)
     cell.dirty_job_ids.add(job.job_id)
     if job.is_open:
         cell.set_ready(job, key)
@@ -88,6 +87,7 @@
     Its runs are stopped; their resources stay reserved until the workers report ends.
     """
     job.ended_ms = wall_ms
+    job.drop_checkpoints()
     cell.dirty_job_ids.add(job.job_id)
     cell.ready_by_job.pop(job.job_id, None)
     cell.permits_by_job.pop(job.job_id, None)
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .checkpoints import read_checkpoints, removed_checkpoint_records
 from .job import Job, JobRecord
 from .journal import KeyedRecord
 from .paircost import CostEstimate, PairCosts
@@ -54,8 +55,7 @@
 _costs_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 _progress_decoder = msgspec.msgpack.Decoder(JobRecord)
-#: Number of tasks in one progress record. A task needs about 110 bytes at most, so a
-#: record stays well below the store's limit of 256 KiB.
+#: Number of tasks in one progress record.
 TASKS_PER_RECORD = 1000
 #: Largest epoch whose fencing tokens every worker represents exactly.
 MAX_EPOCH = 2**53 // MAX_SESSIONS - 1
@@ -105,7 +105,10 @@
 
 
 def job_records(job, is_new):
-    """Return the records of a job's progress, with its specification if it is new."""
+    """Return the records of a job's progress, with its specification if it is new.
+
+    The long checkpoints of its tasks have records of their own; see `checkpoints`.
+    """
     records = []
     if is_new:
         records.append(KeyedRecord(SPEC_PREFIX + job.job_id, encode_spec(job.spec)))
@@ -123,7 +126,8 @@
 def drop_records(job):
     """Return the records that remove a job's keys."""
     keys = [SPEC_PREFIX + job.job_id, *_progress_keys(job)]
-    return [KeyedRecord(key, b"") for key in keys]
+    checkpoints = removed_checkpoint_records(job, job.recorded_checkpoints)
+    return [KeyedRecord(key, b"") for key in keys] + checkpoints
 
 
 def _progress_keys(job):
@@ -239,11 +243,14 @@
     A job with a record that cannot be read is left out, since its tasks may be running
     and must not be started again; its records stay in the stream.
     """
+    checkpoints_by_job_id = read_checkpoints(records_by_key)
     for key, record in records_by_key.items():
         if not key.startswith(SPEC_PREFIX) or not record.value:
             continue
         try:
-            yield _read_job(record, records_by_key, now_s)
+            job = _read_job(record, records_by_key, now_s)
+            job.restore_checkpoints(checkpoints_by_job_id.get(job.job_id, {}))
+            yield job
         except (*UNREADABLE_ERRORS, KeyError) as error:
             log_unreadable(key, error)
 
@@ -258,4 +265,7 @@
         progress = records_by_key.get(progress_key)
         if progress is not None and progress.value:
             job.apply_record(_progress_decoder.decode(progress.value))
+    if not job.is_open:
+        # Earlier versions kept the checkpoints of ended jobs.
+        job.drop_checkpoints()
     return job
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -193,8 +193,8 @@
 
 def _record_checkpoint(cell, run, row):
     job = cell.jobs_by_id.get(run.job_id)
-    if job is not None and row.checkpoint and not run.is_stop_requested:
-        job.tasks_by_key[run.key].checkpoint = row.checkpoint
+    if job is not None and not run.is_stop_requested:
+        job.keep_checkpoint(run.key, row.checkpoint)
 
 
 def _release_unlisted(cell, worker, listed, listed_ms):
