Let no record that the store does not take stop the work of others

Cause: the changes of all jobs go with the same append, and the store refuses it as a whole for one record above its limit, which the settings state and nothing compared. Besides progress, that could be a specification (20,000 empty steps, a body of 60,011 bytes, are 440,080 bytes), the pair costs (1,000 pairs with names of 180 to 220 characters are 450,803 bytes) or one checkpoint.

Change: the leader refuses a job whose specification or progress may not fit, in the way of jobs that no worker could run. The record of pair costs keeps the latest pairs, up to 131,072 bytes. Any other record above the limit is left out of the append, counted and logged; its task resumes from an earlier checkpoint after a failover. Keys and lengths of records count in the size of a request.

--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -2,8 +2,11 @@
 
 import msgspec
 
+from ..counters import counters
+from ..decisionlog import log_decision
 from . import clock
 from .checkpoints import take_checkpoint_records
+from .journal import RECORD_LENGTH_BYTES
 from .records import (
     costs_record,
     drop_records,
@@ -17,7 +20,7 @@
 from .restartedworkers import may_hold_residual_lease
 from .worker import LeaseGrants
 
-__all__ = ["ChangedRecords", "split_into_chunks"]
+__all__ = ["ChangedRecords", "split_into_chunks", "storable_records"]
 
 #: Interval between records of the costs that fillers impose on serving tasks.
 COSTS_INTERVAL_S = 2.0
@@ -162,14 +165,32 @@
         return [costs_record(self._cell.costs)]
 
 
+def storable_records(records, max_record_bytes):
+    """Return the records without those that the store does not take.
+
+    The store refuses an append for one such record, and the changes of all jobs are in
+    the same append. Only a checkpoint can be too large; its task resumes from an
+    earlier one after a failover.
+    """
+    storable = []
+    for record in records:
+        if record.stored_bytes <= max_record_bytes:
+            storable.append(record)
+            continue
+        counters.add("oversized_records")
+        log_decision("record left out", key=record.key, bytes=record.stored_bytes)
+    return storable
+
+
 def split_into_chunks(records, max_bytes):
     """Yield lists of records of at most ``max_bytes`` each, if a record allows it."""
     chunk, size = [], 0
     for record in records:
-        if chunk and size + len(record.value) > max_bytes:
+        record_bytes = RECORD_LENGTH_BYTES + record.stored_bytes
+        if chunk and size + record_bytes > max_bytes:
             yield chunk
             chunk, size = [], 0
         chunk.append(record)
-        size += len(record.value) + len(record.key)
+        size += record_bytes
     if chunk:
         yield chunk
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -11,7 +11,7 @@
 from ..decisionlog import log_decision
 from . import clock
 from .cell import AppendDone, DropJob
-from .changedrecords import ChangedRecords, split_into_chunks
+from .changedrecords import ChangedRecords, split_into_chunks, storable_records
 from .handlers import reduce
 from .job import JobState
 from .journal import (
@@ -75,6 +75,7 @@
         #: On `clock.elapsed_s`, which includes suspensions of the instance.
         self.confirmed_s = term.claimed_s
         self._perform = perform
+        self._max_record_bytes = settings.store.max_record_bytes
         self._chunk_bytes = int(settings.store.max_request_bytes * MAX_CHUNK_RATIO)
         leader = LeaderRecord(
             self.writer.epoch,
@@ -209,7 +210,9 @@
             for job_id in self.cell.dirty_job_ids
         }
         dropped = [e.job for e in batch.effects if isinstance(e, DropJob)]
-        batch.records = self._changes.take(dropped)
+        batch.records = storable_records(
+            self._changes.take(dropped), self._max_record_bytes
+        )
         return batch
 
     async def _append(self, records):
--- a/dotterelspread/jobs/jobacceptance.py
+++ b/dotterelspread/jobs/jobacceptance.py
@@ -7,6 +7,7 @@
 from .cell import Submitted, Withdrawn
 from .committing import DeposedError
 from .feasibility import find_infeasible_step
+from .recordsizes import find_oversized_record
 
 __all__ = ["InfeasibleError", "JobAcceptance", "StoreUnresponsiveError"]
 
@@ -23,7 +24,7 @@
 
 
 class InfeasibleError(Exception):
-    """No worker has the resources or labels for the job; it was not accepted."""
+    """The job was not accepted, since no worker could run it or no record hold it."""
 
 
 class JobAcceptance:
@@ -48,13 +49,15 @@
         StoreUnresponsiveError
             The job was not accepted, since the store does not answer.
         InfeasibleError
-            The job was not accepted, since no worker could ever run it.
+            The job was not accepted, since no worker could ever run it or no record
+            hold it.
         DeposedError
             The term ended before the commit was confirmed.
         """
         if spec.job_id not in self._leader.cell.jobs_by_id:
             if self._leader.committer.is_store_unresponsive:
                 raise StoreUnresponsiveError("the store does not answer")
+            self._check_storable(spec)
             self._check_feasible(spec)
             self._leader.apply(Submitted(clock.now_s(), spec, clock.wall_ms()))
         if self._leader.state_of(spec.job_id) is None:
@@ -95,6 +98,12 @@
             log_decision("job withdrawn", job_id=job_id, epoch=self._leader.epoch)
             raise StoreUnresponsiveError("the store does not answer")
 
+    def _check_storable(self, spec):
+        limit_bytes = self._leader.settings.store.max_record_bytes
+        obstacle = find_oversized_record(spec, limit_bytes)
+        if obstacle:
+            raise InfeasibleError(obstacle)
+
     def _check_feasible(self, spec):
         if clock.now_s() - self._started_s < FEASIBILITY_CHECK_DELAY_S:
             return
--- a/dotterelspread/jobs/journal.py
+++ b/dotterelspread/jobs/journal.py
@@ -16,12 +16,18 @@
     "JournalUncertainError",
     "KeyedRecord",
     "Membership",
+    "RECORD_LENGTH_BYTES",
     "StreamSnapshot",
     "Tail",
     "Writer",
 ]
 
 
+#: Size of the length of a key in a record, and of that of a record in a request.
+KEY_LENGTH_BYTES = 1
+RECORD_LENGTH_BYTES = 4
+
+
 class JournalError(Exception):
     """A call to the store failed."""
 
@@ -57,6 +63,11 @@
     key: str
     value: bytes
 
+    @property
+    def stored_bytes(self):
+        """Size that counts against the store's limit on a record."""
+        return KEY_LENGTH_BYTES + len(self.key.encode()) + len(self.value)
+
 
 @dataclass(slots=True)
 class Writer:
--- a/dotterelspread/jobs/leader.py
+++ b/dotterelspread/jobs/leader.py
@@ -207,7 +207,8 @@
         StoreUnresponsiveError
             The job was not accepted, since the store does not answer.
         InfeasibleError
-            The job was not accepted, since no worker could ever run it.
+            The job was not accepted, since no worker could ever run it or no record
+            hold it.
         DeposedError
             The term ended before the commit was confirmed.
         """
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -16,6 +16,7 @@
 __all__ = [
     "CELL_STREAM",
     "LEADER_KEY",
+    "TASKS_PER_RECORD",
     "LeaderRecord",
     "costs_record",
     "decode_spec",
@@ -31,6 +32,7 @@
     "read_suspended_workers",
     "read_waived_addresses",
     "residual_lease_record",
+    "spec_record",
     "suspension_record",
     "waiver_record",
     "worker_record",
@@ -57,6 +59,8 @@
 _progress_decoder = msgspec.msgpack.Decoder(JobRecord)
 #: Number of tasks in one progress record.
 TASKS_PER_RECORD = 1000
+#: Largest size of the record of pair costs; it keeps the pairs that were updated last.
+MAX_COSTS_BYTES = 131_072
 #: Largest epoch whose fencing tokens every worker represents exactly.
 MAX_EPOCH = 2**53 // MAX_SESSIONS - 1
 
@@ -104,6 +108,11 @@
         return None
 
 
+def spec_record(spec):
+    """Return a `JobSpec` as a keyed record."""
+    return KeyedRecord(SPEC_PREFIX + spec.job_id, encode_spec(spec))
+
+
 def job_records(job, is_new):
     """Return the records of a job's progress, with its specification if it is new.
 
@@ -111,7 +120,7 @@
     """
     records = []
     if is_new:
-        records.append(KeyedRecord(SPEC_PREFIX + job.job_id, encode_spec(job.spec)))
+        records.append(spec_record(job.spec))
     # A task is always in the same record, since the records of a job may be written by
     # different appends.
     task_keys = list(job.tasks_by_key)
@@ -213,11 +222,14 @@
 
 def costs_record(costs):
     """Return the learned `PairCosts` as a keyed record."""
-    rows = [
-        (*pair, estimate.per_core, estimate.deviation)
-        for pair, estimate in costs.by_pair.items()
-    ]
-    return KeyedRecord(COSTS_KEY, msgspec.msgpack.encode(rows))
+    rows, size = [], 0
+    for pair, estimate in reversed(costs.by_pair.items()):
+        row = (*pair, estimate.per_core, estimate.deviation)
+        size += len(msgspec.msgpack.encode(row))
+        if size > MAX_COSTS_BYTES:
+            break
+        rows.append(row)
+    return KeyedRecord(COSTS_KEY, msgspec.msgpack.encode(rows[::-1]))
 
 
 def read_costs(records_by_key):
--- a/dotterelspread/jobs/spec.py
+++ b/dotterelspread/jobs/spec.py
@@ -84,6 +84,11 @@
         """Number of times that the job's steps run."""
         return max(1, self.repeat_count)
 
+    @property
+    def task_count(self):
+        """Number of tasks of all occurrences."""
+        return self.occurrences * sum(step.count for step in self.steps)
+
     def due_ms(self, occurrence):
         """Return the due time of an occurrence, in milliseconds since 1970."""
         if not self.repeat_count:
--- a/tests/test_changedrecords.py
+++ b/tests/test_changedrecords.py
@@ -3,8 +3,13 @@
 from dataclasses import replace
 
 from dotterelspread.jobs.cell import CellTick
-from dotterelspread.jobs.changedrecords import ChangedRecords
+from dotterelspread.jobs.changedrecords import (
+    ChangedRecords,
+    split_into_chunks,
+    storable_records,
+)
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.journal import KeyedRecord
 from dotterelspread.jobs.records import (
     LeaderRecord,
     read_residual_lease_workers,
@@ -141,3 +146,16 @@
         assert not recorded.report(21.0, born_ms=2)
 
     play(scenario)
+
+
+def test_a_record_above_the_limit_is_left_out_and_the_others_are_not():
+    exact, over = KeyedRecord("key", b"v" * 96), KeyedRecord("key", b"v" * 97)
+    assert exact.stored_bytes == 100
+    assert storable_records([over, exact, over], 100) == [exact]
+
+
+def test_keys_and_lengths_of_records_count_against_the_limit_of_a_request():
+    records = [KeyedRecord(f"{number:010}", b"") for number in range(100)]
+    chunks = list(split_into_chunks(records, 150))
+    assert [len(chunk) for chunk in chunks] == [10] * 10
+    assert [record for chunk in chunks for record in chunk] == records
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,7 +4,14 @@
 
 from dotterelspread.jobs.job import Job, Phase, TaskProgress
 from dotterelspread.jobs.journal import KeyedRecord
-from dotterelspread.jobs.records import drop_records, job_records, read_jobs
+from dotterelspread.jobs.paircost import MAX_PAIRS, CostEstimate, PairCosts
+from dotterelspread.jobs.records import (
+    costs_record,
+    drop_records,
+    job_records,
+    read_costs,
+    read_jobs,
+)
 from tests.builders_fleet import make_job, make_step, run_scenario
 
 MAX_RECORD_BYTES = 262_144
@@ -89,3 +96,12 @@
     assert max(len(r.value) + len(r.key) for r in records) < MAX_RECORD_BYTES
     (restored,) = read_jobs({record.key: record for record in records}, 0.0)
     assert restored.tasks_by_key[0, 0, 999].worker_id == "i" * 128
+
+
+def test_the_record_of_pair_costs_keeps_the_latest_pairs_that_fit():
+    pairs = [("serving" * 30, f"filler {n} " * 20) for n in range(MAX_PAIRS)]
+    costs = PairCosts({pair: CostEstimate() for pair in pairs})
+    record = costs_record(costs)
+    assert MAX_RECORD_BYTES / 3 < record.stored_bytes < MAX_RECORD_BYTES
+    kept = list(read_costs({record.key: record}).by_pair)
+    assert kept == pairs[-len(kept) :]
