--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .checkpoints import read_checkpoints, removed_checkpoint_records
 from .job import Job, JobRecord
 from .journal import KeyedRecord
 from .paircost import CostEstimate, PairCosts
@@ -15,6 +16,7 @@
 __all__ = [
     "CELL_STREAM",
     "LEADER_KEY",
+    "TASKS_PER_RECORD",
     "LeaderRecord",
     "costs_record",
     "decode_spec",
@@ -30,6 +32,7 @@
     "read_suspended_workers",
     "read_waived_addresses",
     "residual_lease_record",
+    "spec_record",
     "suspension_record",
     "waiver_record",
     "worker_record",
@@ -54,9 +57,10 @@
 _costs_decoder = msgspec.msgpack.Decoder(list[tuple[str, str, float, float]])
 _spec_decoder = msgspec.msgpack.Decoder(JobSpec)
 _progress_decoder = msgspec.msgpack.Decoder(JobRecord)
-#: Number of tasks in one progress record. A task needs about 110 bytes at most, so a
-#: record stays well below the store's limit of 256 KiB.
+#: Number of tasks in one progress record.
 TASKS_PER_RECORD = 1000
+#: Largest size of the record of pair costs; it keeps the pairs that were updated last.
+MAX_COSTS_BYTES = 131_072
 #: Largest epoch whose fencing tokens every worker represents exactly.
 MAX_EPOCH = 2**53 // MAX_SESSIONS - 1
 
@@ -104,11 +108,19 @@
         return None
 
 
+def spec_record(spec):
+    """Return a `JobSpec` as a keyed record."""
+    return KeyedRecord(SPEC_PREFIX + spec.job_id, encode_spec(spec))
+
+
 def job_records(job, is_new):
-    """Return the records of a job's progress, with its specification if it is new."""
+    """Return the records of a job's progress, with its specification if it is new.
+
+    The long checkpoints of its tasks have records of their own; see `checkpoints`.
+    """
     records = []
     if is_new:
-        records.append(KeyedRecord(SPEC_PREFIX + job.job_id, encode_spec(job.spec)))
+        records.append(spec_record(job.spec))
     # A task is always in the same record, since the records of a job may be written by
     # different appends.
     task_keys = list(job.tasks_by_key)
@@ -123,7 +135,8 @@
 def drop_records(job):
     """Return the records that remove a job's keys."""
     keys = [SPEC_PREFIX + job.job_id, *_progress_keys(job)]
-    return [KeyedRecord(key, b"") for key in keys]
+    checkpoints = removed_checkpoint_records(job, job.recorded_checkpoints)
+    return [KeyedRecord(key, b"") for key in keys] + checkpoints
 
 
 def _progress_keys(job):
@@ -209,11 +222,14 @@
 
 def costs_record(costs):
     """Return the learned `PairCosts` as a keyed record."""
-    rows = [
-        (*pair, estimate.per_core, estimate.deviation)
-        for pair, estimate in costs.by_pair.items()
-    ]
-    return KeyedRecord(COSTS_KEY, msgspec.msgpack.encode(rows))
+    rows, size = [], 0
+    for pair, estimate in reversed(costs.by_pair.items()):
+        row = (*pair, estimate.per_core, estimate.deviation)
+        size += len(msgspec.msgpack.encode(row))
+        if size > MAX_COSTS_BYTES:
+            break
+        rows.append(row)
+    return KeyedRecord(COSTS_KEY, msgspec.msgpack.encode(rows[::-1]))
 
 
 def read_costs(records_by_key):
@@ -239,11 +255,14 @@
     A job with a record that cannot be read is left out, since its tasks may be running
     and must not be started again; its records stay in the stream.
     """
+    checkpoints_by_job_id = read_checkpoints(records_by_key)
     for key, record in records_by_key.items():
         if not key.startswith(SPEC_PREFIX) or not record.value:
             continue
         try:
-            yield _read_job(record, records_by_key, now_s)
+            job = _read_job(record, records_by_key, now_s)
+            job.restore_checkpoints(checkpoints_by_job_id.get(job.job_id, {}))
+            yield job
         except (*UNREADABLE_ERRORS, KeyError) as error:
             log_unreadable(key, error)
 
@@ -258,4 +277,7 @@
         progress = records_by_key.get(progress_key)
         if progress is not None and progress.value:
             job.apply_record(_progress_decoder.decode(progress.value))
+    if not job.is_open:
+        # Earlier versions kept the checkpoints of ended jobs.
+        job.drop_checkpoints()
     return job
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -4,7 +4,14 @@
 
 from dotterelspread.jobs.job import Job, Phase, TaskProgress
 from dotterelspread.jobs.journal import KeyedRecord
-from dotterelspread.jobs.records import drop_records, job_records, read_jobs
+from dotterelspread.jobs.paircost import MAX_PAIRS, CostEstimate, PairCosts
+from dotterelspread.jobs.records import (
+    costs_record,
+    drop_records,
+    job_records,
+    read_costs,
+    read_jobs,
+)
 from tests.builders_fleet import make_job, make_step, run_scenario
 
 MAX_RECORD_BYTES = 262_144
@@ -78,3 +85,23 @@
     (restored,) = read_jobs(records | {key: KeyedRecord(key, value)}, 0.0)
     task = restored.tasks_by_key[0, 0, 0]
     assert task == TaskProgress(Phase.ASSIGNED, 2, "i-1", 7, 1, "c", "i-0", 0, 0)
+
+
+def test_the_records_of_a_job_fit_whatever_the_ids_of_its_workers_are():
+    job = make_large_job(1000)
+    for task in job.tasks_by_key.values():
+        task.run = task.failures = task.crashes = task.early_crashes = 2**31
+        task.worker_id = task.avoided_worker_id = "i" * 128
+    records = job_records(job, is_new=True)
+    assert max(len(r.value) + len(r.key) for r in records) < MAX_RECORD_BYTES
+    (restored,) = read_jobs({record.key: record for record in records}, 0.0)
+    assert restored.tasks_by_key[0, 0, 999].worker_id == "i" * 128
+
+
+def test_the_record_of_pair_costs_keeps_the_latest_pairs_that_fit():
+    pairs = [("serving" * 30, f"filler {n} " * 20) for n in range(MAX_PAIRS)]
+    costs = PairCosts({pair: CostEstimate() for pair in pairs})
+    record = costs_record(costs)
+    assert MAX_RECORD_BYTES / 3 < record.stored_bytes < MAX_RECORD_BYTES
+    kept = list(read_costs({record.key: record}).by_pair)
+    assert kept == pairs[-len(kept) :]
