Add settings for the memory and descriptors of a daemon's instance

Cause: the daemon's HTTP server has no budget of bytes over all connections, and its settings do not state what the instance has, from which one could be derived.

Change: `limits.memory`, `limits.max_fds` and `limits.max_connections_per_address`, and `NodeLimits.open_sole_quota` for a process with one listener. Memory that could not hold a request of `limits.max_body` is a fault; with the default, every size that was valid remains valid. The server does not use the quota yet.

--- a/dotterelspread/nodelimits.py
+++ b/dotterelspread/nodelimits.py
@@ -82,6 +82,17 @@
         share = self.budget.open_share(self.budget.max_bytes // PEER_BYTES_DIVISOR)
         return PeerQuota(share, self._peer_connections, self._max_accepted)
 
+    def open_sole_quota(self, max_connections):
+        """Return the `H1Quota` of a process that has one listener.
+
+        Parameters
+        ----------
+        max_connections : int
+            Most connections, also when the descriptors suffice for more.
+        """
+        max_connections = max(1, min(max_connections, self._max_connections))
+        return H1Quota(self.budget.open_rest(), max_connections, self._max_accepted)
+
     def open_main_quota(self):
         """Return the `H1Quota` of callers or of the worker; it is opened last."""
         connections = self._max_connections
--- a/dotterelspread/settings.py
+++ b/dotterelspread/settings.py
@@ -24,6 +24,12 @@
 MAX_CONNECTIONS = 100_000
 MIN_BODY_BYTES = 1 << 10
 MAX_BODY_BYTES = 64 << 20
+MIN_MEMORY_BYTES = 4_000_000
+MAX_MEMORY_BYTES = 10**15
+MIN_FDS = 64
+MAX_FDS = 1_000_000
+#: Least memory, in requests of the greatest size, so that one fits into the budget.
+MIN_BODIES_IN_MEMORY = 4
 MAX_TIMEOUT_S = 3600.0
 MIN_RETENTION_S = 5.0
 MAX_RETENTION_S = 365 * 86_400.0
@@ -102,16 +108,23 @@
     """Limits on callers' requests and connections."""
 
     max_body: int = 1 << 20
-    #: Number of open connections above which new ones are closed.
+    #: Number of open connections above which a new one takes the place of an idle one.
     max_connections: int = 2000
+    #: Most connections from one address; 0 for no limit.
+    max_connections_per_address: int = 0
     #: Number of requests in progress above which new ones are refused.
     max_requests: int = 1000
     #: Seconds within which the headers of a request must arrive.
     header_timeout_s: float = 5.0
     #: Seconds within which the body of a request must arrive.
     body_timeout_s: float = 10.0
-    #: Seconds after which an idle connection is closed.
+    #: Seconds after which an idle connection is closed, and interval at which the data
+    #: rate of a response is checked that the peer does not read at once.
     idle_timeout_s: float = 60.0
+    #: Memory of the instance in bytes; part of it is the budget for callers.
+    memory: int = 512_000_000
+    #: File descriptors of the process; part of them is for callers' connections.
+    max_fds: int = 4096
 
     @classmethod
     def from_options(cls, options):
@@ -121,19 +134,31 @@
         def timeout(name, default_s):
             return options.duration(name, 0.1, MAX_TIMEOUT_S, default_s)
 
+        max_body = options.size(
+            "max_body", MIN_BODY_BYTES, MAX_BODY_BYTES, default.max_body
+        )
+        memory = options.size(
+            "memory", MIN_MEMORY_BYTES, MAX_MEMORY_BYTES, default.memory
+        )
+        if memory < MIN_BODIES_IN_MEMORY * max_body:
+            allowed = f"at least {MIN_BODIES_IN_MEMORY} times max_body"
+            options.fault("memory", memory, allowed)
         return cls(
-            max_body=options.size(
-                "max_body", MIN_BODY_BYTES, MAX_BODY_BYTES, default.max_body
-            ),
+            max_body=max_body,
             max_connections=options.integer(
                 "max_connections", 1, MAX_CONNECTIONS, default.max_connections
             ),
+            max_connections_per_address=options.integer(
+                "max_connections_per_address", 0, MAX_CONNECTIONS, 0
+            ),
             max_requests=options.integer(
                 "max_requests", 1, MAX_CONNECTIONS, default.max_requests
             ),
             header_timeout_s=timeout("header_timeout", default.header_timeout_s),
             body_timeout_s=timeout("body_timeout", default.body_timeout_s),
             idle_timeout_s=timeout("idle_timeout", default.idle_timeout_s),
+            memory=memory,
+            max_fds=options.integer("max_fds", MIN_FDS, MAX_FDS, default.max_fds),
         )
 
 
--- a/tests/test_nodelimits.py
+++ b/tests/test_nodelimits.py
@@ -60,3 +60,13 @@
     assert all(quota.max_connections >= 1 for quota in quotas)
     assert all(quota.max_accepted >= 1 for quota in quotas[1:])
     assert quotas[-1].share.max_bytes >= MAX_BODY_BYTES
+
+
+def test_the_only_listener_of_a_process_has_the_whole_budget(soft_limit):
+    limits = NodeLimits(512, 4096)
+    quota = limits.open_sole_quota(2000)
+    assert quota.share.max_bytes == limits.budget.max_bytes
+    assert quota.max_connections == 2000
+    # Descriptors that do not suffice for the connections in the settings.
+    soft_limit(1024)
+    assert NodeLimits(512, 4096).open_sole_quota(2000).max_connections == 640
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -65,3 +65,13 @@
     for name in ("missing.yaml", "bytes.yaml"):
         with pytest.raises(SettingsError, match=name):
             DaemonSettings.from_file(tmp_path / name)
+
+
+def test_memory_that_holds_no_request_of_the_greatest_size_is_rejected():
+    limits = {"max_body": "64MiB", "memory": "200MB"}
+    faults = faults_by_path(agent_document(limits=limits))
+    assert set(faults) == {"limits.memory"}
+    assert "4 times max_body" in faults["limits.memory"].allowed
+    # The default suffices for every size that was valid before the setting.
+    limits.pop("memory")
+    DaemonSettings.from_text(agent_document(limits=limits), "agent.yaml")
