Serve the daemon's callers with the bounded connections of the platform

Cause: uvicorn's protocol of a connection has no budget of bytes over all connections and no time limit on unread responses, starts a request before its body has come, and turns pipelined requests into objects as they are read. Clients that respect no limit exhausted an entry's memory or descriptors; a caller that pipelined more than 17 requests lost the response to the one in progress.

Change: uvicorn still opens and drains the address and starlette routes, but connections are `H1Connection`s with a reader and a handler for ASGI. One byte budget covers the process; `choose_shed` decides as before. A request whose caller disconnects runs on, stays charged and counts as a connection. Refusals are problem documents, counted by reason in `dotterelspread_connections_shed_total`, with a line for each reason in 10 s at most.

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -14,7 +14,7 @@
 from .peer import serve_peers
 from .record import InstanceAnnounced
 from .requestpart import RequestPart
-from .server import serve_http
+from .server import make_shed_log, serve_http
 from .statepart import StatePart, join_parts
 from .summarypart import SummaryPart
 from .taskpart import TaskPart
@@ -156,6 +156,7 @@
                 process.routes(),
                 settings.limits,
                 settings.drain_timeout_s,
+                make_shed_log(node.telemetry),
             )
         )
         yield process
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -13,7 +13,7 @@
 from .peer import serve_peers
 from .record import InstanceAnnounced
 from .refusallog import RefusalLog
-from .server import serve_http
+from .server import make_shed_log, serve_http
 from .statepart import StatePart, join_parts
 from .viewpart import ViewPart
 
@@ -95,6 +95,7 @@
                 [*callers.routes(), *operators.routes()],
                 settings.limits,
                 settings.drain_timeout_s,
+                make_shed_log(node.telemetry),
             )
         )
         process = EntryProcess(members, entry, callers)
--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -47,10 +47,13 @@
         "transport",
     )
 
+    #: Class of the reader of requests.
+    reader_class = H1Reader
+
     def __init__(self, listener, number):
         self._listener = listener
         self._loop = asyncio.get_running_loop()
-        self._reader = H1Reader(listener.limits)
+        self._reader = self.reader_class(listener.limits)
         self._charged_bytes = 0
         self._closes_after_response = False
         self._handler_task = None
@@ -92,7 +95,7 @@
         refusal = self._listener.admit(self)
         if refusal is not None:
             self._is_refused = True
-            transport.write(encode_refusal(refusal))
+            transport.write(self._encode_refusal(*refusal))
             transport.close()
             return
         self._timer.set(self._listener.limits.idle_timeout_s, self.transport.close)
@@ -263,7 +266,7 @@
         self._charge(0)
         if self.transport.is_closing():
             return
-        self.transport.write(encode_refusal(status))
+        self.transport.write(self._encode_refusal(status, reason))
         self.transport.resume_reading()
         self.transport.write_eof()
         self._timer.set(LINGER_S, self.transport.abort)
@@ -274,10 +277,16 @@
             self.transport.close()
 
     def _send(self, response, keep_alive):
-        self.transport.write(encode_response(response, keep_alive))
+        self.transport.write(self._encode_response(response, keep_alive))
         if not keep_alive:
             self.transport.close()
 
+    def _encode_response(self, response, keep_alive):
+        return encode_response(response, keep_alive)
+
+    def _encode_refusal(self, status, reason):
+        return encode_refusal(status)
+
     def _charge(self, request_bytes):
         self._request_bytes = held_bytes = request_bytes
         if self._read_ahead is not None:
--- a/dotterelspread/h1reader.py
+++ b/dotterelspread/h1reader.py
@@ -116,7 +116,9 @@
             body_bytes = self.body_bytes
             try:
                 self._parser.feed_data(view[start:stop])
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            except httptools.HttpParserUpgrade:
+                self._on_upgrade()
+            except httptools.HttpParserError:
                 self.error_status = self.error_status or 400
             read_bytes = stop - start
             self.wire_bytes += read_bytes
@@ -165,6 +167,10 @@
             if self.wire_bytes > limits.max_head_bytes + max_body_bytes:
                 self.error_status = 413
 
+    def _on_upgrade(self):
+        """Refuse a request to change the protocol of the connection."""
+        self.error_status = self.error_status or 400
+
     def take(self, received_s):
         """Return the complete request and whether the connection may stay open."""
         request = H1Request(
--- a/dotterelspread/h1server.py
+++ b/dotterelspread/h1server.py
@@ -52,8 +52,12 @@
         Takes an `H1Request`, returns an `H1Response`.
     limits : H1Limits
     quota : H1Quota
+    shed_log : ShedLog, optional
     """
 
+    #: Class of the protocol of a connection.
+    connection_class = H1Connection
+
     __slots__ = (
         "_counts_by_address",
         "_idle",
@@ -73,7 +77,7 @@
         "share",
     )
 
-    def __init__(self, handler, limits, quota):
+    def __init__(self, handler, limits, quota, shed_log=None):
         self.handler = handler
         self.limits = limits
         self.share = quota.share
@@ -83,7 +87,7 @@
         self.server = None
         self._counts_by_address = {}
         self._numbers = itertools.count()
-        self._shed_log = ShedLog()
+        self._shed_log = shed_log or ShedLog()
         self._loop = asyncio.get_running_loop()
         # Connections by state, in order of the time at which they entered it: refused,
         # without any request so far, idle after a request, with a response that the
@@ -97,15 +101,15 @@
 
     def make_connection(self):
         """Return the protocol of a new connection."""
-        return H1Connection(self, next(self._numbers))
+        return self.connection_class(self, next(self._numbers))
 
     def admit(self, connection):
         """Register a connection.
 
         Returns
         -------
-        int or None
-            Status with which the connection has to be refused.
+        (int, str) or None
+            Status and reason with which the connection has to be refused.
         """
         self.connections.add(connection)
         max_per_address = self.limits.max_connections_per_address
@@ -115,12 +119,12 @@
             count = self._counts_by_address.get(address, 0)
             if count >= max_per_address:
                 self.count_shed("address")
-                return 429
+                return 429, "address"
             self._counts_by_address[address] = count + 1
             connection.address = address
         if len(self.connections) > self._max_connections and not self._make_room():
             self.count_shed("connections")
-            return 503
+            return 503, "connections"
         self._enter(self._silent, connection)
         return None
 
--- a/dotterelspread/httpprotocol.py
+++ b/dotterelspread/httpprotocol.py
@@ -1,134 +1,181 @@
-"""HTTP connections with limits on the size and the read time of requests.
+"""Connections of the daemon's callers: refusals, time limits and requests that run on.
 
-uvicorn limits neither the size of a request's head nor the time to receive it.
+`BoundedListener` takes the place of uvicorn's protocol, which starts a request at the
+end of its head and bounds neither what all connections hold nor unread responses.
 """
 
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+import asyncio
 
+from .asgihandler import AsgiHandler, AsgiResponse
+from .asgireader import AsgiReader
+from .h1connection import H1Connection
+from .h1server import H1Limits, H1Listener
 from .outcome import RefusalReason, Refused
 from .problem import describe_outcome
 
-__all__ = ["MAX_HEAD_BYTES", "MAX_PIPELINED_REQUESTS", "BoundedProtocol"]
+__all__ = ["MAX_HEAD_BYTES", "BoundedListener", "BoundedProtocol"]
 
-#: Largest head of a request; exceeded by up to one read, as it is checked per read.
+#: Largest head of a request, with empty lines before it.
 MAX_HEAD_BYTES = 32 << 10
-#: Most requests that wait behind one in progress on a connection. uvicorn reads on
-#: after each response, so that their number would grow without end.
-MAX_PIPELINED_REQUESTS = 16
-#: Open connections, as a multiple of ``limits.max_connections``, above which new ones
-#: are closed without a response.
-MAX_CONNECTIONS_RATIO = 1.25
-#: Most bytes on the wire per byte of body; chunked encoding adds framing.
-MAX_CHUNK_OVERHEAD_RATIO = 8
+#: Least average data rate of a response that a peer does not read at once, in each
+#: interval of ``limits.idle_timeout_s``.
+MIN_RESPONSE_BYTES_PER_S = 4096
+#: Interim response to a caller that waits with its body.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+RETRY_AFTER_S = 1.0
 
 
-class PipelineError(Exception):
-    """A client has sent too many requests without waiting for responses."""
+class BoundedProtocol(H1Connection):
+    """One connection of a `BoundedListener`.
 
+    A request that is in progress when its caller disconnects runs to its end. Until
+    then it stays charged, and counts as a connection.
+    """
 
-class BoundedProtocol(HttpToolsProtocol):
-    """A caller's connection, closed when a request exceeds the limits.
+    __slots__ = ("_is_lost",)
 
-    Parameters
-    ----------
-    limits : LimitSettings
-    **options
-        Passed on to `HttpToolsProtocol`.
-    """
+    reader_class = AsgiReader
 
-    def __init__(self, limits, **options):
-        super().__init__(**options)
-        self._limits = limits
-        self._max_message_bytes = (
-            MAX_HEAD_BYTES + limits.max_body * MAX_CHUNK_OVERHEAD_RATIO
-        )
-        self._head_timer = None
-        self._has_received = False
-        # Bytes received since the read in which the current request began.
-        self._received_bytes = 0
+    def __init__(self, listener, number):
+        super().__init__(listener, number)
+        self._is_lost = False
 
     def connection_made(self, transport):
-        """Start the timer for the first head, or close a connection above the limit."""
+        """Admit or refuse the connection; called by the transport."""
+        self._reader.client = transport.get_extra_info("peername")
+        self._reader.server = transport.get_extra_info("sockname")
         super().connection_made(transport)
-        max_connections = self._limits.max_connections
-        # uvicorn answers requests above the limit with 503, but keeps any number of
-        # connections open.
-        if len(self.connections) > max_connections * MAX_CONNECTIONS_RATIO:
-            transport.close()
-            return
-        self._start_head_timer()
+        if not self._is_refused:
+            # The first request is expected sooner than those that follow.
+            timeout_s = self._listener.limits.read_timeout_s
+            self._timer.set(timeout_s, transport.close)
 
     def connection_lost(self, exc):
-        """Cancel the timer."""
-        self._cancel_head_timer()
-        super().connection_lost(exc)
-
-    def data_received(self, data):
-        """Parse ``data`` and refuse the request when it exceeds the limits."""
-        if self.transport.is_closing():
+        """Release what the connection holds once no request is in progress."""
+        if self._handler_task is None:
+            super().connection_lost(exc)
             return
-        self._has_received = True
-        self._received_bytes += len(data)
-        super().data_received(data)
-        if self.transport.is_closing():
+        self._is_lost = True
+        self._timer.close()
+        self._read_ahead = None
+        self._charge(self._request_bytes)
+        self._listener.note_complete(self)
+
+    def shutdown(self):
+        """Close the connection after the request in progress; called by uvicorn."""
+        self._listener.is_closing = True
+        self.close_if_idle()
+
+    def cancel(self):
+        """Abort the connection and cancel its request."""
+        self.transport.abort()
+        if self._handler_task is not None:
+            self._handler_task.cancel()
+
+    async def _run_handler(self, request, keep_alive):
+        try:
+            await super()._run_handler(request, keep_alive)
+        except asyncio.CancelledError:
+            self._handler_task = None
+            raise
+        finally:
+            if self._is_lost:
+                self._handler_task = None
+                super().connection_lost(None)
+
+    def _await_rest(self):
+        reader = self._reader
+        if reader.in_head:
+            super()._await_rest()
             return
-        if self._head_timer is not None and self._received_bytes > MAX_HEAD_BYTES:
-            self._refuse(RefusalReason.TOO_LARGE, f"head: over {MAX_HEAD_BYTES} bytes")
-        elif self._received_bytes > self._max_message_bytes:
-            detail = f"request: over {self._max_message_bytes} bytes"
-            self._refuse(RefusalReason.TOO_LARGE, detail)
-
-    def on_message_begin(self):
-        """Start the timer for the head unless it is running."""
-        if len(self.pipeline) >= MAX_PIPELINED_REQUESTS:
-            # The parser ends with an error, and the connection is closed.
-            raise PipelineError(f"over {MAX_PIPELINED_REQUESTS} pipelined requests")
-        super().on_message_begin()
-        self._received_bytes = 0
-        if self._head_timer is None:
-            self._start_head_timer()
-
-    def on_headers_complete(self):
-        """Cancel the timer for the head."""
-        self._cancel_head_timer()
-        super().on_headers_complete()
-
-    def send_400_response(self, msg):
-        """Refuse malformed HTTP."""
-        self._refuse(RefusalReason.BAD_REQUEST, msg)
-
-    def _start_head_timer(self):
-        timeout_s = self._limits.header_timeout_s
-        self._head_timer = self.loop.call_later(timeout_s, self._on_head_timeout)
-
-    def _cancel_head_timer(self):
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-    def _on_head_timeout(self):
-        self._head_timer = None
-        detail = f"head: not received within {self._limits.header_timeout_s} s"
-        self._refuse(RefusalReason.BAD_REQUEST, detail)
-
-    def _refuse(self, reason, detail):
-        """Refuse the request being read and close the connection.
-
-        No error response is written while another response is in progress or before the
-        first byte was received.
-        """
-        self._cancel_head_timer()
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if is_idle and self._has_received:
-            self.transport.write(_response(Refused(reason, detail)))
-        self.transport.close()
-
-
-def _response(refused):
-    problem = describe_outcome(refused)
-    length = ("Content-Length", str(len(problem.body)))
-    lines = [
-        f"{name}: {value}\r\n".encode("ascii")
-        for name, value in (*problem.headers, length, ("Connection", "close"))
-    ]
-    return b"".join([STATUS_LINE[problem.status], *lines, b"\r\n", problem.body])
+        self._listener.note_unfinished(self)
+        if self._timer.on_time_up != self._on_slow_body:
+            timeout_s = self._listener.body_timeout_s
+            self._timer.set(timeout_s, self._on_slow_body)
+        if reader.awaits_continue and not reader.body_bytes:
+            reader.awaits_continue = False
+            self.transport.write(CONTINUE)
+            if self._is_write_blocked:
+                # It has not read its earlier responses.
+                self._listener.count_shed("unread_response")
+                self.transport.abort()
+
+    def _on_slow_body(self):
+        self.refuse(408, "slow_body")
+
+    def _encode_response(self, response, keep_alive):
+        return response.encode(keep_alive, self._listener.default_headers)
+
+    def _encode_refusal(self, status, reason):
+        refused = self._listener.describe_refusal(status, reason)
+        problem = describe_outcome(refused)
+        headers = [
+            (name.lower().encode("ascii"), value.encode("ascii"))
+            for name, value in problem.headers
+        ]
+        response = AsgiResponse(problem.status, headers, problem.body)
+        return response.encode(False, self._listener.default_headers)
+
+
+class BoundedListener(H1Listener):
+    """The connections of the daemon's address, for uvicorn.
+
+    Parameters
+    ----------
+    application : ASGI application
+    limits : LimitSettings
+    quota : H1Quota
+    shed_log : ShedLog, optional
+    """
+
+    connection_class = BoundedProtocol
+
+    def __init__(self, application, limits, quota, shed_log=None):
+        h1_limits = H1Limits(
+            max_head_bytes=MAX_HEAD_BYTES,
+            max_body_bytes=limits.max_body,
+            read_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            min_body_bytes_per_s=MIN_RESPONSE_BYTES_PER_S,
+            max_connections_per_address=limits.max_connections_per_address,
+        )
+        super().__init__(AsgiHandler(application), h1_limits, quota, shed_log)
+        self.body_timeout_s = limits.body_timeout_s
+        self._server_state = None
+
+    @property
+    def default_headers(self):
+        """Headers that uvicorn adds to each response, such as the date."""
+        return self._server_state.default_headers
+
+    def make_protocol(self, config, server_state, app_state, _loop=None):
+        """Return the protocol of a new connection; called by uvicorn."""
+        if self._server_state is None:
+            self._server_state = server_state
+            # uvicorn closes these when it shuts down, and waits for their end.
+            server_state.connections = self.connections
+        return self.make_connection()
+
+    def describe_refusal(self, status, reason):
+        """Return the `Refused` for a status of the connection."""
+        if status in (429, 503):
+            detail = f"too many clients: {reason}"
+            return Refused(RefusalReason.SHED, detail, RETRY_AFTER_S)
+        if status == 413:
+            detail = f"body: over {self.limits.max_body_bytes} bytes"
+            return Refused(RefusalReason.TOO_LARGE, detail)
+        if status == 431:
+            detail = f"head or trailers: over {self.limits.max_head_bytes} bytes"
+            return Refused(RefusalReason.TOO_LARGE, detail)
+        if reason == "slow_head":
+            detail = f"head: not received within {self.limits.read_timeout_s} s"
+        elif reason == "slow_body":
+            detail = f"body: not received within {self.body_timeout_s} s"
+        else:
+            detail = "not a valid HTTP request"
+        return Refused(RefusalReason.BAD_REQUEST, detail)
+
+    def cancel(self):
+        """Abort all connections and cancel their requests."""
+        for connection in list(self.connections):
+            connection.cancel()
--- a/dotterelspread/server.py
+++ b/dotterelspread/server.py
@@ -2,14 +2,16 @@
 
 import asyncio
 from contextlib import asynccontextmanager, nullcontext
-from functools import partial
 
 import uvicorn
 from starlette.applications import Starlette
 
-from .httpprotocol import BoundedProtocol
+from .httpprotocol import BoundedListener
+from .jsonlog import log_change
+from .nodelimits import NodeLimits
+from .shedlog import ShedLog
 
-__all__ = ["ServerError", "serve_http"]
+__all__ = ["ServerError", "make_shed_log", "serve_http"]
 
 #: Interval at which the server is polled until it has started.
 START_POLL_INTERVAL_S = 0.01
@@ -26,28 +28,50 @@
         return nullcontext()
 
 
+def make_shed_log(telemetry):
+    """Return the `ShedLog` that counts with the telemetry of a daemon."""
+
+    def count(reason):
+        telemetry.count("connections_shed", reason=reason)
+
+    def log(reason, count):
+        log_change("connections shed", reason=reason, count=count)
+
+    return ShedLog(count=count, log=log)
+
+
 @asynccontextmanager
-async def serve_http(address, routes, limits, drain_timeout_s):
+async def serve_http(address, routes, limits, drain_timeout_s, shed_log=None):
     """Serve ``routes`` at ``address`` while the context is open.
 
     On exit, requests in progress are given ``drain_timeout_s`` seconds to finish.
 
+    Parameters
+    ----------
+    address : Address
+    routes : iterable of starlette.routing.BaseRoute
+    limits : LimitSettings
+    drain_timeout_s : float
+    shed_log : ShedLog, optional
+
     Raises
     ------
     ServerError
         When the address cannot be bound.
     """
+    application = Starlette(routes=list(routes))
+    node_limits = NodeLimits(limits.memory / 1_000_000, limits.max_fds)
+    quota = node_limits.open_sole_quota(limits.max_connections)
+    listener = BoundedListener(application, limits, quota, shed_log)
     config = uvicorn.Config(
-        Starlette(routes=list(routes)),
+        application,
         host=address.host,
         port=address.port,
-        http=partial(BoundedProtocol, limits),
+        http=listener.make_protocol,
         log_config=None,
         access_log=False,
         lifespan="off",
         server_header=False,
-        limit_concurrency=limits.max_connections,
-        timeout_keep_alive=round(limits.idle_timeout_s),
         timeout_graceful_shutdown=round(drain_timeout_s),
     )
     server = _Server(config)
@@ -61,6 +85,7 @@
     finally:
         server.should_exit = True
         await task
+        listener.cancel()
 
 
 async def _serve(server):
--- a/dotterelspread/shedlog.py
+++ b/dotterelspread/shedlog.py
@@ -11,6 +11,14 @@
 LOG_INTERVAL_S = 10.0
 
 
+def _count(reason):
+    counters.add("connections_shed", reason=reason)
+
+
+def _log(reason, count):
+    log_decision("connections shed", reason=reason, count=count)
+
+
 class ShedLog:
     """Counts shed connections by reason and logs a few of them.
 
@@ -18,18 +26,30 @@
     ----------
     clock : callable
         Monotonic clock in seconds.
+    count : callable
+        Counts a connection by its reason.
+    log : callable
+        Logs a reason and the number of connections since the last line.
     """
 
-    __slots__ = ("_clock", "_logged_s_by_reason", "_unlogged_by_reason")
+    __slots__ = (
+        "_clock",
+        "_count",
+        "_log",
+        "_logged_s_by_reason",
+        "_unlogged_by_reason",
+    )
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock=time.monotonic, count=_count, log=_log):
         self._clock = clock
+        self._count = count
+        self._log = log
         self._logged_s_by_reason = {}
         self._unlogged_by_reason = {}
 
     def add(self, reason):
         """Count a connection; ``reason`` is one of few constant names."""
-        counters.add("connections_shed", reason=reason)
+        self._count(reason)
         count = self._unlogged_by_reason.get(reason, 0) + 1
         now_s = self._clock()
         logged_s = self._logged_s_by_reason.get(reason)
@@ -38,4 +58,4 @@
             return
         self._unlogged_by_reason[reason] = 0
         self._logged_s_by_reason[reason] = now_s
-        log_decision("connections shed", reason=reason, count=count)
+        self._log(reason, count)
