Test that unread responses do not hold the whole budget

Cause: a peer that does not read large responses holds the budget until `limits.idle_timeout`, and every other caller of the daemon gets 503 meanwhile.

Change: a test with 10 such clients, a budget of 9 MB and an idle timeout of 60 s.

The change follows.

--- a/tests/builders_daemon.py
+++ b/tests/builders_daemon.py
@@ -28,7 +28,9 @@
 HOST = "127.0.0.1"
 #: Body of a response that is larger than what a process may hold for a silent reader.
 LARGE_BYTES = 1_048_576
+HUGE_BYTES = 16 * LARGE_BYTES
 NAP_S = 3.0
+HUGE_BODY = bytes(HUGE_BYTES)
 START_TIMEOUT_S = 10.0
 READ_TIMEOUT_S = 5.0
 
@@ -50,6 +52,7 @@
             Route("/nap", self.nap),
             Route("/peak", self.peak),
             Route("/large", self.large),
+            Route("/huge", self.huge),
             Route("/go", self.go),
             Route("/runs", self.runs),
         ]
@@ -93,6 +96,11 @@
         await self._run(request)
         return Response(bytes(LARGE_BYTES))
 
+    async def huge(self, request):
+        """Answer with a body of which the kernels' buffers take only a part."""
+        await self._run(request)
+        return Response(HUGE_BODY)
+
     async def go(self, request):
         """Answer the held requests, and hold no more."""
         self._go.set()
--- a/tests/test_daemon_clients.py
+++ b/tests/test_daemon_clients.py
@@ -138,6 +138,17 @@
     asyncio.run(scenario())
 
 
+def test_unread_responses_that_hold_the_budget_leave_room_for_ordinary_callers():
+    limits = LIMITS | {"memory": 20_000_000, "idle_timeout_s": 60.0}
+
+    async def scenario():
+        async with open_daemon(**limits) as (target, crowd):
+            # 16 MiB each, of which the kernels take a part; the budget is 9 MB.
+            await attack(target, crowd, 10, endless("/huge"))
+
+    asyncio.run(scenario())
+
+
 def test_requests_without_end_are_not_read_while_a_handler_waits():
     async def scenario():
         async with open_daemon(**LIMITS) as (target, crowd):
