Let unread responses of the daemon give way when they hold the budget

Cause: peers that do not read large responses held the whole budget until `limits.idle_timeout`, so that every other caller got 503. Connections that were to be closed after such a response held it as well.

Change: when unfinished requests do not free enough, `choose_shed` picks among responses that have not been read for 1 s, the largest first, and their connections are aborted.

Measured: the new test in `tests/test_httpprotocol.py`, with and without pipelined requests, fails before (no ordinary request answered in 15 s) and passes after.

--- a/dotterelspread/httpprotocol.py
+++ b/dotterelspread/httpprotocol.py
@@ -9,9 +9,10 @@
 from .asgihandler import AsgiHandler, AsgiResponse
 from .asgireader import AsgiReader
 from .h1connection import H1Connection
-from .h1server import H1Limits, H1Listener
+from .h1server import MIN_EVICTION_AGE_S, H1Limits, H1Listener
 from .outcome import RefusalReason, Refused
 from .problem import describe_outcome
+from .shedding import Holding, choose_shed
 
 __all__ = ["MAX_HEAD_BYTES", "BoundedListener", "BoundedProtocol"]
 
@@ -66,6 +67,19 @@
         self._listener.is_closing = True
         self.close_if_idle()
 
+    def give_up_response(self):
+        """Abort the connection of a peer that does not read its response."""
+        self._listener.count_shed("unread_response")
+        self._listener.note_complete(self)
+        self._read_ahead = None
+        self._charge(0)
+        self.transport.abort()
+
+    @property
+    def unread_bytes(self):
+        """Bytes of a response that the peer has not read."""
+        return self.transport.get_write_buffer_size()
+
     def cancel(self):
         """Abort the connection and cancel its request."""
         self.transport.abort()
@@ -175,6 +189,31 @@
             detail = "not a valid HTTP request"
         return Refused(RefusalReason.BAD_REQUEST, detail)
 
+    def shed(self):
+        """Give up unfinished requests, then responses that have not been read for 1 s.
+
+        A daemon's responses are as large as its backend servers make them, so that a
+        few peers could hold the whole share.
+        """
+        super().shed()
+        if self.share.excess_bytes <= 0:
+            return
+        latest_s = self._loop.time() - MIN_EVICTION_AGE_S
+        # Those that were to be closed after their response may still hold it.
+        groups = (self._unread, self._lingering)
+        connections_by_number = {
+            connection.number: connection
+            for group in groups
+            for connection, since_s in group.items()
+            if since_s <= latest_s
+        }
+        holdings = [
+            Holding(number, connection.unread_bytes)
+            for number, connection in connections_by_number.items()
+        ]
+        for holding in choose_shed(holdings, self.share.excess_bytes):
+            connections_by_number[holding.number].give_up_response()
+
     def cancel(self):
         """Abort all connections and cancel their requests."""
         for connection in list(self.connections):
--- a/tests/builders_httpserver.py
+++ b/tests/builders_httpserver.py
@@ -21,6 +21,9 @@
 WAIT = b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
+BIG_BODY = bytes(32 << 20)
+
+
 class Server:
     """The daemon's server; requests to ``/wait`` are held until told."""
 
@@ -43,6 +46,7 @@
         return [
             Route("/", self.answer, methods=methods),
             Route("/wait", self.wait, methods=methods),
+            Route("/big", self.big),
             Route("/fail", self.fail),
         ]
 
@@ -60,6 +64,10 @@
         self.running -= 1
         return PlainTextResponse("done")
 
+    async def big(self, request):
+        """Answer with a body of which the kernels' buffers take only a part."""
+        return PlainTextResponse(BIG_BODY)
+
     async def fail(self, request):
         raise ValueError("fault of a handler")
 
--- a/tests/test_httpprotocol.py
+++ b/tests/test_httpprotocol.py
@@ -176,6 +176,24 @@
     run(scenario, max_connections=1)
 
 
+@pytest.mark.parametrize("count", [1, 50])
+def test_unread_responses_give_way_when_they_hold_the_budget(run, count):
+    async def scenario(server):
+        peers = [await server.connect() for _ in range(3)]
+        for _, writer in peers:
+            # A pipelined request behind the unread response makes no difference.
+            writer.write(b"GET /big HTTP/1.1\r\nHost: a\r\n\r\n" * count)
+        share = server.listener.share
+        await server.until(lambda: share.excess_bytes > 0)
+        last = b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n"
+        while not (await server.ask(last)).endswith(b"done"):
+            await asyncio.sleep(0.1)
+        for _, writer in peers:
+            writer.transport.abort()
+
+    run(scenario, memory=4_000_000, idle_timeout_s=60.0)
+
+
 def test_a_request_runs_on_when_its_caller_disconnects(run):
     async def scenario(server):
         _, writer = await server.connect()
