--- a/dotterelspread/h1connection.py
+++ b/dotterelspread/h1connection.py
@@ -47,8 +47,9 @@
         "transport",
     )
 
-    #: Class of the reader of requests.
+    #: Class of the reader of requests, and encoder of responses.
     reader_class = H1Reader
+    _encode_response = staticmethod(encode_response)
 
     def __init__(self, listener, number):
         self._listener = listener
@@ -281,9 +282,6 @@
         if not keep_alive:
             self.transport.close()
 
-    def _encode_response(self, response, keep_alive):
-        return encode_response(response, keep_alive)
-
     def _encode_refusal(self, status, reason):
         return encode_refusal(status)
 
