Do not wait in the first read of a followed stream

Cause: a follower of an idle stream knew only after a whole waiting read (2 s or 5 s) that it had read all, and until then a state transferred by a peer could replace its own and drop the results of appends that it was reading back.

Change: the first read asks for no wait; all later ones wait as before.

--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -207,7 +207,9 @@
 
 @reduce.register
 def _(event: FollowStarted, state):
-    return [ReadSent(state.position, state.wait_s)]
+    # The first read does not wait, since its reply tells the follower of an idle stream
+    # that it has read all.
+    return [ReadSent(state.position, 0.0)]
 
 
 @reduce.register
