Keep evacuated data centres as desired state in the product's log

Cause: on the product's own path operators could drain single instances only; a data centre that is to be emptied had to be drained agent by agent, and agents that came later took work again.

Change: a stream `evacuations` holds operators' changes. `EvacuationState` is a pure function of it: the version of a data centre decides between operators, and restored ones keep theirs. Nothing acts on the state yet.

--- a/dotterelspread/outcome.py
+++ b/dotterelspread/outcome.py
@@ -16,6 +16,7 @@
     NO_CAPACITY = "no-capacity"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     SHED = "shed"
     NOT_READY = "not-ready"
     NO_INSTANCE = "no-instance"
--- a/dotterelspread/publication.py
+++ b/dotterelspread/publication.py
@@ -16,7 +16,9 @@
 from .snapshot import AppendRecord, StreamState
 
 __all__ = [
+    "MIN_START_ANSWERS",
     "NO_VERSION",
+    "START_TIMEOUT_S",
     "STREAM",
     "ConfigurationAccepted",
     "ConfigurationChanged",
--- a/dotterelspread/record.py
+++ b/dotterelspread/record.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from .evacuationrecord import EvacuationRequested, EvacuationSnapshot
+from .recordbase import Struct
 from .resources import Resources
 
 __all__ = [
@@ -41,10 +43,6 @@
     """A log record cannot be read."""
 
 
-class Struct(msgspec.Struct, frozen=True, array_like=True):
-    """Base class of records, encoded as arrays without field names."""
-
-
 class ConfigurationPublished(Struct, tag=1):
     """An operator's whole configuration, based on the one at ``base_offset``."""
 
@@ -290,6 +288,8 @@
     | CellSummary
     | ClaimsSnapshot
     | ConfigurationSnapshot
+    | EvacuationRequested
+    | EvacuationSnapshot
 )
 
 
--- a/dotterelspread/replicapart.py
+++ b/dotterelspread/replicapart.py
@@ -4,7 +4,7 @@
 import random
 
 from .gen.peer.ttypes import StateQuery, StateReply
-from .logclient import AppendError
+from .logclient import REPLICA_READ_WAIT_S, AppendError
 from .node import Part
 from .peer import PeerError
 from .record import RecordError
@@ -50,11 +50,14 @@
         Returns an empty `StreamState`.
     on_effect : callable
         Called with the effects of the state itself.
+    wait_s : float
+        Seconds that an idle read of the stream waits.
     """
 
-    def __init__(self, node, stream, make_state, on_effect):
+    def __init__(self, node, stream, make_state, on_effect, wait_s=REPLICA_READ_WAIT_S):
         super().__init__(node)
         self._on_effect = on_effect
+        self._wait_s = wait_s
         self._query_task = None
         #: Callable that returns the addresses of peers that may have the state.
         self.find_addresses = tuple
@@ -65,7 +68,8 @@
     async def run(self):
         """Follow the stream until cancelled."""
         async with asyncio.TaskGroup() as group:
-            keep = self.node.log_client.keep(self.state, self.dispatch)
+            log_client = self.node.log_client
+            keep = log_client.keep(self.state, self.dispatch, self._wait_s)
             group.create_task(keep)
             while True:
                 await asyncio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
--- a/dotterelspread/retry.py
+++ b/dotterelspread/retry.py
@@ -17,6 +17,7 @@
         RefusalReason.NO_CAPACITY,
         RefusalReason.DEADLINE,
         RefusalReason.DRAINING,
+        RefusalReason.EVACUATED,
         RefusalReason.SHED,
         RefusalReason.FENCED,
         RefusalReason.NO_INSTANCE,
