Start no requests in evacuated data centres

Cause: entries and agents did not know evacuations, so requests went on being started in a data centre that operators want emptied.

Change: an agent in an evacuated data centre refuses new and queued requests as not run, with `evacuated`; running ones end. An entry leaves these instances out, retries such a refusal elsewhere without charging its retry budget, and makes a claim for an instance that was evacuated meanwhile anew. When nothing else can serve a request, it is refused with `evacuated` and the names; other refusals name what was not tried. The decision on retries moves from `entrycore` to `entryretry`.

--- a/bench/requestsite.py
+++ b/bench/requestsite.py
@@ -21,6 +21,7 @@
 from dotterelspread.reducer import reduce
 
 SERVICE = "dispatch"
+DATA_CENTRE = "kumasi"
 TICK_INTERVAL_S = 0.1
 
 
@@ -87,6 +88,8 @@
         self.max_action_delay_s = max_action_delay_s
         self.service_s = {"fault": 0.05, "price": 0.1, "book": 0.08}
         self.slowdown_by_agent = {}
+        #: Data centre of each agent that is not in `DATA_CENTRE`.
+        self.data_centre_by_agent = {}
         self.answer_bytes = 0
         self.sends = 0
         self.sent_ids_by_entry = {}
@@ -116,7 +119,7 @@
     # Processes
 
     def start_entry(self, entry_id):
-        location = EntryLocation(entry_id, "kumasi", "ashanti")
+        location = EntryLocation(entry_id, DATA_CENTRE, "ashanti")
         state = EntryState.from_config(location, 1, seed=len(self.entries))
         process = Process(entry_id, state)
         self.entries[entry_id] = process
@@ -155,7 +158,7 @@
             agent.process_id,
             state.incarnation,
             agent.process_id,
-            "kumasi",
+            self.data_centre_by_agent.get(agent.process_id, DATA_CENTRE),
             "ashanti",
             (SERVICE,),
             state.slots,
--- a/dotterelspread/agentcore.py
+++ b/dotterelspread/agentcore.py
@@ -13,6 +13,7 @@
     AnswerRequested,
     DrainCompleted,
     DrainRequested,
+    EvacuationChanged,
     RunFinished,
     RunRequested,
     SendAnswer,
@@ -31,6 +32,8 @@
 CLAIM_RETENTION_S = 24 * 3600.0
 #: Seconds for which the id of any other request is retained.
 ID_RETENTION_S = 300.0
+#: Seconds after which a caller may retry a request that an evacuation refused.
+EVACUATED_RETRY_AFTER_S = 5.0
 #: Maximum number of retained ids of non-idempotent requests, at eight bytes each.
 MAX_CLAIMED_IDS = 2_000_000
 #: Maximum number of retained ids of other requests, at eight bytes each.
@@ -76,6 +79,8 @@
     )
     draining: bool = False
     drained: bool = False
+    #: Why no request is started since the data centre is evacuated; empty if it is not.
+    evacuation: str = ""
 
     @classmethod
     def from_config(cls, service, slots, incarnation, queue="fair"):
@@ -157,6 +162,12 @@
     return finish_drain(state)
 
 
+@reduce.register
+def _(event: EvacuationChanged, state):
+    state.evacuation = event.reason
+    return refuse_queued(state, event.now_s) if event.reason else []
+
+
 @reduce.register
 def _(event: AgentConfigured, state):
     state.service = event.service
@@ -193,6 +204,8 @@
     """Return the refusal of a new request, or None if it is admitted."""
     if state.draining:
         return Refused(RefusalReason.DRAINING, "the instance is leaving")
+    if state.evacuation:
+        return evacuated(state)
     if event.service_name != state.service.name:
         detail = f"the instance does not serve {event.service_name}"
         return Refused(RefusalReason.UNKNOWN_SERVICE, detail)
@@ -205,6 +218,11 @@
     )
 
 
+def evacuated(state):
+    """Return the refusal of a request that must not start in its data centre."""
+    return Refused(RefusalReason.EVACUATED, state.evacuation, EVACUATED_RETRY_AFTER_S)
+
+
 def admit(state, event):
     """Queue an admitted request, and start queued requests on free slots."""
     state.pending_by_id[event.request_id] = Pending(event, [event.waiter])
@@ -242,18 +260,29 @@
 
 def refuse_expired(state, now_s):
     """Refuse queued requests whose deadline has passed."""
-    effects = []
-    for waiting in state.queue.remove_expired(now_s):
-        pending = state.pending_by_id.pop(waiting.request_id)
-        state.refused_ids.add(waiting.request_id, now_s)
-        refused = Refused(
-            RefusalReason.DEADLINE, "the deadline passed while the request was queued"
-        )
-        waiters = tuple(pending.waiters)
-        effects.append(SendAnswer(waiting.request_id, refused, waiters))
+    refused = Refused(
+        RefusalReason.DEADLINE, "the deadline passed while the request was queued"
+    )
+    expired = state.queue.remove_expired(now_s)
+    return [refuse_waiting(state, waiting, refused, now_s) for waiting in expired]
+
+
+def refuse_queued(state, now_s):
+    """Refuse all queued requests, so that entries send them elsewhere."""
+    effects = refuse_expired(state, now_s)
+    refused = evacuated(state)
+    while (waiting := state.queue.pop(now_s)) is not None:
+        effects.append(refuse_waiting(state, waiting, refused, now_s))
     return effects
 
 
+def refuse_waiting(state, waiting, refused, now_s):
+    """Refuse a request that was removed from the queue."""
+    pending = state.pending_by_id.pop(waiting.request_id)
+    state.refused_ids.add(waiting.request_id, now_s)
+    return SendAnswer(waiting.request_id, refused, tuple(pending.waiters))
+
+
 def finish_drain(state):
     """Return `DrainCompleted` once, when a draining agent has no pending requests."""
     if not state.draining or state.drained or state.pending_by_id:
--- a/dotterelspread/agentevents.py
+++ b/dotterelspread/agentevents.py
@@ -12,6 +12,7 @@
     "AnswerRequested",
     "DrainCompleted",
     "DrainRequested",
+    "EvacuationChanged",
     "RunFinished",
     "RunRequested",
     "SendAnswer",
@@ -63,6 +64,14 @@
     """The instance is to refuse new work and finish its pending requests."""
 
 
+@dataclass(slots=True, frozen=True)
+class EvacuationChanged(Event):
+    """The instance's data centre was evacuated or restored."""
+
+    #: Why nothing is started; empty once the data centre is restored.
+    reason: str
+
+
 @dataclass(slots=True, frozen=True)
 class AgentConfigured(Event):
     """A new configuration of the instance's service takes effect."""
--- a/dotterelspread/entryclaims.py
+++ b/dotterelspread/entryclaims.py
@@ -14,6 +14,7 @@
 from .entrysend import (
     MAX_PROGRESS_TIMEOUT_S,
     choose,
+    evacuation_refusal,
     final_outcome,
     open_attempt,
     respond,
@@ -131,9 +132,9 @@
     if attempt is None:
         request.claiming_attempt = None
         instance = state.instances_by_id.get(record.instance_id)
-        if now_s < request.deadline_s and is_claimed_instance(instance, record):
+        if now_s < request.deadline_s and is_claimed_instance(state, instance, record):
             return [open_attempt(state, request, instance, record.attempt, now_s)]
-        attempt = add_unsent_attempt(request, record, now_s)
+        attempt = add_unsent_attempt(state, request, record, now_s)
         may_claim_again = len(request.attempts) < MAX_ATTEMPTS and state.retries.take()
         if not may_claim_again:
             return answer_and_settle(state, request)
@@ -142,12 +143,13 @@
     return []
 
 
-def is_claimed_instance(instance, record):
-    """Return whether an instance is the one that a claim names and is not draining."""
+def is_claimed_instance(state, instance, record):
+    """Return whether an instance is the one that a claim names and takes requests."""
     return (
         instance is not None
         and instance.incarnation == record.incarnation
         and not instance.draining
+        and instance.data_centre not in state.evacuated_names
     )
 
 
@@ -160,7 +162,7 @@
     )
 
 
-def add_unsent_attempt(request, record, now_s):
+def add_unsent_attempt(state, request, record, now_s):
     """Record that the attempt of a claim was not sent and never will be."""
     attempt = Attempt(
         record.attempt,
@@ -171,14 +173,16 @@
         state=AttemptState.NOT_RUN,
     )
     request.attempts.append(attempt)
-    detail = f"instance {record.instance_id!r} cannot accept the request"
-    request.refused = Refused(RefusalReason.NO_INSTANCE, detail, 1.0)
+    request.refused = evacuation_refusal(state, request)
+    if request.refused is None:
+        detail = f"instance {record.instance_id!r} cannot accept the request"
+        request.refused = Refused(RefusalReason.NO_INSTANCE, detail, 1.0)
     return attempt
 
 
 def answer_and_settle(state, request):
     """Answer the caller with the known outcome, and settle the claim."""
-    outcome = final_outcome(request)
+    outcome = final_outcome(state, request)
     effects = respond(state, request, outcome)
     return [*effects, *settle(state, request, outcome)]
 
@@ -258,7 +262,7 @@
 
 def expire_claim(state, request):
     """Answer the caller of a keyed request whose deadline has passed."""
-    outcome = final_outcome(request)
+    outcome = final_outcome(state, request)
     if isinstance(outcome, Unknown):
         return respond(state, request, outcome)
     claim = state.table(request).find(request.service_name, request.key)
--- a/dotterelspread/entrycore.py
+++ b/dotterelspread/entrycore.py
@@ -19,6 +19,7 @@
     EntriesCounted,
     EntryConfigured,
     EntryTick,
+    EvacuationsChanged,
     LoadReported,
     MemberGone,
     MemberSeen,
@@ -28,6 +29,7 @@
     RequestArrived,
     Respond,
 )
+from .entryretry import note_evacuation, take_retry
 from .entrysend import (
     charge_answer,
     choose,
@@ -46,7 +48,7 @@
 from .entrystate import AttemptState, EntryState
 from .outcome import Completed, Failed, RefusalReason, Refused, Unknown
 from .reducer import reduce
-from .retry import MAX_ATTEMPTS, is_retryable
+from .retry import is_retryable
 from .routing import Instance
 
 __all__ = ["EntryState"]
@@ -192,6 +194,12 @@
     return []
 
 
+@reduce.register
+def _(event: EvacuationsChanged, state):
+    state.evacuated_names = event.names
+    return []
+
+
 @reduce.register
 def _(event: EntryTick, state):
     effects = tick_settlements(state, event.now_s)
@@ -227,6 +235,8 @@
         return next_attempt(state, request, now_s)
     close_attempt(state, attempt, AttemptState.NOT_RUN)
     request.refused = outcome
+    if outcome.reason is RefusalReason.EVACUATED:
+        note_evacuation(state, request, attempt)
     if not is_retryable(outcome.reason):
         return finish(state, request)
     return next_attempt(state, request, now_s)
@@ -244,22 +254,11 @@
     return send_next(state, request, now_s)
 
 
-def take_retry(state, request, now_s):
-    """Return whether a request may be retried; if so, charge the retry budget."""
-    may_have_run = any(a.state is not AttemptState.NOT_RUN for a in request.attempts)
-    return (
-        (request.kind.idempotent or not may_have_run)
-        and len(request.attempts) < MAX_ATTEMPTS
-        and choose(state, request, now_s) is not None
-        and state.retries.take()
-    )
-
-
 def finish(state, request):
     """Answer the caller with the known outcome, unless an attempt is still open."""
     if any(attempt.is_open for attempt in request.attempts):
         return []
-    outcome = final_outcome(request)
+    outcome = final_outcome(state, request)
     return [*respond(state, request, outcome), *settle(state, request, outcome)]
 
 
@@ -290,7 +289,7 @@
     """Answer the caller of a request whose deadline has passed."""
     if request.key is not None:
         return expire_claim(state, request)
-    outcome = final_outcome(request)
+    outcome = final_outcome(state, request)
     if isinstance(outcome, Refused) and request.refused is None:
         outcome = Refused(RefusalReason.DEADLINE, "the deadline has passed")
     return respond(state, request, outcome)
--- a/dotterelspread/entryevents.py
+++ b/dotterelspread/entryevents.py
@@ -18,6 +18,7 @@
     "EntriesCounted",
     "EntryConfigured",
     "EntryTick",
+    "EvacuationsChanged",
     "LoadReported",
     "MemberGone",
     "MemberSeen",
@@ -180,6 +181,14 @@
     configuration: Configuration
 
 
+@dataclass(slots=True, frozen=True)
+class EvacuationsChanged(Event):
+    """The evacuated data centres have changed."""
+
+    #: Names of all evacuated data centres.
+    names: frozenset[str]
+
+
 @dataclass(slots=True, frozen=True)
 class EntryTick(Tick):
     """Periodic timer event of an entry."""
--- a/dotterelspread/entrypart.py
+++ b/dotterelspread/entrypart.py
@@ -16,6 +16,7 @@
     ClaimsTruncated,
     EntryConfigured,
     EntryTick,
+    EvacuationsChanged,
     OpenNewConnection,
     QueryAnswer,
     QueryAnswered,
@@ -95,6 +96,10 @@
         """Apply a new `Version` of the configuration."""
         self.dispatch(EntryConfigured(self.node.now_s(), version.configuration))
 
+    def evacuate(self, names):
+        """Send no requests to instances in these data centres, and in no others."""
+        self.dispatch(EvacuationsChanged(self.node.now_s(), names))
+
     async def handle(self, request):
         """Return the `Outcome` of a caller's request.
 
--- a/dotterelspread/entrysend.py
+++ b/dotterelspread/entrysend.py
@@ -1,5 +1,7 @@
 """Operations common to all requests of an entry, such as sending and querying."""
 
+from dataclasses import replace
+
 from .entryevents import OpenNewConnection, QueryAnswer, Respond, SendRun
 from .entrystate import Attempt, AttemptState
 from .outcome import Completed, RefusalReason, Refused, Unknown
@@ -9,6 +11,7 @@
     "charge_answer",
     "choose",
     "close_attempt",
+    "evacuation_refusal",
     "final_outcome",
     "note_latency",
     "note_load",
@@ -26,6 +29,10 @@
 PROGRESS_TIMEOUT_RATIO = 0.25
 #: Minimum seconds to wait for an answer before querying it.
 MIN_PROGRESS_TIMEOUT_S = 0.05
+#: Seconds after which a request is retried that only evacuated instances could serve.
+EVACUATED_RETRY_AFTER_S = 5.0
+#: Maximum number of evacuated data centres listed in a refusal.
+MAX_LISTED_NAMES = 5
 
 
 def choose(state, request, now_s):
@@ -34,10 +41,12 @@
     Suspected instances are used only when there is no other candidate.
     """
     tried_ids = request.tried_ids
+    evacuated_names = state.evacuated_names | request.evacuated_names
     candidates = [
         instance
         for instance in state.instances_by_id.values()
         if instance.instance_id not in tried_ids
+        and instance.data_centre not in evacuated_names
         and instance.can_serve(request.service_name)
     ]
     trusted = [i for i in candidates if i.suspect_until_s <= now_s]
@@ -156,7 +165,7 @@
         state.abandon(request.request_id, request.claiming_attempt)
 
 
-def final_outcome(request):
+def final_outcome(state, request):
     """Return the outcome of a request for which no instance returned a result."""
     uncertain_ids = tuple(
         attempt.instance_id
@@ -166,8 +175,44 @@
     if uncertain_ids:
         return Unknown("no answer from the instance", uncertain_ids)
     if request.refused is not None:
-        return request.refused
-    return Refused(RefusalReason.NO_INSTANCE, "no instance can serve the request", 1.0)
+        return with_left_out(request.refused, left_out_names(state, request))
+    refused = Refused(
+        RefusalReason.NO_INSTANCE, "no instance can serve the request", 1.0
+    )
+    return evacuation_refusal(state, request) or refused
+
+
+def evacuation_refusal(state, request):
+    """Return the refusal if only evacuated instances could serve a request, or None."""
+    left_out = left_out_names(state, request)
+    is_served = any(
+        instance.data_centre not in state.evacuated_names
+        and instance.can_serve(request.service_name)
+        for instance in state.instances_by_id.values()
+    )
+    if is_served or not left_out:
+        return None
+    detail = f"all instances that can serve the request are in {left_out}"
+    return Refused(RefusalReason.EVACUATED, detail, EVACUATED_RETRY_AFTER_S)
+
+
+def left_out_names(state, request):
+    """Return the evacuated data centres that could serve a request, for messages."""
+    names = {
+        instance.data_centre
+        for instance in state.instances_by_id.values()
+        if instance.data_centre in state.evacuated_names
+        and instance.can_serve(request.service_name)
+    }
+    listed = ", ".join(sorted(names)[:MAX_LISTED_NAMES])
+    return f"evacuated data centres: {listed}" if names else ""
+
+
+def with_left_out(refused, left_out):
+    """Return a refusal whose detail also names the evacuated data centres."""
+    if not left_out or refused.reason is RefusalReason.EVACUATED:
+        return refused
+    return replace(refused, detail=f"{refused.detail}; not tried: {left_out}")
 
 
 def suspect(state, instance_id, now_s):
--- a/dotterelspread/entrystate.py
+++ b/dotterelspread/entrystate.py
@@ -79,6 +79,8 @@
     attempts: list = field(default_factory=list)
     #: Outcome of the latest refused attempt.
     refused: object = None
+    #: Data centres whose instances refused the request as evacuated.
+    evacuated_names: set = field(default_factory=set)
     #: Attempt number of its own claim that is being appended; None when there is none.
     claiming_attempt: int | None = None
     #: When the append of the claim is retried; None unless it is proved absent.
@@ -117,6 +119,8 @@
     #: Unix time minus monotonic time, in seconds.
     unix_offset_s: float = 0.0
     configuration: Configuration | None = None
+    #: Names of the evacuated data centres, whose instances get no requests.
+    evacuated_names: frozenset = frozenset()
     instances_by_id: dict = field(default_factory=dict)
     requests_by_id: dict = field(default_factory=dict)
     #: Ids of the open keyed requests, by service and key.
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -10,6 +10,7 @@
     AnswerRequested,
     DrainCompleted,
     DrainRequested,
+    EvacuationChanged,
     RunFinished,
     RunRequested,
     SendAnswer,
@@ -47,6 +48,8 @@
         agent = node.settings.agent
         self._backend = backend
         self.is_configured = False
+        #: Callable that tells whether the evacuated data centres are known.
+        self.has_evacuations = lambda: True
         self._version = NO_VERSION
         self.drained = asyncio.Event()
         #: Tail latency and load of the service; input to the batch controller.
@@ -72,6 +75,11 @@
             self.is_configured = True
             self.dispatch(AgentConfigured(self.node.now_s(), service))
 
+    def evacuate(self, reason):
+        """Refuse new and queued requests for ``reason``; accept them if it is empty."""
+        if reason != self.state.evacuation:
+            self.dispatch(EvacuationChanged(self.node.now_s(), reason))
+
     def drain(self):
         """Refuse new requests and finish the pending ones."""
         self.dispatch(DrainRequested(self.node.now_s()))
@@ -135,9 +143,15 @@
         self.dispatch(finished)
         self.window.set_used(self.node.now_s(), self.state.running)
 
+    @property
+    def is_ready(self):
+        """Whether the configuration and the evacuated data centres are known."""
+        return self.is_configured and self.has_evacuations()
+
     async def _run(self, run):
-        if not self.is_configured:
-            refused = Refused(RefusalReason.NOT_READY, "no configuration is known")
+        if not self.is_ready:
+            unknown = "evacuated data centre" if self.is_configured else "configuration"
+            refused = Refused(RefusalReason.NOT_READY, f"no {unknown} is known")
             return message_from_outcome(refused, self.load())
         now_s = self.node.now_s()
         waiter = asyncio.get_running_loop().create_future()
--- a/tests/test_agentcore.py
+++ b/tests/test_agentcore.py
@@ -102,3 +102,20 @@
     ]
     assert finish(state, "r2")[-1] == events.DrainCompleted()
     assert reduce(events.DrainRequested(3.0), state) == []
+
+
+def test_an_evacuated_instance_refuses_new_and_queued_requests_only():
+    # A queued request would start after the bound; a running one must not be lost.
+    state = make_agent()
+    run(state, "r1", "w1")
+    run(state, "r2", "w2")
+    (refused,) = reduce(events.EvacuationChanged(0.1, "evacuated by ama"), state)
+    assert (refused.request_id, refused.waiters) == ("r2", ("w2",))
+    assert refused.outcome.reason is RefusalReason.EVACUATED
+    assert run(state, "r3", "w")[0].outcome.detail == "evacuated by ama"
+    assert run(state, "r1", "again") == []
+    assert [type(effect) for effect in finish(state, "r1")] == [events.SendAnswer]
+    # A repeat of a refused id must not run after the restore: it may run elsewhere.
+    assert reduce(events.EvacuationChanged(2.0, ""), state) == []
+    assert run(state, "r2", "w")[0].outcome.reason is RefusalReason.FENCED
+    assert isinstance(run(state, "r4", "w")[0], events.StartRun)
