Start no tasks in evacuated data centres

Cause: agents claim and start tasks by themselves, and a claim, or a call that waits for its worker, may be under way when the data centre is evacuated.

Change: while starts are withheld, an agent claims nothing, makes no room, declines claims that it reads back, repeats no unanswered start and drops one that has waited. A new process withholds starts until it has checked. A report of the worker now confirms a run, so that one whose confirmation was lost goes on. Jobs without a key go to cells that are not evacuated if one can hold them. `explain` gives the reason.

--- a/dotterelspread/claiming.py
+++ b/dotterelspread/claiming.py
@@ -71,7 +71,7 @@
     member = state.member
     if member is None or not member.accepts_tasks or not state.has_worker(now_s):
         return []
-    if state.is_draining or not state.watch.is_live(now_s):
+    if state.is_draining or state.withheld or not state.watch.is_live(now_s):
         return []
     effects = []
     table = state.designations
--- a/dotterelspread/jobpart.py
+++ b/dotterelspread/jobpart.py
@@ -58,11 +58,17 @@
         self._cells = node.settings.entry.cells
         self._configuration = None
         self._accepted_ids = OrderedDict()
+        #: Names of the evacuated data centres, whose cells get no jobs without a key.
+        self.evacuated_names = frozenset()
 
     def configure(self, version):
         """Apply a new `Version` of the configuration."""
         self._configuration = version.configuration
 
+    def evacuate(self, names):
+        """Note the names of all evacuated data centres."""
+        self.evacuated_names = names
+
     async def submit(self, job, key=""):
         """Append a job to a cell's stream.
 
@@ -149,23 +155,38 @@
     async def _choose_cell(self, job, key):
         """Return the name of a cell that can hold the job, or why the job is refused.
 
-        A job with a key always goes to the same cell, so that a retry finds it.
+        A job with a key always goes to the same cell, so that a retry finds it. One
+        without a key goes to an evacuated cell, and waits there, only if no other cell
+        can hold it.
         """
         views = await self._wait_for_capacities()
         if all(view.members for view in views):
             record = job.to_record(self._new_id(job.team, key))
             own = self.node.settings.data_centre
             chosen = choose_cell(record, views, self._configuration, own)
+            if self.evacuated_names:
+                chosen = self._choose_open_cell(record, views, chosen)
             if isinstance(chosen, Refused) and not _has_all_capacities(views):
                 detail = "the capacity of some agents is not known yet"
                 return Refused(RefusalReason.NOT_READY, detail, retry_after_s=1.0)
             if isinstance(chosen, Refused) or not key:
                 return chosen
         if not key:
-            return self._random.choice(self._cells)
+            open_names = [view.name for view in self._open_views(views)]
+            return self._random.choice(open_names or self._cells)
         digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
         return sorted(self._cells)[int.from_bytes(digest) % len(self._cells)]
 
+    def _choose_open_cell(self, record, views, default):
+        """Return the name of a cell that is not evacuated, else ``default``."""
+        open_views = self._open_views(views)
+        own = self.node.settings.data_centre
+        chosen = choose_cell(record, open_views, self._configuration, own)
+        return default if isinstance(chosen, Refused) else chosen
+
+    def _open_views(self, views):
+        return [v for v in views if v.data_centre not in self.evacuated_names]
+
     async def _wait_for_capacities(self):
         """Return the `CellView` of each cell, once the listed agents' sizes are known.
 
--- a/dotterelspread/ownership.py
+++ b/dotterelspread/ownership.py
@@ -44,8 +44,8 @@
 def _start_or_decline(state, now_s, task):
     """Start a task whose claim was read back as valid, or decline it.
 
-    It is declined if the time at which its claim was sent is not known, or if its lease
-    has almost expired.
+    It is declined if starts are withheld, if the time at which its claim was sent is
+    not known, or if its lease has almost expired.
     """
     if state.is_in_flight(TaskClaimed, task.task_id):
         return []
@@ -64,7 +64,8 @@
     )
     state.locals_by_id[task.task_id] = local
     deadline_s = state.deadline_s(local)
-    if sent_s == float("-inf") or now_s >= deadline_s - stop_margin_s(local.lease_s):
+    is_late = now_s >= deadline_s - stop_margin_s(local.lease_s)
+    if state.withheld or sent_s == float("-inf") or is_late:
         local.phase = LocalPhase.STOPPED
         local.reason = StopReason.DECLINED
         return []
@@ -134,7 +135,9 @@
 
 def _keep_running(state, now_s, local):
     if not local.is_confirmed:
-        if now_s - local.requested_s >= RETRY_INTERVAL_S:
+        # A withheld start may be running. The next report of the worker confirms that,
+        # else the task is released once the worker's lease has run out.
+        if not state.withheld and now_s - local.requested_s >= RETRY_INTERVAL_S:
             return [_start(state, now_s, local)]
         return []
     interval_s = min(
--- a/dotterelspread/taskcore.py
+++ b/dotterelspread/taskcore.py
@@ -32,6 +32,7 @@
     DrainRequested,
     EvictionRequested,
     MembersChanged,
+    StartsWithheld,
     TaskCheckpointed,
     TaskStarted,
     TaskStopped,
@@ -179,6 +180,7 @@
         _stop_leftover(state, now_s, task)
     elif task.task_id in state.locals_by_id:
         local = state.locals_by_id[task.task_id]
+        local.is_confirmed = local.is_confirmed or local.epoch == usage.epoch
         is_throttled = state.pressure.shares_by_id.get(task.task_id, 1.0) < 1.0
         local.peak = local.peak.at_least(usage.used)
         can_shrink = state.is_reclaiming and not is_throttled
@@ -232,6 +234,12 @@
     return settle_tasks(state, event.now_s)
 
 
+@reduce.register
+def _(event: StartsWithheld, state: TaskState):
+    state.withheld = event.reason
+    return settle_tasks(state, event.now_s)
+
+
 @reduce.register
 def _(event: EvictionRequested, state: TaskState):
     local = state.locals_by_id.get(event.task_id)
--- a/dotterelspread/taskevent.py
+++ b/dotterelspread/taskevent.py
@@ -20,6 +20,7 @@
     "MembersChanged",
     "RenewTask",
     "StartTask",
+    "StartsWithheld",
     "StopTask",
     "TaskCheckpointed",
     "TaskStarted",
@@ -125,6 +126,14 @@
     offset: int | None
 
 
+@dataclass(slots=True, frozen=True)
+class StartsWithheld(Event):
+    """Starts of tasks on this instance are withheld from now on, or allowed again."""
+
+    #: Why they are withheld; empty if they are allowed.
+    reason: str
+
+
 @dataclass(slots=True, frozen=True)
 class DrainRequested(Event):
     """The instance is to leave the cell: its tasks are checkpointed and released."""
--- a/dotterelspread/taskexplain.py
+++ b/dotterelspread/taskexplain.py
@@ -71,6 +71,8 @@
 
 def _explain_pending(state, task, job):
     gate = state.gate()
+    if state.withheld:
+        return [f"It waits: nothing is started in its cell, since {state.withheld}."]
     decision = None if gate is None else gate.decide(task)
     if decision is not None and not decision.allowed:
         return [f"It waits for its team's quota: {decision.reason}."]
--- a/dotterelspread/taskpart.py
+++ b/dotterelspread/taskpart.py
@@ -27,6 +27,7 @@
     EvictionRequested,
     MembersChanged,
     RenewTask,
+    StartsWithheld,
     StartTask,
     StopTask,
     ThrottleTask,
@@ -40,6 +41,8 @@
 
 #: Interval in seconds between checks for due effects.
 TICK_INTERVAL_S = 0.25
+#: Why starts of tasks are withheld in a process that has just started.
+NOT_CHECKED = "the evacuated data centres are not known yet"
 #: Interval in seconds between reports requested from the worker.
 REPORT_INTERVAL_S = 1.0
 #: Timeout in seconds of an append.
@@ -85,7 +88,10 @@
         self._last_call_by_task = {}
         self._shares_by_id = {}
         self._gone_ids = set()
+        #: Callable that returns why no task may be started; empty if tasks may be.
+        self.find_withholding = str
         self.state = TaskState.from_announcement(announcement, node.settings.agent.cell)
+        self.state.withheld = NOT_CHECKED
 
     def handlers_by_method(self):
         """Return the handlers of calls about jobs and tasks."""
@@ -100,6 +106,7 @@
                 await asyncio.sleep(TICK_INTERVAL_S)
                 if self._is_configured:
                     self._update_live_ids()
+                    self.update_withholding()
                     self.dispatch(Tick(self.node.now_s()))
 
     def configure(self, version):
@@ -119,6 +126,12 @@
         elif isinstance(event, MemberSeen):
             self._gone_ids.discard(event.instance_id)
 
+    def update_withholding(self):
+        """Withhold starts of tasks, or allow them again, if that has changed."""
+        reason = self.find_withholding()
+        if reason != self.state.withheld:
+            self.dispatch(StartsWithheld(self.node.now_s(), reason))
+
     def _update_live_ids(self):
         live_ids = frozenset(self.state.cell.members_by_id) - self._gone_ids
         if live_ids != self.state.live_ids:
@@ -193,6 +206,8 @@
         # Waiting for the previous call keeps the effects on one task in order.
         if previous is not None:
             await asyncio.wait((previous,))
+        if isinstance(effect, StartTask) and self.find_withholding():
+            return
         tracing = self.node.telemetry.tracing
         name = f"agent.worker.{type(effect).__name__}"
         with tracing.span(name, task_id=effect.task_id):
--- a/dotterelspread/taskstate.py
+++ b/dotterelspread/taskstate.py
@@ -61,6 +61,8 @@
     clock_s: float = 0.0
     round_trip_s: float = INITIAL_ROUND_TRIP_S
     is_draining: bool = False
+    #: Why no task is claimed or started; empty if tasks are.
+    withheld: str = ""
     #: Time at which this agent sent the claim, by (task, epoch).
     claims_sent_s: dict = field(default_factory=dict)
     #: Measured amounts to record with the next renewal, by task.
--- a/tests/builders_jobpart.py
+++ b/tests/builders_jobpart.py
@@ -52,30 +52,30 @@
         self.agents = agents
 
     def agents_of_cell(self, cell):
-        return self.agents
+        return [agent for agent in self.agents if agent.cell == cell]
 
     def learn(self, *agents):
         self.agents = agents
 
 
-def make_agent(number, cores):
+def make_agent(number, cores, data_centre="kumasi", cell=CELL):
     """Return an announcement; without cores, as a peer reports it."""
     return InstanceAnnounced(
         f"agent-{number}",
         1,
         "agent",
         f"127.0.0.1:{7000 + number}",
-        "kumasi",
+        data_centre,
         "ashanti",
         capacity=Resources(cores * 1000, 64_000, 0) if cores else Resources(),
-        cell=CELL,
+        cell=cell,
     )
 
 
-def make_job_part(members):
+def make_job_part(members, cells=(CELL,)):
     node = SimpleNamespace(
         settings=SimpleNamespace(
-            entry=SimpleNamespace(cells=[CELL]), data_centre="kumasi"
+            entry=SimpleNamespace(cells=list(cells)), data_centre="kumasi"
         ),
         incarnation=1,
         log_client=FakeLog(),
--- a/tests/test_jobpart.py
+++ b/tests/test_jobpart.py
@@ -1,4 +1,4 @@
-"""Jobs at an entry that does not know or reach every agent."""
+"""Jobs at an entry that does not know or reach every agent, and evacuated cells."""
 
 import asyncio
 
@@ -13,6 +13,8 @@
 )
 from tests.virtualloop import run_virtually
 
+OTHER_CELL = "cell.takoradi.0"
+
 
 def test_a_job_waits_for_capacities_and_is_then_refused_if_it_never_fits():
     async def scenario():
@@ -77,3 +79,52 @@
         assert refused.reason is RefusalReason.NOT_FOUND
 
     run_virtually(scenario())
+
+
+def make_two_cells(other_cores=8):
+    """Return the job part of an entry with an evacuated cell and another one."""
+    here = make_agent(1, cores=32)
+    there = make_agent(2, other_cores, "takoradi", OTHER_CELL)
+    part = make_job_part(FakeMembers(here, there), (CELL, OTHER_CELL))
+    part.evacuate(frozenset({"kumasi"}))
+    return part
+
+
+def cells_of(part):
+    return {record.job_id.rpartition("-")[0] for record in part.node.log_client.records}
+
+
+def test_a_job_goes_to_a_cell_that_is_not_evacuated():
+    # In the evacuated cell it would wait for the restore.
+    async def scenario():
+        part = make_two_cells()
+        for _ in range(8):
+            assert (await part.submit(make_request(cores=8)))[0] is None
+        assert cells_of(part) == {OTHER_CELL}
+
+    run_virtually(scenario())
+
+
+def test_a_job_that_only_an_evacuated_cell_can_hold_waits_there():
+    # Refusing it as too large would tell the team to change a correct job.
+    async def scenario():
+        part = make_two_cells()
+        assert (await part.submit(make_request(cores=16)))[0] is None
+        assert cells_of(part) == {CELL}
+
+    run_virtually(scenario())
+
+
+def test_a_job_with_a_key_keeps_its_cell_during_an_evacuation():
+    # A repeat after a lost answer that went to another cell would run the job twice.
+    async def scenario():
+        part = make_two_cells()
+        keys = [f"k{number}" for number in range(8)]
+        part.evacuate(frozenset())
+        before = [(await part.submit(make_request(cores=8), key))[1] for key in keys]
+        part.evacuate(frozenset({"kumasi"}))
+        after = [(await part.submit(make_request(cores=8), key))[1] for key in keys]
+        assert before == after
+        assert cells_of(part) == {CELL, OTHER_CELL}
+
+    run_virtually(scenario())
