Add the verbs evacuate and restore to the tool and the daemon

Cause: operators of the product's own path had no way to evacuate a data centre or to see that one is evacuated.

Change: `evacuate NAME` and `restore NAME` share `CentreChange`; they name the version that they are based on and repeat a lost request on it. Entries take them at `/v1/operator/data-centres/NAME/evacuate` and `restore`, check the fields, and ask for `--last` before the last data centre with agents. Entries and agents follow the evacuations and act on them. `status`, `show evacuations`, `show instances` and `explain NAME` tell of them, with author, time and version.

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from .backend import open_backend
 from .configurationpart import ConfigurationPart
+from .evacuationpart import EvacuationPart
 from .interferencepart import InterferencePart
 from .memberpart import MemberPart
 from .node import boottime_s
@@ -75,7 +77,7 @@
         return JSONResponse({"status": "ok"})
 
     async def _readiness(self, request):
-        is_ready = self.requests.is_configured and not self.requests.state.draining
+        is_ready = self.requests.is_ready and not self.requests.state.draining
         return JSONResponse({"ready": is_ready}, 200 if is_ready else 503)
 
     async def _metrics(self, request):
@@ -103,6 +105,18 @@
     )
 
 
+def _join_evacuations(evacuations, requests, tasks, data_centre):
+    """Let the evacuated data centres decide whether an instance starts work."""
+
+    def update(names):
+        requests.evacuate(evacuations.state.describe(data_centre))
+        tasks.update_withholding()
+
+    evacuations.on_change(update)
+    requests.has_evacuations = lambda: evacuations.is_known
+    tasks.find_withholding = partial(evacuations.find_withholding, data_centre)
+
+
 @asynccontextmanager
 async def open_agent(node):
     """Start the servers of an agent and yield its `AgentProcess`."""
@@ -128,13 +142,19 @@
         configuration.on_change(tasks.configure)
         configuration.on_change(interference.configure)
         configuration.on_change(summaries.configure)
-        join_parts(members, configuration)
+        evacuations = EvacuationPart(node)
+        _join_evacuations(evacuations, requests, tasks, settings.data_centre)
+        join_parts(members, configuration, evacuations)
         node.parts = [
             members,
             members.replica,
             configuration,
             configuration.replica,
-            StatePart(node, (members.replica, configuration.replica)),
+            evacuations,
+            evacuations.replica,
+            StatePart(
+                node, (members.replica, configuration.replica, evacuations.replica)
+            ),
             requests,
             tasks,
             interference,
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -6,6 +6,8 @@
 from .callerhttp import CallerHttp
 from .configurationpart import ConfigurationPart
 from .entrypart import EntryPart
+from .evacuationhttp import EvacuationHttp
+from .evacuationpart import EvacuationPart
 from .gen.peer.ttypes import Load
 from .jobpart import JobPart
 from .memberpart import MemberPart
@@ -63,24 +65,32 @@
     settings = node.settings
     members = MemberPart(node, announcement(node), Load)
     configuration = ConfigurationPart(node)
-    join_parts(members, configuration)
+    evacuations = EvacuationPart(node)
+    join_parts(members, configuration, evacuations)
     entry = EntryPart(node, members)
     jobs = JobPart(node, members)
     refusal_log = RefusalLog()
-    views = ViewPart(node, members, entry, jobs, configuration, refusal_log)
+    views = ViewPart(
+        node, members, entry, jobs, configuration, evacuations, refusal_log
+    )
     members.on_event(entry.dispatch)
     configuration.on_change(entry.configure)
     configuration.on_change(jobs.configure)
+    evacuations.on_change(entry.evacuate)
+    evacuations.on_change(jobs.evacuate)
     node.parts = [
         members,
         members.replica,
         configuration,
         configuration.replica,
-        StatePart(node, (members.replica, configuration.replica)),
+        evacuations,
+        evacuations.replica,
+        StatePart(node, (members.replica, configuration.replica, evacuations.replica)),
         entry,
     ]
     callers = CallerHttp(node, entry, jobs, configuration, refusal_log)
     operators = OperatorHttp(node, configuration, views)
+    changes = EvacuationHttp(node, members, evacuations)
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(
             serve_peers(
@@ -92,7 +102,7 @@
         await stack.enter_async_context(
             serve_http(
                 settings.http_address,
-                [*callers.routes(), *operators.routes()],
+                [*callers.routes(), *changes.routes(), *operators.routes()],
                 settings.limits,
                 settings.drain_timeout_s,
             )
--- a/dotterelspread/memberpart.py
+++ b/dotterelspread/memberpart.py
@@ -166,6 +166,14 @@
             return member.announced
         return logged.announced
 
+    def count_agents(self, data_centre):
+        """Return the number of agents in a data centre that have not left."""
+        return len([a for a in self.agents() if a.data_centre == data_centre])
+
+    def agents(self):
+        """Return the announcements of the agents that have not left."""
+        return [m.announced for m in self.members() if m.role == "agent"]
+
     def cells(self):
         """Return the names of the cells that have agents."""
         names = {member.announced.cell for member in self.members()}
@@ -229,8 +237,7 @@
 
     def _update_subset(self):
         """Update the subset of agents that this process monitors."""
-        agents = [m.announced for m in self.members() if m.role == "agent"]
-        wanted = monitored_ids(self.announced, agents, self.status)
+        wanted = monitored_ids(self.announced, self.agents(), self.status)
         if wanted != self.state.subset_ids:
             self.dispatch(SubsetChanged(self.node.now_s(), wanted))
 
--- a/dotterelspread/operatorhttp.py
+++ b/dotterelspread/operatorhttp.py
@@ -13,7 +13,7 @@
 __all__ = ["OperatorHttp", "PublishRequest"]
 
 #: Subjects that can be listed.
-SUBJECTS = ("instances", "tasks", "requests", "refusals", "status")
+SUBJECTS = ("instances", "tasks", "requests", "refusals", "evacuations", "status")
 
 
 class PublishRequest(msgspec.Struct, forbid_unknown_fields=True):
@@ -82,7 +82,7 @@
         return JSONResponse({subject: msgspec.to_builtins(rows)})
 
     async def explain(self, request):
-        """Explain the state of a job, a task or a request."""
+        """Explain the state of a job, a task, a request or a data centre."""
         subject_id = request.path_params["subject_id"]
         lines = await self._views.explain(subject_id)
         return JSONResponse({"id": subject_id, "explanation": lines})
--- a/dotterelspread/statepart.py
+++ b/dotterelspread/statepart.py
@@ -30,14 +30,17 @@
         return replica.state_reply()
 
 
-def join_parts(members, configuration):
+def join_parts(members, configuration, evacuations):
     """Connect configuration versions to heartbeats, and state queries to members.
 
     Parameters
     ----------
     members : MemberPart
     configuration : ConfigurationPart
+    evacuations : EvacuationPart
     """
     configuration.replica.find_addresses = members.peer_addresses
+    evacuations.replica.find_addresses = members.peer_addresses
+    evacuations.find_addresses = members.peer_addresses
     configuration.on_change(lambda version: members.note_version(version.number))
     members.on_newer_version(configuration.fetch)
--- a/dotterelspread/verb.py
+++ b/dotterelspread/verb.py
@@ -23,6 +23,8 @@
     "submit": ("submit", "Submit"),
     "cancel": ("cancel", "Cancel"),
     "drain": ("drain", "Drain"),
+    "evacuate": ("evacuate", "Evacuate"),
+    "restore": ("restore", "Restore"),
     "status": ("status", "Status"),
 }
 
--- a/dotterelspread/verbs/apply.py
+++ b/dotterelspread/verbs/apply.py
@@ -1,6 +1,5 @@
 """``apply FILE``: publish a configuration."""
 
-import getpass
 import re
 import time
 
@@ -9,7 +8,7 @@
 from ..configreader import ConfigurationError, read_configuration
 from ..operatorclient import OperatorClientError, ReplyLostError
 from ..verb import ExitCode, Verb, VerbError, VerbResult
-from .common import check_reply, read_text
+from .common import check_reply, read_text, user_name
 
 __all__ = ["Apply"]
 
@@ -54,7 +53,7 @@
             ) from error
         document = {
             "base_version": _base_version(command, text),
-            "author": command.flags.author or _user_name(),
+            "author": command.flags.author or user_name(),
             "text": text,
         }
         try:
@@ -98,13 +97,6 @@
     return check_reply(command.client.get("operator", "configuration"))["version"]
 
 
-def _user_name():
-    try:
-        return getpass.getuser()
-    except (KeyError, OSError):
-        return "unknown"
-
-
 def _result(reply):
     result = reply["result"]
     if result == "rejected":
--- a/dotterelspread/verbs/common.py
+++ b/dotterelspread/verbs/common.py
@@ -1,11 +1,12 @@
-"""Helpers that verbs share: reading files and checking replies."""
+"""Helpers that verbs share: reading files, checking replies, the operator's name."""
 
+import getpass
 import sys
 
 from ..document import MAX_DOCUMENT_BYTES
 from ..verb import ExitCode, VerbError
 
-__all__ = ["check_reply", "read_text"]
+__all__ = ["check_reply", "read_text", "user_name"]
 
 STANDARD_INPUT = "-"
 STATUS_BAD_REQUEST = 400
@@ -53,6 +54,14 @@
     raise VerbError(_problem_code(reply.status, problem), message)
 
 
+def user_name():
+    """Return the name of the user who runs the tool."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
 def _problem_code(status, problem):
     if problem.get("executed") == "unknown":
         return ExitCode.UNKNOWN
--- a/dotterelspread/verbs/explain.py
+++ b/dotterelspread/verbs/explain.py
@@ -1,4 +1,4 @@
-"""``explain ID``: explain the state of a job, a task or a request."""
+"""``explain ID``: explain a job, a task, a request or a data centre."""
 
 from ..verb import Verb, VerbResult
 from .common import check_reply
@@ -7,10 +7,10 @@
 
 
 class Explain(Verb):
-    """Explains why work is placed, waiting or refused."""
+    """Explains why work is placed, waiting or refused, or a data centre gets none."""
 
     arguments = ("ID",)
-    summary = "Explain why a job, task or request is placed, waiting or refused."
+    summary = "Explain why a job, task or request is as it is, or a data centre."
 
     def run(self, command):
         """Ask for the explanation."""
--- a/dotterelspread/verbs/show.py
+++ b/dotterelspread/verbs/show.py
@@ -6,7 +6,7 @@
 __all__ = ["Show"]
 
 CONFIGURATION = "configuration"
-SUBJECTS = (CONFIGURATION, "instances", "tasks", "requests", "refusals")
+SUBJECTS = (CONFIGURATION, "instances", "tasks", "requests", "refusals", "evacuations")
 
 
 class Show(Verb):
--- a/dotterelspread/viewpart.py
+++ b/dotterelspread/viewpart.py
@@ -4,12 +4,13 @@
 
 import msgspec
 
+from .evacuations import describe_centre
 from .gen.peer.ttypes import DrainRequest, StatusQuery
 from .jobpart import cell_of_job
 from .node import Part
 from .outcome import Outcome, RefusalReason, Refused
 from .peer import PeerError
-from .views import InstanceView, RequestView, StatusView, TaskView
+from .views import EvacuationView, InstanceView, RequestView, StatusView, TaskView
 
 __all__ = ["ViewPart"]
 
@@ -28,21 +29,26 @@
     entry : EntryPart
     jobs : JobPart
     configuration : ConfigurationPart
+    evacuations : EvacuationPart
     refusal_log : RefusalLog
     """
 
-    def __init__(self, node, members, entry, jobs, configuration, refusal_log):
+    def __init__(
+        self, node, members, entry, jobs, configuration, evacuations, refusal_log
+    ):
         super().__init__(node)
         self._members = members
         self._entry = entry
         self._jobs = jobs
         self._configuration = configuration
+        self._evacuations = evacuations
         self._refusal_log = refusal_log
         self._readers_by_subject = {
             "instances": self._instances,
             "tasks": self._tasks,
             "requests": self._requests,
             "refusals": self._refusals,
+            "evacuations": self._evacuation_rows,
             "status": self._status,
         }
 
@@ -51,7 +57,10 @@
         return await self._readers_by_subject[subject]()
 
     async def explain(self, subject_id):
-        """Return lines that explain the state of a job, a task or a request."""
+        """Return lines that explain a job, a task, a request or a data centre."""
+        centre = self._evacuations.state.centres_by_name.get(subject_id)
+        if centre is not None or subject_id in self._data_centres():
+            return self._explain_centre(subject_id, centre)
         if cell_of_job(subject_id.partition(".")[0]) or subject_id.startswith("cell."):
             return await self._explain_job(subject_id)
         return self._explain_request(subject_id)
@@ -73,7 +82,9 @@
     async def _instances(self):
         members = self._members
         return [
-            InstanceView.from_member(member, members.status(member.instance_id))
+            InstanceView.from_member(
+                member, members.status(member.instance_id), self._evacuations.names
+            )
             for member in members.members()
         ]
 
@@ -104,6 +115,15 @@
     async def _refusals(self):
         return self._refusal_log.views()
 
+    async def _evacuation_rows(self):
+        return [
+            EvacuationView.from_centre(
+                centre, self._members.count_agents(centre.data_centre)
+            )
+            for centre in self._evacuations.state.centres_by_name.values()
+            if centre.is_evacuated
+        ]
+
     async def _status(self):
         settings = self.node.settings
         status = StatusView(
@@ -113,6 +133,8 @@
             self._configuration.version,
             len(self._members.members()),
             self._entry.in_progress,
+            tuple(sorted(self._evacuations.names)),
+            self._evacuations.state.version,
         )
         return [status]
 
@@ -129,6 +151,18 @@
             if subject_id in (job_id, task.task_id)
         ]
 
+    def _data_centres(self):
+        return {member.announced.data_centre for member in self._members.members()}
+
+    def _explain_centre(self, name, centre):
+        agents = self._members.count_agents(name)
+        lines = [f"data centre {name}: {agents} agents known at this entry"]
+        if centre is not None:
+            lines.append(describe_centre(centre))
+        if centre is not None and centre.is_evacuated:
+            lines.append("nothing new is started there; running work goes on")
+        return lines
+
     def _explain_request(self, request_id):
         refusal = self._refusal_log.find(request_id)
         if refusal is not None:
--- a/dotterelspread/views.py
+++ b/dotterelspread/views.py
@@ -5,7 +5,10 @@
 
 from dataclasses import dataclass
 
+from .evacuations import format_time
+
 __all__ = [
+    "EvacuationView",
     "InstanceView",
     "JobView",
     "RefusalView",
@@ -67,9 +70,11 @@
     #: ``live``, ``suspect`` or ``gone``, according to heartbeats.
     status: str
     draining: bool
+    #: Whether its data centre is evacuated.
+    evacuated: bool
 
     @classmethod
-    def from_member(cls, member, status):
+    def from_member(cls, member, status, evacuated_names):
         """Convert a `Member` and its `PeerStatus`."""
         announced = member.announced
         return cls(
@@ -82,9 +87,29 @@
             announced.cell,
             status.value,
             member.is_draining,
+            announced.data_centre in evacuated_names,
         )
 
 
+@dataclass(slots=True, frozen=True)
+class EvacuationView:
+    """An evacuated data centre."""
+
+    data_centre: str
+    author: str
+    #: Time of the evacuation, UTC.
+    since: str
+    version: int
+    #: Number of agents in the data centre that the entry knows.
+    agents: int
+
+    @classmethod
+    def from_centre(cls, centre, agents):
+        """Convert a `CentreState`."""
+        since = format_time(centre.changed_at)
+        return cls(centre.data_centre, centre.author, since, centre.version, agents)
+
+
 @dataclass(slots=True, frozen=True)
 class RequestView:
     """A request in progress at an entry."""
@@ -130,3 +155,7 @@
     configuration_version: int
     instances: int
     requests_in_progress: int
+    #: Names of the evacuated data centres.
+    evacuated: tuple[str, ...]
+    #: Version of the evacuations; -1 if there was none.
+    evacuation_version: int
--- a/tests/scenarios/cmdline.feature
+++ b/tests/scenarios/cmdline.feature
@@ -91,6 +91,8 @@
       | DELETE /v1/jobs/j1                    | no       | 404    | cancel j1       | 1    |
       | DELETE /v1/jobs/j1                    | unknown  | 504    | cancel j1       | 5    |
       | POST /v1/operator/instances/i1/drain  | no       | 503    | drain i1        | 1    |
+      | POST /v1/operator/data-centres/d/evacuate | no   | 400    | evacuate d --base=1 | 2 |
+      | POST /v1/operator/data-centres/d/restore  | no   | 503    | restore d --base=1  | 1 |
       | GET /v1/operator/tasks                | no       | 503    | show tasks      | 1    |
       | POST /v1/jobs                         | no       | 400    | submit {job.yaml} | 2  |
 
@@ -104,12 +106,59 @@
       | path          | document                                                   | command                       | code | text                |
       | instances     | {"instances": [{"instance_id": "i1", "draining": true}]}   | show instances                | 0    | i1           true   |
       | tasks         | {"tasks": []}                                              | show tasks                    | 0    | (none)              |
+      | evacuations   | {"evacuations": [{"data_centre": "kumasi", "author": "a"}]} | show evacuations             | 0    | kumasi       a      |
       | refusals      | {"refusals": [{"reason": "shed\u001b[2J"}]}                | show refusals                 | 0    | shed?[2J            |
       | requests      | {"requests": [{"request_id": "r1"}]}                       | show requests --output=yaml   | 0    | - request_id: r1    |
       | explain/a%2Fb | {"id": "a/b", "explanation": ["waits: no room"]}           | explain a/b                   | 0    | waits: no room      |
       | status        | {"status": [{"ready": true}]}                              | status --output=json          | 0    | "ready": true       |
       | status        | {"status": [{"ready": false}]}                             | status                        | 1    | false               |
 
+  Scenario Outline: A data centre is evacuated or restored
+    Given the evacuations have version 6
+    And the entry answers "POST /v1/operator/data-centres/kumasi/<verb>" with <document>
+    When the operator runs "<verb> kumasi --author=ama <flags>"
+    Then the exit code is <code>
+    And the output contains "<text>"
+    And the change was based on version <base>
+
+    Examples:
+      | verb     | flags    | document                                                                  | code | text                | base |
+      | evacuate |          | {"result": "accepted", "evacuated": true, "version": 7, "agents": 3}      | 0    | accepted            | 6    |
+      | evacuate |          | {"result": "unchanged", "evacuated": true, "version": 5, "agents": 3}     | 0    | unchanged           | 6    |
+      | evacuate |          | {"result": "accepted", "evacuated": true, "version": 7, "agents": 0}      | 0    | knows no agent      | 6    |
+      | evacuate | --last   | {"result": "accepted", "evacuated": true, "version": 7, "agents": 3}      | 0    | accepted            | 6    |
+      | evacuate | --base=4 | {"result": "superseded", "evacuated": false, "version": 5, "agents": 3}   | 4    | another operator    | 4    |
+      | restore  |          | {"result": "accepted", "evacuated": false, "version": 8, "agents": 3}     | 0    | accepted            | 6    |
+      | restore  | --base=4 | {"result": "superseded", "evacuated": true, "version": 5, "agents": 3}    | 4    | another operator    | 4    |
+
+  Scenario Outline: The answer to a change is lost, so the change is repeated on its base
+    Given the evacuations have version 6
+    And the answer to "POST /v1/operator/data-centres/kumasi/<verb>" is lost
+    And the entry answers "POST /v1/operator/data-centres/kumasi/<verb>" with <document>
+    When the operator runs "<verb> kumasi"
+    Then the exit code is <code>
+    And each of 2 changes was based on version 6
+
+    Examples:
+      | verb     | document                                                                | code |
+      | evacuate | {"result": "unchanged", "evacuated": true, "version": 7, "agents": 3}   | 0    |
+      | evacuate | {"result": "superseded", "evacuated": false, "version": 8, "agents": 3} | 4    |
+      | restore  | {"result": "unchanged", "evacuated": false, "version": 7, "agents": 3}  | 0    |
+
+  Scenario: The outcome of a change is unknown and its repetitions are refused
+    Given the evacuations have version 6
+    And the entry answers "POST /v1/operator/data-centres/kumasi/evacuate" with a problem executed "unknown" and status 504
+    And the entry answers "POST /v1/operator/data-centres/kumasi/evacuate" with a problem executed "no" and status 503
+    When the operator runs "evacuate kumasi"
+    Then the exit code is 5
+    And the error output contains "run `evacuate` again with --base=6"
+
+  Scenario: An entry without evacuations gets no change
+    Given the entry answers "GET /v1/operator/status" with {"status": [{"ready": true}]}
+    When the operator runs "evacuate kumasi"
+    Then the exit code is 1
+    And the error output contains "use another entry"
+
   Scenario: An entry answers without JSON
     Given the entry answers "GET /v1/operator/status" with the text "<html>"
     When the operator runs "status"
@@ -130,6 +179,10 @@
       | command                | text                                  |
       | place task-1           | unknown verb 'place'                  |
       | show pumps             | SUBJECT: found 'pumps'                |
+      | evacuate a/b           | NAME: found 'a/b'                     |
+      | evacuate {long}        | NAME: found 'aaaa                     |
+      | restore _x             | NAME: found '_x'                      |
+      | restore kumasi --last  | 'last'                                |
       | apply                  | usage: dotterelspread apply FILE      |
       | apply missing.yaml     | missing.yaml                          |
       | status --colour        | 'colour'                              |
@@ -152,4 +205,6 @@
       | submit   |
       | cancel   |
       | drain    |
+      | evacuate |
+      | restore  |
       | status   |
--- a/tests/scenarios/processes.feature
+++ b/tests/scenarios/processes.feature
@@ -46,6 +46,37 @@
     Then agent-1 received none of them
     And the history has no faults
 
+  Scenario: A data centre is evacuated while requests are in progress
+    When callers send 240 requests while kumasi is evacuated at entry-1
+    Then every caller has one outcome and the history has no faults
+    And every kind has completed requests
+    And no request on agent-1 was interrupted
+
+  Scenario: Nothing is started in an evacuated data centre until it is restored
+    When kumasi is evacuated by an operator at entry-1
+    And 5 s pass
+    And callers send 60 requests through both entries
+    Then no agent in kumasi received any of them
+    When all entries and agents are killed and restarted
+    And callers send 60 requests through both entries
+    Then no agent in kumasi received any of them
+    When the log goes down
+    And agent-1 is killed and restarted
+    And entry-2 is killed and restarted
+    And callers send 60 requests through both entries
+    Then no agent in kumasi received any of them
+    When the log comes back
+    And kumasi is restored by an operator at entry-2
+    And 5 s pass
+    And callers send 60 requests through both entries
+    Then agents in kumasi received some of them
+    And the history has no faults
+
+  Scenario: Two operators evacuate and restore a data centre at once
+    When kumasi is evacuated by an operator at entry-1
+    And two operators restore it and evacuate it again on the same version
+    Then the restore is accepted, and both entries show kumasi as restored
+
   Scenario: Of two concurrent configurations, one is accepted at every entry
     When two operators publish on the same base version at both entries
     Then one is accepted and one is superseded
--- a/tests/scenarios/test_cmdline.py
+++ b/tests/scenarios/test_cmdline.py
@@ -27,11 +27,14 @@
     code: int = -1
     output: str = ""
     errors: str = ""
+    command: str = ""
     publications: list = field(default_factory=list)
 
     def run(self, command):
+        self.command = command
         paths = {p.name: str(p) for p in EXAMPLES.iterdir()}
         paths["saved"] = str(self.folder / "saved")
+        paths["long"] = "a" * 64
         words = command.split()
         for index, word in enumerate(words):
             if word.startswith("{"):
@@ -45,6 +48,7 @@
 @pytest.fixture
 def shell(tmp_path, capsys, monkeypatch):
     monkeypatch.setattr("dotterelspread.verbs.apply.READ_BACK_INTERVAL_S", 0)
+    monkeypatch.setattr("dotterelspread.verbs.centrechange.REPEAT_INTERVAL_S", 0)
     with open_entry() as entry:
         yield Shell(entry, tmp_path, capsys)
 
@@ -55,6 +59,12 @@
     shell.entry.reply(READ, 200, {"version": version, "text": "teams: {}\n"})
 
 
+@given(parsers.parse("the evacuations have version {version:d}"))
+def _(shell, version):
+    rows = [{"ready": True, "evacuation_version": version}]
+    shell.entry.reply("GET /v1/operator/status", 200, {"status": rows})
+
+
 @given(parsers.parse('version {version:d} is in force with the text of "{name}"'))
 def _(shell, version, name):
     shell.entry.reply(READ, 200, {"version": version, "text": example_text(name)})
@@ -146,10 +156,29 @@
     assert document["base_version"] == version
 
 
+@then(parsers.parse("the change was based on version {version:d}"))
+def _(shell, version):
+    (document,) = changes(shell)
+    assert document["base_version"] == version
+    assert document["author"] == "ama"
+    assert document.get("allow_last", False) == ("--last" in shell.command)
+
+
+@then(parsers.parse("each of {count:d} changes was based on version {version:d}"))
+def _(shell, count, version):
+    bases = [document["base_version"] for document in changes(shell)]
+    assert bases == [version] * count
+
+
 @then("nothing was sent")
 def _(shell):
     assert shell.entry.seen == []
 
 
+def changes(shell):
+    prefix = "POST /v1/operator/data-centres/"
+    return [body for call, body, _ in shell.entry.seen if call.startswith(prefix)]
+
+
 def publications(shell):
     return [document for call, document, _ in shell.entry.seen if call == PUBLISH]
--- a/tests/scenarios/test_processes.py
+++ b/tests/scenarios/test_processes.py
@@ -75,7 +75,21 @@
     post(site.url("log") + "/control", {"down": False})
 
 
+def change_centre(site, entry, action, base_version=-1):
+    """Evacuate or restore Kumasi through an entry."""
+    url = f"{site.url(entry)}/v1/operator/data-centres/{KUMASI.data_centre}/{action}"
+    return post(url, {"base_version": base_version, "author": entry})
+
+
+def status(site, entry):
+    (row,) = get(site.url(entry) + "/v1/operator/status")["status"]
+    return row
+
+
 FAILURES = {
+    "kumasi is evacuated at entry-1": lambda site: change_centre(
+        site, "entry-1", "evacuate"
+    ),
     "agent-1 is killed": lambda site: kill(site, "agent-1"),
     "agent-1 is frozen for 3 s": lambda site: freeze(site, "agent-1"),
     "agent-2 is killed and restarted": lambda site: kill_and_restart(site, "agent-2"),
@@ -136,6 +150,45 @@
     post(f"{site.url(entry)}/v1/operator/instances/{name}/drain", {})
 
 
+@when("kumasi is evacuated by an operator at entry-1")
+def _(site):
+    assert change_centre(site, "entry-1", "evacuate")["result"] == "accepted"
+
+
+@when("kumasi is restored by an operator at entry-2")
+def _(site):
+    base_version = status(site, "entry-2")["evacuation_version"]
+    result = change_centre(site, "entry-2", "restore", base_version)
+    assert result["result"] == "accepted"
+
+
+@when("the log goes down")
+def _(site):
+    post(site.url("log") + "/control", {"down": True})
+
+
+@when("the log comes back")
+def _(site):
+    post(site.url("log") + "/control", {"down": False})
+
+
+@when(parsers.re(r"(?P<name>(entry|agent)-\d) is killed and restarted"))
+def _(site, name):
+    kill_and_restart(site, name)
+    site.wait_ready(name)
+
+
+@when(
+    "two operators restore it and evacuate it again on the same version",
+    target_fixture="results",
+)
+def _(site):
+    base = status(site, "entry-1")["evacuation_version"]
+    calls = (("entry-1", "restore"), ("entry-2", "evacuate"))
+    with ThreadPoolExecutor() as pool:
+        return list(pool.map(lambda call: change_centre(site, *call, base), calls))
+
+
 @when(parsers.parse("{seconds:d} s pass"))
 def _(seconds):
     time.sleep(seconds)
@@ -204,6 +257,37 @@
     assert len(callers.collect_runs(AGENTS)["agent-1"]) == len(before)
 
 
+def new_runs_in_kumasi(callers):
+    runs_by_agent = callers.collect_runs(AGENTS)
+    return sum(
+        len(runs_by_agent[name]) - len(callers.noted_runs_by_agent[name])
+        for name in ("agent-1", "agent-2")
+    )
+
+
+@then("no agent in kumasi received any of them")
+def _(callers):
+    assert new_runs_in_kumasi(callers) == 0
+
+
+@then("agents in kumasi received some of them")
+def _(callers):
+    assert new_runs_in_kumasi(callers) > 0
+
+
+@then("the restore is accepted, and both entries show kumasi as restored")
+def _(site, results):
+    # The evacuation either came first and changed nothing, or came too late.
+    assert results[0]["result"] == "accepted"
+    assert results[1]["result"] in ("unchanged", "superseded")
+    deadline_s = time.monotonic() + CONFIGURATION_TIMEOUT_S
+    while any(status(site, name)["evacuated"] for name in ENTRIES):
+        assert time.monotonic() < deadline_s, [status(site, n) for n in ENTRIES]
+        time.sleep(0.1)
+    (version,) = {status(site, name)["evacuation_version"] for name in ENTRIES}
+    assert version == results[0]["version"]
+
+
 @then("one is accepted and one is superseded")
 def _(results):
     assert sorted(result["result"] for result in results) == ["accepted", "superseded"]
