Count only the wait that a read asked for as proof that a stream was idle

Cause: since the first read of a follower asks for no wait, a slow reply to it counted as if the log had waited 2 s or 5 s, so the stream could seem to have been read to its end later than it was. Leases rely on that time.

Change: the reader keeps the wait of its latest read. The first read after a failure asks for no wait either, so that a follower knows soon after an outage that it has read all.

--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -167,6 +167,7 @@
         "duplicates",
         "malformed",
         "position",
+        "sent_wait_s",
         "sequences",
         "stream",
         "wait_s",
@@ -177,11 +178,18 @@
         self.position = position
         self.sequences = sequences or WriterSequences()
         self.wait_s = wait_s
+        #: Wait that the latest read asked for.
+        self.sent_wait_s = wait_s
         self.backoff = Backoff(rng)
         self.caught_up_s = None
         self.malformed = 0
         self.duplicates = 0
 
+    def send_read(self, wait_s):
+        """Return the effect that reads on, waiting for records up to ``wait_s``."""
+        self.sent_wait_s = wait_s
+        return ReadSent(self.position, wait_s)
+
     def take(self, records):
         """Move past ``records`` and return the entries among them that are new."""
         entries = []
@@ -207,14 +215,14 @@
 
 @reduce.register
 def _(event: FollowStarted, state):
-    # The first read does not wait, since its reply tells the follower of an idle stream
-    # that it has read all.
-    return [ReadSent(state.position, 0.0)]
+    # The first read, and the first after a failure, do not wait, since their replies
+    # tell the follower of an idle stream that it has read all.
+    return [state.send_read(0.0)]
 
 
 @reduce.register
 def _(event: ReadRetryDue, state):
-    return [ReadSent(state.position, state.wait_s)]
+    return [state.send_read(0.0)]
 
 
 @reduce.register
@@ -224,10 +232,10 @@
     entries = state.take(event.reply.records)
     caught_up_s = None
     if state.position == event.reply.extent.next:
-        caught_up_s = _caught_up_s(event, state.wait_s)
+        caught_up_s = _caught_up_s(event, state.sent_wait_s)
         state.caught_up_s = caught_up_s
     batch = Batch(state.stream, from_offset, entries, state.position, caught_up_s)
-    return [Delivered(batch), ReadSent(state.position, state.wait_s)]
+    return [Delivered(batch), state.send_read(state.wait_s)]
 
 
 def _caught_up_s(event, wait_s):
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1,6 +1,7 @@
 import random
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis import given, settings
 
 from dotterelspread.log import Extent, LoggedRecord, ReadReply
@@ -8,7 +9,11 @@
 from dotterelspread.reducer import reduce
 from dotterelspread.stream import (
     MAX_WRITERS,
+    READ_WAIT_S,
+    FollowStarted,
     ReadReplied,
+    ReadRetryDue,
+    ReadSent,
     StreamReader,
     WriterSequences,
 )
@@ -58,3 +63,15 @@
     assert delivered.batch.caught_up_s == 5.0
     (delivered, _) = reduce(ReadReplied(8.1, 6.0, ReadReply(Extent(0, 2), ())), reader)
     assert 7.9 < delivered.batch.caught_up_s <= 8.0
+
+
+@pytest.mark.parametrize("event", [FollowStarted(4.0), ReadRetryDue(4.0)])
+def test_a_first_read_is_answered_at_once_and_proves_no_later_time(event):
+    # A follower of an idle stream would know late that it has read all. A slow reply to
+    # a read without wait must not count as if the log had waited: leases rely on it.
+    reader = a_reader()
+    assert reduce(event, reader) == [ReadSent(0, 0.0)]
+    slow = ReadReplied(4.0 + 2 * READ_WAIT_S, 4.0, ReadReply(Extent(0, 0), ()))
+    (delivered, following) = reduce(slow, reader)
+    assert delivered.batch.caught_up_s == 4.0
+    assert following == ReadSent(0, READ_WAIT_S)
