Wait longer in reads of the evacuations, and state the bound that follows

Cause: one more stream read with waits of 2 s costs 208 bytes/s, which would bring an agent of the largest fleet from 1.91 to 2.12 KB/s, above its 2 KB/s (docs/CAPACITY.md).

Change: idle reads wait 10 s at agents and 30 s at entries, which do not judge starts. Peers are asked 1 s after that; tasks wait after 12 s without a read. Where the log can be read, a start stops with the record as before; for agents that cannot read it the stated bound is 15 s, with up to two silent peers. A scenario with real processes covers tasks.

--- a/dotterelspread/agentnode.py
+++ b/dotterelspread/agentnode.py
@@ -9,7 +9,7 @@
 
 from .backend import open_backend
 from .configurationpart import ConfigurationPart
-from .evacuationpart import EvacuationPart
+from .evacuationpart import AGENT_READ_WAIT_S, EvacuationPart
 from .interferencepart import InterferencePart
 from .memberpart import MemberPart
 from .node import boottime_s
@@ -142,7 +142,7 @@
         configuration.on_change(tasks.configure)
         configuration.on_change(interference.configure)
         configuration.on_change(summaries.configure)
-        evacuations = EvacuationPart(node)
+        evacuations = EvacuationPart(node, AGENT_READ_WAIT_S)
         _join_evacuations(evacuations, requests, tasks, settings.data_centre)
         join_parts(members, configuration, evacuations)
         node.parts = [
--- a/dotterelspread/entrynode.py
+++ b/dotterelspread/entrynode.py
@@ -7,7 +7,7 @@
 from .configurationpart import ConfigurationPart
 from .entrypart import EntryPart
 from .evacuationhttp import EvacuationHttp
-from .evacuationpart import EvacuationPart
+from .evacuationpart import ENTRY_READ_WAIT_S, EvacuationPart
 from .gen.peer.ttypes import Load
 from .jobpart import JobPart
 from .memberpart import MemberPart
@@ -65,7 +65,7 @@
     settings = node.settings
     members = MemberPart(node, announcement(node), Load)
     configuration = ConfigurationPart(node)
-    evacuations = EvacuationPart(node)
+    evacuations = EvacuationPart(node, ENTRY_READ_WAIT_S)
     join_parts(members, configuration, evacuations)
     entry = EntryPart(node, members)
     jobs = JobPart(node, members)
--- a/dotterelspread/evacuationpart.py
+++ b/dotterelspread/evacuationpart.py
@@ -26,19 +26,27 @@
 from .replicapart import ReplicaPart
 from .snapshot import decode_state
 
-__all__ = ["MAX_AGE_S", "EvacuationPart"]
-
-#: Seconds that an idle read waits, within which a stalled connection is detected.
-READ_WAIT_S = 2.0
-#: Seconds since the stream was read to its end after which a peer is asked.
-STALE_AFTER_S = 3.0
+__all__ = [
+    "AGENT_READ_WAIT_S",
+    "ENTRY_READ_WAIT_S",
+    "MAX_AGE_S",
+    "EvacuationPart",
+]
+
+#: Seconds that an idle read waits: each costs some 450 bytes, and processes may spend
+#: 2 KB/s on all control. An entry may wait longer, since agents judge starts.
+AGENT_READ_WAIT_S = 10.0
+ENTRY_READ_WAIT_S = 30.0
+#: Seconds since the stream was read to its end, less the wait, after which a peer is
+#: asked.
+STALE_MARGIN_S = 1.0
 #: Interval in seconds between checks whether a peer is to be asked.
 CHECK_INTERVAL_S = 0.5
 #: Timeout in seconds of a query to a peer.
 QUERY_TIMEOUT_S = 1.0
 #: Seconds since the stream was read to its end after which no task is started: one may
 #: have been evacuated since. Claims need the log anyway.
-MAX_AGE_S = 5.0
+MAX_AGE_S = 12.0
 #: Longest interval in seconds between checks that the stream has the version in force.
 MAX_RECONCILE_INTERVAL_S = 60.0
 #: Limit in seconds for appending a change; reading it back may take as long again.
@@ -54,16 +62,19 @@
     Parameters
     ----------
     node : Node
+    read_wait_s : float
+        Seconds that an idle read of the stream waits.
     """
 
-    def __init__(self, node):
+    def __init__(self, node, read_wait_s):
         super().__init__(node)
+        self._stale_after_s = read_wait_s + STALE_MARGIN_S
         self.state = EvacuationsInForce(node.now_s())
         #: Callable that returns the addresses of peers that may have the state.
         self.find_addresses = tuple
         self._change_listeners = []
         self.replica = ReplicaPart(
-            node, STREAM, EvacuationState, self._take_stream_effect, READ_WAIT_S
+            node, STREAM, EvacuationState, self._take_stream_effect, read_wait_s
         )
 
     @property
@@ -100,7 +111,7 @@
         reconcile_s = self.node.now_s() + _reconcile_delay_s(rng)
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self.age_s > STALE_AFTER_S:
+            if self.age_s > self._stale_after_s:
                 await self._ask_peer()
             if self.node.now_s() >= reconcile_s:
                 reconcile_s = self.node.now_s() + _reconcile_delay_s(rng)
--- a/dotterelspread/requestpart.py
+++ b/dotterelspread/requestpart.py
@@ -150,8 +150,10 @@
 
     async def _run(self, run):
         if not self.is_ready:
-            unknown = "evacuated data centre" if self.is_configured else "configuration"
-            refused = Refused(RefusalReason.NOT_READY, f"no {unknown} is known")
+            detail = "no configuration is known"
+            if self.is_configured:
+                detail = "the evacuated data centres are not known yet"
+            refused = Refused(RefusalReason.NOT_READY, detail)
             return message_from_outcome(refused, self.load())
         now_s = self.node.now_s()
         waiter = asyncio.get_running_loop().create_future()
--- a/tests/scenarios/task_processes.feature
+++ b/tests/scenarios/task_processes.feature
@@ -27,6 +27,19 @@
     Then the job's tasks are all cancelled within 20 s
     And no task of the job is running
 
+  Scenario: Tasks of an evacuated data centre end there, and others wait
+    When a job of 9 tasks with 8 cores and 8 s each is submitted
+    And all its tasks run
+    And the data centre is evacuated
+    And 5 s pass
+    And a job of one task is submitted
+    Then the first job's tasks are all completed, and none was released
+    And the second job waits since its data centre is evacuated
+    When agent-1 is killed and restarted
+    Then the second job waits since its data centre is evacuated
+    When the data centre is restored
+    Then the second job's task is completed within 30 s
+
   Scenario: A job that fits on no instance is refused immediately
     When a job of one task with 99 cores is submitted
     Then it is refused with status 422 and reason never-fits, and is not run
--- a/tests/scenarios/test_task_processes.py
+++ b/tests/scenarios/test_task_processes.py
@@ -172,6 +172,64 @@
         assert all(run["stopped_s"] is not None for _, run in task_runs)
 
 
+def change_centre(site, action, **fields):
+    """Evacuate or restore the data centre of all agents."""
+    (row,) = get(site.url("entry-1") + "/v1/operator/status")["status"]
+    body = {"base_version": row["evacuation_version"], "author": "ama", **fields}
+    path = f"/v1/operator/data-centres/{KUMASI.data_centre}/{action}"
+    result = post(site.url("entry-1") + path, body)
+    assert result["result"] == "accepted"
+
+
+@when("the data centre is evacuated")
+def _(site):
+    change_centre(site, "evacuate", allow_last=True)
+
+
+@when("the data centre is restored")
+def _(site):
+    change_centre(site, "restore")
+
+
+@when(parsers.parse("{seconds:d} s pass"))
+def _(seconds):
+    time.sleep(seconds)
+
+
+@when("agent-1 is killed and restarted")
+def _(site):
+    site.kill("agent-1")
+    site.restart("agent-1")
+    site.wait_ready("agent-1")
+
+
+@when("a job of one task is submitted", target_fixture="waiting_id")
+def _(site):
+    task = {"program": "sleep", "arguments": ["1"], "cores": 1, "memory": "1GiB"}
+    job = {"team": "contracts", "tasks": [task | {"run_time": "1s"}]}
+    return post(site.url("entry-1") + "/v1/jobs", job)["job_id"]
+
+
+@then("the first job's tasks are all completed, and none was released")
+def _(site, job_id):
+    wait_for_states(site, job_id, "completed", 30)
+    assert all(len(runs) == 1 for runs in runs_by_task(site, job_id).values())
+
+
+@then("the second job waits since its data centre is evacuated")
+def _(site, waiting_id):
+    time.sleep(3)
+    (task,) = job_tasks(site, waiting_id)
+    assert task["state"] == "pending"
+    assert "data centre kumasi was evacuated by ama" in task["explanation"]
+    assert runs_by_task(site, waiting_id) == {}
+
+
+@then(parsers.parse("the second job's task is completed within {seconds:d} s"))
+def _(site, waiting_id, seconds):
+    wait_for_states(site, waiting_id, "completed", seconds)
+
+
 @when("a job of one task with 99 cores is submitted", target_fixture="problem")
 def _(site):
     task = {"program": "sleep", "cores": 99, "memory": "1GiB", "run_time": "8s"}
