Read the evacuations on at once after a record

Cause: a reply with records proves only that the log was read when the read was sent. With waits of 10 s, the evacuations seemed up to 20 s old after a change, so tasks of all data centres waited for up to 8 s. A scenario with real processes found it ("have not been read for 12 s" in place of the evacuation).

--- a/dotterelspread/evacuationpart.py
+++ b/dotterelspread/evacuationpart.py
@@ -74,7 +74,12 @@
         self.find_addresses = tuple
         self._change_listeners = []
         self.replica = ReplicaPart(
-            node, STREAM, EvacuationState, self._take_stream_effect, read_wait_s
+            node,
+            STREAM,
+            EvacuationState,
+            self._take_stream_effect,
+            read_wait_s,
+            rechecks=True,
         )
 
     @property
--- a/dotterelspread/logclient.py
+++ b/dotterelspread/logclient.py
@@ -86,7 +86,14 @@
         """
         return await self._appender(stream).append(record, timeout_s)
 
-    async def follow(self, stream, from_offset, sequences=None, wait_s=READ_WAIT_S):
+    async def follow(
+        self,
+        stream,
+        from_offset,
+        sequences=None,
+        wait_s=READ_WAIT_S,
+        rechecks=False,
+    ):
         """Yield a `Batch` for each read, also when it brings nothing new.
 
         Parameters
@@ -98,13 +105,17 @@
         wait_s : float
             Seconds that an idle read waits; bounds how long a stalled connection goes
             undetected.
+        rechecks : bool
+            As for `StreamReader`.
 
         Raises
         ------
         TruncatedError
             When the records at the position have expired.
         """
-        reader = StreamReader(stream, from_offset, self.rng, sequences, wait_s)
+        reader = StreamReader(
+            stream, from_offset, self.rng, sequences, wait_s, rechecks
+        )
         async for batch in self.follow_reader(reader):
             yield batch
 
@@ -119,7 +130,7 @@
                 raise TruncatedError(action.oldest)
             effects = reduce(await self._perform_read(action, reader), reader)
 
-    async def keep(self, replica, dispatch, wait_s=REPLICA_READ_WAIT_S):
+    async def keep(self, replica, dispatch, wait_s=REPLICA_READ_WAIT_S, rechecks=False):
         """Keep a `Replica` up to date until cancelled.
 
         Parameters
@@ -127,13 +138,14 @@
         replica : Replica
         dispatch : callable
             Reduces an event with the replica as the state, and performs the effects.
-        wait_s : float
+        wait_s, rechecks
             As for `follow`.
         """
         dispatch(ReplicaStarted(self.clock()))
         while True:
             sequences = replica.sequences
-            follow = self.follow(replica.stream, replica.next_offset, sequences, wait_s)
+            position = (replica.stream, replica.next_offset, sequences)
+            follow = self.follow(*position, wait_s, rechecks)
             try:
                 async with contextlib.aclosing(follow):
                     async for batch in follow:
--- a/dotterelspread/replicapart.py
+++ b/dotterelspread/replicapart.py
@@ -52,12 +52,23 @@
         Called with the effects of the state itself.
     wait_s : float
         Seconds that an idle read of the stream waits.
+    rechecks : bool
+        As for `StreamReader`.
     """
 
-    def __init__(self, node, stream, make_state, on_effect, wait_s=REPLICA_READ_WAIT_S):
+    def __init__(
+        self,
+        node,
+        stream,
+        make_state,
+        on_effect,
+        wait_s=REPLICA_READ_WAIT_S,
+        rechecks=False,
+    ):
         super().__init__(node)
         self._on_effect = on_effect
         self._wait_s = wait_s
+        self._rechecks = rechecks
         self._query_task = None
         #: Callable that returns the addresses of peers that may have the state.
         self.find_addresses = tuple
@@ -69,7 +80,9 @@
         """Follow the stream until cancelled."""
         async with asyncio.TaskGroup() as group:
             log_client = self.node.log_client
-            keep = log_client.keep(self.state, self.dispatch, self._wait_s)
+            keep = log_client.keep(
+                self.state, self.dispatch, self._wait_s, self._rechecks
+            )
             group.create_task(keep)
             while True:
                 await asyncio.sleep(SNAPSHOT_CHECK_INTERVAL_S)
--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -159,6 +159,11 @@
     rng : random.Random
     sequences : WriterSequences, optional
         As of ``position``, from a snapshot.
+    wait_s : float
+        Seconds that a read waits for the first record.
+    rechecks : bool
+        Whether a reply with records is followed by a read without wait, which proves a
+        later end of the stream; for streams that rarely change.
     """
 
     __slots__ = (
@@ -167,17 +172,27 @@
         "duplicates",
         "malformed",
         "position",
+        "rechecks",
         "sent_wait_s",
         "sequences",
         "stream",
         "wait_s",
     )
 
-    def __init__(self, stream, position, rng, sequences=None, wait_s=READ_WAIT_S):
+    def __init__(
+        self,
+        stream,
+        position,
+        rng,
+        sequences=None,
+        wait_s=READ_WAIT_S,
+        rechecks=False,
+    ):
         self.stream = stream
         self.position = position
         self.sequences = sequences or WriterSequences()
         self.wait_s = wait_s
+        self.rechecks = rechecks
         #: Wait that the latest read asked for.
         self.sent_wait_s = wait_s
         self.backoff = Backoff(rng)
@@ -235,7 +250,9 @@
         caught_up_s = _caught_up_s(event, state.sent_wait_s)
         state.caught_up_s = caught_up_s
     batch = Batch(state.stream, from_offset, entries, state.position, caught_up_s)
-    return [Delivered(batch), state.send_read(state.wait_s)]
+    is_recheck_due = state.rechecks and event.reply.records
+    wait_s = 0.0 if is_recheck_due else state.wait_s
+    return [Delivered(batch), state.send_read(wait_s)]
 
 
 def _caught_up_s(event, wait_s):
--- a/tests/test_evacuationpart.py
+++ b/tests/test_evacuationpart.py
@@ -153,3 +153,20 @@
         assert "not been read" in process.part.find_withholding("takoradi")
 
     run_virtually(scenario())
+
+
+def test_tasks_elsewhere_do_not_wait_after_a_change():
+    # A reply with records proves only that the log was read when the read was sent,
+    # which may be a whole wait ago.
+    async def scenario():
+        site = Site(2)
+        await asyncio.sleep(9)
+        base = -1
+        for change in (evacuate, restore):
+            result = await change(site.processes[0], base=base)
+            base = result.centre.version
+            for _ in range(290):
+                await asyncio.sleep(0.1)
+                assert site.processes[1].part.find_withholding("takoradi") == ""
+
+    run_virtually(scenario())
