--- a/dotterelspread/stream.py
+++ b/dotterelspread/stream.py
@@ -159,6 +159,11 @@
     rng : random.Random
     sequences : WriterSequences, optional
         As of ``position``, from a snapshot.
+    wait_s : float
+        Seconds that a read waits for the first record.
+    rechecks : bool
+        Whether a reply with records is followed by a read without wait, which proves a
+        later end of the stream; for streams that rarely change.
     """
 
     __slots__ = (
@@ -167,21 +172,39 @@
         "duplicates",
         "malformed",
         "position",
+        "rechecks",
+        "sent_wait_s",
         "sequences",
         "stream",
         "wait_s",
     )
 
-    def __init__(self, stream, position, rng, sequences=None, wait_s=READ_WAIT_S):
+    def __init__(
+        self,
+        stream,
+        position,
+        rng,
+        sequences=None,
+        wait_s=READ_WAIT_S,
+        rechecks=False,
+    ):
         self.stream = stream
         self.position = position
         self.sequences = sequences or WriterSequences()
         self.wait_s = wait_s
+        self.rechecks = rechecks
+        #: Wait that the latest read asked for.
+        self.sent_wait_s = wait_s
         self.backoff = Backoff(rng)
         self.caught_up_s = None
         self.malformed = 0
         self.duplicates = 0
 
+    def send_read(self, wait_s):
+        """Return the effect that reads on, waiting for records up to ``wait_s``."""
+        self.sent_wait_s = wait_s
+        return ReadSent(self.position, wait_s)
+
     def take(self, records):
         """Move past ``records`` and return the entries among them that are new."""
         entries = []
@@ -207,12 +230,14 @@
 
 @reduce.register
 def _(event: FollowStarted, state):
-    return [ReadSent(state.position, state.wait_s)]
+    # The first read, and the first after a failure, do not wait, since their replies
+    # tell the follower of an idle stream that it has read all.
+    return [state.send_read(0.0)]
 
 
 @reduce.register
 def _(event: ReadRetryDue, state):
-    return [ReadSent(state.position, state.wait_s)]
+    return [state.send_read(0.0)]
 
 
 @reduce.register
@@ -222,10 +247,12 @@
     entries = state.take(event.reply.records)
     caught_up_s = None
     if state.position == event.reply.extent.next:
-        caught_up_s = _caught_up_s(event, state.wait_s)
+        caught_up_s = _caught_up_s(event, state.sent_wait_s)
         state.caught_up_s = caught_up_s
     batch = Batch(state.stream, from_offset, entries, state.position, caught_up_s)
-    return [Delivered(batch), ReadSent(state.position, state.wait_s)]
+    is_recheck_due = state.rechecks and event.reply.records
+    wait_s = 0.0 if is_recheck_due else state.wait_s
+    return [Delivered(batch), state.send_read(wait_s)]
 
 
 def _caught_up_s(event, wait_s):
