Spread the processes and workers of the soak over three data centres

Cause: all were in one data centre, so none could be evacuated. Change: entries, agents and workers are in kumasi, obuasi or axim by their number, in their settings and their heartbeats; the template of the settings takes the data centre, for which tests/test_platform_processes.py gives the one that it had. The three tests of tests/test_platform_processes.py pass.

--- a/soak/site.py
+++ b/soak/site.py
@@ -17,6 +17,7 @@
 from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE, with_query
 from tests.fleetchecker import Checker
 
+from .places import data_centre_of
 from .store import SoakStore
 from .workers import SoakWorker
 
@@ -54,6 +55,7 @@
         self.role = role
         self.name = f"{role}-{number}"
         self.host = f"127.{site.block}.{1 if role == 'entry' else 2}.{number + 1}"
+        self.data_centre = data_centre_of(number)
         #: Relay between the process and the store.
         self.relay = Relay(f"{site.store_host}:{STORE_PORT}")
         #: Relay between an agent and the leader.
@@ -72,6 +74,7 @@
             PROCESS_SETTINGS.format(
                 name=self.name,
                 host=self.host,
+                zone=self.data_centre,
                 port=PEER_PORT,
                 worker=f"{self.host}:{WORKER_PORT}",
                 front=FRONT_PORT,
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -9,6 +9,8 @@
 from tests.builders_platform import HEARTBEAT, WorkerStandIn
 from tests.builders_worker import VirtualWorker
 
+from .places import data_centre_of
+
 __all__ = ["SoakWorker"]
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -37,6 +39,7 @@
         #: Whether a fault is active on the worker; other faults then skip it.
         self.has_fault = False
         super().__init__(site, number)
+        self.data_centre = data_centre_of(number)
 
     def begin_incarnation(self):
         """Restart with a new clock and without runs."""
@@ -84,6 +87,7 @@
         told = self.announcement()
         heartbeat = HEARTBEAT | {
             "Service": told.service,
+            "Zone": told.data_centre,
             "State": "draining" if told.is_draining else "ready",
             "Sequence": told.sequence,
             "Labels": ["a", told.rack],
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -77,6 +77,7 @@
         "store": f"127.0.0.1:{ports.a}",
         "worker": f"127.0.0.1:{ports.b}",
         "port": ports.c,
+        "zone": "kumasi",
         "front": ports.d,
         "ready": ports.e,
         "control": ports.f,
