Evacuate data centres in the soak, and check that nothing starts there

Cause: no soak was run with evacuations; all figures on them are of the virtual fleet. Change: the fault `evacuate` writes the key of one data centre or of two, or of a name that no worker has, and revokes it later, at most two at a time, along with a killed leader, a failing store, cut agents, a suspended process or nothing. A start that its worker receives more than 5 s after the evacuation is a violation; one that the worker executes late counts from its receipt, since no agent can recall it. The write succeeds in each mode of the store, which is the stricter case. The summary of a run names the evacuations and the latest start after one.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .evacuationfaults import evacuate
 from .pathfaults import (
     cut_agents,
     cut_store,
@@ -50,6 +51,8 @@
     drain_worker,
     delay_orders,
     fail_tasks,
+    evacuate,
+    evacuate,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,4 +44,6 @@
             )
     accepted = sum(job.is_accepted for job in callers.jobs_by_id.values())
     summary = f"{accepted} of {len(callers.jobs_by_id)} jobs accepted"
-    return site.checker.violations, f"{summary}, {site.checker.runs} runs"
+    summary += f", {site.checker.runs} runs, {site.evacuations.count} evacuations"
+    latest = f"latest start {site.evacuations.max_start_delay_s:.2f} s after one"
+    return site.checker.violations, f"{summary}, {latest}"
--- a/soak/site.py
+++ b/soak/site.py
@@ -17,6 +17,7 @@
 from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE, with_query
 from tests.fleetchecker import Checker
 
+from .evacuations import Evacuations
 from .places import data_centre_of
 from .store import SoakStore
 from .workers import SoakWorker
@@ -160,6 +161,7 @@
         self.poison = set()
         self.checker = Checker(self)
         self.store = SoakStore(self.rng)
+        self.evacuations = Evacuations(self.store, self.checker)
         self.version = 0
         self.entries = [SoakProcess(self, "entry", n) for n in range(entries)]
         self.agents = [SoakProcess(self, "agent", n) for n in range(agents)]
@@ -205,8 +207,7 @@
         path = f"/extra{self.version}/"
         routes = [ROUTE, ROUTE | {"Name": "extra", "PathPrefix": path}]
         document = CONFIGURATION | {"Version": self.version, "Routes": routes}
-        record = b"\x06config" + json.dumps(document).encode()
-        self.store.records_by_topic.setdefault("keyed.op", []).append(record)
+        self.store.write_key("config", json.dumps(document).encode())
         return path
 
     def _check_addresses(self):
--- a/soak/store.py
+++ b/soak/store.py
@@ -8,6 +8,8 @@
 
 __all__ = ["SoakStore"]
 
+#: Topic of the configuration and of other keys that operators write.
+OPERATORS_TOPIC = "keyed.op"
 #: Ratio of the writes that are executed without a reply in the mode ``lost``.
 LOST_REPLY_RATIO = 0.4
 #: Time for which a call to a silent store gets no reply.
@@ -73,6 +75,11 @@
             self.holder = ""
         return _json_response({})
 
+    def write_key(self, key, value):
+        """Write a record of the operators' stream, whatever the mode."""
+        record = bytes([len(key)]) + key.encode() + value
+        self.records_by_topic.setdefault(OPERATORS_TOPIC, []).append(record)
+
     def rebalance(self):
         """Reassign the partition although no membership has changed."""
         self._assign(list(self._expiry_by_member))
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -58,6 +58,11 @@
         """Handle a call of the agent."""
         return await WorkerStandIn(self).handle(request)
 
+    async def start(self, worker_id, token, order, until_ms):
+        """Receive a start, which the worker may execute late."""
+        order.evacuated_for_s = self.fleet.evacuations.start_delay_s(self.data_centre)
+        return await super().start(worker_id, token, order, until_ms)
+
     def _start(self, worker_id, token, order, until_ms):
         is_new = order.task_id not in self.running
         answer = super()._start(worker_id, token, order, until_ms)
@@ -65,6 +70,7 @@
             return answer
         run = self.running[order.task_id]
         run.end_s = min(run.end_s, run.started_s + MAX_RUN_S)
+        self.fleet.evacuations.check_start(self, order.task_id, order.evacuated_for_s)
         if self._is_long_drained:
             text = f"{order.task_id} starts late on {self.worker_id}, which is draining"
             self.fleet.checker.violations.append(text)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,10 +10,13 @@
 
 from dotterelspread.h1client import H1Reply
 from dotterelspread.jobs.worker import RunEnd
+from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from soak.callers import Callers
-from soak.faults import restart_and_cut_off
+from soak.evacuationfaults import evacuate
 from soak.run import soak
 from soak.site import PEER_PORT, SoakError, SoakSite
+from soak.workerfaults import restart_and_cut_off
+from tests.builders_evacuation import EVACUATE_S
 
 #: Seeds of soaks that broke a promise once, each with a line on the cause.
 REGRESSIONS = Path(__file__).parent.parent / "soak" / "seeds.txt"
@@ -37,6 +40,13 @@
     assert not broken, (tmp_path / "soak.log").read_text()
 
 
+def test_nothing_is_broken_when_data_centres_are_evacuated(tmp_path):
+    # Guards against starts in an evacuated data centre while its agents, the leader or
+    # the store are away, and against jobs that wait after the data centre is restored.
+    broken, _ = asyncio.run(soak(tmp_path, 5, 9, 2, 3, (evacuate,)))
+    assert not broken, (tmp_path / "soak.log").read_text()
+
+
 def test_what_an_earlier_soak_left_running_is_named(tmp_path):
     async def scenario():
         site = SoakSite(tmp_path, 150)
@@ -116,10 +126,19 @@
 
 
 def start(site, number, job_id, run=1):
-    order = SimpleNamespace(task_id=f"{job_id}.0.0.0", run=run, program="program 1")
     worker = site.workers[number]
-    until_ms = worker.clock_ms() + 3000
-    return worker._start(worker.worker_id, 1, order, until_ms)
+    return worker._start(*make_start(worker, job_id, run))
+
+
+def make_start(worker, job_id, run=1):
+    order = SimpleNamespace(
+        task_id=f"{job_id}.0.0.0",
+        run=run,
+        program="program 1",
+        born_ms=0,
+        evacuated_for_s=0.0,
+    )
+    return worker.worker_id, 1, order, worker.clock_ms() + 3000
 
 
 def test_a_task_on_two_workers_or_after_its_end_is_found(tmp_path):
@@ -150,6 +169,55 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("name", "age_s", "is_restored", "is_found"),
+    [
+        ("kumasi", EVACUATE_S + 0.1, False, True),
+        ("kumasi", EVACUATE_S - 0.1, False, False),
+        ("kumasi", EVACUATE_S + 0.1, True, False),
+        ("obuasi", EVACUATE_S + 0.1, False, False),
+        ("nowhere", EVACUATE_S + 0.1, False, False),
+    ],
+)
+def test_a_start_in_an_evacuated_data_centre_is_found(
+    tmp_path, name, age_s, is_restored, is_found
+):
+    async def scenario():
+        callers, job_id = make_callers(tmp_path, FakeEntry(200))
+        site = callers.site
+        site.evacuations.evacuate(name)
+        site.evacuations._since_s_by_name[name] -= age_s
+        if is_restored:
+            site.evacuations.restore(name)
+        worker = site.workers[0]
+        answer, _ = await worker.start(*make_start(worker, job_id))
+        assert answer is StartAnswer.RUNNING
+        violations = site.checker.violations
+        assert ["evacuation of kumasi" in text for text in violations] == (
+            [True] if is_found else []
+        )
+
+    asyncio.run(scenario())
+
+
+def test_a_start_counts_from_when_its_worker_received_it(tmp_path):
+    # Guards against a violation where the worker executes an order late.
+    async def scenario():
+        callers, job_id = make_callers(tmp_path, FakeEntry(200))
+        site = callers.site
+        worker = site.workers[0]
+        arguments = make_start(worker, job_id)
+        worker.late_ratio = 1.0
+        with pytest.raises(WorkerReplyError):
+            await worker.start(*arguments)
+        site.evacuations.evacuate(worker.data_centre)
+        site.evacuations._since_s_by_name[worker.data_centre] -= EVACUATE_S + 0.1
+        assert worker._start(*arguments) is StartAnswer.RUNNING
+        assert not site.checker.violations
+
+    asyncio.run(scenario())
+
+
 def test_a_worker_refuses_an_order_meant_for_its_predecessor(tmp_path):
     async def scenario():
         callers, job_id = make_callers(tmp_path, FakeEntry(200))
