--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -13,6 +13,13 @@
 from dotterelspread.jobs.queues import FleetConfiguration
 from dotterelspread.jobs.records import CELL_STREAM
 from tests.builders_fleet import make_job, run_scenario
+from tests.builders_terms import (
+    cut_from_agents,
+    cut_from_store,
+    epoch_of,
+    expect_same_term,
+    leader_of,
+)
 
 #: Time from a disconnection to the next accepted request and to the next start.
 MAX_GAP_S = 4.0
@@ -29,16 +36,6 @@
 SUITABLE_COUNT = 3
 
 
-def leader_of(fleet):
-    """Return the entry whose term is confirmed by the store, or None."""
-    leading = (
-        e
-        for e in fleet.entries
-        if e.candidate.leader and e.candidate.leader.is_confirmed
-    )
-    return next(leading, None)
-
-
 class Callers:
     """Callers that submit a job at an interval, to each entry in turn."""
 
@@ -95,11 +92,6 @@
     assert leader_of(fleet) is not None
 
 
-def cut_from_store(fleet, entries, mode="silent"):
-    for entry in entries:
-        fleet.store.mode_by_node[entry.address] = mode
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("connected", range(len(SIZES["entries"])))
 def test_any_entry_that_reaches_the_store_takes_over(connected, seed):
@@ -151,15 +143,14 @@
 @pytest.mark.parametrize("outage_s", [0.5, 1.4, 1.7, 2.4, 5.0])
 def test_an_outage_of_the_store_for_all_entries_changes_no_leader(outage_s, mode, seed):
     async def scenario(fleet):
-        epoch = leader_of(fleet).candidate.leader.epoch
-        work = asyncio.ensure_future(Callers(fleet).run())
-        await fleet.settle(0.3)
-        fleet.store.mode_by_node["*"] = mode
-        await fleet.settle(outage_s)
-        fleet.store.mode_by_node.clear()
-        await fleet.settle(8)
-        work.cancel()
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        with expect_same_term(fleet):
+            work = asyncio.ensure_future(Callers(fleet).run())
+            await fleet.settle(0.3)
+            fleet.store.mode_by_node["*"] = mode
+            await fleet.settle(outage_s)
+            fleet.store.mode_by_node.clear()
+            await fleet.settle(8)
+            work.cancel()
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -178,12 +169,6 @@
     run_scenario(scenario, seed, **SIZES)
 
 
-def cut_from_agents(fleet, entries):
-    for entry in entries:
-        for agent in fleet.agents:
-            fleet.cut(entry, agent)
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("are_all_suitable_cut", [False, True])
 def test_a_leader_that_reaches_no_agents_is_replaced_by_one_that_does(
@@ -195,10 +180,9 @@
         _, started_s = await measure_gap(fleet)
         assert started_s < MAX_GAP_S
         leader = leader_of(fleet)
-        epoch = leader.candidate.leader.epoch
         assert (leader in fleet.entries[:SUITABLE_COUNT]) is not are_all_suitable_cut
-        await fleet.settle(30)
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        with expect_same_term(fleet):
+            await fleet.settle(30)
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -220,14 +204,13 @@
 @pytest.mark.parametrize("down_s", [1.0, 2.0, 3.1])
 def test_a_restart_of_all_agents_changes_no_leader(down_s, seed):
     async def scenario(fleet):
-        epoch = leader_of(fleet).candidate.leader.epoch
-        for agent in fleet.agents:
-            agent.kill()
-        await fleet.settle(down_s)
-        for agent in fleet.agents:
-            agent.start()
-        await fleet.settle(5)
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        with expect_same_term(fleet):
+            for agent in fleet.agents:
+                agent.kill()
+            await fleet.settle(down_s)
+            for agent in fleet.agents:
+                agent.start()
+            await fleet.settle(5)
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -235,10 +218,9 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_leader_stays_while_no_entry_reaches_the_agents(seed):
     async def scenario(fleet):
-        epoch = leader_of(fleet).candidate.leader.epoch
-        cut_from_agents(fleet, fleet.entries)
-        await fleet.settle(15)
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        with expect_same_term(fleet):
+            cut_from_agents(fleet, fleet.entries)
+            await fleet.settle(15)
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -307,7 +289,7 @@
         cut_from_store(fleet, suitable if are_all_suitable_cut else [leader])
         await expect_short_gap(fleet)
         await fleet.settle(3)
-        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+        assert epoch_of(fleet) == epoch + 1
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -336,9 +318,9 @@
         fleet.store.mode_by_node.clear()
         await fleet.settle(15)
         assert leader_of(fleet) in fleet.entries[:SUITABLE_COUNT]
-        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+        assert epoch_of(fleet) == epoch + 1
         await fleet.settle(15)
-        assert leader_of(fleet).candidate.leader.epoch == epoch + 1
+        assert epoch_of(fleet) == epoch + 1
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -385,14 +367,14 @@
 def test_an_unsteady_connection_to_the_store_does_not_make_the_leader_alternate(seed):
     async def scenario(fleet):
         suitable = fleet.entries[:SUITABLE_COUNT]
-        epoch = leader_of(fleet).candidate.leader.epoch
+        epoch = epoch_of(fleet)
         for _ in range(10):
             cut_from_store(fleet, suitable)
             await fleet.settle(3)
             fleet.store.mode_by_node.clear()
             await fleet.settle(3)
         # One change to an interim leader; each return waits for a steady connection.
-        assert leader_of(fleet).candidate.leader.epoch <= epoch + 3
+        assert epoch_of(fleet) <= epoch + 3
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -401,12 +383,11 @@
 def test_a_leader_stays_in_place_whose_notices_do_not_reach_some_entries(seed):
     async def scenario(fleet):
         leader = leader_of(fleet)
-        epoch = leader.candidate.leader.epoch
-        for entry in fleet.entries:
-            if entry is not leader:
-                fleet.cut(leader, entry)
-        await fleet.settle(20)
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        with expect_same_term(fleet):
+            for entry in fleet.entries:
+                if entry is not leader:
+                    fleet.cut(leader, entry)
+            await fleet.settle(20)
 
     run_scenario(scenario, seed, **SIZES)
 
@@ -422,7 +403,7 @@
             if entry is not interim:
                 fleet.cut(interim, entry)
         await fleet.settle(20)
-        assert leader_of(fleet).candidate.leader.epoch == epoch
+        assert epoch_of(fleet) == epoch
 
     run_scenario(scenario, seed, **SIZES)
 
