--- a/tests/builders_evacuation.py
+++ b/tests/builders_evacuation.py
@@ -8,10 +8,14 @@
 __all__ = [
     "EVACUATE_S",
     "FIRST_JOB_NUMBER",
+    "MAX_START_DELAY_S",
     "NORTH",
     "SOUTH",
+    "check_no_late_start",
+    "cut_off_workers",
     "delete_records",
     "evacuate",
+    "expect_completed_after_healing",
     "keep_submitting",
     "restore",
     "run_evacuation",
@@ -21,6 +25,8 @@
 
 NORTH, SOUTH = "north", "south"
 EVACUATE_S = 5.0
+#: Half of the bound is kept as a margin.
+MAX_START_DELAY_S = EVACUATE_S / 2
 #: Interval at which jobs are submitted.
 SUBMIT_INTERVAL_S = 0.1
 FIRST_JOB_NUMBER = 1000
@@ -64,6 +70,28 @@
     ]
 
 
+def check_no_late_start(fleet, name, begin_s, end_s=float("inf")):
+    """Check that nothing started in a data centre long after its evacuation."""
+    delays = starts_after(fleet, name, begin_s)
+    late = [d for d in delays if MAX_START_DELAY_S < d < end_s - begin_s]
+    assert not late, f"{name}: starts {late} s after the evacuation"
+
+
+def cut_off_workers(fleet, name, is_cut_off):
+    """Cut the workers in a data centre off from their agents, or end that."""
+    for worker in workers_in(fleet, name):
+        worker.is_cut_off = is_cut_off
+
+
+async def expect_completed_after_healing(fleet):
+    """End the faults of store and network, and expect that all jobs complete."""
+    fleet.store.mode_by_node.clear()
+    fleet.store.unreadable.clear()
+    fleet.network.partitioned.clear()
+    fleet.network.cut_pairs.clear()
+    await fleet.expect_completed(20)
+
+
 async def keep_submitting(fleet, seconds, number=FIRST_JOB_NUMBER, entry=0, count=3):
     """Submit short jobs for a while, whether they are accepted or not."""
     end_s = clock.now_s() + seconds
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -6,12 +6,15 @@
 
 from dotterelspread.platform.configuration import CONFIGURATION_STREAM
 from tests.builders_evacuation import (
-    EVACUATE_S,
     FIRST_JOB_NUMBER,
+    MAX_START_DELAY_S,
     NORTH,
     SOUTH,
+    check_no_late_start,
+    cut_off_workers,
     delete_records,
     evacuate,
+    expect_completed_after_healing,
     keep_submitting,
     restore,
     run_evacuation,
@@ -20,15 +23,6 @@
 )
 from tests.builders_fleet import CallOutcome, kill_leader, make_job, make_step
 
-#: Half of the bound is kept as a margin.
-MAX_START_DELAY_S = EVACUATE_S / 2
-
-
-def check_no_late_start(fleet, name, begin_s, end_s=float("inf")):
-    delays = starts_after(fleet, name, begin_s)
-    late = [d for d in delays if MAX_START_DELAY_S < d < end_s - begin_s]
-    assert not late, f"{name}: starts {late} s after the evacuation"
-
 
 @pytest.mark.parametrize("store_delay_s", [0.004, 0.04])
 def test_nothing_starts_in_an_evacuated_data_centre(store_delay_s):
@@ -219,8 +213,7 @@
         begin_s = evacuate(fleet, SOUTH)
         await keep_submitting(fleet, 9, number)
         check_no_late_start(fleet, SOUTH, begin_s)
-        fleet.store.unreadable.clear()
-        await fleet.expect_completed(20)
+        await expect_completed_after_healing(fleet)
         check_no_late_start(fleet, SOUTH, begin_s)
 
     run_evacuation(scenario)
@@ -240,9 +233,7 @@
         fleet.network.lost_orders = False
         await fleet.settle(6)
         check_no_late_start(fleet, SOUTH, begin_s)
-        fleet.store.mode_by_node.clear()
-        fleet.store.unreadable.clear()
-        await fleet.expect_completed(20)
+        await expect_completed_after_healing(fleet)
         check_no_late_start(fleet, SOUTH, begin_s)
 
     run_evacuation(scenario)
@@ -266,7 +257,7 @@
         del network.outcome_of
         network.partitioned.clear()
         await submitting
-        await fleet.expect_completed(20)
+        await expect_completed_after_healing(fleet)
         check_no_late_start(fleet, SOUTH, begin_s)
 
     run_evacuation(scenario)
@@ -293,9 +284,7 @@
         for agent in south:
             fleet.network.cut_pairs.discard(frozenset({earlier.address, agent.address}))
         await fleet.settle(10)
-        fleet.network.cut_pairs.clear()
-        fleet.store.mode_by_node.clear()
-        await fleet.expect_completed(20)
+        await expect_completed_after_healing(fleet)
         check_no_late_start(fleet, SOUTH, begin_s)
 
     run_evacuation(scenario)
@@ -303,13 +292,11 @@
 
 def test_starts_that_workers_answer_late_are_not_retried_there():
     async def scenario(fleet):
-        for worker in workers_in(fleet, SOUTH):
-            worker.is_cut_off = True
+        cut_off_workers(fleet, SOUTH, True)
         await fleet.submit(make_job(1, (make_step(count=12),)))
         begin_s = evacuate(fleet, SOUTH)
         await fleet.settle(3)
-        for worker in workers_in(fleet, SOUTH):
-            worker.is_cut_off = False
+        cut_off_workers(fleet, SOUTH, False)
         await fleet.settle(2)
         check_no_late_start(fleet, SOUTH, begin_s)
         await fleet.expect_completed(20)
