Share the cut of all near and large entries among the tests of interim leaders

Cause: four tests cut these entries off from the store and waited for the interim leader in the same lines. Change: `replace_suitable_leader` does both and returns the leader.

--- a/tests/test_leader_cut_off.py
+++ b/tests/test_leader_cut_off.py
@@ -92,6 +92,13 @@
     assert leader_of(fleet) is not None
 
 
+async def replace_suitable_leader(fleet):
+    """Cut the near and large entries off from the store; return the interim leader."""
+    cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
+    await expect_short_gap(fleet)
+    return leader_of(fleet)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("connected", range(len(SIZES["entries"])))
 def test_any_entry_that_reaches_the_store_takes_over(connected, seed):
@@ -255,9 +262,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_an_interim_leader_that_is_lost_is_replaced_by_another(seed):
     async def scenario(fleet):
-        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
-        await expect_short_gap(fleet)
-        cut_from_store(fleet, [leader_of(fleet)])
+        cut_from_store(fleet, [await replace_suitable_leader(fleet)])
         await expect_short_gap(fleet)
 
     run_scenario(scenario, seed, **SIZES)
@@ -309,9 +314,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_leadership_returns_once_to_a_near_and_large_entry(seed):
     async def scenario(fleet):
-        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
-        await expect_short_gap(fleet)
-        interim = leader_of(fleet)
+        interim = await replace_suitable_leader(fleet)
         epoch = interim.candidate.leader.epoch
         await fleet.settle(12)
         assert leader_of(fleet) is interim
@@ -328,9 +331,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_callers_see_no_gap_when_leadership_returns(seed):
     async def scenario(fleet):
-        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
-        await expect_short_gap(fleet)
-        interim = leader_of(fleet)
+        interim = await replace_suitable_leader(fleet)
         fleet.store.mode_by_node.clear()
         await fleet.settle(1)
         number = 1000
@@ -395,9 +396,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_an_interim_leader_stays_whose_notices_do_not_reach_another_stand_in(seed):
     async def scenario(fleet):
-        cut_from_store(fleet, fleet.entries[:SUITABLE_COUNT])
-        await expect_short_gap(fleet)
-        interim = leader_of(fleet)
+        interim = await replace_suitable_leader(fleet)
         epoch = interim.candidate.leader.epoch
         for entry in fleet.entries[SUITABLE_COUNT:]:
             if entry is not interim:
