Let callers of the soak require a rack, so that each data centre has work due

Change: three tenths of the short jobs require the label of the rack of one data centre, so tasks wait for it while it is evacuated; the stand-in's document of a job states that label.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 from tests.builders_fleet import make_job, make_step
 from tests.builders_platform import job_document, job_state
 
+from .places import RACKS
 from .site import FRONT_PORT
 
 __all__ = ["Callers"]
@@ -18,6 +19,8 @@
 DEADLINE_S = 3.5
 MAX_SUBMIT_INTERVAL_S = 0.5
 MAX_ATTEMPTS = 4
+#: Ratio of the short jobs that require one rack, so that each data centre has work due.
+ONE_RACK_RATIO = 0.3
 #: Ratio of the jobs whose tasks outlast each lease.
 LONG_JOB_RATIO = 0.2
 LONG_RUN_S = 12.0
@@ -84,11 +87,12 @@
         rng = self.site.rng
         if rng.random() < LONG_JOB_RATIO:
             return self._make_long_spec(number)
-        steps = [make_step(count=rng.randint(1, 5))]
+        label = rng.choice(RACKS) if rng.random() < ONE_RACK_RATIO else ""
+        steps = [make_step(count=rng.randint(1, 5), required_label=label)]
         if rng.random() < 0.4:
-            steps.append(make_step(count=2, depends_on=(0,)))
+            steps.append(make_step(count=2, depends_on=(0,), required_label=label))
         if rng.random() < 0.1:
-            steps = [make_step(count=3, is_gang=True)]
+            steps = [make_step(count=3, is_gang=True, required_label=label)]
         spec = make_job(number, steps)
         self.site.durations[spec.job_id] = rng.choice((0.3, 0.6, 2.0))
         return spec
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -145,6 +145,7 @@
             "EstimateMs": step.estimate_ms,
             "DependsOn": step.depends_on,
             "Gang": step.is_gang,
+            "Requirements": step.required_label,
         }
         for step in spec.steps
     ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,7 +43,7 @@
 def test_nothing_is_broken_when_data_centres_are_evacuated(tmp_path):
     # Guards against starts in an evacuated data centre while its agents, the leader or
     # the store are away, and against jobs that wait after the data centre is restored.
-    broken, _ = asyncio.run(soak(tmp_path, 5, 9, 2, 3, (evacuate,)))
+    broken, _ = asyncio.run(soak(tmp_path, 5, 10, 2, 3, (evacuate,)))
     assert not broken, (tmp_path / "soak.log").read_text()
 
 
