--- a/soak/site.py
+++ b/soak/site.py
@@ -14,9 +14,12 @@
 from dotterelspread.platform.settings import SETTINGS_VARIABLE
 from dotterelspread.processsettings import FleetBounds
 from standins.relaycore import Relay
-from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE, with_query
+from tests.builders_platform import CONFIGURATION, PROCESS_SETTINGS, ROUTE
+from tests.builders_standins import with_query
 from tests.fleetchecker import Checker
 
+from .evacuations import Evacuations
+from .places import data_centre_of
 from .store import SoakStore
 from .workers import SoakWorker
 
@@ -54,6 +57,7 @@
         self.role = role
         self.name = f"{role}-{number}"
         self.host = f"127.{site.block}.{1 if role == 'entry' else 2}.{number + 1}"
+        self.data_centre = data_centre_of(number)
         #: Relay between the process and the store.
         self.relay = Relay(f"{site.store_host}:{STORE_PORT}")
         #: Relay between an agent and the leader.
@@ -72,6 +76,7 @@
             PROCESS_SETTINGS.format(
                 name=self.name,
                 host=self.host,
+                zone=self.data_centre,
                 port=PEER_PORT,
                 worker=f"{self.host}:{WORKER_PORT}",
                 front=FRONT_PORT,
@@ -157,6 +162,7 @@
         self.poison = set()
         self.checker = Checker(self)
         self.store = SoakStore(self.rng)
+        self.evacuations = Evacuations(self.store, self.checker)
         self.version = 0
         self.entries = [SoakProcess(self, "entry", n) for n in range(entries)]
         self.agents = [SoakProcess(self, "agent", n) for n in range(agents)]
@@ -202,8 +208,7 @@
         path = f"/extra{self.version}/"
         routes = [ROUTE, ROUTE | {"Name": "extra", "PathPrefix": path}]
         document = CONFIGURATION | {"Version": self.version, "Routes": routes}
-        record = b"\x06config" + json.dumps(document).encode()
-        self.store.records_by_topic.setdefault("keyed.op", []).append(record)
+        self.store.write_key("config", json.dumps(document).encode())
         return path
 
     def _check_addresses(self):
--- a/soak/workers.py
+++ b/soak/workers.py
@@ -6,9 +6,12 @@
 from dotterelspread.h1client import H1Client, H1Error
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.workeradapter import StartAnswer
-from tests.builders_platform import HEARTBEAT, WorkerStandIn
+from tests.builders_platform import HEARTBEAT
+from tests.builders_standins import WorkerStandIn
 from tests.builders_worker import VirtualWorker
 
+from .places import data_centre_of
+
 __all__ = ["SoakWorker"]
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -37,6 +40,7 @@
         #: Whether a fault is active on the worker; other faults then skip it.
         self.has_fault = False
         super().__init__(site, number)
+        self.data_centre = data_centre_of(number)
 
     def begin_incarnation(self):
         """Restart with a new clock and without runs."""
@@ -55,6 +59,11 @@
         """Handle a call of the agent."""
         return await WorkerStandIn(self).handle(request)
 
+    async def start(self, worker_id, token, order, until_ms):
+        """Receive a start, which the worker may execute late."""
+        order.evacuated_for_s = self.fleet.evacuations.start_delay_s(self.data_centre)
+        return await super().start(worker_id, token, order, until_ms)
+
     def _start(self, worker_id, token, order, until_ms):
         is_new = order.task_id not in self.running
         answer = super()._start(worker_id, token, order, until_ms)
@@ -62,6 +71,7 @@
             return answer
         run = self.running[order.task_id]
         run.end_s = min(run.end_s, run.started_s + MAX_RUN_S)
+        self.fleet.evacuations.check_start(self, order.task_id, order.evacuated_for_s)
         if self._is_long_drained:
             text = f"{order.task_id} starts late on {self.worker_id}, which is draining"
             self.fleet.checker.violations.append(text)
@@ -84,6 +94,7 @@
         told = self.announcement()
         heartbeat = HEARTBEAT | {
             "Service": told.service,
+            "Zone": told.data_centre,
             "State": "draining" if told.is_draining else "ready",
             "Sequence": told.sequence,
             "Labels": ["a", told.rack],
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -91,7 +91,7 @@
 PROCESS_SETTINGS = """
 NodeName = "{name}"
 Ip = "{host}"
-Zone = "kumasi"
+Zone = "{zone}"
 Region = "ashanti"
 InternalPorts = [{port}, {port}]
 app = "{worker}"
@@ -118,6 +118,7 @@
             "EstimateMs": step.estimate_ms,
             "DependsOn": step.depends_on,
             "Gang": step.is_gang,
+            "Requirements": step.required_label,
         }
         for step in spec.steps
     ]
