--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "HoldStandIn",
+    "PresetWorker",
     "StoreStandIn",
     "WorkerStandIn",
     "run_on_loopback",
@@ -197,6 +198,22 @@
         return _json_response(200, {"ClockMs": 5000, "born": self.born_ms})
 
 
+class PresetWorker:
+    """Answers the calls of an agent with preset replies and records them."""
+
+    def __init__(self):
+        self.replies = []
+        self.calls = []
+        #: Headers of the replies.
+        self.headers = {}
+
+    async def handle(self, request):
+        body = json.loads(request.body)
+        self.calls.append((request.path, request.headers, body))
+        status, answer = self.replies.pop(0)
+        return H1Response(status, json.dumps(answer).encode(), self.headers)
+
+
 def _decode_order(body):
     return SimpleNamespace(
         task_id=body["Task"],
