--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -6,7 +6,8 @@
 from ..decisionlog import log_decision
 from ..supervision import log_unexpected
 from . import clock
-from .agentreach import SAMPLE_SIZE, reaches_agents, reaches_any_agent
+from .agentcomparison import AgentComparison
+from .agentreach import reaches_any_agent
 from .committing import DeposedError
 from .eligibility import Move, Standing, choose_move, failback_wait_s, vacancy_s
 from .entrysizes import EntrySizes
@@ -33,8 +34,6 @@
 CLAIM_TIMEOUT_DELAY_S = 3.0
 #: Delay of the next attempt of an entry that reached no agents to replace a stand-in.
 FAILBACK_RETRY_DELAY_S = 5.0
-#: Interval between probes of agents that the leader and this entry do not reach.
-PROBE_INTERVAL_S = 1.0
 #: A term that is lost after a shorter time delays the next replacement of a stand-in.
 SHORT_TERM_S = 60.0
 #: Largest offset of an entry's claims that are not its turn.
@@ -76,6 +75,7 @@
         self.leader = None
         self._group = GroupMember(settings, journal)
         self._sizes = EntrySizes(settings, journal)
+        self._agent_comparison = AgentComparison(pool, view, self._sizes)
         self._started_s = clock.now_s()
         self._nodes_refreshed_s = clock.now_s()
         self._term_task = None
@@ -94,9 +94,6 @@
         self._store_failed_s = float("-inf")
         #: Since when the own term is not confirmed or reaches no agents.
         self._own_fault_since_s = None
-        #: When this entry first reached agents that the leader does not reach.
-        self._cut_off_since_s = None
-        self._next_probe_s = self._started_s
         digest = zlib.crc32(settings.instance_id.encode())
         self._offset_s = MAX_OFFSET_S * (digest % 1000) / 1000
 
@@ -107,7 +104,7 @@
         while True:
             began_s = clock.now_s()
             await self._refresh_nodes_if_due()
-            await self._compare_agents()
+            await self._agent_comparison.update(self.leader is not None)
             await self._check_store()
             await self._take_part()
             elapsed_s = clock.now_s() - began_s
@@ -167,6 +164,7 @@
         now_s = clock.now_s()
         view = self.view
         sizes = self._sizes
+        cut_off_since_s = self._agent_comparison.cut_off_since_s
         is_claiming = self._term_task is not None and self.leader is None
         return Standing(
             has_configuration=self.configuration().version >= 0,
@@ -179,8 +177,8 @@
             watched_s=now_s - self._term_ended_s,
             notice_age_s=now_s - view.last_notice_s if view.last_notice_s else None,
             unconfirmed_s=_age_s(now_s, view.unconfirmed_since_s),
-            cut_off_s=_age_s(now_s, self._cut_off_since_s),
-            shares_agent_loss=bool(view.lost_agents) and self._cut_off_since_s is None,
+            cut_off_s=_age_s(now_s, cut_off_since_s),
+            shares_agent_loss=bool(view.lost_agents) and cut_off_since_s is None,
             is_leader_suitable=sizes.is_suitable_leader(view.address),
             leader_known_s=now_s - view.epoch_known_s,
             store_works_s=now_s - self._store_failed_s,
@@ -195,21 +193,6 @@
             self._own_fault_since_s = now_s
         return _age_s(now_s, self._own_fault_since_s)
 
-    async def _compare_agents(self):
-        """Probe agents that the leader does not reach, and note whether they answer."""
-        if self.leader is not None or not self.view.lost_agents:
-            self._cut_off_since_s = None
-            return
-        now_s = clock.now_s()
-        if self._cut_off_since_s is not None or now_s < self._next_probe_s:
-            return
-        self._next_probe_s = now_s + PROBE_INTERVAL_S
-        known = self._sizes.agent_addresses
-        lost = [a for a in self.view.lost_agents[:SAMPLE_SIZE] if a in known]
-        if await reaches_agents(self.pool, lost):
-            log_decision("leader cut off from agents", leader=self.view.address)
-            self._cut_off_since_s = clock.now_s()
-
     def receive_notice(self, notice):
         """Process a `LeaderNotice`; own terms of earlier epochs end before the reply.
 
