Give the orders of the stand-in of workers their checkpoint

The simulated worker notes the checkpoint of each start, and neither the orders that its HTTP stand-in decodes nor that of tests/test_soak.py had one. Each start over HTTP ended with an AttributeError before it was checked, so that the soak and the tests with real processes checked no starts.

Change: both have a checkpoint.

--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -221,6 +221,7 @@
         # The adapter sends orders on connections to their incarnation only.
         born_ms=0,
         program=body.get("Spec", ""),
+        checkpoint=body.get("Checkpoint", ""),
     )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -135,6 +135,7 @@
         task_id=f"{job_id}.0.0.0",
         run=run,
         program="program 1",
+        checkpoint="",
         born_ms=0,
         evacuated_for_s=0.0,
     )
