Look for long checkpoints only in jobs that have had one

Cause: since long checkpoints have records of their own, each record of a job's progress measured the checkpoint and the avoided worker of each task: 88 us for 300 started tasks, 40 us before.

Change: a job notes that a task has had a long checkpoint, kept or read from a record; others are not looked through. The builder of tests/test_checkpoints.py keeps checkpoints as the product does.

The tests of checkpoints, records, their sizes, takeover, placing and ends pass.

--- a/dotterelspread/jobs/checkpoints.py
+++ b/dotterelspread/jobs/checkpoints.py
@@ -33,6 +33,8 @@
     of them has each checkpoint with which a recorded run was started.
     """
     recorded = job.recorded_checkpoints
+    if not (job.has_long_checkpoints or recorded):
+        return [], []
     current = _long_checkpoints(job)
     changed = [key for key in current if recorded.get(key) != current[key]]
     removed = removed_checkpoint_records(job, recorded.keys() - current.keys())
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -97,6 +97,8 @@
     durations_by_step: dict[tuple[int, int], list[float]] = field(default_factory=dict)
     #: Checkpoints with a record of their own in the journal, or in an append under way.
     recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
+    #: Whether a task has had a checkpoint that needs a record of its own.
+    has_long_checkpoints: bool = False
 
     @classmethod
     def from_spec(cls, spec, now_s):
@@ -125,6 +127,7 @@
             if (occurrence, step, index) not in self.tasks_by_key:
                 raise ValueError(f"tasks: no task {occurrence}.{step}.{index}")
             self.tasks_by_key[occurrence, step, index] = task
+            self.has_long_checkpoints |= not is_inline(task.checkpoint)
             self.has_begun = True
             if task.phase != Phase.PENDING:
                 self.pending_by_step[occurrence, step] -= 1
@@ -133,11 +136,14 @@
 
     def to_record(self, keys):
         """Return a journal record of the job and of the given tasks that ever ran."""
-        tasks = [
-            (*key, _bound_size(self.tasks_by_key[key]))
-            for key in keys
-            if self.tasks_by_key[key].run
-        ]
+        tasks = []
+        for key in keys:
+            task = self.tasks_by_key[key]
+            if not task.run:
+                continue
+            if self.has_long_checkpoints or task.avoided_worker_id:
+                task = _bound_size(task)
+            tasks.append((*key, task))
         return JobRecord(self.is_cancelled, self.has_failed, self.ended_ms, tasks)
 
     @property
@@ -198,6 +204,7 @@
         """Keep a checkpoint of a task, unless it is empty or the job has ended."""
         if checkpoint and self.is_open:
             self.tasks_by_key[key].checkpoint = checkpoint
+            self.has_long_checkpoints |= not is_inline(checkpoint)
 
     def restore_checkpoints(self, checkpoints):
         """Apply the checkpoints that have records of their own to a new job.
--- a/tests/test_checkpoints.py
+++ b/tests/test_checkpoints.py
@@ -27,8 +27,9 @@
 def make_started_job(*checkpoints):
     """Return a job with a task that has started for each of the checkpoints."""
     job = Job.from_spec(make_job(1, (make_step(count=len(checkpoints)),)), 0.0)
-    for task, checkpoint in zip(job.tasks_by_key.values(), checkpoints, strict=True):
-        task.run, task.checkpoint = 1, checkpoint
+    for key, checkpoint in zip(job.tasks_by_key, checkpoints, strict=True):
+        job.tasks_by_key[key].run = 1
+        job.keep_checkpoint(key, checkpoint)
     return job
 
 
