--- a/review/stage2/worker.py
+++ b/review/stage2/worker.py
@@ -69,7 +69,10 @@
         #: Delay of the first heartbeat of a life.
         self.first_heartbeat_s = 0.0
         self.is_up = False
+        #: Tasks that have ever begun.
+        self.begun = set()
         self._record = record
+        self._acknowledged = asyncio.Event()
         self._heartbeats = None
         self._settling = None
         self.running = {}
@@ -114,10 +117,16 @@
             path = f"/api/Instances.Heartbeat/{self.worker_id}"
             try:
                 await call(self.control_address, "POST", path, body, timeout_s=1.0)
+                self._acknowledged.set()
+                self._acknowledged = asyncio.Event()
             except OSError as error:
                 self._record(f"{self.worker_id} heartbeat unanswered: {error}")
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def wait_heartbeat(self):
+        """Wait until a heartbeat that is sent after this call is acknowledged."""
+        await self._acknowledged.wait()
+
     def _heartbeat(self):
         shape = self.shape
         return {
@@ -201,6 +210,7 @@
         saved = body.get("Checkpoint", "")
         end_s = time.monotonic() + duration_s
         self.running[task] = _Run(number, end_s, how, saved)
+        self.begun.add(task)
         self._record(f"{self.worker_id} start {task} run {number}")
         self.on_start(self, task)
         return self._accept()
