--- a/review/8/case.py
+++ b/review/8/case.py
@@ -23,11 +23,9 @@
 async def play(deployment):
     """Hand jobs in for an unhealthy worker; return what breaks the rule."""
     worker = deployment.workers[0]
-    for number, one in enumerate(deployment.workers):
-        one.shape.labels = ("b" if one is worker else "a", f"r{number // 3}")
+    for one in deployment.workers:
         one.plan = lambda task: (20.0, "done")
-    # The next heartbeats tell the labels.
-    await asyncio.sleep(4)
+    await asyncio.sleep(2)
     began_s = deployment.now_s
     worker.refuses_starts = 503 if has_trouble() else 0
     step = {"Count": 1, "Cpu": 500, "MemMb": 500, "EstimateMs": 20_000}
@@ -54,4 +52,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play, workers=WORKERS))
+    kinds = [("b" if n == 0 else "a", f"r{n // 3}") for n in range(WORKERS)]
+    sys.exit(run_case(Path(__file__).parent, play, workers=WORKERS, labels=kinds))
--- a/review/stage2/deployment.py
+++ b/review/stage2/deployment.py
@@ -169,9 +169,11 @@
     entries : int, optional
     routes : list of dict, optional
         Changes to the route for each queue.
+    labels : list of tuple, optional
+        Labels of each worker from its start.
     """
 
-    def __init__(self, case, workers, entries=2, routes=({},)):
+    def __init__(self, case, workers, entries=2, routes=({},), labels=()):
         self._record_file = (case / "record.txt").open("w")
         self._began_s = time.monotonic()
         self.folder = Path(tempfile.mkdtemp(prefix="review-stage2-"))
@@ -189,6 +191,8 @@
             Worker(n, p.host, WORKER_PORT, f"{p.host}:{CONTROL_PORT}", self.record)
             for n, p in enumerate(self.agents)
         ]
+        for worker, own in zip(self.workers, labels, strict=False):
+            worker.shape.labels = own
         self._routes = routes
         self._next_front = 0
         self._runs = []
--- a/review/stage2/worker.py
+++ b/review/stage2/worker.py
@@ -213,6 +213,9 @@
         self.begun.add(task)
         self._record(f"{self.worker_id} start {task} run {number}")
         self.on_start(self, task)
+        if not self.is_up:
+            # It has crashed before it could answer.
+            return None
         return self._accept()
 
     async def _do_run_stop(self, body):
