--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,7 @@
-"""Case 7: one job that can never be done must not keep the others from being done.
+"""Case 7: two jobs that can never be done must not keep the others from being done.
 
-It is a gang for whose tasks the workers have no room together. Some small jobs of
-several steps are accepted just before it, which end the traffic.
+They are gangs for whose tasks the workers have no room together. Some small jobs of
+several steps are accepted just before them.
 """
 
 import asyncio
@@ -18,7 +18,9 @@
 START_S = 0.4
 #: Retries of a client, by the site's sheet.
 RETRIES = 4
-SMALL_JOBS = 6
+#: With the two gangs, 40 jobs in all: 5 % of them can never be done.
+SMALL_JOBS = 38
+GANGS = 2
 SMALL_STEPS = 8
 FINISH_S = 14.0
 #: Longest time for which a job may have nothing running, and how long it is watched.
@@ -26,7 +28,7 @@
 WATCH_S = 12.0
 
 
-async def _hand_in_once(deployment, steps):
+async def _hand_in(deployment, steps):
     """Hand one job in, and again after no answer, as the site's clients do."""
     target = f"/q0/{new_job_id()}"
     for _ in range(1 + RETRIES):
@@ -55,7 +57,7 @@
     for worker in deployment.workers:
         worker.plan = lambda task: (1.0, "done")
     await asyncio.sleep(4)
-    small = {"Count": 2, "Cpu": 500, "MemMb": 500, "EstimateMs": 1000}
+    small = {"Count": 1, "Cpu": 500, "MemMb": 500, "EstimateMs": 1000}
     steps = [
         small | ({"DependsOn": [number - 1]} if number else {})
         for number in range(SMALL_STEPS)
@@ -65,7 +67,8 @@
     await asyncio.sleep(START_S)
     if has_trouble():
         gang = {"Count": GANG_TASKS, "Cpu": GANG_CPU, "MemMb": 1, "EstimateMs": 1000}
-        await _hand_in_once(deployment, [gang | {"Gang": True}])
+        for _ in range(GANGS):
+            await _hand_in(deployment, [gang | {"Gang": True}])
     await asyncio.sleep(FINISH_S)
     idle = await asyncio.gather(
         *(_longest_idle_s(deployment, job_id) for job_id in job_ids)
