--- a/review/stage2/deployment.py
+++ b/review/stage2/deployment.py
@@ -148,6 +148,7 @@
             await asyncio.sleep(RESTART_S)
 
     def signal(self, number):
+        """Send a signal to the process if it runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
--- a/review/stage2/worker.py
+++ b/review/stage2/worker.py
@@ -66,6 +66,11 @@
         self.on_start = lambda worker, task: None
         #: Status with which starts are refused; 0 if they aren't.
         self.refuses_starts = 0
+        #: Time after which the next start is carried out, without an answer, by
+        #: whatever life is there; None if it is answered as usual.
+        self.next_start_delay_s = None
+        #: Called with each end that `LastSeen` reaches.
+        self.on_noted = lambda row: None
         #: Delay of the first heartbeat of a life.
         self.first_heartbeat_s = 0.0
         self.is_up = False
@@ -179,11 +184,28 @@
         if name == "run_start" and self.refuses_starts:
             self._record(f"{self.worker_id} answers a start with {self.refuses_starts}")
             return self.refuses_starts, b""
-        if body["FencingToken"] < self._token:
+        if name == "run_start" and self.next_start_delay_s is not None:
+            delay_s, self.next_start_delay_s = self.next_start_delay_s, None
+            self._record(f"{self.worker_id} start {body['Task']} late in {delay_s} s")
+            asyncio.get_running_loop().call_later(delay_s, self._start_late, body)
+            return None
+        if not self._accepts(body):
             return self._conflict("fence")
+        return await getattr(self, f"_do_{name}")(body)
+
+    def _accepts(self, body):
+        """Take a call's fencing token, or refuse a lower one than the highest seen."""
+        if body["FencingToken"] < self._token:
+            return False
         self._token = body["FencingToken"]
         self._settle()
-        return await getattr(self, f"_do_{name}")(body)
+        return True
+
+    def _start_late(self, body):
+        """Carry out a start that got no answer; it may be meant for an earlier life."""
+        if self.is_up and self._accepts(body):
+            self._record(f"{self.worker_id} carries out a late start")
+            self._start_run(body)
 
     def _conflict(self, reason):
         return json_reply(409, {"ClockMs": self.clock_ms, "Reason": reason})
@@ -197,6 +219,9 @@
         self._lease_end_s = max(self._lease_end_s, min(until_s, longest_s))
 
     async def _do_run_start(self, body):
+        return self._start_run(body)
+
+    def _start_run(self, body):
         task, number = body["Task"], body["RunId"]
         run = self.running.get(task)
         if run is not None and run.run == number:
@@ -233,6 +258,9 @@
     async def _do_hold(self, body):
         if body.get("UntilMs"):
             self._extend(body["UntilMs"])
+        for row in self._ended:
+            if row[0] <= body["LastSeen"]:
+                self.on_noted(row)
         self._ended = [row for row in self._ended if row[0] > body["LastSeen"]]
         end_s = time.monotonic() + min(2000, body.get("WaitMs", 0)) / 1000
         while not self._ended and time.monotonic() < end_s:
