Call a worker that is gone each 4 ms while a start may still be executed

What callers saw: a start that got no answer was executed by the next incarnation of its worker within 10 ms of the start of that, before the agent, which called it each 20 ms, had fenced it. The task was done, or ran elsewhere after its worker had left as announced: it ran twice.

Cause: no call can be sure to come first; how long the next incarnation is open depends on how often the agent calls.

Change: for 15 s after a start without an answer, and after the start of the agent's process, which does not know what an earlier one sent, a worker that is gone is called each 4 ms. Without such a start the interval stays.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -75,6 +75,9 @@
         #: When the worker is no longer cold, by its latest heartbeat.
         self.cold_until_ms = 0
         self.departure = Departure()
+        #: When a start last got no answer, which the worker may still execute. An
+        #: earlier process of the agent may have sent one.
+        self.start_unanswered_ms = clock_ms()
         self.answered_ms = clock_ms()
         #: When the leader last polled this agent.
         self._polled_ms = 0
@@ -260,6 +263,12 @@
         if successor.worker_id != self.worker_id:
             self._adopt(successor)
 
+    def retry_interval_s(self):
+        """Return the delay before a failed call to the worker is retried."""
+        return self.departure.retry_interval_s(
+            self.clock_ms(), self.start_unanswered_ms
+        )
+
     def lease_until_ms(self):
         """Return the granted end of the lease on the worker's clock; 0 if none."""
         if self.grant.until_ms <= self.clock_ms():
--- a/dotterelspread/jobs/departure.py
+++ b/dotterelspread/jobs/departure.py
@@ -13,6 +13,10 @@
 #: The same while its process is expected to end, or another incarnation to begin, which
 #: takes calls to the earlier one until the agent has called it.
 EXPECTING_RETRY_INTERVAL_S = 0.02
+#: The same after a start without an answer, which the next incarnation may execute.
+LATE_START_RETRY_INTERVAL_S = 0.004
+#: Time after which a start without an answer is no longer executed.
+LATE_START_TIMEOUT_MS = 15_000
 #: Time after the end of a process in which another incarnation is expected.
 RESTART_TIMEOUT_MS = 15_000
 
@@ -39,15 +43,26 @@
         """Whether the worker has shut down as announced."""
         return self.is_gone and self._announced_ms is not None
 
-    def retry_interval_s(self, now_ms):
-        """Return the delay before a failed call to the worker is retried."""
+    def retry_interval_s(self, now_ms, start_unanswered_ms):
+        """Return the delay before a failed call to the worker is retried.
+
+        Parameters
+        ----------
+        now_ms : int
+        start_unanswered_ms : int
+            When a start was last left unanswered.
+        """
         if self.is_gone:
             is_change_due = now_ms - self._gone_ms <= RESTART_TIMEOUT_MS
         elif self._announced_ms is not None:
             is_change_due = now_ms - self._announced_ms <= SHUTDOWN_TIMEOUT_MS
         else:
             is_change_due = False
-        return EXPECTING_RETRY_INTERVAL_S if is_change_due else RETRY_INTERVAL_S
+        if not is_change_due:
+            return RETRY_INTERVAL_S
+        if now_ms - start_unanswered_ms <= LATE_START_TIMEOUT_MS:
+            return LATE_START_RETRY_INTERVAL_S
+        return EXPECTING_RETRY_INTERVAL_S
 
     def announce(self, now_ms):
         """Record that the worker says that it shuts down."""
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -136,6 +136,7 @@
         except WorkerUnsentError:
             raise
         except WorkerReplyError as error:
+            self._agent.start_unanswered_ms = self._agent.clock_ms()
             return None, str(error)
         return self._interpret(answer, token), answer.name.lower()
 
--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -111,10 +111,8 @@
 
     async def _wait_to_retry(self):
         self._heartbeat.clear()
-        agent = self._agent
-        interval_s = agent.departure.retry_interval_s(agent.clock_ms())
         with suppress(TimeoutError):
-            async with asyncio.timeout(interval_s):
+            async with asyncio.timeout(self._agent.retry_interval_s()):
                 await self._heartbeat.wait()
 
     def _log_first_listing(self, listing, session_number):
--- a/tests/test_residual_leases.py
+++ b/tests/test_residual_leases.py
@@ -92,10 +92,10 @@
     agent.worker.next_start_delay_s = LATE_START_S
     await fleet.submit(LONG_JOB)
     while agent.worker.next_start_delay_s is not None:
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(0.0001)
     agent.worker.crash()
     # The agent has not called the later incarnation when the start is executed.
-    begin_s = LATE_START_S - 0.002
+    begin_s = LATE_START_S - 0.00015
     asyncio.get_running_loop().call_later(begin_s, agent.worker.begin_incarnation)
     await fleet.settle(cut_after_s)
     if then is not None:
