Repeat a first call to an incarnation without an answer after 20 ms

Cause: the first attempt of such a call waited 0.1 s for an answer, the second one 0.2 s.

Change: three short attempts of 20, 110 and 170 ms take the place of two of 100 and 200 ms, so that the long one begins at the same time as before. The second attempt still waits long enough for a worker that answers after 0.1 s (tests/test_agentpart.py).

--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -12,12 +12,10 @@
 
 #: Longest time that a worker waits for the end of a run before it lists its runs.
 LISTING_POLL_TIMEOUT_MS = 500
-#: Timeout of the first attempt of a call to what may be another incarnation. It doubles
-#: with each, and the last one has that of the adapter. Until one is executed, an
-#: incarnation takes calls to earlier ones.
-FIRST_ATTEMPT_TIMEOUT_S = 0.1
-#: Number of attempts with such timeouts.
-MAX_SHORT_ATTEMPTS = 2
+#: Timeouts of the first attempts of a call to what may be another incarnation, which
+#: takes calls to earlier ones until one attempt is executed. The last attempt has the
+#: timeout of the adapter. The first one is shorter than a busy worker may take.
+SHORT_ATTEMPT_TIMEOUTS_S = (0.02, 0.11, 0.17)
 #: Longest wait for the leader to acknowledge ended runs before they are listed again.
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
 
@@ -79,9 +77,9 @@
 
     async def _call(self, worker_id):
         """Return the worker's lists, by several attempts if it may have restarted."""
-        for attempt in range(MAX_SHORT_ATTEMPTS if self._is_urgent() else 0):
+        for timeout_s in SHORT_ATTEMPT_TIMEOUTS_S if self._is_urgent() else ():
             with suppress(TimeoutError):
-                async with asyncio.timeout(FIRST_ATTEMPT_TIMEOUT_S * 2**attempt):
+                async with asyncio.timeout(timeout_s):
                     return await self._hold(worker_id)
         return await self._hold(worker_id)
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -1,5 +1,7 @@
 """Starts that are executed late, by a later incarnation than they were meant for."""
 
+import asyncio
+
 import pytest
 
 from tests.builders_fleet import kill_leader
@@ -16,6 +18,10 @@
 UNANSWERED_WINDOW_S = 0.5
 #: Time in which the agent makes that call, which it repeats later at the earliest.
 FIRST_CALL_S = 0.05
+#: The same window if that call is lost once.
+LOST_CALL_WINDOW_S = 0.04
+#: Time in which only the first call is made.
+LOST_CALL_S = 0.01
 #: Longer than any lease.
 LEASES_S = 14.0
 
@@ -41,6 +47,18 @@
     await fleet.settle(3.0)
 
 
+async def restart_with_a_lost_call_after_done(fleet):
+    """Restart the worker of a task that is done; the agent's first call is lost."""
+    agent = await start_with_late_copy(fleet, SHORT_RUN_S, 6.0)
+    await fleet.settle(ACKNOWLEDGED_S)
+    agent.worker.crash()
+    agent.worker.late_hold_ratio = 1.0
+    await agent.worker.begin_before_late_start(LOST_CALL_WINDOW_S)
+    await asyncio.sleep(LOST_CALL_S)
+    agent.worker.late_hold_ratio = 0.0
+    await fleet.settle(3.0)
+
+
 async def reboot_after_done_without_leader(fleet):
     """Restart the worker of a task that is done, its agent and the leader."""
     agent = await start_with_late_copy(fleet, SHORT_RUN_S, 6.0)
@@ -102,6 +120,7 @@
     [
         restart_after_done,
         restart_without_answer_after_done,
+        restart_with_a_lost_call_after_done,
         reboot_after_done_without_leader,
         restart_while_cut_off,
         reboot_while_cut_off,
