--- a/tests/test_pacesending.py
+++ b/tests/test_pacesending.py
@@ -38,7 +38,7 @@
         pacer=OnePacer(),
         listing=SimpleNamespace(running=()),
         pacing_facts=PacingFacts(),
-        session=WorkerSession(),
+        session=WorkerSession(first_number=1),
         adapter=SimpleNamespace(pace=pace),
     )
     asyncio.run(send_paces(agent))
