Count leases of earlier leaders for workers that have reported to their successor

What callers saw: a task ran twice at the same time, for 4 s and more. An agent followed a new leader; its process started again while it reached only the leader before that, which still grants leases without the store. The new leader counted the lease from its own last contact and started the task elsewhere.

Change: until the earlier leaders have ended, the end of the leases that they may grant counts for all workers, not only for those that have not reported.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -70,6 +70,9 @@
     run_times: RunTimes = field(default_factory=RunTimes)
     #: Whether no earlier leader grants leases any more.
     are_earlier_terms_over: bool = True
+    #: Leader's clock after which every lease granted by earlier leaders has expired, if
+    #: they may still grant any.
+    earlier_lease_end_s: float = 0.0
     #: Number of times that the grants to any worker were suspended in this term.
     suspension_count: int = 0
     #: Leader's clock before which nothing is placed, so that all workers report first.
--- a/dotterelspread/jobs/leasesuspension.py
+++ b/dotterelspread/jobs/leasesuspension.py
@@ -53,6 +53,10 @@
 def _(event: EarlierTermsEnded, cell):
     cell.are_earlier_terms_over = True
     for worker in cell.workers_by_id.values():
-        if not worker.has_reported and not worker.may_hold_residual_lease:
+        # Another end was counted from a report, or is that of a residual lease.
+        is_assumed = (
+            not worker.has_reported or worker.lease_end_s == cell.earlier_lease_end_s
+        )
+        if is_assumed and not worker.may_hold_residual_lease:
             worker.lease_end_s = min(worker.lease_end_s, event.lease_end_s)
     return []
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -138,6 +138,10 @@
         # obsolete.
         worker.lease_end_s = event.lease_end_s
     worker.lease_end_s = max(worker.lease_end_s, event.lease_end_s)
+    if not cell.are_earlier_terms_over:
+        # The agent's next process may follow an earlier leader, and the worker takes
+        # its calls.
+        worker.lease_end_s = max(worker.lease_end_s, cell.earlier_lease_end_s)
     update_residual_lease(cell, worker, event)
     if worker.may_hold_residual_lease:
         worker.lease_end_s = max(worker.lease_end_s, event.residual_lease_end_s)
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -252,6 +252,7 @@
     residual_s = lease_end_s(now_s, bounds.max_lease_ms)
     # A previous leader that has not noticed the failover may still grant leases.
     granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.lease_ms)
+    cell.earlier_lease_end_s = granted_s
     epoch_by_id = read_suspended_workers(snapshot.records_by_key)
     suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
 
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -175,6 +175,62 @@
     run_scenario(scenario, entries=(1.0, 1.0, 1.0), late_entries=1)
 
 
+async def wait_followed(leader, agent):
+    """Wait until an agent follows a leader and its worker has reported to that."""
+    while agent.agent.epoch != leader.epoch:
+        await asyncio.sleep(0.001)
+    worker_id = agent.worker.worker_id
+    while not (
+        worker_id in leader.cell.workers_by_id
+        and leader.cell.workers_by_id[worker_id].has_reported
+    ):
+        await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("followed_s", [0.0, 0.6])
+def test_a_task_is_not_started_twice_after_its_agent_has_forgotten_the_later_leader(
+    followed_s,
+):
+    # The worker takes the calls of the agent's next process, whichever leader it
+    # follows: that process must not extend a lease for longer than the later leader,
+    # which it does not reach, counts on.
+    async def scenario(fleet):
+        newcomer = fleet.entries[2]
+        fleet.durations[SERVING_JOB.job_id] = LONG_S
+        await fleet.submit(SERVING_JOB)
+        await fleet.settle(2)
+        worker = worker_that_runs(fleet, TASK_ID)
+        agent = fleet.agents[worker.number]
+        first = next(e for e in fleet.entries if e.candidate.leader)
+        cut_off_other_entries(fleet, newcomer)
+        fleet.store.mode_by_node[first.address] = "silent"
+        for unreachable in set(fleet.agents) - {agent}:
+            fleet.cut(first, unreachable)
+        # A read of the new nodes may be under way.
+        await fleet.settle(2.5)
+        newcomer.start()
+        while newcomer.candidate.leader is None:
+            await asyncio.sleep(0.0005)
+        fleet.cut(first, agent)
+        await wait_followed(newcomer.candidate.leader, agent)
+        # In the longer time the worker is called under the token of a later session.
+        await fleet.settle(followed_s)
+        fleet.cut(newcomer, agent)
+        agent.kill()
+        # The earlier leader's poll of the agent's earlier process is over.
+        await fleet.settle(1)
+        agent.start()
+        fleet.network.cut_pairs.discard(frozenset({first.address, agent.address}))
+        await fleet.settle(2)
+        # The other entries answer the earlier leader, which grants for 10 s.
+        assert agent.agent.epoch == first.candidate.leader.epoch
+        assert worker_that_runs(fleet, TASK_ID) is worker
+        await fleet.settle(20)
+        assert worker_that_runs(fleet, TASK_ID) not in (None, worker)
+
+    run_scenario(scenario, entries=(1.0, 1.0, 1.0), late_entries=1)
+
+
 def test_a_task_is_not_started_twice_by_an_entry_whose_answers_are_waived():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
--- a/tests/test_leasesuspension.py
+++ b/tests/test_leasesuspension.py
@@ -98,3 +98,14 @@
     reduce(replace(event, report=unreachable), cell)
     reduce(CellTick(10.1, 0), cell)
     assert grants_of(cell) is LeaseGrants.ALLOWED
+
+
+def test_leases_of_earlier_leaders_count_for_reported_workers_until_they_have_ended():
+    cell = make_cell()
+    cell.are_earlier_terms_over = False
+    cell.earlier_lease_end_s = 40.0
+    reduce(make_report(0, 10.0), cell)
+    reduce(make_report(0, 10.5), cell)
+    assert cell.workers_by_id[WORKER_ID].lease_end_s == 40.0
+    reduce(EarlierTermsEnded(11.0, 16.0), cell)
+    assert cell.workers_by_id[WORKER_ID].lease_end_s == 16.0
