Move an agent that another process of it has fenced to the time of day at once

Cause: since each process begins at the time of day, and its first call fences the other one, which passed that number in steps of 1, 2, 4 .. s with one refused call each. Its numbers then were ahead of the time of day, too, so that a process that started soon after began at an earlier number.

Change: after the first refusal the session is the time of day, unless it is already later; further refusals are passed in steps as before. tests/test_workersession.py names the time of day in its one call of pass_refused.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -61,6 +61,7 @@
         self.listing = None
         self.listed_ms = 0
         self.ended = EndedRuns()
+        self._wall_clock_ms = wall_clock_ms
         self.session = WorkerSession(wall_clock_ms())
         self.grant = LeaseGrant(max_lease_ms, clock_ms)
         self._max_lease_ms = max_lease_ms
@@ -294,7 +295,7 @@
 
     def pass_refused_session(self):
         """Begin a later session after the worker has refused the token as outdated."""
-        self.session.pass_refused()
+        self.session.pass_refused(self._wall_clock_ms())
         self._unbound_residual_lease()
 
     async def watch(self, query):
--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -15,8 +15,8 @@
 
 #: Largest number that every worker represents exactly.
 MAX_SESSION_NUMBER = 2**53 - 1
-#: Distance to the next session after the first refused token, in milliseconds of the
-#: time of day. It doubles with each refusal that follows.
+#: Distance to the next session after a refused token that was not earlier than the time
+#: of day, in milliseconds. It doubles with each refusal that follows.
 FIRST_REFUSAL_STEP_MS = 1000
 #: Largest such distance, so that no series of refusals uses the numbers up.
 MAX_REFUSAL_STEP_MS = 3_600_000
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_confirmed_number",
+        "_has_passed_to_time",
         "_has_reported",
         "_is_reported",
         "_refusal_step_ms",
@@ -60,6 +61,8 @@
         #: earlier epoch of one with the same incarnation.
         self.has_been_confirmed = False
         self._refusal_step_ms = FIRST_REFUSAL_STEP_MS
+        #: Whether the token is the time of day after a refusal.
+        self._has_passed_to_time = False
 
     @property
     def token(self):
@@ -118,16 +121,22 @@
         """Begin a session with another incarnation."""
         self._begin(self.number + 1)
 
-    def pass_refused(self):
+    def pass_refused(self, time_of_day_ms):
         """Begin a later session after the worker has refused the token as outdated.
 
-        An earlier process of the agent has begun sessions that no leader has heard of.
+        Another process of the agent has begun sessions that no leader has heard of. The
+        time of day passes them, unless it was set back since.
         """
+        if time_of_day_ms > self.number and not self._has_passed_to_time:
+            self._begin(time_of_day_ms)
+            self._has_passed_to_time = True
+            return
         self._begin(self.number + self._refusal_step_ms)
         self._refusal_step_ms = min(2 * self._refusal_step_ms, MAX_REFUSAL_STEP_MS)
 
     def accept(self):
         """Record that the worker has accepted the token."""
+        self._has_passed_to_time = False
         self._refusal_step_ms = FIRST_REFUSAL_STEP_MS
 
     def _begin(self, number):
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -10,13 +10,16 @@
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.jobs.workerpolling import LISTING_POLL_TIMEOUT_MS
+from dotterelspread.jobs.workersession import WorkerSession
 from tests.builders_agent import (
     HEARTBEAT,
+    AnsweringWorker,
     clock_ms,
     make_query,
     make_start,
     run_agent,
 )
+from tests.virtualloop import run_virtually
 
 LAST_END = EndedRun(3, "t", 1, RunEnd.COMPLETED, "")
 STRANGER = replace(HEARTBEAT, worker_id="i-9", born_ms=9000, service="other")
@@ -319,6 +322,30 @@
     run_agent(scenario)
 
 
+@pytest.mark.parametrize("uptime_ms", [3_600_000, 30 * 24 * 3_600_000])
+def test_an_agent_is_not_refused_for_long_after_a_call_of_another_process(uptime_ms):
+    # Without lease renewals, everything that the worker runs would end.
+    async def run():
+        worker = AnsweringWorker()
+        earlier = Agent(worker, 4000, clock_ms, lambda: clock_ms() + uptime_ms)
+        earlier.session = WorkerSession(clock_ms())
+        loop = asyncio.ensure_future(earlier.run())
+        await begin_confirmed_session(earlier)
+        worker.token = clock_ms() + uptime_ms
+        await earlier.watch(make_query(earlier.session.number))
+        for _ in range(4):
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            reply = await earlier.watch(make_query(0))
+            await earlier.watch(make_query(reply.session))
+        assert earlier.is_in_session
+        assert earlier.session.token >= worker.token
+        # A process that starts later has a later token still.
+        assert earlier.session.token <= clock_ms() + uptime_ms
+        loop.cancel()
+
+    run_virtually(run())
+
+
 def test_an_agent_that_no_leader_polls_does_not_fence_another_process_of_it():
     async def scenario(agent, worker):
         await begin_confirmed_session(agent)
--- a/tests/test_workersession.py
+++ b/tests/test_workersession.py
@@ -101,7 +101,7 @@
     # The worker has seen the tokens of the later leader.
     session = make_session(3, 0)
     for _ in range(30):
-        session.pass_refused()
+        session.pass_refused(1)
     session.follow(4)
     session.confirm(0)
     tokens = [session.token]
