Count a residual lease again when a later leader tells of an unknown session

What callers saw: a task may run on under a lease that no leader counts. The time of day was set back between two processes of an agent, and a leader that had not heard of the earlier one polled the later one first; the next leader had.

Cause: once a process had told any leader a number, no number that a leader told counted as that of another process.

Change: a number counts as that of another process if it is higher than what this one has told, and than the next one, by which a leader asks for a session.

--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -38,8 +38,8 @@
     __slots__ = (
         "_confirmed_number",
         "_has_passed_to_time",
-        "_has_reported",
         "_is_reported",
+        "_latest_reported",
         "_refusal_step_ms",
         "epoch",
         "has_been_confirmed",
@@ -55,8 +55,8 @@
         self._confirmed_number = 0
         #: Whether this process has told the leader of this epoch the number.
         self._is_reported = False
-        #: Whether this process has told any leader a number.
-        self._has_reported = False
+        #: Latest number that this process has told any leader; None if none.
+        self._latest_reported = None
         #: Whether the leader of this epoch has heard of the session, or that of an
         #: earlier epoch of one with the same incarnation.
         self.has_been_confirmed = False
@@ -101,7 +101,7 @@
             Whether an earlier process has begun a session that is not earlier, so that
             the worker may have taken its calls too.
         """
-        is_behind = (number or 0) >= self.number and not self._has_reported
+        is_behind = (number or 0) >= self.number and self._is_of_other_process(number)
         if number is None:
             number = self.number
         elif number > self.number or not self._is_reported and number == self.number:
@@ -114,9 +114,17 @@
 
     def report(self):
         """Return the number for a reply to the leader."""
-        self._is_reported = self._has_reported = True
+        self._is_reported = True
+        self._latest_reported = self.number
         return self.number
 
+    def _is_of_other_process(self, number):
+        """Tell whether only another process can have told a leader of a number.
+
+        A leader asks for the next session by the number after the latest.
+        """
+        return self._latest_reported is None or number > self._latest_reported + 1
+
     def begin_next(self):
         """Begin a session with another incarnation."""
         self._begin(self.number + 1)
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -322,6 +322,18 @@
     run_agent(scenario)
 
 
+def test_a_lease_may_last_on_if_a_later_leader_has_heard_of_a_later_token():
+    # A leader that had not heard of the earlier process has polled this one first.
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        bounded_ms = agent.residual_lease.remaining_ms()
+        await agent.watch(make_query(agent.session.number + 8000, epoch=2))
+        await asyncio.sleep(0.1)
+        assert agent.residual_lease.remaining_ms() > bounded_ms
+
+    run_agent(scenario)
+
+
 @pytest.mark.parametrize("uptime_ms", [3_600_000, 30 * 24 * 3_600_000])
 def test_an_agent_is_not_refused_for_long_after_a_call_of_another_process(uptime_ms):
     # Without lease renewals, everything that the worker runs would end.
