Guard refusals and the start of an agent's process by tests

Without the change of the residual lease at a refusal, without the largest step between refused sessions, and without the first 15 s of a process in which a late start is expected, no test failed. Thirty refusals did not reach the limit that the test named; sixty do.

--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -6,7 +6,10 @@
 import pytest
 
 from dotterelspread.jobs.agentpart import Agent
-from dotterelspread.jobs.departure import RETRY_INTERVAL_S
+from dotterelspread.jobs.departure import (
+    LATE_START_RETRY_INTERVAL_S,
+    RETRY_INTERVAL_S,
+)
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.jobs.workerpolling import LISTING_POLL_TIMEOUT_MS
@@ -334,6 +337,29 @@
     run_agent(scenario)
 
 
+def test_a_lease_may_last_on_if_the_worker_has_taken_later_calls():
+    async def scenario(agent, worker):
+        await begin_confirmed_session(agent)
+        bounded_ms = agent.residual_lease.remaining_ms()
+        worker.token = agent.session.token + 1
+        for _ in range(4):
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            await agent.watch(make_query(0))
+        assert agent.session.token >= worker.token
+        assert agent.residual_lease.remaining_ms() > bounded_ms
+
+    run_agent(scenario)
+
+
+def test_a_new_process_expects_late_starts_of_an_earlier_one():
+    async def scenario(agent, worker):
+        worker.is_up = False
+        await asyncio.sleep(1)
+        assert agent.retry_interval_s() == LATE_START_RETRY_INTERVAL_S
+
+    run_agent(scenario)
+
+
 @pytest.mark.parametrize("uptime_ms", [3_600_000, 30 * 24 * 3_600_000])
 def test_an_agent_is_not_refused_for_long_after_a_call_of_another_process(uptime_ms):
     # Without lease renewals, everything that the worker runs would end.
--- a/tests/test_workersession.py
+++ b/tests/test_workersession.py
@@ -100,7 +100,7 @@
 def test_refusals_under_an_outdated_leader_do_not_use_up_the_later_sessions():
     # The worker has seen the tokens of the later leader.
     session = make_session(3, 0)
-    for _ in range(30):
+    for _ in range(60):
         session.pass_refused(1)
     session.follow(4)
     session.confirm(0)
