Play a late start after a reboot with the time of day set back

What callers see: a task that was done runs again. Agent and worker start again on a time of day before the start of the agent's earlier process; a leader that has heard of the session polls the agent 0.1 s later, and the agent moves its session on, but its call to the worker that is under way waits for up to 0.5 s for the end of a run. The worker takes a late start for the earlier incarnation until that call is over and the next one is made.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -16,6 +16,8 @@
 UNANSWERED_WINDOW_S = 0.5
 #: Time in which the agent makes that call, which it repeats later at the earliest.
 FIRST_CALL_S = 0.05
+#: Longer than the agent's earlier process has run.
+CLOCK_STEP_S = 30.0
 #: Longer than any lease.
 LEASES_S = 14.0
 
@@ -53,6 +55,22 @@
     await fleet.settle(6.0)
 
 
+async def reboot_after_done_with_clock_set_back(fleet):
+    """Restart the worker of a task that is done and its agent, on an earlier time.
+
+    The leader, which has heard of the session of the agent's earlier process, polls the
+    later one well before the late start.
+    """
+    agent = await start_with_late_copy(fleet, SHORT_RUN_S, 6.0)
+    await fleet.settle(ACKNOWLEDGED_S)
+    agent.kill()
+    agent.worker.crash()
+    agent.worker.time_of_day_step_s = -CLOCK_STEP_S
+    await agent.worker.begin_before_late_start(UNANSWERED_WINDOW_S)
+    agent.start()
+    await fleet.settle(6.0)
+
+
 async def restart_while_cut_off(fleet):
     """Restart a worker that is cut off together with its agent."""
     agent = await start_with_late_copy(fleet, LONG_RUN_S, 2.6)
@@ -103,6 +121,7 @@
         restart_after_done,
         restart_without_answer_after_done,
         reboot_after_done_without_leader,
+        reboot_after_done_with_clock_set_back,
         restart_while_cut_off,
         reboot_while_cut_off,
         restart_after_leaving,
