Call the worker at once when an unknown later session is passed

What callers saw: a task that was done ran again, for up to 0.5 s after the agent had learned of the later session: its call under the earlier token waited for the end of a run.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -292,6 +292,8 @@
         """Apply the latest session that the leader has heard of; None if unknown."""
         if self.session.confirm(number):
             self._unbound_residual_lease()
+            # Until the next call, the worker takes calls to earlier incarnations.
+            self._poller.interrupt()
 
     def pass_refused_session(self):
         """Begin a later session after the worker has refused the token as outdated."""
--- a/dotterelspread/jobs/workerpolling.py
+++ b/dotterelspread/jobs/workerpolling.py
@@ -22,6 +22,10 @@
 ACKNOWLEDGEMENT_TIMEOUT_S = 0.3
 
 
+class _InterruptedError(Exception):
+    """A call was given up, since the worker has to be called under another session."""
+
+
 class WorkerPoller:
     """Loop of one agent, with one call to the worker at a time.
 
@@ -30,13 +34,22 @@
     agent : Agent
     """
 
-    __slots__ = ("_agent", "_has_failed", "_heartbeat")
+    __slots__ = ("_agent", "_has_failed", "_heartbeat", "_is_interrupted", "_waiting")
 
     def __init__(self, agent):
         self._agent = agent
         #: Whether the latest call got no lists.
         self._has_failed = False
         self._heartbeat = asyncio.Event()
+        #: Call that waits for the end of a run; None if there is none.
+        self._waiting = None
+        self._is_interrupted = False
+
+    def interrupt(self):
+        """Give up a call that waits for the end of a run, and make the next one."""
+        if self._waiting is not None:
+            self._is_interrupted = True
+            self._waiting.cancel()
 
     def wake(self):
         """End a wait for the next attempt, since a heartbeat shows that it is up."""
@@ -54,6 +67,8 @@
         listed_ms = agent.clock_ms()
         try:
             listing = await self._call(worker_id)
+        except _InterruptedError:
+            return
         except WorkerReplyError as error:
             self._has_failed = True
             agent.handle_failure(error)
@@ -92,7 +107,21 @@
             until_ms, seen = agent.lease_until_ms(), agent.acknowledged_number()
         token = agent.session.token
         wait_ms = self._wait_ms()
-        return await agent.adapter.hold(worker_id, token, seen, until_ms, wait_ms)
+        call = agent.adapter.hold(worker_id, token, seen, until_ms, wait_ms)
+        return await (self._wait_for(call) if wait_ms else call)
+
+    async def _wait_for(self, call):
+        """Return what a call returns, unless it is interrupted."""
+        self._is_interrupted = False
+        self._waiting = asyncio.ensure_future(call)
+        try:
+            return await self._waiting
+        except asyncio.CancelledError:
+            if self._is_interrupted:
+                raise _InterruptedError from None
+            raise
+        finally:
+            self._waiting = None
 
     def _wait_ms(self):
         """Return how long the worker waits for the end of a run before it replies."""
