--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -61,6 +61,7 @@
         self.listing = None
         self.listed_ms = 0
         self.ended = EndedRuns()
+        self._wall_clock_ms = wall_clock_ms
         self.session = WorkerSession(wall_clock_ms())
         self.grant = LeaseGrant(max_lease_ms, clock_ms)
         self._max_lease_ms = max_lease_ms
@@ -291,10 +292,12 @@
         """Apply the latest session that the leader has heard of; None if unknown."""
         if self.session.confirm(number):
             self._unbound_residual_lease()
+            # Until the next call, the worker takes calls to earlier incarnations.
+            self._poller.interrupt()
 
     def pass_refused_session(self):
         """Begin a later session after the worker has refused the token as outdated."""
-        self.session.pass_refused()
+        self.session.pass_refused(self._wall_clock_ms())
         self._unbound_residual_lease()
 
     async def watch(self, query):
--- a/dotterelspread/jobs/workersession.py
+++ b/dotterelspread/jobs/workersession.py
@@ -15,8 +15,8 @@
 
 #: Largest number that every worker represents exactly.
 MAX_SESSION_NUMBER = 2**53 - 1
-#: Distance to the next session after the first refused token, in milliseconds of the
-#: time of day. It doubles with each refusal that follows.
+#: Distance to the next session after a refused token that was not earlier than the time
+#: of day, in milliseconds. It doubles with each refusal that follows.
 FIRST_REFUSAL_STEP_MS = 1000
 #: Largest such distance, so that no series of refusals uses the numbers up.
 MAX_REFUSAL_STEP_MS = 3_600_000
@@ -37,8 +37,9 @@
 
     __slots__ = (
         "_confirmed_number",
-        "_has_reported",
+        "_has_passed_to_time",
         "_is_reported",
+        "_latest_reported",
         "_refusal_step_ms",
         "epoch",
         "has_been_confirmed",
@@ -54,12 +55,14 @@
         self._confirmed_number = 0
         #: Whether this process has told the leader of this epoch the number.
         self._is_reported = False
-        #: Whether this process has told any leader a number.
-        self._has_reported = False
+        #: Latest number that this process has told any leader; None if none.
+        self._latest_reported = None
         #: Whether the leader of this epoch has heard of the session, or that of an
         #: earlier epoch of one with the same incarnation.
         self.has_been_confirmed = False
         self._refusal_step_ms = FIRST_REFUSAL_STEP_MS
+        #: Whether the token is the time of day after a refusal.
+        self._has_passed_to_time = False
 
     @property
     def token(self):
@@ -98,7 +101,7 @@
             Whether an earlier process has begun a session that is not earlier, so that
             the worker may have taken its calls too.
         """
-        is_behind = (number or 0) >= self.number and not self._has_reported
+        is_behind = (number or 0) >= self.number and self._is_of_other_process(number)
         if number is None:
             number = self.number
         elif number > self.number or not self._is_reported and number == self.number:
@@ -111,23 +114,37 @@
 
     def report(self):
         """Return the number for a reply to the leader."""
-        self._is_reported = self._has_reported = True
+        self._is_reported = True
+        self._latest_reported = self.number
         return self.number
 
+    def _is_of_other_process(self, number):
+        """Tell whether only another process can have told a leader of a number.
+
+        A leader asks for the next session by the number after the latest.
+        """
+        return self._latest_reported is None or number > self._latest_reported + 1
+
     def begin_next(self):
         """Begin a session with another incarnation."""
         self._begin(self.number + 1)
 
-    def pass_refused(self):
+    def pass_refused(self, time_of_day_ms):
         """Begin a later session after the worker has refused the token as outdated.
 
-        An earlier process of the agent has begun sessions that no leader has heard of.
+        Another process of the agent has begun sessions that no leader has heard of. The
+        time of day passes them, unless it was set back since.
         """
+        if time_of_day_ms > self.number and not self._has_passed_to_time:
+            self._begin(time_of_day_ms)
+            self._has_passed_to_time = True
+            return
         self._begin(self.number + self._refusal_step_ms)
         self._refusal_step_ms = min(2 * self._refusal_step_ms, MAX_REFUSAL_STEP_MS)
 
     def accept(self):
         """Record that the worker has accepted the token."""
+        self._has_passed_to_time = False
         self._refusal_step_ms = FIRST_REFUSAL_STEP_MS
 
     def _begin(self, number):
