Bound an agent's report to the leader in bytes

What callers saw: 64 tasks with checkpoints of 140,000 characters filled a worker.

Cause: a reply to the leader's poll held the checkpoints of all running and ended runs. The leader closes the connection at a frame of over 8 MiB, and ended runs leave the reply only once the leader has acknowledged them.

Change: a reply lists all running tasks and up to 1 MiB of their long checkpoints in turn, and up to 1 MiB of the ended runs, by number. It says whether ended runs are left out; the leader then releases no run that is not listed, keeps a worker that has left, and asks for the next ends once it has recorded these. An agent leaves out ended runs only for a leader whose query says that it reads this. A checkpoint of over 1,000,000 bytes is not reported, counted and logged.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -2453,6 +2453,7 @@
      - costs
      - evacuated
      - session
+     - accepts_partial_ends
 
     """
 
@@ -2467,10 +2468,11 @@
         'costs',
         'evacuated',
         'session',
+        'accepts_partial_ends',
     )
 
 
-    def __init__(self, epoch=None, version=None, wait_ms=None, born_ms=None, seen=None, grant_until_ms=None, traits=None, costs=None, evacuated=None, session=None,):
+    def __init__(self, epoch=None, version=None, wait_ms=None, born_ms=None, seen=None, grant_until_ms=None, traits=None, costs=None, evacuated=None, session=None, accepts_partial_ends=None,):
         self.epoch = epoch
         self.version = version
         self.wait_ms = wait_ms
@@ -2481,6 +2483,7 @@
         self.costs = costs
         self.evacuated = evacuated
         self.session = session
+        self.accepts_partial_ends = accepts_partial_ends
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2553,6 +2556,11 @@
                     self.session = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.accepts_partial_ends = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2609,6 +2617,10 @@
             oprot.writeFieldBegin('session', TType.I64, 10)
             oprot.writeI64(self.session)
             oprot.writeFieldEnd()
+        if self.accepts_partial_ends is not None:
+            oprot.writeFieldBegin('accepts_partial_ends', TType.BOOL, 11)
+            oprot.writeBool(self.accepts_partial_ends)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2661,6 +2673,7 @@
      - cold_ms
      - session
      - residual_lease_ms
+     - has_more_ends
 
     """
 
@@ -2689,10 +2702,11 @@
         'cold_ms',
         'session',
         'residual_lease_ms',
+        'has_more_ends',
     )
 
 
-    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None, cold_ms=None, session=None, residual_lease_ms=None,):
+    def __init__(self, version=None, clock_ms=None, known=None, worker_id=None, born_ms=None, service_name=None, data_centre=None, labels=None, millicores=None, memory_mb=None, accelerators=None, reachable=None, draining=None, listed_ms=None, running=None, ended=None, needs_traits=None, epoch=None, rack=None, left=None, gone=None, cold_ms=None, session=None, residual_lease_ms=None, has_more_ends=None,):
         self.version = version
         self.clock_ms = clock_ms
         self.known = known
@@ -2717,6 +2731,7 @@
         self.cold_ms = cold_ms
         self.session = session
         self.residual_lease_ms = residual_lease_ms
+        self.has_more_ends = has_more_ends
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2864,6 +2879,11 @@
                     self.residual_lease_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.BOOL:
+                    self.has_more_ends = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2979,6 +2999,10 @@
             oprot.writeFieldBegin('residual_lease_ms', TType.I32, 24)
             oprot.writeI32(self.residual_lease_ms)
             oprot.writeFieldEnd()
+        if self.has_more_ends is not None:
+            oprot.writeFieldBegin('has_more_ends', TType.BOOL, 25)
+            oprot.writeBool(self.has_more_ends)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4083,6 +4107,7 @@
     (8, TType.LIST, 'costs', (TType.STRUCT, [PairCost, None], False), None, ),  # 8
     (9, TType.BOOL, 'evacuated', None, None, ),  # 9
     (10, TType.I64, 'session', None, None, ),  # 10
+    (11, TType.BOOL, 'accepts_partial_ends', None, None, ),  # 11
 )
 all_structs.append(WatchReply)
 WatchReply.thrift_spec = (
@@ -4111,6 +4136,7 @@
     (22, TType.I32, 'cold_ms', None, None, ),  # 22
     (23, TType.I64, 'session', None, None, ),  # 23
     (24, TType.I32, 'residual_lease_ms', None, None, ),  # 24
+    (25, TType.BOOL, 'has_more_ends', None, None, ),  # 25
 )
 all_structs.append(StartOrder)
 StartOrder.thrift_spec = (
--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -1,6 +1,7 @@
 """Long polling of one agent by the leader: lease grants, acknowledgements, reports."""
 
 import asyncio
+from contextlib import suppress
 
 from ..counters import counters
 from ..decisionlog import log_decision
@@ -21,6 +22,8 @@
 WATCH_TIMEOUT_MARGIN_S = 0.8
 #: Delay before a failed poll is retried.
 RETRY_INTERVAL_S = 0.2
+#: Longest wait for ends to be recorded before the agent is asked for the next ones.
+NEXT_ENDS_TIMEOUT_S = 0.3
 #: Time without a report on its worker after which an agent gets no new tasks.
 AGENT_TIMEOUT_S = 1.2
 
@@ -37,6 +40,7 @@
 
     __slots__ = (
         "_acknowledged_number",
+        "_acknowledgement",
         "_address",
         "_agent_clock_ms",
         "_agent_clock_read_s",
@@ -63,6 +67,7 @@
         #: Whether the cell had that worker after the report.
         self._has_worker = False
         self._acknowledged_number = 0
+        self._acknowledgement = asyncio.Event()
         #: Number of the latest logged end of a run.
         self._logged_number = 0
         #: Agent's clock in its latest reply.
@@ -82,6 +87,7 @@
         """Acknowledge ended runs up to ``number``; the worker may discard them."""
         if born_ms == self._born_ms:
             self._acknowledged_number = max(self._acknowledged_number, number)
+            self._acknowledgement.set()
 
     def grant_limit_ms(self):
         """Return the agent's time up to which it may extend leases; 0 if it may not."""
@@ -142,6 +148,7 @@
             costs=self._costs(),
             evacuated=self._is_evacuated(),
             session=self.session,
+            accepts_partial_ends=True,
         )
         timeout_s = wait_ms / 1000 + WATCH_TIMEOUT_MARGIN_S
         try:
@@ -163,6 +170,16 @@
         self._apply_reply(reply)
         if not reply.known:
             await asyncio.sleep(RETRY_INTERVAL_S)
+        elif reply.has_more_ends and reply.ended:
+            await self._wait_acknowledged(max(row.number for row in reply.ended))
+
+    async def _wait_acknowledged(self, number):
+        """Wait until ends up to a number are acknowledged; the next query says so."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(NEXT_ENDS_TIMEOUT_S):
+                while self._acknowledged_number < number:
+                    self._acknowledgement.clear()
+                    await self._acknowledgement.wait()
 
     def _handle_missing_report(self, reason):
         silent_s = clock.now_s() - self._last_report_s
--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -16,6 +16,7 @@
 from .leasegrant import LeaseGrant
 from .pacing import FillerPacer
 from .pacingfacts import PacingFacts
+from .replybounds import CheckpointRotation
 from .residuallease import ResidualLease
 from .watchreply import build_watch_reply
 from .workeradapter import WorkerFencedError, WorkerGoneError
@@ -84,6 +85,7 @@
         self.version = 1
         self.pacing_facts = PacingFacts()
         self.pacer = FillerPacer()
+        self.checkpoint_rotation = CheckpointRotation()
         self._poller = WorkerPoller(self)
         self._changed = asyncio.Event()
 
@@ -300,22 +302,27 @@
     async def watch(self, query):
         """Answer the leader's long poll after a change or at the end of the wait."""
         if not self.accepts(query.epoch):
-            return self._reply()
+            return self._reply(query)
         self._polled_ms = self.clock_ms()
         self.confirm_session(query.session)
         self._note_evacuation(query)
         self.grant.extend(query.grant_until_ms)
-        if query.born_ms == self.born_ms:
-            self.ended.acknowledge(query.seen)
+        # What the leader has acknowledged makes room in the reply for later ends.
+        has_next_ends = self._acknowledge_ends(query) and bool(self.ended.by_number)
         self.pacing_facts.apply(query)
-        if self.version <= query.version and query.wait_ms:
+        if self.version <= query.version and query.wait_ms and not has_next_ends:
             try:
                 async with asyncio.timeout(query.wait_ms / 1000):
                     await self._changed.wait()
             except TimeoutError:
                 # Nothing changed; the reply still carries the running tasks.
-                return self._reply()
-        return self._reply()
+                return self._reply(query)
+        return self._reply(query)
+
+    def _acknowledge_ends(self, query):
+        """Discard acknowledged ends; tell whether any are newly acknowledged."""
+        is_this_incarnation = query.born_ms == self.born_ms
+        return is_this_incarnation and self.ended.acknowledge(query.seen)
 
     def _note_evacuation(self, query):
         if query.evacuated is None and not query.version:
@@ -326,5 +333,5 @@
             self.is_evacuated = is_evacuated
             log_decision("evacuation learned", is_evacuated=is_evacuated)
 
-    def _reply(self):
-        return build_watch_reply(self)
+    def _reply(self, query):
+        return build_watch_reply(self, bool(query.accepts_partial_ends))
--- a/dotterelspread/jobs/endedruns.py
+++ b/dotterelspread/jobs/endedruns.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
+
+from .replybounds import MAX_CHECKPOINT_BYTES, log_oversized, size_of
 
 __all__ = ["EndedRuns"]
 
@@ -29,17 +32,18 @@
             for end in ended
             if end.number > self.acknowledged and end.number not in self.by_number
         ]
-        self.by_number.update((end.number, end) for end in added)
+        self.by_number.update((end.number, _bounded(end)) for end in added)
         return bool(added)
 
     def acknowledge(self, number):
-        """Discard the runs up to a number that the leader has acknowledged."""
+        """Discard the runs up to a number; tell whether it was not acknowledged yet."""
         if number <= self.acknowledged:
-            return
+            return False
         self.acknowledged = number
         for known in [n for n in self.by_number if n <= number]:
             del self.by_number[known]
         self._acknowledgement.set()
+        return True
 
     async def wait_acknowledged(self, timeout_s):
         """Wait until the leader acknowledges runs."""
@@ -47,3 +51,11 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._acknowledgement.wait()
+
+
+def _bounded(end):
+    """Return an ended run without its checkpoint if that is too long for a reply."""
+    if size_of(end.checkpoint) <= MAX_CHECKPOINT_BYTES:
+        return end
+    log_oversized(end)
+    return replace(end, checkpoint="")
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -23,15 +23,13 @@
 from .silentlosses import settle_silent_loss
 from .spec import parse_task_id
 from .taskrun import RunStopReason, TaskRun
-from .worker import Worker
+from .worker import MAX_LISTED_ENDS, Worker
 
 __all__ = []
 
 #: Job id of a run whose task no job has; the id that its worker lists may be that of a
 #: job with other tasks.
 NO_JOB_ID = ""
-#: Largest number of ended runs in a listing. A listing of this size may be truncated.
-MAX_LISTED_ENDS = 500
 
 
 @reduce.register
@@ -62,7 +60,8 @@
     shapes.add(WorkerShape(worker.labels, worker.capacity))
     effects.extend(apply_ends(cell, worker, event))
     if report.has_left:
-        remove_worker(cell, worker, event.now_s)
+        if not report.has_more_ends:
+            remove_worker(cell, worker, event.now_s)
         return effects + place(cell, event.now_s)
     effects.extend(_apply_running(cell, worker, event))
     apply_measurements(cell, worker, report)
@@ -167,11 +166,17 @@
             clear_suspicion(cell, worker, run)
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
-    if report.is_reachable and len(report.ended) < MAX_LISTED_ENDS:
+    if report.is_reachable and _has_all_ends(report):
         _release_unlisted(cell, worker, listed, report.listed_ms)
     return effects
 
 
+def _has_all_ends(report):
+    """Tell whether what a report does not list as running has ended for sure."""
+    # Agents of earlier versions do not say whether there are more.
+    return not report.has_more_ends and len(report.ended) < MAX_LISTED_ENDS
+
+
 def _add_unknown_run(cell, worker, row):
     """Add a run that the leader did not assign, so that it is counted until it ends."""
     parsed = parse_task_id(row.task_id)
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -1,13 +1,23 @@
 """Builds an agent's reply to the leader's watch query."""
 
 from ..gen.peer.ttypes import EndedRow, RunningRow, WatchReply
+from .checkpoints import is_inline
 from .pacing import FULL_PACE_PERCENT
+from .replybounds import select_ends
+from .worker import MAX_LISTED_ENDS
 
 __all__ = ["build_watch_reply"]
 
 
-def build_watch_reply(agent):
-    """Return a `WatchReply` with the current state of an `Agent` and its worker."""
+def build_watch_reply(agent, accepts_partial_ends=True):
+    """Return a `WatchReply` with the current state of an `Agent` and its worker.
+
+    Parameters
+    ----------
+    agent : Agent
+    accepts_partial_ends : bool
+        Whether the leader keeps runs that have ended but are left to later replies.
+    """
     known = agent.announcement is not None and agent.listing is not None
     reply = WatchReply(
         version=agent.version,
@@ -20,7 +30,8 @@
     )
     if known:
         _fill_worker(reply, agent)
-        _fill_runs(reply, agent)
+        _fill_running(reply, agent)
+        _fill_ended(reply, agent, accepts_partial_ends)
     return reply
 
 
@@ -41,24 +52,35 @@
     reply.cold_ms = max(0, agent.cold_until_ms - reply.clock_ms) or None
 
 
-def _fill_runs(reply, agent):
+def _fill_running(reply, agent):
     running = agent.listing.running
     reply.listed_ms = agent.listed_ms
-    reply.running = [_running_row(agent, row) for row in running]
+    sent = agent.checkpoint_rotation.select(running)
+    reply.running = [_running_row(agent, row, sent) for row in running]
+    traits_by_task = agent.pacing_facts.traits_by_task
+    reply.needs_traits = any(row.task_id not in traits_by_task for row in running)
+
+
+def _fill_ended(reply, agent, accepts_partial_ends):
+    by_number = agent.ended.by_number
+    ended = select_ends(by_number) if accepts_partial_ends else by_number.values()
     reply.ended = [
         EndedRow(end.number, end.task_id, end.run, end.how, end.checkpoint)
-        for end in agent.ended.by_number.values()
+        for end in ended
     ]
-    traits_by_task = agent.pacing_facts.traits_by_task
-    reply.needs_traits = any(row.task_id not in traits_by_task for row in running)
+    # A worker that does not answer any more lists no further ends.
+    is_truncated = agent.is_reachable and len(agent.listing.ended) >= MAX_LISTED_ENDS
+    reply.has_more_ends = is_truncated or len(ended) < len(by_number)
 
 
-def _running_row(agent, row):
+def _running_row(agent, row, sent):
     pace = agent.pacer.pace_of(row.task_id, row.run)
+    is_sent = (row.task_id, row.run) in sent or is_inline(row.checkpoint)
     return RunningRow(
         row.task_id,
         row.run,
-        row.checkpoint,
+        # An empty checkpoint changes nothing at the leader.
+        row.checkpoint if is_sent else "",
         row.percent,
         row.figure,
         None if pace == FULL_PACE_PERCENT else pace,
--- a/dotterelspread/jobs/watchreport.py
+++ b/dotterelspread/jobs/watchreport.py
@@ -66,6 +66,7 @@
         has_left=bool(reply.left),
         is_gone=bool(reply.gone),
         cold_ms=reply.cold_ms or 0,
+        has_more_ends=bool(reply.has_more_ends),
         listed_ms=reply.listed_ms,
         running=tuple(map(_read_running, reply.running)),
         ended=tuple(
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -7,6 +7,7 @@
 from .taskrun import TaskRun
 
 __all__ = [
+    "MAX_LISTED_ENDS",
     "AgentReport",
     "EndedRun",
     "LeaseGrants",
@@ -15,6 +16,8 @@
     "Worker",
 ]
 
+#: Largest number of ended runs in a listing. A listing of this size may be truncated.
+MAX_LISTED_ENDS = 500
 #: Longest time between two listings of a worker during which its runs count as
 #: observed. Over a longer gap the worker, its agent or the leader was silent, which
 #: says nothing about the runs.
@@ -98,6 +101,8 @@
     ended: tuple[EndedRun, ...]
     #: For how long the worker stays slow after a start; 0 if it is not.
     cold_ms: int = 0
+    #: Whether runs have ended that are not in `ended`.
+    has_more_ends: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/builders_network.py
+++ b/tests/builders_network.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 
+from dotterelspread.frame import MAX_FRAME_BYTES, encode_call, encode_reply
 from dotterelspread.peer import PeerLostError, PeerTimeoutError, PeerUnsentError
 
 __all__ = ["CallOutcome", "Network"]
@@ -59,6 +60,12 @@
         return _VirtualPool(self, address)
 
 
+def _check_size(frame):
+    """Raise an error if the peer would close the connection at a frame."""
+    if len(frame) > MAX_FRAME_BYTES:
+        raise PeerLostError(f"frame of {len(frame)} bytes")
+
+
 class _VirtualPool:
     def __init__(self, network, address):
         self.network = network
@@ -76,6 +83,7 @@
             raise PeerUnsentError("instance powered off")
         if on_sent is not None:
             on_sent()
+        _check_size(encode_call(method, 0, argument))
         if network.is_partitioned(self.address, address):
             await asyncio.sleep(timeout_s)
             raise PeerTimeoutError("network partition")
@@ -99,5 +107,6 @@
             raise PeerTimeoutError("no reply in time") from None
         if network.is_partitioned(self.address, address):
             raise PeerLostError("network partition during the call")
+        _check_size(encode_reply(method, 0, reply))
         await asyncio.sleep(0.0005)
         return reply
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -208,6 +208,9 @@
   // Latest session between the agent and its worker that the leader has heard of; none
   // from leaders that do not read this.
   10: optional i64 session,
+  // Whether the reply may leave ended runs to later ones; none from leaders that would
+  // take these runs for lost.
+  11: optional bool accepts_partial_ends,
 }
 
 struct WatchReply {
@@ -246,6 +249,9 @@
   // Longest time that a lease may last which the worker got from calls to an earlier
   // incarnation; none from agents that do not tell.
   24: optional i32 residual_lease_ms,
+  // Whether runs have ended that are not in the list of ended runs; they follow once the
+  // listed ones are acknowledged.
+  25: optional bool has_more_ends,
 }
 
 struct StartOrder {
