Tell agents only the costs of pairs of images that are learned

What callers saw: 260 serving tasks and 260 fillers of different images on one worker put it out of use for good; all their runs were given up.

Cause: the leader's query told the costs of all pairs of images on the worker, 67,600 of them. An agent closes the connection at a list of more than 65,536 elements, and the next query is as long.

The virtual network decodes frames of more than 64 KiB, so that it refuses lists that a peer would refuse.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -266,13 +266,13 @@
         return traits
 
     def _costs(self):
-        """Return the costs of fillers for the serving tasks that share their worker."""
-        costs = self._leader.cell.costs
+        """Return the learned costs of fillers for serving tasks on their worker."""
+        by_pair = self._leader.cell.costs.by_pair
         pairs = set()
         for worker in self._leader.cell.workers_by_id.values():
             if worker.agent_address == self._address:
-                pairs.update(worker.image_pairs())
+                pairs.update(worker.known_pairs(by_pair))
         return [
-            PairCost(*pair, costs.of(*pair).per_core, costs.of(*pair).deviation)
+            PairCost(*pair, by_pair[pair].per_core, by_pair[pair].deviation)
             for pair in sorted(pairs)
         ]
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -2,6 +2,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from itertools import product
 
 from ..resources import Resources
 from .taskrun import TaskRun
@@ -284,12 +285,14 @@
             for run in self.runs_by_task.values()
         )
 
-    def image_pairs(self):
-        """Return the (serving image, filler image) pairs present on the worker."""
+    def known_pairs(self, pairs):
+        """Return those of some (serving image, filler image) pairs that it runs."""
         runs = self.runs_by_task.values()
         serving = {run.image for run in runs if run.is_serving}
         fillers = {run.image for run in runs if run.is_filler}
-        return {(image, other) for image in serving for other in fillers}
+        if len(serving) * len(fillers) <= len(pairs):
+            return {pair for pair in product(serving, fillers) if pair in pairs}
+        return {pair for pair in pairs if pair[0] in serving and pair[1] in fillers}
 
     def filler_cores_by_image(self):
         """Return the cores that fillers are expected to use, by image."""
--- a/tests/builders_network.py
+++ b/tests/builders_network.py
@@ -3,7 +3,15 @@
 import asyncio
 import enum
 
-from dotterelspread.frame import MAX_FRAME_BYTES, encode_call, encode_reply
+from dotterelspread.frame import (
+    MAX_LIST_ELEMENTS,
+    FrameError,
+    FrameReader,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+)
 from dotterelspread.peer import PeerLostError, PeerTimeoutError, PeerUnsentError
 
 __all__ = ["CallOutcome", "Network"]
@@ -60,10 +68,16 @@
         return _VirtualPool(self, address)
 
 
-def _check_size(frame):
+def _check_frame(frame, decode):
     """Raise an error if the peer would close the connection at a frame."""
-    if len(frame) > MAX_FRAME_BYTES:
-        raise PeerLostError(f"frame of {len(frame)} bytes")
+    if len(frame) <= MAX_LIST_ELEMENTS:
+        # It is below all limits, and decoding takes time.
+        return
+    try:
+        for message in FrameReader().feed(frame):
+            decode(message)
+    except FrameError as error:
+        raise PeerLostError(str(error)) from error
 
 
 class _VirtualPool:
@@ -83,7 +97,7 @@
             raise PeerUnsentError("instance powered off")
         if on_sent is not None:
             on_sent()
-        _check_size(encode_call(method, 0, argument))
+        _check_frame(encode_call(method, 0, argument), decode_call)
         if network.is_partitioned(self.address, address):
             await asyncio.sleep(timeout_s)
             raise PeerTimeoutError("network partition")
@@ -107,6 +121,6 @@
             raise PeerTimeoutError("no reply in time") from None
         if network.is_partitioned(self.address, address):
             raise PeerLostError("network partition during the call")
-        _check_size(encode_reply(method, 0, reply))
+        _check_frame(encode_reply(method, 0, reply), decode_reply)
         await asyncio.sleep(0.0005)
         return reply
