Replace long names of images by a digest

What callers saw: 64 tasks on one worker whose images have different names of 140,000 characters ran on until the agent of the worker started again. From then on no query reached the agent, and the tasks were started anew.

Cause: the leader tells an agent that has started again the images of all tasks on its worker in one query. Names had no bound, and an agent closes the connection at a frame of over 8 MiB; the next query is as large.

Names are only compared with each other. Jobs that are already in the store keep their names.

--- a/dotterelspread/platform/jobdocument.py
+++ b/dotterelspread/platform/jobdocument.py
@@ -1,5 +1,6 @@
 """Decoding of submitted jobs and encoding of the replies to callers."""
 
+import hashlib
 import re
 from typing import Annotated
 
@@ -26,6 +27,9 @@
 READY_PATH = "/api/readyz"
 MAX_PROGRAM_BYTES = 4000
 MAX_TASKS = 20_000
+#: Longest name of an image that is kept; a message may name those of all tasks on a
+#: worker.
+MAX_IMAGE_BYTES = 128
 
 #: Names of the job states in replies to callers.
 STATE_NAMES = {
@@ -136,13 +140,21 @@
         max_per_worker=step.anti_affinity,
         is_speculative=step.speculative,
         is_service=step.long_running,
-        image=step.image,
+        image=_bounded_image(step.image),
         target_ms=int(step.target_ms),
         is_filler=step.fills,
         max_unavailable=step.may_miss,
     )
 
 
+def _bounded_image(image):
+    """Return an image's name, or a digest if it is long; names are only compared."""
+    encoded = image.encode()
+    if len(encoded) <= MAX_IMAGE_BYTES:
+        return image
+    return hashlib.sha256(encoded).hexdigest()
+
+
 def encode_state(state_name):
     """Return the response body with a job's state."""
     return msgspec.json.encode({"State": STATE_NAMES[state_name]})
