Test that tasks whose ends are left to later reports are not done twice

The first test of this could not fail: the order of the run was still in flight, so that the leader would not have released it. The order is settled now. A case of the virtual fleet is added: 64 failed runs with checkpoints of 140,000 characters end before four tasks that are done, while the agent is cut off, with and without a change of the leader.

--- a/tests/test_long_checkpoints.py
+++ b/tests/test_long_checkpoints.py
@@ -13,7 +13,7 @@
 from dotterelspread.resources import Resources
 from tests.builders_agent import HEARTBEAT, make_query, run_agent
 from tests.builders_cell import make_cell, make_report, make_worker, submit
-from tests.builders_fleet import make_job, make_step, run_scenario
+from tests.builders_fleet import kill_leader, make_job, make_step, run_scenario
 
 TASKS = 64
 CHECKPOINT = "c" * 140_000
@@ -41,6 +41,12 @@
     assert (await fleet.state(job.job_id)).state == "COMPLETED"
 
 
+def leading_entry(fleet):
+    """Return the number of the entry that leads."""
+    leads = [entry.candidate.leader is not None for entry in fleet.entries]
+    return leads.index(True)
+
+
 def count_starts(fleet):
     return sum(len(worker.starts) for worker in fleet.workers)
 
@@ -74,6 +80,34 @@
     run_scenario(scenario, seed, agents=1)
 
 
+@pytest.mark.parametrize("is_leader_lost", [False, True])
+@pytest.mark.parametrize("seed", range(3))
+def test_tasks_whose_ends_are_left_to_later_reports_are_not_done_twice(
+    seed, is_leader_lost
+):
+    async def scenario(fleet):
+        (worker,), (agent,) = fleet.workers, fleet.agents
+        worker.checkpoint = CHECKPOINT
+        failing = make_job(1, (make_step(count=TASKS, demand=SMALL_TASK),))
+        done = make_job(2, (make_step(count=4, demand=SMALL_TASK),))
+        fleet.poison.add(failing.job_id)
+        await asyncio.gather(fleet.submit(failing), fleet.submit(done))
+        await fleet.settle(0.15)
+        fleet.network.partitioned.add(agent.address)
+        if is_leader_lost:
+            kill_leader(fleet)
+        await fleet.settle(1.5)
+        assert [end.how for end in worker.ended[-4:]] == [RunEnd.COMPLETED] * 4
+        fleet.network.partitioned.discard(agent.address)
+        await fleet.settle(4)
+        state = await fleet.state(done.job_id, entry=leading_entry(fleet))
+        assert state.state == "COMPLETED"
+        starts = [task_id.split(".")[0] for _, task_id in worker.starts]
+        assert starts.count(done.job_id) == 4
+
+    run_scenario(scenario, seed, agents=1)
+
+
 def make_running_cell(count):
     """Return a cell with running tasks on worker 0, and their rows."""
     cell = make_cell(make_worker(0))
@@ -81,6 +115,8 @@
     rows = [
         RunningTask(task_id_of(JOB_ID, (0, 0, n)), 1, "", 10, 0) for n in range(count)
     ]
+    for run in cell.workers_by_id["i-0"].runs_by_task.values():
+        run.is_order_in_flight = False
     reduce(make_report(0, 1.0, *rows), cell)
     return cell, rows
 
