--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -2,11 +2,13 @@
 
 import enum
 from dataclasses import dataclass, field
+from itertools import product
 
 from ..resources import Resources
 from .taskrun import TaskRun
 
 __all__ = [
+    "MAX_LISTED_ENDS",
     "AgentReport",
     "EndedRun",
     "LeaseGrants",
@@ -15,6 +17,8 @@
     "Worker",
 ]
 
+#: Largest number of ended runs in a listing. A listing of this size may be truncated.
+MAX_LISTED_ENDS = 500
 #: Longest time between two listings of a worker during which its runs count as
 #: observed. Over a longer gap the worker, its agent or the leader was silent, which
 #: says nothing about the runs.
@@ -98,6 +102,8 @@
     ended: tuple[EndedRun, ...]
     #: For how long the worker stays slow after a start; 0 if it is not.
     cold_ms: int = 0
+    #: Whether runs have ended that are not in `ended`.
+    has_more_ends: bool = False
 
 
 @dataclass(slots=True)
@@ -279,12 +285,14 @@
             for run in self.runs_by_task.values()
         )
 
-    def image_pairs(self):
-        """Return the (serving image, filler image) pairs present on the worker."""
+    def known_pairs(self, pairs):
+        """Return those of some (serving image, filler image) pairs that it runs."""
         runs = self.runs_by_task.values()
         serving = {run.image for run in runs if run.is_serving}
         fillers = {run.image for run in runs if run.is_filler}
-        return {(image, other) for image in serving for other in fillers}
+        if len(serving) * len(fillers) <= len(pairs):
+            return {pair for pair in product(serving, fillers) if pair in pairs}
+        return {pair for pair in pairs if pair[0] in serving and pair[1] in fillers}
 
     def filler_cores_by_image(self):
         """Return the cores that fillers are expected to use, by image."""
