Keep batch work running on workers where failing jobs have failed

What callers saw: two lasting jobs whose tasks fail 0.3 s after each start kept all other jobs from running; of 38 small batch jobs most had not begun 24 s after the last was accepted.

Cause: a worker on which runs of two jobs had failed, with no completion between, took no batch tasks for 4 s, and each further failure renewed that. Lasting tasks were restarted there all the same. Only a completion could end it, and no batch task was started. The same held for waves of jobs that fail by themselves.

Change: a job that has failed on more than three workers, and on more than a third of the service's, within 10 s and without a completion is at fault itself; its failures are withdrawn. At most half of the usable workers of a service enter cooldown, and failures during a cooldown do not extend it.

--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -8,15 +8,10 @@
 from .spec import parse_task_id
 from .taskrun import RunStopReason
 from .worker import RunEnd
+from .workerfaults import record_completion, record_failure
 
 __all__ = ["apply_ends"]
 
-#: Number of different jobs that must fail on a worker, with no completion between,
-#: before it enters cooldown.
-MIN_FAILED_JOBS = 2
-#: Time for which a worker on which several jobs failed in a row is in cooldown.
-FAILING_WORKER_COOLDOWN_S = 4.0
-
 
 def apply_ends(cell, worker, event):
     """Apply the new ends of a report; return the effects."""
@@ -48,7 +43,7 @@
         return []
     step = job.step_of(run.key)
     if end.how == RunEnd.COMPLETED:
-        worker.failed_job_ids = frozenset()
+        record_completion(job, worker)
         if not step.is_service:
             _learn_from(cell, job, run, event)
             return _complete(cell, job, run.key, event)
@@ -127,9 +122,7 @@
     task = job.tasks_by_key[run.key]
     step = job.step_of(run.key)
     task.avoided_worker_id = worker.worker_id
-    worker.failed_job_ids = worker.failed_job_ids | {job.job_id}
-    if len(worker.failed_job_ids) >= MIN_FAILED_JOBS:
-        worker.cooldown_until_s = event.now_s + FAILING_WORKER_COOLDOWN_S
+    record_failure(cell, job, worker, event.now_s)
     requeue(cell, job, run.key, end.checkpoint)
     if step.is_service:
         return []
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -95,6 +95,9 @@
     last_active_s: float = 0.0
     #: Run times of completed runs in seconds, by occurrence and step.
     durations_by_step: dict[tuple[int, int], list[float]] = field(default_factory=dict)
+    #: Leader's clock at the latest failure on each worker, since a task last completed;
+    #: old ones are removed.
+    failed_s_by_worker_id: dict[str, float] = field(default_factory=dict)
     #: Checkpoints with a record of their own in the journal, or in an append under way.
     recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
     #: Whether a task has had a checkpoint that needs a record of its own.
