Let stalled runs keep at most half of a service's workers from batch work

What callers see: each worker on which a run stalled took no batch tasks for 3 s, also if all stalled runs were of one job, so that a job that stands still on all workers but one left that one to all other batch work.

Cause: as with failures, nothing bounded the workers in cooldown, though a stalled run may be due to its job.

Change: stalls enter cooldown through `workerfaults` too, so the bound of half of the usable workers holds. Stalled runs are moved as before, and a further stall still extends the cooldown of its worker.

--- a/dotterelspread/jobs/cooldown.py
+++ b/dotterelspread/jobs/cooldown.py
@@ -1,14 +1,15 @@
-"""Decides whether a worker on which jobs failed gets no batch tasks for a while.
+"""Decides whether a worker on which runs went wrong gets no batch tasks for a while.
 
-Runs fail because of their worker or of their job. A job that fails on many workers says
-nothing about any of them, and some workers must take batch tasks even if all of them
-seem to be at fault.
+Runs fail or stall because of their worker or of their job. A job that fails on many
+workers says nothing about any of them, and some workers must take batch tasks even if
+all of them seem to be at fault.
 """
 
 __all__ = [
     "FAILING_WORKER_COOLDOWN_S",
     "MAX_FAULTY_WORKERS",
     "RECENT_FAILURE_S",
+    "STALLED_WORKER_COOLDOWN_S",
     "is_job_at_fault",
     "is_worker_at_fault",
     "may_cool_down",
@@ -21,6 +22,8 @@
 #: Failures during that time do not extend it, so that batch tasks show after it whether
 #: the worker still fails.
 FAILING_WORKER_COOLDOWN_S = 4.0
+#: Time for which a worker on which a run stalled is in cooldown.
+STALLED_WORKER_COOLDOWN_S = 3.0
 #: Largest ratio of a service's workers that are in cooldown at a time.
 MAX_COOLING_RATIO = 0.5
 #: Number and ratio of a service's workers up to which they, and not the job, may be the
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -13,6 +13,7 @@
 from .placing import choose_worker
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
 from .taskrun import DONE_PERCENT, RunStopReason
+from .workerfaults import record_stall
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
 
@@ -44,8 +45,6 @@
 MAX_MOVES_PER_TICK = 4
 #: Number of starts of a task after which it is no longer moved.
 MAX_STARTS_PER_TASK = 4
-#: Time for which a worker on which a run stalled is in cooldown.
-STALLED_WORKER_COOLDOWN_S = 3.0
 
 
 def move_stragglers(cell, now_s):
@@ -67,10 +66,7 @@
                 continue
             job.tasks_by_key[run.key].avoided_worker_id = worker.worker_id
             if not run.is_filler and reason == RunStopReason.STALLED:
-                cooldown_until_s = max(
-                    worker.cooldown_until_s, now_s + STALLED_WORKER_COOLDOWN_S
-                )
-                worker.cooldown_until_s = cooldown_until_s
+                record_stall(cell, worker, now_s)
             effects.extend(stop_run(worker, run, task_id, reason))
     return effects
 
--- a/dotterelspread/jobs/workerfaults.py
+++ b/dotterelspread/jobs/workerfaults.py
@@ -1,15 +1,16 @@
-"""Records which jobs failed on which workers, and puts workers into cooldown."""
+"""Records which jobs went wrong on which workers, and puts workers into cooldown."""
 
 from .cooldown import (
     FAILING_WORKER_COOLDOWN_S,
     MAX_FAULTY_WORKERS,
     RECENT_FAILURE_S,
+    STALLED_WORKER_COOLDOWN_S,
     is_job_at_fault,
     is_worker_at_fault,
     may_cool_down,
 )
 
-__all__ = ["record_completion", "record_failure"]
+__all__ = ["record_completion", "record_failure", "record_stall"]
 
 
 def record_completion(job, worker):
@@ -30,6 +31,11 @@
         _enter_cooldown(cell, worker, FAILING_WORKER_COOLDOWN_S, now_s)
 
 
+def record_stall(cell, worker, now_s):
+    """Record that a run has stalled on a worker."""
+    _enter_cooldown(cell, worker, STALLED_WORKER_COOLDOWN_S, now_s)
+
+
 def _forget_old_failures(job, now_s):
     by_worker_id = job.failed_s_by_worker_id
     for worker_id, failed_s in list(by_worker_id.items()):
@@ -55,10 +61,11 @@
 
 
 def _enter_cooldown(cell, worker, cooldown_s, now_s):
+    """Put a worker into cooldown, or extend its cooldown, if others take its work."""
     peers = _usable_peers(cell, worker, now_s)
-    cooling_count = sum(peer.cools_down(now_s) for peer in peers)
-    if may_cool_down(cooling_count, len(peers)):
-        worker.cooldown_until_s = now_s + cooldown_s
+    others = sum(peer.cools_down(now_s) for peer in peers if peer is not worker)
+    if may_cool_down(others, len(peers)):
+        worker.cooldown_until_s = max(worker.cooldown_until_s, now_s + cooldown_s)
 
 
 def _usable_peers(cell, worker, now_s):
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -6,7 +6,11 @@
 
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.stragglers import FILLER_STALL_TIMEOUT_S, move_stragglers
+from dotterelspread.jobs.stragglers import (
+    FILLER_STALL_TIMEOUT_S,
+    STALL_TIMEOUT_S,
+    move_stragglers,
+)
 from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
@@ -104,6 +108,24 @@
     assert reduce(CellTick(6.0, 0), cell) == []
 
 
+def test_stalled_runs_of_one_job_do_not_keep_batch_work_from_all_other_workers():
+    cell = make_cell(*(make_worker(number) for number in range(3)))
+    starts = submit(cell, make_step(count=3, demand=Resources(5000, 10)))
+    for start in starts:
+        start.run.is_order_in_flight = False
+    cell.workers_by_id["i-3"] = make_worker(3)
+    now_s = 0.0
+    while now_s <= STALL_TIMEOUT_S + 1:
+        for start in starts:
+            row = RunningTask(start.task_id, 1, "", 10, 0)
+            number = int(start.worker.worker_id.removeprefix("i-"))
+            reduce(make_report(number, now_s, row), cell)
+        now_s += 0.5
+    assert len(move_stragglers(cell, now_s)) == 3
+    cooling = [w.cools_down(now_s) for w in cell.workers_by_id.values()]
+    assert sum(cooling) == 2
+
+
 def simulate_filler(cell, full_run_s, pace_at, worked_s=0.0):
     """Report a filler's progress twice a second until it is moved or completes.
 
