--- a/tests/test_workerfaults.py
+++ b/tests/test_workerfaults.py
@@ -137,16 +137,18 @@
         await fleet.submit(service)
 
 
+@pytest.mark.parametrize("is_filler", [False, True])
 @pytest.mark.parametrize("failing_workers", [0, 2])
 @pytest.mark.parametrize("seed", range(1, 4))
 def test_batch_jobs_run_beside_lasting_tasks_that_fail_on_every_worker(
-    seed, failing_workers
+    seed, failing_workers, is_filler
 ):
     async def scenario(fleet):
         for worker in fleet.workers[:failing_workers]:
             worker.is_failing = True
         await submit_failing_services(fleet)
-        batch = [make_job(n, (make_step(count=2),)) for n in range(100, 120)]
+        step = make_step(count=2, is_filler=is_filler, image="f")
+        batch = [make_job(n, (step,)) for n in range(100, 120)]
         for job in batch:
             await fleet.settle(0.5)
             await fleet.submit(job)
