Keep half of the workers with a label open to batch work that requires it

What callers see: batch jobs that require a label waited 7.0 s for a start while lasting tasks of two jobs failed on the two workers of six that have the label, though both had room.

Cause: the bound on workers in cooldown counts all workers of the service, so that all those with a label may be in cooldown. Between two cooldowns a further failure may come before the next placement pass.

Change: of the workers with a label that a batch step of a waiting job requires, at most half enter cooldown.

--- a/dotterelspread/jobs/workerfaults.py
+++ b/dotterelspread/jobs/workerfaults.py
@@ -63,11 +63,26 @@
 def _enter_cooldown(cell, worker, cooldown_s, now_s):
     """Put a worker into cooldown, or extend its cooldown, if others take its work."""
     peers = _usable_peers(cell, worker, now_s)
-    others = sum(peer.cools_down(now_s) for peer in peers if peer is not worker)
-    if may_cool_down(others, len(peers)):
+    if _have_enough(peers, worker, now_s) and all(
+        _have_enough([peer for peer in peers if label in peer.labels], worker, now_s)
+        for label in _awaited_labels(cell, worker)
+    ):
         worker.cooldown_until_s = max(worker.cooldown_until_s, now_s + cooldown_s)
 
 
+def _have_enough(peers, worker, now_s):
+    """Tell whether enough workers remain if one of them is in cooldown."""
+    others = sum(peer.cools_down(now_s) for peer in peers if peer is not worker)
+    return may_cool_down(others, len(peers))
+
+
+def _awaited_labels(cell, worker):
+    """Return the labels of a worker that batch steps of waiting jobs require."""
+    waiting = (cell.jobs_by_id[job_id] for job_id in cell.ready_by_job)
+    steps = (step for job in waiting for step in job.spec.steps if not step.is_service)
+    return worker.labels & {step.required_label for step in steps}
+
+
 def _usable_peers(cell, worker, now_s):
     """Return the workers of a worker's service that may be assigned tasks."""
     return [
--- a/tests/test_workerfaults.py
+++ b/tests/test_workerfaults.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dotterelspread.jobs import clock
 from dotterelspread.jobs.cooldown import (
     FAILING_WORKER_COOLDOWN_S,
     MAX_FAULTY_WORKERS,
@@ -21,6 +22,8 @@
 JOB_NUMBERS = range(1, 6)
 #: Time between two failures or submissions.
 INTERVAL_S = 0.01
+#: Longest time from the end of a cooldown to the starts of the tasks that waited.
+PLACING_DELAY_S = 0.5
 
 
 def make_full_cell(workers=WORKERS):
@@ -128,9 +131,22 @@
     assert cell.workers_by_id["i-0"].cools_down(1.0)
 
 
-async def submit_failing_services(fleet):
+def test_half_of_the_workers_with_a_label_take_batch_work_that_needs_it():
+    cell, workers, jobs = make_full_cell()
+    for worker in workers[:2]:
+        worker.labels = frozenset({"b"})
+    submit(cell, make_step(required_label="b"), number=JOB_NUMBERS[-1] + 1)
+    for worker in workers[:2]:
+        for job in jobs[:2]:
+            record_failure(cell, job, worker, 0.0)
+    assert cooling(workers, 0.0) == 1
+
+
+async def submit_failing_services(fleet, **changes):
     """Submit lasting jobs whose tasks fail at each start, each on another worker."""
-    step = make_step(count=6, is_service=True, demand=Resources(1600, 1600))
+    step = make_step(
+        **{"count": 6, "is_service": True, "demand": Resources(1600, 1600)} | changes
+    )
     for number in (1, 2):
         service = make_job(number, (step,))
         fleet.poison.add(service.job_id)
@@ -176,3 +192,25 @@
         assert states == ["COMPLETED"] * len(sound)
 
     run_scenario(scenario, seed=seed, agents=WORKERS)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_batch_jobs_that_need_a_label_wait_for_one_cooldown_at_most(seed):
+    async def scenario(fleet):
+        label = "rack0"
+        demand = Resources(500, 500)
+        await submit_failing_services(fleet, required_label=label, demand=demand)
+        submitted_s = {}
+        for number in range(100, 120):
+            job = make_job(number, (make_step(count=2, required_label=label),))
+            submitted_s[job.job_id] = clock.now_s()
+            await fleet.submit(job)
+            await fleet.settle(0.5)
+        await fleet.settle(FAILING_WORKER_COOLDOWN_S)
+        for job_id, since_s in submitted_s.items():
+            starts = (start for worker in fleet.workers for start in worker.starts)
+            first_s = min(at_s for at_s, task_id in starts if job_id in task_id)
+            assert first_s - since_s < FAILING_WORKER_COOLDOWN_S + PLACING_DELAY_S
+
+    # Two of the workers have the label.
+    run_scenario(scenario, seed=seed, agents=6)
