Count a gang's room before a worker is sought for each member

What callers saw: two gangs of 8,000 tasks, for which the workers have no room together, were accepted. From then on accepted small jobs made no progress though the workers were idle, and many requests got no answer.

Cause: each placement pass, ten times a second and after each event, chose a worker for one member after the other until one did not fit. The leader's event loop does nothing else meanwhile, so that one job took all of it.

Change: the members that fit on each worker are counted first, from its free capacity, the limit per worker and, for fillers, the headroom of their speed (jobs/gangroom.py). Workers without room for all members together are not searched. Nothing is remembered between passes, so that a gang starts in the pass in which there is room for it. What is found for a gang that fits does not change.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -4,6 +4,7 @@
 idle; `ordering` decides the order of the jobs and `scoring` which worker suits a task.
 """
 
+from .gangroom import count_member_room
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import PermitQuery, ask_permits, permitted_workers
@@ -148,7 +149,16 @@
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
+    filler_demand = _filler_demand(job, step, now_s)
+    room_by_worker = {
+        worker.worker_id: count_member_room(
+            cell, job, keys[0][:2], worker, filler_demand
+        )
+        for worker in workers
+    }
     for racks in _rack_choices(step, workers, now_s):
+        if sum(room_by_worker[worker.worker_id] for worker in racks) < step.count:
+            continue
         chosen = _choose_members(cell, job, keys, step, racks, now_s, reservations)
         if chosen:
             break
--- a/dotterelspread/jobs/scoring.py
+++ b/dotterelspread/jobs/scoring.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from .pacing import NEGLIGIBLE_INCREASE_RATIO, tail_increase_budget
 from .paircost import interference_factor
@@ -14,6 +15,7 @@
     "MIN_FILLER_SPEED_RATIO",
     "FillerDemand",
     "expected_speed",
+    "filler_headroom",
     "isolation_score",
     "placement_score",
 ]
@@ -45,9 +47,18 @@
     filler_demand : FillerDemand
     worker : Worker
     """
-    speed = 1.0
+    return min(1.0, max(0.0, filler_headroom(costs, filler_demand, worker)))
+
+
+def filler_headroom(costs, filler_demand, worker):
+    """Return how many fillers of a kind would run at full speed on a worker.
+
+    Less than 1 is the share of its full speed at which one would run; it is negative if
+    the fillers that run there are too many.
+    """
+    headroom = inf
     if filler_demand.millicores:
-        speed = min(1.0, max(0.0, worker.idle_millicores / filler_demand.millicores))
+        headroom = worker.idle_millicores / filler_demand.millicores
     cores_by_image = worker.filler_cores_by_image()
     for image, baseline in worker.baseline_tail_by_image.items():
         increase = (
@@ -59,8 +70,8 @@
             continue
         current_increase = interference_factor(costs.of, image, cores_by_image) - 1.0
         budget = tail_increase_budget(baseline) - current_increase
-        speed = min(speed, max(0.0, budget / increase))
-    return speed
+        headroom = min(headroom, budget / increase)
+    return headroom
 
 
 def isolation_score(worker, is_suspect):
