Keep sums over a worker's runs while tasks are placed

The leader answers nothing while it places a large step.

Cause: each task placed on a worker dropped the cached usage of that worker, and each choice with a limit per worker counted the step's runs anew. Both look at all runs of the worker, so that the time of a pass grows with the square of the step's tasks.

Change: a new run is added to the cached usage, and runs are counted by step.

--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -161,6 +161,10 @@
     failed_job_ids: frozenset[str] = frozenset()
     #: Cached result of `_current_usage`; None after a change of the runs.
     _usage: tuple | None = field(default=None, init=False, repr=False, compare=False)
+    #: Number of runs by job and step key.
+    _count_by_step: dict = field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
     #: Cached result of `timeline.releases_of`; None after a change of the runs.
     releases: list | None = field(default=None, init=False, repr=False, compare=False)
     #: Capacity that is not reserved by runs.
@@ -194,7 +198,9 @@
         self.serving_count += run.is_serving
         self.stale_run_count += run.is_stale
         self.probation_count += run.is_on_probation
-        self._usage = None
+        self._count_run(run, 1)
+        if self._usage is not None:
+            self._usage = _add_usage(self._usage, run)
         self.releases = None
 
     def remove(self, task_id):
@@ -206,6 +212,7 @@
             self.serving_count -= run.is_serving
             self.stale_run_count -= run.is_stale
             self.probation_count -= run.is_on_probation
+            self._count_run(run, -1)
             self._usage = None
             self.releases = None
         return run
@@ -223,15 +230,10 @@
     def _current_usage(self):
         """Return the millicores in use and the fillers' cores by image."""
         if self._usage is None:
-            used = 0
-            cores_by_image = {}
+            usage = 0, {}
             for run in self.runs_by_task.values():
-                expected = run.expected_millicores
-                used += expected
-                if run.is_filler:
-                    cores = cores_by_image.get(run.image, 0.0)
-                    cores_by_image[run.image] = cores + expected / 1000
-            self._usage = used, cores_by_image
+                usage = _add_usage(usage, run)
+            self._usage = usage
         return self._usage
 
     def cover_until(self, listed_ms):
@@ -274,10 +276,13 @@
 
     def count_of_step(self, job_id, step_key):
         """Return the number of runs of a step on the worker."""
-        return sum(
-            run.job_id == job_id and run.key[:2] == step_key
-            for run in self.runs_by_task.values()
-        )
+        return self._count_by_step.get((job_id, step_key), 0)
+
+    def _count_run(self, run, change):
+        step = run.job_id, run.key[:2]
+        count = self._count_by_step.pop(step, 0) + change
+        if count:
+            self._count_by_step[step] = count
 
     def image_pairs(self):
         """Return the (serving image, filler image) pairs present on the worker."""
@@ -289,3 +294,13 @@
     def filler_cores_by_image(self):
         """Return the cores that fillers are expected to use, by image."""
         return self._current_usage()[1]
+
+
+def _add_usage(usage, run):
+    """Return the result of `Worker._current_usage` with one more run."""
+    used, cores_by_image = usage
+    expected = run.expected_millicores
+    if run.is_filler:
+        cores = cores_by_image.get(run.image, 0.0)
+        cores_by_image = cores_by_image | {run.image: cores + expected / 1000}
+    return used + expected, cores_by_image
