Count the room that reservations leave to a gang

Cause: a gang that the workers have room for, but not beside the room that is reserved for another job, was searched member by member in each pass until one was stopped by a reservation.

Change: the members that leave the reserved room alone are counted for each worker with reservations, by bisection. Reservations from the expected end of the members on are left to the search, so that it finds the same.

Measured: test_no_pass_searches_for_the_members_of_a_gang_that_reservations _stop failed before and passes now.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -149,13 +149,9 @@
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
-    filler_demand = _filler_demand(job, step, now_s)
-    room_by_worker = {
-        worker.worker_id: count_member_room(
-            cell, job, keys[0][:2], worker, filler_demand
-        )
-        for worker in workers
-    }
+    room_by_worker = _member_room(
+        cell, job, keys[0], step, workers, now_s, reservations
+    )
     for racks in _rack_choices(step, workers, now_s):
         if sum(room_by_worker[worker.worker_id] for worker in racks) < step.count:
             continue
@@ -173,6 +169,18 @@
     return [_assign(cell, job, key, worker, now_s, number) for key, worker in chosen]
 
 
+def _member_room(cell, job, key, step, workers, now_s, reservations):
+    """Return the number of members that fit on each worker at most, by its id."""
+    filler_demand = _filler_demand(job, step, now_s)
+    room_by_worker = {}
+    for worker in workers:
+        room = count_member_room(cell, job, key[:2], worker, filler_demand)
+        if reservations is not None:
+            room = reservations.count_allowed(job, step, worker, room)
+        room_by_worker[worker.worker_id] = room
+    return room_by_worker
+
+
 def _rack_choices(step, workers, now_s):
     """Yield the sets of workers to try for a gang: single racks first, then all.
 
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/reservations.py
@@ -21,7 +21,12 @@
 from .gaps import GapKeeper
 from .ordering import placement_class, yield_end_s
 from .reportedeffects import ReservationsMade
-from .reservedroom import Reservation, latest_end_s, leaves_room
+from .reservedroom import (
+    Reservation,
+    count_leaving_room,
+    latest_end_s,
+    leaves_room,
+)
 from .scoring import MIN_FILLER_SPEED_RATIO
 from .staleruns import ready_by_step
 from .startsearch import StartSearch
@@ -253,6 +258,26 @@
         self.is_blocked |= not is_free
         return is_free
 
+    def count_allowed(self, job, step, worker, limit):
+        """Return how many tasks of a step may start on a worker now, at most.
+
+        Reservations from the expected end of the tasks on are not counted, since the
+        tasks are expected to have released their room by then.
+        """
+        held = self._by_worker.get(worker.worker_id)
+        if held is None or step.is_service:
+            return limit
+        held = self._holding_against(job, held)
+        if not held:
+            return limit
+        expected = self._cell.run_times.expect(job.spec.queue.name, step)
+        end_s = self._now_s + expected.seconds
+        count = count_leaving_room(
+            self._cell, step, worker, held, self._now_s, end_s, limit
+        )
+        self.is_blocked |= count < limit
+        return count
+
     def _holding_against(self, job, held):
         found = []
         for one in held:
--- a/dotterelspread/jobs/reservedroom.py
+++ b/dotterelspread/jobs/reservedroom.py
@@ -1,11 +1,20 @@
 """Capacity of a worker that is kept for a waiting task, and its use by others."""
 
+from bisect import bisect_left
 from dataclasses import dataclass
 
 from .scoring import FillerDemand, expected_speed
-from .timeline import MIN_PACE_RATIO, NOTHING, add, free_now, releases_of, subtract
-
-__all__ = ["Reservation", "latest_end_s", "leaves_room"]
+from .timeline import (
+    MIN_PACE_RATIO,
+    NOTHING,
+    add,
+    free_now,
+    releases_of,
+    subtract,
+    use_of,
+)
+
+__all__ = ["Reservation", "count_leaving_room", "latest_end_s", "leaves_room"]
 
 #: Margin on run times in standard deviations: one run in six lasts longer.
 MARGIN_DEVIATIONS = 1.0
@@ -39,6 +48,28 @@
     return now_s + run_s
 
 
+def count_leaving_room(cell, step, worker, held, now_s, end_s, limit):
+    """Return how many tasks of a step leave room for the reserved ones, up to a limit.
+
+    Parameters
+    ----------
+    cell : Cell
+    step : StepSpec
+    worker : Worker
+    held : list of Reservation
+    now_s, end_s : float
+        Begin and end of the tasks.
+    limit : int
+    """
+    use = use_of(step)
+
+    def takes_reserved(count):
+        total = tuple(count * amount for amount in use)
+        return not leaves_room(cell, worker, held, total, now_s, end_s)
+
+    return bisect_left(range(1, limit + 1), True, key=takes_reserved)
+
+
 def leaves_room(cell, worker, held, use, now_s, end_s):
     """Return whether reserved tasks still fit beside a use of a worker.
 
--- a/tests/test_gangroom.py
+++ b/tests/test_gangroom.py
@@ -3,16 +3,22 @@
 import random
 
 import pytest
+from msgspec.structs import replace
 
 from dotterelspread.jobs import placing
-from dotterelspread.jobs.cell import CellTick, Submitted
+from dotterelspread.jobs.cell import Cancelled, CellTick, StartRun, Submitted
 from dotterelspread.jobs.gangroom import count_member_room
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.paircost import CostEstimate
+from dotterelspread.jobs.placementpolicy import PlacementPolicy
+from dotterelspread.jobs.queues import Queue
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker, submit
-from tests.builders_fleet import make_job, make_step
+from tests.builders_fleet import QUEUE, make_job, make_step
+
+OTHER_QUEUE = Queue("other", "host", "/other/", "svc", 1, 3, 2.0, 500)
+QUEUES = (QUEUE, OTHER_QUEUE)
 
 #: Demand of a member, of which a worker takes eight.
 SMALL = Resources(1000, 10)
@@ -94,10 +100,10 @@
     return make_step(**(values | changes))
 
 
-def make_random_cell(rng):
+def make_random_cell(rng, queues=(QUEUE,)):
     """Return a cell of a few workers with costs and some running tasks."""
     workers = [make_random_worker(rng, number) for number in range(rng.randint(1, 5))]
-    cell = make_cell(*workers)
+    cell = make_cell(*workers, queues=queues)
     for pair in (("s", "f"), ("s", "g"), ("t", "f")):
         cell.costs.by_pair[pair] = CostEstimate(rng.choice([-0.1, 0.04, 0.3]), 0.0)
     for number in range(rng.randint(0, 3)):
@@ -144,3 +150,73 @@
     started = reduce(Submitted(0.0, spec, 0), cell)
     own = [effect for effect in started if effect.run.job_id == spec.job_id]
     assert [(effect.run.key, effect.worker) for effect in own] == found
+
+
+def submit_at(cell, now_s, number, queue, **changes):
+    spec = make_job(number, (make_step(**changes),), queue=queue)
+    return starts_of(reduce(Submitted(now_s, spec, 0), cell))
+
+
+def test_no_pass_searches_for_the_members_of_a_gang_that_reservations_stop(choices):
+    # Guards against a search of thousands of members in each pass while the room
+    # beside the reserved one is too small for all of them.
+    cell = make_cell(make_worker(0), make_worker(1), queues=QUEUES)
+    cell.placement_policy = PlacementPolicy(reserved_jobs=1)
+    half = {"count": 2, "max_per_worker": 1, "demand": Resources(4000, 10)}
+    assert len(submit_at(cell, 10.0, 1, QUEUES[0], estimate_ms=2000, **half)) == 2
+    large = {"count": 2, "is_gang": True, "demand": Resources(6000, 10)}
+    assert submit_at(cell, 10.1, 2, QUEUES[0], estimate_ms=2000, **large) == []
+    choices.clear()
+    gang = {"count": 60, "is_gang": True, "demand": Resources(100, 10)}
+    assert submit_at(cell, 10.2, 3, QUEUES[1], estimate_ms=9000, **gang) == []
+    assert choices == []
+    assert len(submit_at(cell, 10.2, 4, QUEUES[1], estimate_ms=500, **gang)) == 60
+
+
+def end_stopped_runs(cell):
+    """Report the ends of stopped runs, and that the others go on."""
+    for worker in cell.workers_by_id.values():
+        worker.invalidate_usage()
+        for task_id, run in list(worker.runs_by_task.items()):
+            if run.is_stop_requested:
+                worker.remove(task_id)
+
+
+def play_random_passes(seed):
+    """Return the tasks and workers of the starts in some passes with reservations."""
+    rng = random.Random(seed)
+    cell = make_random_cell(rng, QUEUES)
+    cell.placement_policy = PlacementPolicy(reserved_jobs=2, keeps_gaps=seed % 2 == 0)
+    started = []
+    for number in range(10, 20):
+        now_s = 0.4 * number
+        count = rng.randint(1, 30)
+        step = make_random_step(rng, count=count, is_gang=count > 1)
+        step = replace(step, estimate_ms=rng.choice([300, 2000, 9000]))
+        spec = make_job(number, (step,), queue=rng.choice(QUEUES))
+        started += starts_of(reduce(Submitted(now_s, spec, 0), cell))
+        if len(started) > 20:
+            job_id = rng.choice(started)[0].split(".")[0]
+            started += starts_of(reduce(Cancelled(now_s + 0.1, job_id, 0), cell))
+        end_stopped_runs(cell)
+    return started
+
+
+def starts_of(effects):
+    return [
+        (effect.task_id, effect.worker.worker_id)
+        for effect in effects
+        if isinstance(effect, StartRun)
+    ]
+
+
+def search_always(cell, job, key, step, workers, *rest):
+    """Count room for all members everywhere, so that each gang is searched."""
+    return {worker.worker_id: step.count for worker in workers}
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_counted_room_changes_no_placement_beside_reservations(seed, monkeypatch):
+    started = play_random_passes(seed)
+    monkeypatch.setattr(placing, "_member_room", search_always)
+    assert started == play_random_passes(seed)
