Group the ready tasks of a job again only once they have changed

With many tasks that wait, each pass takes longer, and the leader answers nothing during it.

Cause: each pass looked at all ready tasks of each job twice, to sort the jobs and to group the tasks by step, though little changes between passes.

Change: the groups are kept with the ready tasks until these change (jobs/readytasks.py); jobs without service steps need no look at their tasks to be sorted; stale runs cost only the jobs that have one.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -9,8 +9,9 @@
 from .permits import Permits
 from .placementpolicy import PlacementPolicy
 from .queues import FleetConfiguration
+from .readytasks import ReadyTasks
 from .runtimes import RunTimes
-from .spec import JobSpec, StepSpec, TaskKey
+from .spec import JobSpec, StepSpec
 from .taskrun import TaskRun
 from .worker import AgentReport, Worker
 from .workerloss import WorkerLoss
@@ -56,8 +57,8 @@
     permits_by_job: dict[str, dict[tuple[int, int], Permits]] = field(
         default_factory=dict
     )
-    #: Tasks that are ready for placement, by job; used as an ordered set.
-    ready_by_job: dict[str, dict[TaskKey, None]] = field(default_factory=dict)
+    #: Tasks that are ready for placement, by job.
+    ready_by_job: dict[str, ReadyTasks] = field(default_factory=dict)
     #: Occurrences not yet due, sorted: due time in milliseconds, job id and number.
     scheduled_occurrences: list[tuple[int, str, int]] = field(default_factory=list)
     #: Jobs whose journal record is out of date.
@@ -106,14 +107,17 @@
 
     def set_ready(self, job, key):
         """Mark a task as ready for placement."""
-        self.ready_by_job.setdefault(job.job_id, {})[key] = None
+        ready = self.ready_by_job.get(job.job_id)
+        if ready is None:
+            ready = self.ready_by_job[job.job_id] = ReadyTasks()
+        ready.add(key)
 
     def clear_ready(self, job, key):
         """Remove a task from those ready for placement."""
-        keys = self.ready_by_job.get(job.job_id)
-        if keys is not None:
-            keys.pop(key, None)
-            if not keys:
+        ready = self.ready_by_job.get(job.job_id)
+        if ready is not None:
+            ready.discard(key)
+            if not ready:
                 del self.ready_by_job[job.job_id]
 
 
--- a/dotterelspread/jobs/ordering.py
+++ b/dotterelspread/jobs/ordering.py
@@ -78,6 +78,8 @@
 
 def _service_class(job, keys):
     """Return the `ServiceClass` of a job by its tasks to place."""
+    if not any(step.is_service for step in job.spec.steps):
+        return ServiceClass.NONE
     service_keys = [key for key in keys if job.step_of(key).is_service]
     if any(job.tasks_by_key[key].run for key in service_keys):
         return ServiceClass.INTERRUPTED
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -85,7 +85,9 @@
     )
     reservations.note_starts(effects)
     for step_key, keys in keys_by_step.items():
-        waiting = sum(cell.is_ready(job, key) for key in keys)
+        waiting = len(keys)
+        if effects:
+            waiting = sum(cell.is_ready(job, key) for key in keys)
         if waiting:
             reservations.hold(job, step_key, waiting)
     return effects
--- a/dotterelspread/jobs/staleruns.py
+++ b/dotterelspread/jobs/staleruns.py
@@ -24,8 +24,11 @@
 
 def ready_by_step(cell, job, stale_task_ids):
     """Return the keys of a job's ready tasks without stale runs, by step key."""
-    groups = {}
-    for key in cell.ready_by_job[job.job_id]:
-        if not stale_task_ids or job.task_id(key) not in stale_task_ids:
-            groups.setdefault(key[:2], []).append(key)
-    return groups
+    groups = cell.ready_by_job[job.job_id].by_step()
+    if not any(task_id.startswith(job.job_id) for task_id in stale_task_ids):
+        return groups
+    fresh = {
+        step_key: [key for key in keys if job.task_id(key) not in stale_task_ids]
+        for step_key, keys in groups.items()
+    }
+    return {step_key: keys for step_key, keys in fresh.items() if keys}
