Keep the run times of a step sorted, for its stragglers

With a wide step in progress the leader answers nothing for seconds.

Cause: ten times a second the median of all run times of a step was found for each of its runs that is in progress, by sorting them anew.

Change: the run times are kept sorted, and the median is read from them.

Measured: test_a_tick_does_not_look_at_all_run_times_for_each_run failed before and passes now.

--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -1,5 +1,7 @@
 """Applies the ends of runs that a worker reports to their tasks and jobs."""
 
+from bisect import insort
+
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
 from .job import Phase
@@ -80,7 +82,7 @@
     """Record the run time of a completed run."""
     if run.is_listed:
         durations = job.durations_by_step.setdefault(run.key[:2], [])
-        durations.append(event.now_s - run.first_listed_s)
+        insort(durations, event.now_s - run.first_listed_s)
     _learn_run_time(cell, job, run, job.step_of(run.key), event)
 
 
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -93,7 +93,7 @@
     first_seen_s: float = 0.0
     #: Leader's clock when a task of the job was last assigned or made progress.
     last_active_s: float = 0.0
-    #: Run times of completed runs in seconds, by occurrence and step.
+    #: Run times of completed runs in seconds, sorted, by occurrence and step.
     durations_by_step: dict[tuple[int, int], list[float]] = field(default_factory=dict)
     #: Checkpoints with a record of their own in the journal, or in an append under way.
     recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -7,8 +7,6 @@
 because its worker, its agent or the leader was silent for a while.
 """
 
-from statistics import median
-
 from .lifecycle import stop_run
 from .placing import choose_worker
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
@@ -135,12 +133,18 @@
     durations = job.durations_by_step.get(run.key[:2], ())
     if len(durations) < MIN_COMPLETED_PEERS or not run.percent:
         return False
-    usual_s = median(durations)
+    usual_s = _median(durations)
     remaining_s = run.observed_s * (DONE_PERCENT - run.percent) / run.percent
     is_old = run.observed_s > MIN_AGE_RATIO * usual_s
     return is_old and remaining_s > max(MIN_REMAINING_S, MIN_REMAINING_RATIO * usual_s)
 
 
+def _median(ordered):
+    """Return the median of sorted numbers, without a look at all of them."""
+    half = len(ordered) // 2
+    return (ordered[half] + ordered[-1 - half]) / 2
+
+
 def _find_alternative(cell, job, run, worker, now_s):
     others = [
         other
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -1,14 +1,17 @@
 """Tests of which runs are stopped to restart on another worker."""
 
+import random
+import statistics
 from dataclasses import replace
 
 import pytest
 
+from dotterelspread.jobs import stragglers
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.stragglers import FILLER_STALL_TIMEOUT_S, move_stragglers
 from dotterelspread.jobs.taskrun import RunStopReason
-from dotterelspread.jobs.worker import RunningTask
+from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_step
@@ -187,3 +190,53 @@
         simulate_filler(cell, 4.0, lambda elapsed_s: 100 if elapsed_s < 2 else 25)[1]
         == []
     )
+
+
+class CountingList(list):
+    """A list that counts how often all its items are looked at."""
+
+    looks = 0
+
+    def __iter__(self):
+        self.looks += 1
+        return super().__iter__()
+
+
+def test_a_tick_does_not_look_at_all_run_times_for_each_run():
+    # Guards against ticks whose time grows with the running tasks of a step times the
+    # completed ones.
+    cell = make_cell(make_worker(0))
+    starts = submit(cell, make_step(count=8))
+    for start in starts:
+        start.run.is_order_in_flight = False
+    rows = [RunningTask(start.task_id, 1, "", 20, 0) for start in starts]
+    reduce(make_report(0, 0.0, *rows), cell)
+    [job] = cell.jobs_by_id.values()
+    durations = job.durations_by_step[0, 0] = CountingList([0.1, 0.2, 0.3])
+    assert move_stragglers(cell, 0.1) == []
+    assert durations.looks == 0
+
+
+def complete_after(cell, starts, run_times_s):
+    """Report completions after some run times in seconds."""
+    rows = [RunningTask(start.task_id, 1, "", 20, 0) for start in starts]
+    reduce(make_report(0, 0.0, *rows), cell)
+    for number, (start, run_s) in enumerate(zip(starts, run_times_s, strict=True), 1):
+        end = EndedRun(number, start.task_id, 1, RunEnd.COMPLETED, "")
+        event = make_report(0, run_s)
+        reduce(replace(event, report=replace(event.report, ended=(end,))), cell)
+
+
+def test_run_times_that_do_not_come_in_order_are_kept_in_order():
+    # Guards against a wrong usual run time, by which sound runs would be stopped.
+    cell = make_cell(make_worker(0))
+    starts = submit(cell, make_step(count=6))
+    complete_after(cell, starts[:5], [0.4, 0.1, 0.5, 0.3, 0.2])
+    [job] = cell.jobs_by_id.values()
+    assert job.durations_by_step[0, 0] == [0.1, 0.2, 0.3, 0.4, 0.5]
+
+
+@pytest.mark.parametrize("length", [2, 3, 4, 7])
+def test_the_usual_run_time_is_the_median(length):
+    ordered = sorted(random.Random(length).random() for _ in range(length))
+    assert stragglers._median(ordered) == statistics.median(ordered)
