Bound the searches for another worker for stalled runs in a tick

Cause: at most four runs are moved in a tick, but where no other worker has room, one was sought for each run of a step that has stalled.

Change: after eight failed searches for the runs of one step on one worker the others wait for the next tick.

Measured: test_few_searches_are_made_for_stalled_runs_that_can_go_nowhere failed before and passes now.

--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -7,6 +7,8 @@
 because its worker, its agent or the leader was silent for a while.
 """
 
+from collections import Counter
+
 from .lifecycle import stop_run
 from .placing import choose_worker
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
@@ -40,6 +42,9 @@
 MIN_PACE_RATIO = 0.01
 #: Maximum number of runs that are moved in one tick.
 MAX_MOVES_PER_TICK = 4
+#: Number of runs of a step on one worker for which another worker is sought in vain in
+#: one tick; what the others need is much the same.
+MAX_FAILED_SEARCHES = 8
 #: Number of starts of a task after which it is no longer moved.
 MAX_STARTS_PER_TASK = 4
 #: Time for which a worker on which a run stalled is in cooldown.
@@ -52,16 +57,21 @@
     for worker in cell.workers_by_id.values():
         if not worker.is_reachable:
             continue
+        failed_searches = Counter()
         for task_id, run in worker.runs_by_task.items():
             if len(effects) >= MAX_MOVES_PER_TICK:
                 return effects
             job = cell.jobs_by_id.get(run.job_id)
             if job is None or not _can_move(job, run):
                 continue
+            step = run.job_id, run.key[:2]
+            if failed_searches[step] >= MAX_FAILED_SEARCHES:
+                continue
             reason = find_move_reason(job, run)
             if not reason:
                 continue
             if _find_alternative(cell, job, run, worker, now_s) is None:
+                failed_searches[step] += 1
                 continue
             job.tasks_by_key[run.key].avoided_worker_id = worker.worker_id
             if not run.is_filler and reason == RunStopReason.STALLED:
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -240,3 +240,26 @@
 def test_the_usual_run_time_is_the_median(length):
     ordered = sorted(random.Random(length).random() for _ in range(length))
     assert stragglers._median(ordered) == statistics.median(ordered)
+
+
+def test_few_searches_are_made_for_stalled_runs_that_can_go_nowhere(monkeypatch):
+    # Guards against ticks that seek another worker for each of thousands of runs.
+    cell = make_cell(make_worker(0, capacity=Resources(32_000, 16_000)))
+    starts = submit(cell, make_step(count=300, demand=Resources(100, 10)))
+    for start in starts:
+        start.run.is_order_in_flight = False
+    rows = [RunningTask(start.task_id, 1, "", 20, 0) for start in starts]
+    for half_seconds in range(8):
+        reduce(make_report(0, half_seconds / 2, *rows), cell)
+    searches = []
+    choose_worker = stragglers.choose_worker
+
+    def note_search(cell, job, key, *rest):
+        searches.append(key)
+        return choose_worker(cell, job, key, *rest)
+
+    monkeypatch.setattr(stragglers, "choose_worker", note_search)
+    assert move_stragglers(cell, 3.5) == []
+    assert len(searches) == stragglers.MAX_FAILED_SEARCHES
+    cell.workers_by_id["i-1"] = make_worker(1)
+    assert len(move_stragglers(cell, 3.5)) == stragglers.MAX_MOVES_PER_TICK
