Score a worker for a step again only once it has changed

A gang is placed in one pass, whatever its size.

Cause: the scores of all workers were computed for each task of a step, though between two tasks only the worker chosen for the first one changes.

Change: the scores are kept while a step is placed, and that of a chosen worker is dropped.

Measured: test_only_the_worker_that_has_changed_is_scored_again failed in both cases before and passes now.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -4,6 +4,8 @@
 idle; `ordering` decides the order of the jobs and `scoring` which worker suits a task.
 """
 
+from typing import NamedTuple
+
 from .gangroom import count_member_rooms
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
@@ -166,8 +168,11 @@
     if step.is_gang:
         return _place_gang(cell, job, step, keys, workers, now_s, reservations)
     starts = []
+    scores = {}
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
+        worker = choose_worker(
+            cell, job, key, step, workers, now_s, reservations, scores
+        )
         if worker is None:
             break
         starts.append(_assign(cell, job, key, worker, now_s))
@@ -218,8 +223,11 @@
     """Return (key, worker) pairs of all members; empty if any member does not fit."""
     chosen = []
     tentative = []
+    scores = {}
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
+        worker = choose_worker(
+            cell, job, key, step, workers, now_s, reservations, scores
+        )
         if worker is None:
             chosen = []
             break
@@ -232,7 +240,7 @@
     return chosen
 
 
-def choose_worker(cell, job, key, step, workers, now_s, reservations=None):
+def choose_worker(cell, job, key, step, workers, now_s, reservations=None, scores=None):
     """Return the best worker for a task, or None if it fits nowhere.
 
     Parameters
@@ -246,41 +254,76 @@
     now_s : float
     reservations : Reservations or None
         Room that is kept for other tasks.
+    scores : dict or None
+        Scores that earlier choices for tasks of the step have found, if each of these
+        was placed at once on the chosen worker and nothing else has changed.
     """
     best = None
     best_score = None
     task = job.tasks_by_key[key]
     is_suspect = task.early_crashes > 0
     filler_demand = _filler_demand(job, step, now_s)
+    kind = is_suspect, filler_demand and filler_demand.min_speed_ratio
+    score_by_worker = {} if scores is None else scores.setdefault(kind, {})
     task_id = job.task_id(key)
     for worker in workers:
         # An earlier run may still be there until it has been stopped.
-        if task_id in worker.runs_by_task or not _fits(job, key, step, worker):
+        if task_id in worker.runs_by_task:
             continue
-        suitability = placement_score(cell, step, worker, filler_demand)
-        if suitability is None:
+        worker_id = worker.worker_id
+        if worker_id not in score_by_worker:
+            score_by_worker[worker_id] = _score(
+                cell, job, key, worker, is_suspect, filler_demand, now_s, reservations
+            )
+        score = score_by_worker[worker_id]
+        if score is None:
             continue
-        if reservations is not None:
-            if not reservations.allows(job, step, worker):
-                continue
-            speed, *rest = suitability
-            suitability = (speed, -reservations.gap_loss(step, worker), *rest)
-        is_near = not step.preferred_rack or worker.rack == step.preferred_rack
-        has_failed = worker.worker_id == task.avoided_worker_id
-        score = (
-            not worker.cools_down(now_s),
-            not worker.is_cold(now_s),
-            not has_failed,
-            *isolation_score(worker, is_suspect),
-            is_near,
-            *suitability,
-            worker.worker_id,
-        )
+        if worker_id == task.avoided_worker_id:
+            score = score._replace(is_not_avoided=False)
         if best is None or score > best_score:
             best, best_score = worker, score
+    if best is not None and scores is not None:
+        for score_by_worker in scores.values():
+            score_by_worker.pop(best.worker_id, None)
     return best
 
 
+class _Score(NamedTuple):
+    """Sort key of a worker for a task, larger is better."""
+
+    is_sound: bool
+    is_warm: bool
+    is_not_avoided: bool
+    isolation: tuple
+    is_near: bool
+    suitability: tuple
+    worker_id: str
+
+
+def _score(cell, job, key, worker, is_suspect, filler_demand, now_s, reservations):
+    """Return the `_Score` of a worker, or None if the task must not start there."""
+    step = job.step_of(key)
+    if not _fits(job, key, step, worker):
+        return None
+    suitability = placement_score(cell, step, worker, filler_demand)
+    if suitability is None:
+        return None
+    if reservations is not None:
+        if not reservations.allows(job, step, worker):
+            return None
+        speed, *rest = suitability
+        suitability = (speed, -reservations.gap_loss(step, worker), *rest)
+    return _Score(
+        not worker.cools_down(now_s),
+        not worker.is_cold(now_s),
+        True,
+        isolation_score(worker, is_suspect),
+        not step.preferred_rack or worker.rack == step.preferred_rack,
+        suitability,
+        worker.worker_id,
+    )
+
+
 def _filler_demand(job, step, now_s):
     if not step.is_filler:
         return None
--- a/tests/test_gangroom.py
+++ b/tests/test_gangroom.py
@@ -221,3 +221,16 @@
     started = play_random_passes(seed)
     monkeypatch.setattr(placing, "count_member_rooms", search_always)
     assert started == play_random_passes(seed)
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_kept_scores_change_no_placement(seed, monkeypatch):
+    # Guards against a choice by a score from before the worker has changed.
+    started = play_random_passes(seed)
+    choose_worker = placing.choose_worker
+
+    def choose_anew(*values):
+        return choose_worker(*values[:7])
+
+    monkeypatch.setattr(placing, "choose_worker", choose_anew)
+    assert started == play_random_passes(seed)
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -1,5 +1,7 @@
 """Tests of placement: the choice of workers and the order of jobs."""
 
+import pytest
+
 from dotterelspread.jobs import placing
 from dotterelspread.jobs.cell import AppendDone, Cancelled, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
@@ -391,3 +393,33 @@
     starts = submit(cell, *[tiny] * (placing.MAX_STARTS_PER_PASS + 1))
     assert len(starts) == placing.MAX_STARTS_PER_PASS
     assert len(reduce(AppendDone(0.1), cell)) == 1
+
+
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_only_the_worker_that_has_changed_is_scored_again(is_gang, monkeypatch):
+    # Guards against passes whose time grows with tasks times workers.
+    cell = make_cell(*(make_worker(number) for number in range(20)))
+    scored = []
+    placement_score = placing.placement_score
+
+    def note_score(cell, step, worker, filler_demand):
+        scored.append(worker.worker_id)
+        return placement_score(cell, step, worker, filler_demand)
+
+    monkeypatch.setattr(placing, "placement_score", note_score)
+    step = make_step(count=100, demand=Resources(100, 10), is_gang=is_gang)
+    assert len(submit(cell, step)) == 100
+    assert len(scored) <= 20 + 100
+
+
+def test_members_that_avoid_a_worker_go_to_another_one():
+    # Guards against scores kept for one task that are used for another.
+    cell = make_cell(make_worker(0), make_worker(1))
+    cell.is_append_under_way = True
+    submit(cell, make_step(count=4, is_gang=True, demand=Resources(100, 10)))
+    cell.is_append_under_way = False
+    [job] = cell.jobs_by_id.values()
+    for key in job.keys_of_step(0, 0):
+        job.tasks_by_key[key].avoided_worker_id = f"i-{key[2] % 2}"
+    starts = place(cell, 0.1)
+    assert [effect.worker.worker_id for effect in starts] == ["i-1", "i-0"] * 2
