--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -4,6 +4,9 @@
 idle; `ordering` decides the order of the jobs and `scoring` which worker suits a task.
 """
 
+from typing import NamedTuple
+
+from .gangroom import count_member_rooms
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import PermitQuery, ask_permits, permitted_workers
@@ -26,6 +29,10 @@
 
 #: Time without progress after which the fillers of a job are placed at any speed.
 IDLE_JOB_TIMEOUT_S = 1.5
+#: Number of starts after which a pass ends; the next one goes on after an append. The
+#: leader does nothing else during a pass, and a start takes about 1 ms beside 630
+#: workers.
+MAX_STARTS_PER_PASS = 250
 
 
 def place(cell, now_s):
@@ -59,19 +66,23 @@
         reservations = make_reservations(cell, jobs, workers, stale_task_ids, now_s)
         for job in jobs:
             groups = ready_by_step(cell, job, stale_task_ids)
-            if reservations is None:
-                starts = _place_job(cell, job, groups, workers, unplaceable, now_s)
-            else:
-                starts = _place_and_hold(
-                    cell, job, groups, workers, unplaceable, now_s, reservations
-                )
-            effects.extend(starts)
+            place_tasks = _place_job if reservations is None else _place_and_hold
+            max_starts = MAX_STARTS_PER_PASS - len(effects)
+            effects += place_tasks(
+                cell, job, groups, workers, unplaceable, now_s, max_starts, reservations
+            )
+            if len(effects) >= MAX_STARTS_PER_PASS:
+                # Later jobs wait too, so that they do not take the room of this one.
+                cell.is_placing_due = True
+                break
         if reservations is not None:
             effects.extend(reservations.effects())
     return effects
 
 
-def _place_and_hold(cell, job, keys_by_step, workers, unplaceable, now_s, reservations):
+def _place_and_hold(
+    cell, job, keys_by_step, workers, unplaceable, now_s, max_starts, reservations
+):
     """Place the tasks of a job, and reserve room for those that do not fit."""
     reservations.release(job)
     keys_by_step = {
@@ -80,32 +91,33 @@
         if not reservations.skips(job, job.spec.steps[step_key[1]])
     }
     effects = _place_job(
-        cell, job, keys_by_step, workers, unplaceable, now_s, reservations
+        cell, job, keys_by_step, workers, unplaceable, now_s, max_starts, reservations
     )
     reservations.note_starts(effects)
     for step_key, keys in keys_by_step.items():
-        waiting = sum(cell.is_ready(job, key) for key in keys)
+        waiting = len(keys)
+        if effects:
+            waiting = sum(cell.is_ready(job, key) for key in keys)
         if waiting:
             reservations.hold(job, step_key, waiting)
     return effects
 
 
-def _place_job(cell, job, keys_by_step, workers, unplaceable, now_s, reservations=None):
+def _place_job(
+    cell, job, keys_by_step, workers, unplaceable, now_s, max_starts, reservations
+):
     queue = cell.queue_of(job)
     service = queue.service
     effects = []
     eligible = [worker for worker in workers if worker.service == service]
     for step_key, keys in keys_by_step.items():
+        if len(effects) >= max_starts:
+            break
         step = job.spec.steps[step_key[1]]
         filler_demand = _filler_demand(job, step, now_s)
         if unplaceable.covers(service, step, filler_demand):
             continue
-        feasible = [
-            worker
-            for worker in eligible
-            if (step.is_service or not worker.cools_down(now_s))
-            and _can_host(worker, step)
-        ]
+        feasible = _feasible_workers(step, eligible, now_s)
         if not feasible:
             unplaceable.add(service, step)
             continue
@@ -114,29 +126,53 @@
             usable = permitted_workers(cell, job, step_key, feasible, now_s)
         if reservations is not None:
             reservations.reset_blocked()
-        starts = _place_step(cell, job, step, keys, usable, now_s, reservations)
+        tried = _bound_keys(step, keys, max_starts - len(effects))
+        starts = _place_step(cell, job, step, tried, usable, now_s, reservations)
         effects.extend(starts)
-        if len(starts) == len(keys):
+        if len(starts) == len(tried):
             continue
         if queue.needs_permits:
             query = PermitQuery(job, step_key, queue.permit_timing, feasible)
             effects.extend(ask_permits(cell, query, now_s))
-        elif reservations is not None and reservations.is_blocked:
-            # Others may be allowed to use the room that is reserved.
-            reservations.count_block(job, step)
-        elif not step.is_gang and not step.max_per_worker:
-            # With a limit per worker, only this step's own tasks may stand in the way;
-            # other steps with the same demand may still fit.
-            unplaceable.add(service, step, filler_demand)
+        else:
+            _note_waiting(job, service, step, filler_demand, unplaceable, reservations)
     return effects
 
 
+def _note_waiting(job, service, step, filler_demand, unplaceable, reservations):
+    """Record that tasks of a step did not start, for the jobs that follow."""
+    if reservations is not None and reservations.is_blocked:
+        # Others may be allowed to use the room that is reserved.
+        reservations.count_block(job, step)
+    elif not step.is_gang and not step.max_per_worker:
+        # With a limit per worker, only this step's own tasks may stand in the way;
+        # other steps with the same demand may still fit.
+        unplaceable.add(service, step, filler_demand)
+
+
+def _bound_keys(step, keys, max_starts):
+    """Return the tasks of a step that may start in a pass; a gang starts as a whole."""
+    return keys if step.is_gang else keys[:max_starts]
+
+
+def _feasible_workers(step, workers, now_s):
+    """Return the workers that a task of a step may start on now."""
+    return [
+        worker
+        for worker in workers
+        if (step.is_service or not worker.cools_down(now_s)) and _can_host(worker, step)
+    ]
+
+
 def _place_step(cell, job, step, keys, workers, now_s, reservations):
     if step.is_gang:
         return _place_gang(cell, job, step, keys, workers, now_s, reservations)
     starts = []
+    scores = {}
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
+        worker = choose_worker(
+            cell, job, key, step, workers, now_s, reservations, scores
+        )
         if worker is None:
             break
         starts.append(_assign(cell, job, key, worker, now_s))
@@ -148,7 +184,13 @@
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
+    filler_demand = _filler_demand(job, step, now_s)
+    room_by_worker = count_member_rooms(
+        cell, job, keys[0][:2], workers, filler_demand, reservations
+    )
     for racks in _rack_choices(step, workers, now_s):
+        if sum(room_by_worker[worker.worker_id] for worker in racks) < step.count:
+            continue
         chosen = _choose_members(cell, job, keys, step, racks, now_s, reservations)
         if chosen:
             break
@@ -181,8 +223,11 @@
     """Return (key, worker) pairs of all members; empty if any member does not fit."""
     chosen = []
     tentative = []
+    scores = {}
     for key in keys:
-        worker = choose_worker(cell, job, key, step, workers, now_s, reservations)
+        worker = choose_worker(
+            cell, job, key, step, workers, now_s, reservations, scores
+        )
         if worker is None:
             chosen = []
             break
@@ -195,7 +240,7 @@
     return chosen
 
 
-def choose_worker(cell, job, key, step, workers, now_s, reservations=None):
+def choose_worker(cell, job, key, step, workers, now_s, reservations=None, scores=None):
     """Return the best worker for a task, or None if it fits nowhere.
 
     Parameters
@@ -209,41 +254,76 @@
     now_s : float
     reservations : Reservations or None
         Room that is kept for other tasks.
+    scores : dict or None
+        Scores that earlier choices for tasks of the step have found, if each of these
+        was placed at once on the chosen worker and nothing else has changed.
     """
     best = None
     best_score = None
     task = job.tasks_by_key[key]
     is_suspect = task.early_crashes > 0
     filler_demand = _filler_demand(job, step, now_s)
+    kind = is_suspect, filler_demand and filler_demand.min_speed_ratio
+    score_by_worker = {} if scores is None else scores.setdefault(kind, {})
     task_id = job.task_id(key)
     for worker in workers:
         # An earlier run may still be there until it has been stopped.
-        if task_id in worker.runs_by_task or not _fits(job, key, step, worker):
+        if task_id in worker.runs_by_task:
             continue
-        suitability = placement_score(cell, step, worker, filler_demand)
-        if suitability is None:
+        worker_id = worker.worker_id
+        if worker_id not in score_by_worker:
+            score_by_worker[worker_id] = _score(
+                cell, job, key, worker, is_suspect, filler_demand, now_s, reservations
+            )
+        score = score_by_worker[worker_id]
+        if score is None:
             continue
-        if reservations is not None:
-            if not reservations.allows(job, step, worker):
-                continue
-            speed, *rest = suitability
-            suitability = (speed, -reservations.gap_loss(step, worker), *rest)
-        is_near = not step.preferred_rack or worker.rack == step.preferred_rack
-        has_failed = worker.worker_id == task.avoided_worker_id
-        score = (
-            not worker.cools_down(now_s),
-            not worker.is_cold(now_s),
-            not has_failed,
-            *isolation_score(worker, is_suspect),
-            is_near,
-            *suitability,
-            worker.worker_id,
-        )
+        if worker_id == task.avoided_worker_id:
+            score = score._replace(is_not_avoided=False)
         if best is None or score > best_score:
             best, best_score = worker, score
+    if best is not None and scores is not None:
+        for score_by_worker in scores.values():
+            score_by_worker.pop(best.worker_id, None)
     return best
 
 
+class _Score(NamedTuple):
+    """Sort key of a worker for a task, larger is better."""
+
+    is_sound: bool
+    is_warm: bool
+    is_not_avoided: bool
+    isolation: tuple
+    is_near: bool
+    suitability: tuple
+    worker_id: str
+
+
+def _score(cell, job, key, worker, is_suspect, filler_demand, now_s, reservations):
+    """Return the `_Score` of a worker, or None if the task must not start there."""
+    step = job.step_of(key)
+    if not _fits(job, key, step, worker):
+        return None
+    suitability = placement_score(cell, step, worker, filler_demand)
+    if suitability is None:
+        return None
+    if reservations is not None:
+        if not reservations.allows(job, step, worker):
+            return None
+        speed, *rest = suitability
+        suitability = (speed, -reservations.gap_loss(step, worker), *rest)
+    return _Score(
+        not worker.cools_down(now_s),
+        not worker.is_cold(now_s),
+        True,
+        isolation_score(worker, is_suspect),
+        not step.preferred_rack or worker.rack == step.preferred_rack,
+        suitability,
+        worker.worker_id,
+    )
+
+
 def _filler_demand(job, step, now_s):
     if not step.is_filler:
         return None
