--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,8 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs.forwarding import Verb
+from dotterelspread.jobs.placing import MAX_STARTS_PER_PASS
+from dotterelspread.resources import Resources
 from tests.builders_fleet import (
     make_job,
     make_step,
@@ -310,3 +312,15 @@
         assert fleet.checker.runs == 9
 
     run_scenario(scenario)
+
+
+def test_a_step_of_more_tasks_than_a_pass_starts_completes():
+    # Guards against a pass that ends early and is not followed by another one.
+    async def scenario(fleet):
+        count = 2 * MAX_STARTS_PER_PASS + 10
+        step = make_step(count=count, demand=Resources(10, 1))
+        await fleet.submit(make_job(1, (step,)))
+        await fleet.expect_completed(8)
+        assert fleet.checker.runs == count
+
+    run_scenario(scenario)
