Keep an entry that is being stopped from claiming the leadership again

Cause: `LeaderCandidate.run` went on after `resign`. A draining entry joined the group and claimed again once others had not; a claim or a join that was under way at the resignation was carried on.

Change: a resignation is final. The election loop ends, a claim under way is given up, and a join that was under way is followed by a leave.

Measured: the three new tests of tests/test_leadership.py failed before and pass now.

--- a/dotterelspread/jobs/candidate.py
+++ b/dotterelspread/jobs/candidate.py
@@ -92,16 +92,18 @@
         self._known_epoch = None
         #: When a call to the store last failed.
         self._store_failed_s = float("-inf")
+        #: Whether this process is shutting down.
+        self._has_resigned = False
         #: Since when the own term is not confirmed or reaches no agents.
         self._own_fault_since_s = None
         digest = zlib.crc32(settings.instance_id.encode())
         self._offset_s = MAX_OFFSET_S * (digest % 1000) / 1000
 
     async def run(self):
-        """Take part in the leader election indefinitely."""
+        """Take part in the leader election until this process resigns."""
         for _ in range(ROUND_TRIP_SAMPLES):
             await self._refresh_nodes()
-        while True:
+        while not self._has_resigned:
             began_s = clock.now_s()
             await self._refresh_nodes_if_due()
             await self._agent_comparison.update(self.leader is not None)
@@ -134,12 +136,16 @@
         if not await self._group.join():
             self._store_failed_s = clock.now_s()
             return
+        if self._has_resigned:
+            # The call was under way at the resignation.
+            await self._group.leave()
+            return
         standing = self._standing()
         if self._term_task is not None or choose_move(standing) is not Move.CLAIM:
             return
         if vacancy_s(standing) is None and not await self._is_fit_for_failback():
             return
-        if self._term_task is None:
+        if self._term_task is None and not self._has_resigned:
             log_decision(
                 "claim begins",
                 leader_epoch=self.view.epoch,
@@ -275,9 +281,12 @@
         return max(self.view.epoch, self._known_epoch or 0)
 
     async def resign(self):
-        """End the term, if any, and leave the group."""
+        """End the term or claim, if any, and leave the group for good."""
+        self._has_resigned = True
         if self.leader is not None:
             await self.leader.resign("the process is shutting down")
+        elif self._term_task is not None:
+            self._term_task.cancel()
         await self._group.leave()
 
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -50,6 +50,12 @@
     run_scenario(scenario)
 
 
+async def take_over_with_new_entry(fleet):
+    """Return the `Term` of a claim by an entry that the fleet does not have."""
+    settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
+    return await take_over(fleet.store.journal("successor"), settings)
+
+
 def assign_group_to_other_entry(fleet):
     """Assign the group's partition to a non-leader; return the leader and it."""
     leader = next(e for e in fleet.entries if e.candidate.leader)
@@ -98,6 +104,65 @@
     run_scenario(scenario)
 
 
+def lose_other_entry(fleet):
+    """Kill the entry that does not lead; return the leader's."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    fleet.entries[1 - fleet.entries.index(leader)].kill()
+    return leader
+
+
+def test_an_entry_that_is_being_stopped_does_not_claim_the_leadership_again():
+    async def scenario(fleet):
+        leader = lose_other_entry(fleet)
+        epoch = leader.candidate.leader.epoch
+        await leader.candidate.resign()
+        # Longer than the others take to replace a silent leader.
+        await fleet.settle(6)
+        assert leader.candidate.leader is None
+        term = await take_over_with_new_entry(fleet)
+        assert term.writer.epoch == epoch + 1
+
+    run_scenario(scenario)
+
+
+def test_an_entry_that_is_stopped_during_a_claim_does_not_lead():
+    async def scenario(fleet):
+        leader = lose_other_entry(fleet)
+        candidate = leader.candidate
+        candidate.leader.depose("an error", is_superseded=False)
+        fleet.store.delay_s = 0.2
+        await fleet.settle(1.5)
+        assert candidate._term_task is not None
+        assert candidate.leader is None
+        await candidate.resign()
+        await fleet.settle(6)
+        assert candidate.leader is None
+
+    run_scenario(scenario)
+
+
+def test_an_entry_that_is_stopped_while_it_joins_does_not_keep_the_turn():
+    async def scenario(fleet):
+        leader, other = assign_group_to_other_entry(fleet)
+        journal = leader.candidate.journal
+        join = journal.join
+        is_joining, is_stopped = asyncio.Event(), asyncio.Event()
+
+        async def join_when_stopped(*arguments):
+            is_joining.set()
+            await is_stopped.wait()
+            return await join(*arguments)
+
+        journal.join = join_when_stopped
+        await is_joining.wait()
+        await leader.candidate.resign()
+        is_stopped.set()
+        await fleet.settle(0.1)
+        assert set(fleet.store.members) == {other.settings.instance_id}
+
+    run_scenario(scenario)
+
+
 def test_a_term_that_ends_by_an_error_is_followed_by_another_at_once():
     async def scenario(fleet):
         leader = next(e for e in fleet.entries if e.candidate.leader)
@@ -229,8 +294,7 @@
 def test_a_leader_with_a_successor_denies_no_job():
     async def scenario(fleet):
         process = next(e for e in fleet.entries if e.candidate.leader)
-        settings = make_settings(FleetRole.ENTRY, 9, fleet.bounds)
-        await take_over(fleet.store.journal("successor"), settings)
+        await take_over_with_new_entry(fleet)
         # The successor may have accepted any job without this leader knowing it.
         for verb in (Verb.STATE, Verb.CANCEL):
             request = make_request(verb, ID, "q", 3000)
