Tell a successor how long the leases of a silent worker may last on

Cause: each successor counted the whole lease of a worker that it could not reach from its own start, though no leader had granted that worker a lease for longer. Restarts less than a lease apart put the start off without a bound. The first report of an agent whose worker was silent did the same.

Change: the record that a worker's grants are suspended also tells how long leases granted before may last on. It is renewed in steps of 0.5 s with appends that are made anyway. A successor counts that time from its takeover, since the record was appended before its claim, and goes on with the suspension, so that the chain holds over several leaders. Each leader counts its part on its own clock; the drift allowed for by `lease_end_s` covers the sum. It waits for 0.5 s at least, for the first reports. Records of earlier versions are read, and waited for as before.

--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -7,6 +7,7 @@
 from . import clock
 from .checkpoints import take_checkpoint_records
 from .journal import RECORD_LENGTH_BYTES
+from .leasesuspension import remaining_lease_ms
 from .records import (
     costs_record,
     drop_records,
@@ -24,6 +25,9 @@
 
 #: Interval between records of the costs that fillers impose on serving tasks.
 COSTS_INTERVAL_S = 2.0
+#: Decrease of the remaining leases of a suspended worker that its record does not tell,
+#: from which the next append for other reasons renews it.
+SUSPENSION_RENEWAL_MS = 500
 
 
 class ChangedRecords:
@@ -50,6 +54,7 @@
         "_is_confirmation_due",
         "_is_leader_record_due",
         "_leader",
+        "_recorded_lease_ms_by_id",
         "_suspended_worker_ids",
         "_waived_addresses",
     )
@@ -67,6 +72,8 @@
         self._is_leader_record_due = False
         self._is_confirmation_due = False
         self._suspended_worker_ids = set(suspended_worker_ids)
+        #: Remaining leases in the records of the workers that this term has suspended.
+        self._recorded_lease_ms_by_id = {}
         self._residual_lease_worker_ids = set(residual_lease_worker_ids)
         self._waived_addresses = self._due_waivers = waived_addresses
         #: Jobs whose specification an append has carried.
@@ -106,6 +113,9 @@
         for job in dropped_jobs:
             records.extend(drop_records(job))
         records.extend(self._take_waivers())
+        if records or self._is_confirmation_due:
+            # Renewals alone are no reason for an append.
+            records.extend(self._renew_suspensions())
         is_confirmation = self._is_confirmation_due and not records
         if is_confirmation or self._is_leader_record_due:
             records.append(leader_record(self._leader))
@@ -140,12 +150,29 @@
         is_suspended = worker is not None and worker.grants is LeaseGrants.SUSPENDED
         if is_suspended:
             self._suspended_worker_ids.add(worker_id)
-            return [suspension_record(worker_id, self._leader.epoch)]
+            return [self._suspension_record(worker)]
+        self._recorded_lease_ms_by_id.pop(worker_id, None)
         if worker_id not in self._suspended_worker_ids:
             return []
         self._suspended_worker_ids.remove(worker_id)
         return [suspension_record(worker_id, 0)]
 
+    def _renew_suspensions(self):
+        """Return the suspensions of which a successor would wait for too long."""
+        now_s = clock.now_s()
+        records = []
+        for worker_id, recorded_ms in list(self._recorded_lease_ms_by_id.items()):
+            worker = self._cell.workers_by_id[worker_id]
+            remaining_ms = remaining_lease_ms(worker, now_s)
+            if recorded_ms - remaining_ms >= SUSPENSION_RENEWAL_MS:
+                records.append(self._suspension_record(worker))
+        return records
+
+    def _suspension_record(self, worker):
+        remaining_ms = remaining_lease_ms(worker, clock.now_s())
+        self._recorded_lease_ms_by_id[worker.worker_id] = remaining_ms
+        return suspension_record(worker.worker_id, self._leader.epoch, remaining_ms)
+
     def _take_residual_lease(self, worker_id):
         may_hold = may_hold_residual_lease(self._cell, worker_id)
         if may_hold == (worker_id in self._residual_lease_worker_ids):
--- a/dotterelspread/jobs/leasesuspension.py
+++ b/dotterelspread/jobs/leasesuspension.py
@@ -3,13 +3,23 @@
 A successor that cannot reach an agent has to allow for leases that earlier leaders may
 still grant to its worker. For a worker whose grants the journal records as suspended
 there are none: a leader resumes the grants only after it has committed a newer record.
+The record tells for how long leases granted before may last on, so that leaders that
+follow each other within one lease wait for it once in all.
 """
 
+import math
+
 from ..reducer import reduce
 from .cell import EarlierTermsEnded, GrantsResumed, ResumeGrants
 from .worker import LeaseGrants
 
-__all__ = ["resume_grants", "suspend_if_silent"]
+__all__ = [
+    "adopt_suspension",
+    "is_silent_and_suspended",
+    "remaining_lease_ms",
+    "resume_grants",
+    "suspend_if_silent",
+]
 
 #: Time without contact after which the grants to a worker are suspended; a restart of
 #: its agent takes less.
@@ -23,10 +33,32 @@
     is_silent = now_s - worker.unreachable_since_s > SUSPENSION_DELAY_S
     # Earlier leaders know nothing of the suspension.
     if is_silent and cell.are_earlier_terms_over:
-        worker.grants = LeaseGrants.SUSPENDED
-        cell.suspension_count += 1
-        worker.suspension_number = cell.suspension_count
-        cell.dirty_worker_ids.add(worker.worker_id)
+        _suspend(cell, worker)
+
+
+def adopt_suspension(cell, worker):
+    """Go on with a suspension by the previous leader, and record it for this term.
+
+    A later successor heeds a suspension by the leader just before it only.
+    """
+    _suspend(cell, worker)
+
+
+def _suspend(cell, worker):
+    worker.grants = LeaseGrants.SUSPENDED
+    cell.suspension_count += 1
+    worker.suspension_number = cell.suspension_count
+    cell.dirty_worker_ids.add(worker.worker_id)
+
+
+def is_silent_and_suspended(worker):
+    """Tell whether a worker does not answer and is granted no leases."""
+    return worker.grants is LeaseGrants.SUSPENDED and not worker.is_reachable
+
+
+def remaining_lease_ms(worker, now_s):
+    """Return for how long the leases of a suspended worker may last on."""
+    return max(0, math.ceil((worker.lease_end_s - now_s) * 1000))
 
 
 def resume_grants(cell, worker):
--- a/dotterelspread/jobs/records.py
+++ b/dotterelspread/jobs/records.py
@@ -17,6 +17,7 @@
     "LEADER_KEY",
     "TASKS_PER_RECORD",
     "LeaderRecord",
+    "Suspension",
     "costs_record",
     "decode_spec",
     "drop_records",
@@ -77,6 +78,15 @@
     need_answers: bool = False
 
 
+class Suspension(msgspec.Struct, array_like=True, frozen=True):
+    """Statement of the leader of an epoch that it grants a worker no leases."""
+
+    epoch: int
+    #: How long leases granted before may last on after the append; None if unknown.
+    remaining_ms: Annotated[int, msgspec.Meta(ge=0)] | None = None
+
+
+_suspension_decoder = msgspec.msgpack.Decoder(int | Suspension)
 _leader_decoder = msgspec.msgpack.Decoder(LeaderRecord)
 
 
@@ -162,28 +172,31 @@
     }
 
 
-def suspension_record(worker_id, epoch):
+def suspension_record(worker_id, epoch, remaining_ms=None):
     """Return the record that the leader of an epoch grants a worker no leases.
 
     With 0 as epoch the record is removed.
     """
-    value = msgspec.msgpack.encode(epoch) if epoch else b""
+    value = msgspec.msgpack.encode(Suspension(epoch, remaining_ms)) if epoch else b""
     return KeyedRecord(SUSPENSION_PREFIX + worker_id, value)
 
 
 def read_suspended_workers(records_by_key):
-    """Return the latest epoch in which each worker's grants were suspended, by id."""
-    epoch_by_id = {}
+    """Return the latest `Suspension` of each worker by its id."""
+    suspensions_by_id = {}
     for key, record in records_by_key.items():
         if not key.startswith(SUSPENSION_PREFIX) or not record.value:
             continue
         try:
-            epoch = msgspec.msgpack.decode(record.value, type=int)
+            suspension = _suspension_decoder.decode(record.value)
         except UNREADABLE_ERRORS as error:
             log_unreadable(key, error)
             continue
-        epoch_by_id[key[len(SUSPENSION_PREFIX) :]] = epoch
-    return epoch_by_id
+        if isinstance(suspension, int):
+            # Earlier versions recorded the epoch only.
+            suspension = Suspension(suspension)
+        suspensions_by_id[key[len(SUSPENSION_PREFIX) :]] = suspension
+    return suspensions_by_id
 
 
 def residual_lease_record(worker_id, may_hold):
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -14,7 +14,7 @@
 from .ends import apply_ends
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
-from .leasesuspension import resume_grants
+from .leasesuspension import is_silent_and_suspended, resume_grants
 from .lifecycle import make_run, stop_run
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
@@ -133,16 +133,23 @@
     worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
-    if is_first:
-        # The agent now follows this leader, so the end assumed at the failover is
-        # obsolete.
-        worker.lease_end_s = event.lease_end_s
-    worker.lease_end_s = max(worker.lease_end_s, event.lease_end_s)
+    _update_lease_end(worker, event.lease_end_s, is_first)
     update_residual_lease(cell, worker, event)
     if worker.may_hold_residual_lease:
         worker.lease_end_s = max(worker.lease_end_s, event.residual_lease_end_s)
 
 
+def _update_lease_end(worker, lease_end_s, is_first):
+    if is_first and worker.lease_end_s and is_silent_and_suspended(worker):
+        # No leader has granted it a lease since the suspension that was adopted.
+        return
+    if is_first:
+        # The agent now follows this leader, so the end assumed at the failover is
+        # obsolete.
+        worker.lease_end_s = lease_end_s
+    worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
+
+
 def _apply_running(cell, worker, event):
     report = event.report
     effects = []
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -9,6 +9,7 @@
 from .cell import Cell
 from .earlierleaders import EarlierLeaders
 from .incarnations import adopt_assigned
+from .inheritedleases import InheritedLeases
 from .journal import (
     JournalError,
     JournalFencedError,
@@ -18,7 +19,7 @@
     StreamSnapshot,
     Writer,
 )
-from .leaseend import lease_end_s
+from .leasesuspension import adopt_suspension
 from .nodes import NODES_STREAM
 from .records import (
     CELL_STREAM,
@@ -34,6 +35,7 @@
     read_waived_addresses,
 )
 from .submitting import add_job
+from .worker import LeaseGrants
 
 __all__ = ["ClaimTimeoutError", "OvertakenError", "Term", "take_over"]
 
@@ -241,35 +243,34 @@
 
 def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
     now_s = clock.now_s()
-    bounds = settings.bounds
     cell = Cell(
         placing_start_s=now_s + PLACEMENT_DELAY_S,
-        status_s=bounds.status_s,
+        status_s=settings.bounds.status_s,
         placement_policy=settings.placement_policy,
     )
     cell.are_earlier_terms_over = earlier_leaders.have_all_ended
-    ended_s = lease_end_s(now_s, bounds.lease_ms)
-    residual_s = lease_end_s(now_s, bounds.max_lease_ms)
-    # A previous leader that has not noticed the failover may still grant leases.
-    granted_s = lease_end_s(now_s + earlier_leaders.max_grant_s, bounds.lease_ms)
-    epoch_by_id = read_suspended_workers(snapshot.records_by_key)
-    suspended_ids = {w for w, epoch in epoch_by_id.items() if epoch == earlier_epoch}
-
     residual_lease_ids = read_residual_lease_workers(snapshot.records_by_key)
-
-    def lease_end_s_of(worker_id):
-        has_no_grants = cell.are_earlier_terms_over or worker_id in suspended_ids
-        end_s = ended_s if has_no_grants else granted_s
-        return max(end_s, residual_s) if worker_id in residual_lease_ids else end_s
-
+    leases = InheritedLeases(
+        now_s,
+        settings.bounds.lease_ms,
+        settings.bounds.max_lease_ms,
+        # A previous leader that has not noticed the failover may still grant leases.
+        0.0 if earlier_leaders.have_all_ended else earlier_leaders.max_grant_s,
+        earlier_epoch,
+        read_suspended_workers(snapshot.records_by_key),
+        residual_lease_ids,
+    )
     cell.costs = read_costs(snapshot.records_by_key)
     addresses = read_agent_addresses(snapshot.records_by_key)
     for job in read_jobs(snapshot.records_by_key, now_s):
         add_job(cell, job, clock.wall_ms())
-        adopt_assigned(cell, job, addresses, lease_end_s_of, now_s)
+        adopt_assigned(cell, job, addresses, leases.end_s, now_s)
     for worker_id in residual_lease_ids.union(addresses):
         _adopt_residual_lease(cell, worker_id, worker_id in residual_lease_ids, now_s)
-    _log_adopted(cell, suspended_ids, now_s)
+    for worker in cell.workers_by_id.values():
+        if leases.is_suspended(worker.worker_id):
+            adopt_suspension(cell, worker)
+    _log_adopted(cell, now_s)
     return cell
 
 
@@ -283,13 +284,14 @@
         cell.removed_s_by_worker_id[worker_id] = now_s
 
 
-def _log_adopted(cell, suspended_ids, now_s):
+def _log_adopted(cell, now_s):
     workers = cell.workers_by_id.values()
+    suspended = [w for w in workers if w.grants is LeaseGrants.SUSPENDED]
     end_s = max((worker.lease_end_s for worker in workers), default=now_s)
     log_decision(
         "runs adopted",
         workers=len(workers),
-        suspended_workers=len(suspended_ids & cell.workers_by_id.keys()),
+        suspended_workers=len(suspended),
         runs=sum(len(worker.runs_by_task) for worker in workers),
         lease_wait_s=round(end_s - now_s, 3),
     )
--- a/tests/test_changedrecords.py
+++ b/tests/test_changedrecords.py
@@ -1,7 +1,11 @@
 """What the journal tells a successor of the residual leases of workers."""
 
+import asyncio
 from dataclasses import replace
 
+import pytest
+
+from dotterelspread.jobs import clock
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.changedrecords import (
     ChangedRecords,
@@ -10,9 +14,12 @@
 )
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.journal import KeyedRecord
+from dotterelspread.jobs.leasesuspension import adopt_suspension, resume_grants
 from dotterelspread.jobs.records import (
+    LEADER_KEY,
     LeaderRecord,
     read_residual_lease_workers,
+    read_suspended_workers,
     residual_lease_record,
 )
 from dotterelspread.jobs.restartedworkers import REMOVED_WORKER_RETENTION_S
@@ -159,3 +166,40 @@
     chunks = list(split_into_chunks(records, 150))
     assert [len(chunk) for chunk in chunks] == [10] * 10
     assert [record for chunk in chunks for record in chunk] == records
+
+
+def test_the_remaining_lease_of_a_silent_worker_is_renewed_without_further_appends():
+    async def run():
+        cell = make_cell()
+        reduce(make_report(0, clock.now_s()), cell)
+        worker = cell.workers_by_id[WORKER_ID]
+        worker.lease_end_s = clock.now_s() + 5.0
+        worker.set_reachable(False, clock.now_s())
+        adopt_suspension(cell, worker)
+        changes = ChangedRecords(cell, LEADER, (), (), frozenset())
+        assert remaining_ms(changes.take([])) == 5000
+        await asyncio.sleep(0.4)
+        changes.request_confirmation()
+        assert [r.key for r in changes.take([])] == [LEADER_KEY]
+        await asyncio.sleep(1.0)
+        assert changes.take([]) == []
+        changes.request_confirmation()
+        assert remaining_ms(changes.take([])) == pytest.approx(3600, abs=2)
+        await asyncio.sleep(9.0)
+        changes.request_confirmation()
+        assert remaining_ms(changes.take([])) == 0
+        resume_grants(cell, worker)
+        assert read_suspended_workers(by_key(changes.take([]))) == {}
+        await asyncio.sleep(1.0)
+        changes.request_confirmation()
+        assert [r.key for r in changes.take([])] == [LEADER_KEY]
+
+    run_virtually(run())
+
+
+def by_key(records):
+    return {record.key: record for record in records}
+
+
+def remaining_ms(records):
+    return read_suspended_workers(by_key(records))[WORKER_ID].remaining_ms
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -101,6 +101,61 @@
     run_scenario(scenario, max_lease_ms=10_000)
 
 
+async def restart_leader(fleet, is_planned):
+    """Stop or kill the entry that leads, and start it again."""
+    leader = next(e for e in fleet.entries if e.candidate.leader)
+    if is_planned:
+        await leader.candidate.resign()
+    leader.kill()
+    await fleet.settle(1.0)
+    leader.start()
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+@pytest.mark.parametrize("seed", range(3))
+def test_the_wait_for_a_lost_instance_does_not_start_anew_with_each_leader(
+    seed, is_planned
+):
+    async def scenario(fleet):
+        await lose_instance(fleet)
+        for _ in range(3):
+            await fleet.settle(3.0)
+            await restart_leader(fleet, is_planned)
+        # Less than one lease after the latest restart.
+        await fleet.settle(1.0)
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario, seed, max_lease_ms=6000)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_task_of_a_cut_off_worker_is_not_started_twice_by_a_series_of_leaders(seed):
+    async def scenario(fleet):
+        fleet.durations[SERVING_JOB.job_id] = LONG_S
+        entry = next(i for i, e in enumerate(fleet.entries) if e.candidate.leader)
+        await fleet.submit(SERVING_JOB, entry)
+        await fleet.settle(2)
+        agent = fleet.agents[worker_that_runs(fleet, TASK_ID).number]
+        for cut_s in (1.2, 2.0, 2.8, 3.6):
+            for other in fleet.entries:
+                fleet.cut(other, agent)
+            await fleet.settle(cut_s)
+            await restart_leader(fleet, seed % 2 == 0)
+            # The agent gets a grant of the successor, and is silent again.
+            fleet.network.cut_pairs.clear()
+            await fleet.settle(0.3 * (seed + 1))
+        for other in fleet.entries:
+            fleet.cut(other, agent)
+        for _ in range(3):
+            await fleet.settle(2.5)
+            await restart_leader(fleet, seed % 2 == 0)
+        await fleet.settle(MAX_WAIT_S)
+        # The checker of the fleet fails on two runs at a time.
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario, seed, max_lease_ms=6000)
+
+
 async def wait_confirmed(fleet):
     """Return just after the store has confirmed the leader."""
     leader = next(e.candidate.leader for e in fleet.entries if e.candidate.leader)
--- a/tests/test_leasesuspension.py
+++ b/tests/test_leasesuspension.py
@@ -10,7 +10,8 @@
     ResumeGrants,
 )
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.worker import LeaseGrants
+from dotterelspread.jobs.leasesuspension import adopt_suspension
+from dotterelspread.jobs.worker import LeaseGrants, Worker
 from tests.builders_cell import make_cell, make_report
 
 WORKER_ID = "i-0"
@@ -98,3 +99,31 @@
     reduce(replace(event, report=unreachable), cell)
     reduce(CellTick(10.1, 0), cell)
     assert grants_of(cell) is LeaseGrants.ALLOWED
+
+
+def adopt_suspended_placeholder():
+    """Return a cell with a worker that the previous leader had suspended."""
+    cell = make_cell()
+    worker = Worker(WORKER_ID, make_report(0, 10.0).report.born_ms, lease_end_s=12.0)
+    cell.workers_by_id[WORKER_ID] = worker
+    adopt_suspension(cell, worker)
+    return cell
+
+
+def report_unreachable(cell, **changes):
+    event = make_report(0, 10.0)
+    report = replace(event.report, is_reachable=False, **changes)
+    reduce(replace(event, report=report, lease_end_s=16.7), cell)
+    return cell.workers_by_id[WORKER_ID].lease_end_s
+
+
+def test_a_first_report_of_a_silent_worker_does_not_start_its_wait_anew():
+    assert report_unreachable(adopt_suspended_placeholder()) == 12.0
+
+
+def test_a_first_report_of_another_incarnation_counts_a_lease_of_the_earlier_one():
+    assert report_unreachable(adopt_suspended_placeholder(), born_ms=99) == 16.7
+
+
+def test_an_adopted_suspension_is_recorded_for_the_new_term():
+    assert WORKER_ID in adopt_suspended_placeholder().dirty_worker_ids
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -13,7 +13,9 @@
     MAX_UNCONFIRMED_GRANT_S,
 )
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.inheritedleases import MIN_WAIT_S
 from dotterelspread.jobs.job import Job
+from dotterelspread.jobs.journal import KeyedRecord
 from dotterelspread.jobs.leaseend import lease_end_s
 from dotterelspread.jobs.records import (
     CELL_STREAM,
@@ -31,6 +33,7 @@
     OvertakenError,
     take_over,
 )
+from dotterelspread.jobs.worker import LeaseGrants
 from dotterelspread.processsettings import FleetBounds, FleetRole
 from tests.builders_cell import make_worker
 from tests.builders_fleet import make_job
@@ -90,6 +93,12 @@
     return wait_after(leader, *records) <= 0
 
 
+def full_wait_after(leader, *records, **options):
+    """Like `wait_after`, for the whole wait in seconds."""
+    bounds = options.setdefault("bounds", FleetBounds(max_lease_ms=4000))
+    return wait_after(leader, *records, **options) + lease_end_s(0.0, bounds.lease_ms)
+
+
 def make_leader(*earlier_addresses):
     return LeaderRecord(
         EPOCH, "leader:1", "instance", list(earlier_addresses), need_answers=True
@@ -104,6 +113,42 @@
     assert take_over_after(make_leader("first:1"), suspension_record("i-0", EPOCH))
 
 
+@pytest.mark.parametrize(
+    ("remaining_ms", "wait_s"), [(0, MIN_WAIT_S), (1500, 1.5), (60_000, 4.62)]
+)
+def test_a_successor_waits_only_for_what_remains_of_a_recorded_lease(
+    remaining_ms, wait_s
+):
+    record = suspension_record(WORKER_ID, EPOCH, remaining_ms)
+    leader = make_leader("first:1")
+    assert full_wait_after(leader, record) == pytest.approx(wait_s, abs=0.01)
+
+
+def test_a_successor_waits_for_all_of_a_lease_that_was_resumed_before_its_claim():
+    suspended = suspension_record(WORKER_ID, EPOCH, 0)
+    resumed = suspension_record(WORKER_ID, 0)
+    assert full_wait_after(make_leader(), suspended, late_records=[resumed]) > 4.6
+
+
+def test_a_successor_grants_no_leases_before_it_has_ended_an_adopted_suspension():
+    leader = make_leader()
+    record = suspension_record(WORKER_ID, EPOCH, 0)
+    cell = cell_after(*records_of_run(leader), record)
+    assert cell.workers_by_id[WORKER_ID].grants is LeaseGrants.SUSPENDED
+    assert WORKER_ID in cell.dirty_worker_ids
+
+
+def test_a_remaining_lease_in_a_record_of_another_epoch_is_not_heeded():
+    record = suspension_record(WORKER_ID, EPOCH - 1, 0)
+    assert full_wait_after(make_leader(), record) > 4.6
+
+
+def test_a_record_from_before_the_remaining_lease_was_recorded_is_read():
+    record = suspension_record(WORKER_ID, EPOCH)
+    record = KeyedRecord(record.key, msgspec.msgpack.encode(EPOCH))
+    assert full_wait_after(make_leader(), record) == pytest.approx(4.62, abs=0.01)
+
+
 @pytest.mark.parametrize("epoch", [1, EPOCH - 1, EPOCH + 1])
 def test_a_suspension_of_another_epoch_says_nothing_of_the_last_leader(epoch):
     assert not take_over_after(make_leader(), suspension_record("i-0", epoch))
