--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -1,34 +1,21 @@
-"""Placement: chooses a worker for each task that is due.
+"""Placement: assigns the tasks that are due to workers.
 
 Several tasks share a worker, and fillers use the processors that the other tasks leave
-idle; `ordering` decides the order of the jobs and `scoring` which worker suits a task.
+idle; `ordering` decides the order of the jobs and `workerchoice` which worker gets a
+task.
 """
 
-from typing import NamedTuple
-
 from .gangroom import count_member_rooms
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import PermitQuery, ask_permits, permitted_workers
 from .reservations import make_reservations
-from .scoring import (
-    MIN_FILLER_SPEED_RATIO,
-    FillerDemand,
-    isolation_score,
-    placement_score,
-)
 from .staleruns import find_tasks_with_stale_runs, ready_by_step
 from .unplaceable import UnplaceableDemands
+from .workerchoice import can_host, choose_worker, filler_demand_of
 
-__all__ = [
-    "IDLE_JOB_TIMEOUT_S",
-    "choose_worker",
-    "place",
-    "place_now",
-]
+__all__ = ["MAX_STARTS_PER_PASS", "place", "place_now"]
 
-#: Time without progress after which the fillers of a job are placed at any speed.
-IDLE_JOB_TIMEOUT_S = 1.5
 #: Number of starts after which a pass ends; the next one goes on after an append. The
 #: leader does nothing else during a pass, and a start takes about 1 ms beside 630
 #: workers.
@@ -114,7 +101,7 @@
         if len(effects) >= max_starts:
             break
         step = job.spec.steps[step_key[1]]
-        filler_demand = _filler_demand(job, step, now_s)
+        filler_demand = filler_demand_of(job, step, now_s)
         if unplaceable.covers(service, step, filler_demand):
             continue
         feasible = _feasible_workers(step, eligible, now_s)
@@ -160,7 +147,7 @@
     return [
         worker
         for worker in workers
-        if (step.is_service or not worker.cools_down(now_s)) and _can_host(worker, step)
+        if (step.is_service or not worker.cools_down(now_s)) and can_host(worker, step)
     ]
 
 
@@ -184,7 +171,7 @@
     """Place all members of a gang under one run number, or none of them."""
     if len(keys) < step.count:
         return []
-    filler_demand = _filler_demand(job, step, now_s)
+    filler_demand = filler_demand_of(job, step, now_s)
     room_by_worker = count_member_rooms(
         cell, job, keys[0][:2], workers, filler_demand, reservations
     )
@@ -240,114 +227,6 @@
     return chosen
 
 
-def choose_worker(cell, job, key, step, workers, now_s, reservations=None, scores=None):
-    """Return the best worker for a task, or None if it fits nowhere.
-
-    Parameters
-    ----------
-    cell : Cell
-    job : Job
-    key : TaskKey
-    step : StepSpec
-    workers : list of Worker
-        Workers that accept tasks of the job's queue.
-    now_s : float
-    reservations : Reservations or None
-        Room that is kept for other tasks.
-    scores : dict or None
-        Scores that earlier choices for tasks of the step have found, if each of these
-        was placed at once on the chosen worker and nothing else has changed.
-    """
-    best = None
-    best_score = None
-    task = job.tasks_by_key[key]
-    is_suspect = task.early_crashes > 0
-    filler_demand = _filler_demand(job, step, now_s)
-    kind = is_suspect, filler_demand and filler_demand.min_speed_ratio
-    score_by_worker = {} if scores is None else scores.setdefault(kind, {})
-    task_id = job.task_id(key)
-    for worker in workers:
-        # An earlier run may still be there until it has been stopped.
-        if task_id in worker.runs_by_task:
-            continue
-        worker_id = worker.worker_id
-        if worker_id not in score_by_worker:
-            score_by_worker[worker_id] = _score(
-                cell, job, key, worker, is_suspect, filler_demand, now_s, reservations
-            )
-        score = score_by_worker[worker_id]
-        if score is None:
-            continue
-        if worker_id == task.avoided_worker_id:
-            score = score._replace(is_not_avoided=False)
-        if best is None or score > best_score:
-            best, best_score = worker, score
-    if best is not None and scores is not None:
-        for score_by_worker in scores.values():
-            score_by_worker.pop(best.worker_id, None)
-    return best
-
-
-class _Score(NamedTuple):
-    """Sort key of a worker for a task, larger is better."""
-
-    is_sound: bool
-    is_warm: bool
-    is_not_avoided: bool
-    isolation: tuple
-    is_near: bool
-    suitability: tuple
-    worker_id: str
-
-
-def _score(cell, job, key, worker, is_suspect, filler_demand, now_s, reservations):
-    """Return the `_Score` of a worker, or None if the task must not start there."""
-    step = job.step_of(key)
-    if not _fits(job, key, step, worker):
-        return None
-    suitability = placement_score(cell, step, worker, filler_demand)
-    if suitability is None:
-        return None
-    if reservations is not None:
-        if not reservations.allows(job, step, worker):
-            return None
-        speed, *rest = suitability
-        suitability = (speed, -reservations.gap_loss(step, worker), *rest)
-    return _Score(
-        not worker.cools_down(now_s),
-        not worker.is_cold(now_s),
-        True,
-        isolation_score(worker, is_suspect),
-        not step.preferred_rack or worker.rack == step.preferred_rack,
-        suitability,
-        worker.worker_id,
-    )
-
-
-def _filler_demand(job, step, now_s):
-    if not step.is_filler:
-        return None
-    # A job that makes no progress gets a filler started at any speed.
-    idle_s = now_s - max(job.last_active_s, job.first_seen_s)
-    min_speed_ratio = MIN_FILLER_SPEED_RATIO if idle_s < IDLE_JOB_TIMEOUT_S else 0.0
-    return FillerDemand(step.image, step.demand.millicores, min_speed_ratio)
-
-
-def _can_host(worker, step):
-    """Tell whether a worker has the resources and the label that a step requires."""
-    if not step.reserved.fits_in(worker.available):
-        return False
-    return not step.required_label or step.required_label in worker.labels
-
-
-def _fits(job, key, step, worker):
-    if not _can_host(worker, step):
-        return False
-    if step.max_per_worker:
-        return worker.count_of_step(job.job_id, key[:2]) < step.max_per_worker
-    return True
-
-
 def _assign(cell, job, key, worker, now_s, number=None):
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/stragglers.py
@@ -10,9 +10,9 @@
 from collections import Counter
 
 from .lifecycle import stop_run
-from .placing import choose_worker
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
 from .taskrun import DONE_PERCENT, RunStopReason
+from .workerchoice import choose_worker
 from .workerfaults import record_stall
 
 __all__ = ["FILLER_STALL_TIMEOUT_S", "find_move_reason", "move_stragglers"]
--- a/tests/test_gangroom.py
+++ b/tests/test_gangroom.py
@@ -5,7 +5,7 @@
 import pytest
 from msgspec.structs import replace
 
-from dotterelspread.jobs import placing
+from dotterelspread.jobs import placing, workerchoice
 from dotterelspread.jobs.cell import Cancelled, CellTick, StartRun, Submitted
 from dotterelspread.jobs.gangroom import count_member_room
 from dotterelspread.jobs.handlers import reduce
@@ -115,7 +115,7 @@
     return [
         worker
         for worker in cell.workers_by_id.values()
-        if placing._can_host(worker, step)
+        if workerchoice.can_host(worker, step)
     ]
 
 
@@ -132,7 +132,7 @@
     cell = make_random_cell(rng)
     step = make_random_step(rng, count=40, is_gang=True)
     job = Job.from_spec(make_job(9, (step,)), 0.0)
-    demand = placing._filler_demand(job, step, 0.0)
+    demand = workerchoice.filler_demand_of(job, step, 0.0)
     for worker in hosts_of(cell, step):
         room = count_member_room(cell, job, (0, 0), worker, demand)
         assert not room or search(cell, job, room, [worker])
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -2,20 +2,21 @@
 
 import pytest
 
-from dotterelspread.jobs import placing
+from dotterelspread.jobs import placing, workerchoice
 from dotterelspread.jobs.cell import AppendDone, Cancelled, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
 from dotterelspread.jobs.lifecycle import make_run
 from dotterelspread.jobs.ordering import order_jobs
 from dotterelspread.jobs.paircost import CostEstimate
-from dotterelspread.jobs.placing import IDLE_JOB_TIMEOUT_S, place
+from dotterelspread.jobs.placing import place
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.records import costs_record, read_costs
 from dotterelspread.jobs.scoring import FillerDemand, expected_speed
 from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.jobs.worker import RunningTask
+from dotterelspread.jobs.workerchoice import IDLE_JOB_TIMEOUT_S
 from dotterelspread.resources import Resources
 from tests.builders_cell import (
     CAPACITY,
@@ -311,13 +312,14 @@
     cell = make_cell(*(make_worker(number) for number in range(20)))
     submit(cell, make_step(count=40, demand=Resources(4000, 10)))
     checked = []
-    can_host = placing._can_host
+    can_host = workerchoice.can_host
 
     def count_check(worker, step):
         checked.append(worker.worker_id)
         return can_host(worker, step)
 
-    monkeypatch.setattr(placing, "_can_host", count_check)
+    monkeypatch.setattr(placing, "can_host", count_check)
+    monkeypatch.setattr(workerchoice, "can_host", count_check)
     for number in range(2, 50):
         spec = make_job(number, (make_step(count=10, demand=Resources(4000, 10)),))
         add_job(cell, Job.from_spec(spec, 0.0), 0)
@@ -400,13 +402,13 @@
     # Guards against passes whose time grows with tasks times workers.
     cell = make_cell(*(make_worker(number) for number in range(20)))
     scored = []
-    placement_score = placing.placement_score
+    placement_score = workerchoice.placement_score
 
     def note_score(cell, step, worker, filler_demand):
         scored.append(worker.worker_id)
         return placement_score(cell, step, worker, filler_demand)
 
-    monkeypatch.setattr(placing, "placement_score", note_score)
+    monkeypatch.setattr(workerchoice, "placement_score", note_score)
     step = make_step(count=100, demand=Resources(100, 10), is_gang=is_gang)
     assert len(submit(cell, step)) == 100
     assert len(scored) <= 20 + 100
