Test that a shutdown whose ends are left to later reports is no crash

Fails: if a worker that was not draining shuts down with more ended runs than fit in a report, and its next incarnation reports or its leases expire before the leader has the others, each run whose end is still missing counts as crashed with the worker.

--- a/tests/test_long_checkpoints.py
+++ b/tests/test_long_checkpoints.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dotterelspread.jobs.cell import AcknowledgeEnds
+from dotterelspread.jobs.cell import AcknowledgeEnds, CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Phase
 from dotterelspread.jobs.spec import task_id_of
@@ -158,6 +158,20 @@
     assert not cell.workers_by_id
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_shutdown_whose_ends_are_left_to_later_reports_is_no_crash(is_restarted):
+    cell, rows = make_running_cell(2)
+    left = {"has_left": True, "is_gone": True, "is_reachable": False}
+    ended = (end_of(rows[0], 1, RunEnd.STOPPED),)
+    apply_report(cell, 2.0, ended=ended, has_more_ends=True, **left)
+    if is_restarted:
+        apply_report(cell, 2.1, born_ms=2)
+    else:
+        reduce(CellTick(60.0, 60_000), cell)
+    tasks = cell.jobs_by_id[JOB_ID].tasks_by_key.values()
+    assert [task.crashes for task in tasks] == [0, 0]
+
+
 def test_a_report_without_a_checkpoint_keeps_the_known_one():
     cell, (row,) = make_running_cell(1)
     apply_report(cell, 2.0, replace(row, checkpoint=CHECKPOINT))
