Count no crash of a worker that has shut down but not listed all its ends

Callers would see tasks given up, and their jobs failed, too early: each run whose end was left to a later report of a worker that had shut down without the state 'draining' counted as a crash of its task. Such a worker is kept until all its ends are known, and when its next incarnation reported or its leases expired meanwhile, the leader took it for one that had crashed. It now counts as draining. In the test one of two tasks had a crash counted, in both cases; now none has.

--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -128,7 +128,8 @@
     worker.rack = report.rack
     worker.set_capacity(report.capacity)
     worker.set_reachable(report.is_reachable, event.now_s)
-    worker.is_draining = report.is_draining
+    # One that has shut down is kept until all its ends are known.
+    worker.is_draining = report.is_draining or report.has_left
     worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
