Test that ends left to later reports outlast the leases of a worker that left

Fails: while the store does not answer, no ends are acknowledged, so that the agent repeats its first ones. Once the leases of a worker that has shut down expire, it is given up, its tasks are started again, and the later reports with the remaining ends are ignored.

--- a/tests/test_long_checkpoints.py
+++ b/tests/test_long_checkpoints.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dotterelspread.jobs.cell import AcknowledgeEnds, CellTick
+from dotterelspread.jobs.cell import AcknowledgeEnds, AgentLost, CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Phase
 from dotterelspread.jobs.spec import task_id_of
@@ -172,6 +172,28 @@
     assert [task.crashes for task in tasks] == [0, 0]
 
 
+def test_ends_left_to_later_reports_outlast_the_leases_of_a_worker_that_left():
+    # No report is acknowledged while the store does not answer.
+    cell, rows = make_running_cell(2)
+    left = {"has_left": True, "is_gone": True, "is_reachable": False}
+    first, last = end_of(rows[0], 1), end_of(rows[1], 2)
+    apply_report(cell, 2.0, ended=(first,), has_more_ends=True, **left)
+    reduce(CellTick(60.0, 60_000), cell)
+    apply_report(cell, 60.1, ended=(last,), **left)
+    assert phases(cell) == [(Phase.COMPLETED, 1)] * 2
+    assert not cell.workers_by_id
+
+
+def test_a_worker_that_left_is_given_up_with_its_agent():
+    cell, rows = make_running_cell(2)
+    left = {"has_left": True, "is_gone": True, "is_reachable": False}
+    apply_report(cell, 2.0, ended=(end_of(rows[0], 1),), has_more_ends=True, **left)
+    reduce(AgentLost(3.2, "agent0:1"), cell)
+    reduce(CellTick(60.0, 60_000), cell)
+    assert phases(cell) == [(Phase.COMPLETED, 1), (Phase.PENDING, 1)]
+    assert not cell.workers_by_id
+
+
 def test_a_report_without_a_checkpoint_keeps_the_known_one():
     cell, (row,) = make_running_cell(1)
     apply_report(cell, 2.0, replace(row, checkpoint=CHECKPOINT))
