Keep a worker that is gone until its agent has reported all ends

Callers would see completed tasks run again: while the store did not answer, the agent of a worker that had shut down repeated its first MiB of ended runs, and once the leases had expired the leader gave the worker up and ignored the later reports. It is now kept as long as the agent answers and says that there are more ends; if the agent is lost, it is given up as before. In the test the second of two completed tasks was pending; now both are done.

--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -66,7 +66,8 @@
 def _(event: CellTick, cell):
     effects = []
     for worker in list(cell.workers_by_id.values()):
-        if event.now_s > worker.lease_end_s and not worker.is_reachable:
+        is_lost = event.now_s > worker.lease_end_s and not worker.is_reachable
+        if is_lost and not worker.awaits_ends:
             effects.append(WorkerGivenUp(worker, tuple(worker.runs_by_task)))
             effects.extend(_remove_lost_worker(cell, worker, event))
             continue
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -133,6 +133,7 @@
     worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
+    worker.has_more_ends = report.has_more_ends
     _update_lease_end(cell, worker, event.lease_end_s, is_first)
     update_residual_lease(cell, worker, event)
     if worker.may_hold_residual_lease:
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -139,6 +139,8 @@
     is_agent_lost: bool = False
     #: Whether the agent has found its process not to be there any more.
     is_gone: bool = False
+    #: Whether the agent has left ends of runs to later reports.
+    has_more_ends: bool = False
     #: Leader's clock after which every lease granted to the worker has expired.
     lease_end_s: float = 0.0
     runs_by_task: dict[str, TaskRun] = field(default_factory=dict)
@@ -275,6 +277,11 @@
         """Tell whether new tasks of any kind may be assigned to the worker."""
         return self.accepts_serving_tasks(now_s) and not self.cools_down(now_s)
 
+    @property
+    def awaits_ends(self):
+        """Whether its process is gone, and its agent has yet to report some ends."""
+        return self.is_gone and self.has_more_ends and not self.is_agent_lost
+
     @property
     def idle_millicores(self):
         """Processors that no run is expected to use; negative if oversubscribed."""
