--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -128,10 +128,12 @@
     worker.rack = report.rack
     worker.set_capacity(report.capacity)
     worker.set_reachable(report.is_reachable, event.now_s)
-    worker.is_draining = report.is_draining
+    # One that has shut down is kept until all its ends are known.
+    worker.is_draining = report.is_draining or report.has_left
     worker.cold_until_s = event.now_s + report.cold_ms / 1000
     worker.is_agent_lost = False
     worker.is_gone = report.is_gone
+    worker.has_more_ends = report.has_more_ends
     _update_lease_end(cell, worker, event.lease_end_s, is_first)
     update_residual_lease(cell, worker, event)
     if worker.may_hold_residual_lease:
