Test that an adopted suspension of a silent worker outlasts its second report

Fails: an agent that answers while its worker is silent reports more than once, and the second report counts the leases that earlier leaders may grant, up to 10 s and a lease, though none of them grants this worker any.

--- a/tests/test_leasesuspension.py
+++ b/tests/test_leasesuspension.py
@@ -132,6 +132,26 @@
     assert report_unreachable(adopt_suspended_placeholder()) == 12.0
 
 
+def test_leases_of_earlier_leaders_do_not_count_for_an_adopted_suspension():
+    """Guards against a wait that the second report of a silent worker starts anew."""
+    cell = adopt_suspended_placeholder()
+    cell.are_earlier_terms_over = False
+    cell.earlier_lease_end_s = 40.0
+    for _ in range(3):
+        event = make_report(0, 10.0)
+        report = replace(event.report, is_reachable=False)
+        # The first report only is counted as a grant; `AgentLink` gives 0 afterwards.
+        reduce(replace(event, report=report, lease_end_s=0.0), cell)
+    assert cell.workers_by_id[WORKER_ID].lease_end_s == 12.0
+
+
+def test_leases_of_earlier_leaders_count_for_another_silent_incarnation():
+    cell = adopt_suspended_placeholder()
+    cell.are_earlier_terms_over = False
+    cell.earlier_lease_end_s = 40.0
+    assert report_unreachable(cell, born_ms=99) == 40.0
+
+
 def test_a_first_report_of_another_incarnation_counts_a_lease_of_the_earlier_one():
     assert report_unreachable(adopt_suspended_placeholder(), born_ms=99) == 16.7
 
