Keep the leases of earlier leaders out of adopted suspensions

What callers would see: a task of a silent worker whose agent answers has nothing running for up to 10 s and a lease after a failover, though its leases are over, when the leader before never replies. Each further leader does the same.

Cause: the merge of the two bounds exempts a worker with an adopted suspension from the leases of earlier leaders in its first report only. The second report of its agent, at most 0.7 s later, counts them.

Change: they are not counted as long as the worker is silent and suspended with a known end. Before the earlier terms are over only adopted suspensions occur. They still count for a new incarnation and once the worker has answered.

--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -139,7 +139,8 @@
 
 
 def _update_lease_end(cell, worker, lease_end_s, is_first):
-    if is_first and worker.lease_end_s and is_silent_and_suspended(worker):
+    is_known_end = worker.lease_end_s > 0 and is_silent_and_suspended(worker)
+    if is_first and is_known_end:
         # No leader has granted it a lease since the suspension that was adopted.
         return
     if is_first:
@@ -147,9 +148,10 @@
         # obsolete.
         worker.lease_end_s = lease_end_s
     worker.lease_end_s = max(worker.lease_end_s, lease_end_s)
-    if not cell.are_earlier_terms_over:
+    if not cell.are_earlier_terms_over and not is_known_end:
         # The agent's next process may follow an earlier leader, and the worker takes
-        # its calls.
+        # its calls. Before earlier terms are over, only adopted suspensions occur, and
+        # no earlier leader grants leases to their workers.
         worker.lease_end_s = max(worker.lease_end_s, cell.earlier_lease_end_s)
 
 
