--- a/tests/test_changedrecords.py
+++ b/tests/test_changedrecords.py
@@ -197,6 +197,38 @@
     run_virtually(run())
 
 
+def test_remaining_leases_that_have_grown_are_recorded_with_the_next_append():
+    """Guards against a successor that waits for less time than its leader would have.
+
+    A silent incarnation without a call under its own session may hold a residual lease,
+    which each report of its agent counts anew.
+    """
+
+    async def run():
+        cell = make_cell()
+        reduce(make_report(0, clock.now_s()), cell)
+        event = make_report(0, clock.now_s())
+        report = replace(event.report, born_ms=2, is_reachable=False)
+        adopt_suspension(cell, cell.workers_by_id[WORKER_ID])
+        changes = ChangedRecords(cell, LEADER, (), (), frozenset())
+
+        def report_silent():
+            now_s = clock.now_s()
+            silent = replace(event, now_s=now_s, report=report, lease_end_s=0.0)
+            reduce(replace(silent, residual_lease_end_s=now_s + 10.0), cell)
+
+        report_silent()
+        assert remaining_ms(changes.take([])) == 10_000
+        await asyncio.sleep(4.0)
+        changes.request_confirmation()
+        assert remaining_ms(changes.take([])) == pytest.approx(6000, abs=2)
+        report_silent()
+        changes.request_confirmation()
+        assert remaining_ms(changes.take([])) == 10_000
+
+    run_virtually(run())
+
+
 def by_key(records):
     return {record.key: record for record in records}
 
