Renew a suspension's record also when the remaining leases have grown

What callers could see: a task runs twice. A report of a silent incarnation counts a residual lease anew, so that its leader waits for longer; a successor read the shorter time from the record and started the task elsewhere before.

Cause: an append renewed the record only once the remaining leases had decreased by 0.5 s.

Change: the next append renews it also if they have grown.

Found by reading, not seen in a scenario.

--- a/dotterelspread/jobs/changedrecords.py
+++ b/dotterelspread/jobs/changedrecords.py
@@ -158,13 +158,17 @@
         return [suspension_record(worker_id, 0)]
 
     def _renew_suspensions(self):
-        """Return the suspensions of which a successor would wait for too long."""
+        """Return the suspensions of which a successor would wait for too long or short.
+
+        The remaining leases grow with reports that count a residual lease anew.
+        """
         now_s = clock.now_s()
         records = []
         for worker_id, recorded_ms in list(self._recorded_lease_ms_by_id.items()):
             worker = self._cell.workers_by_id[worker_id]
             remaining_ms = remaining_lease_ms(worker, now_s)
-            if recorded_ms - remaining_ms >= SUSPENSION_RENEWAL_MS:
+            has_grown = remaining_ms > recorded_ms
+            if has_grown or recorded_ms - remaining_ms >= SUSPENSION_RENEWAL_MS:
                 records.append(self._suspension_record(worker))
         return records
 
