--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -128,6 +128,25 @@
     run_scenario(scenario, seed, max_lease_ms=6000)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_task_of_a_silent_worker_does_not_wait_for_a_leader_that_never_replies(seed):
+    """Guards against later reports of the agent starting the wait anew."""
+
+    async def scenario(fleet):
+        fleet.durations[SERVING_JOB.job_id] = LONG_S
+        await fleet.submit(SERVING_JOB)
+        await fleet.settle(2)
+        worker_that_runs(fleet, TASK_ID).is_cut_off = True
+        await fleet.settle(4.0)
+        leader = kill_leader(fleet)
+        fleet.network.powered_off.add(leader.address)
+        # Shorter than the time in which that leader might have granted leases.
+        await fleet.settle(6.0)
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario, seed, max_lease_ms=6000)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_task_of_a_cut_off_worker_is_not_started_twice_by_a_series_of_leaders(seed):
     async def scenario(fleet):
