Count a cancelled handler of the server's tests as not running

Traced: the server cancels the handler of a connection that is lost. The test's own handler did not take a cancelled run off its count, so its check that no more handlers run than there are connections failed for the next request, which was answered 500. test_a_request_whose_client_has_gone_does_ not_count_as_running showed that each time with the earlier handler, and passes; the check itself stays.

--- a/tests/test_h1server.py
+++ b/tests/test_h1server.py
@@ -34,12 +34,15 @@
     async def handle(self, request):
         self.paths.append(request.path)
         self.running += 1
-        assert self.running <= len(self.listener.connections)
-        if request.path.startswith("/wait"):
-            await self.go.wait()
-        else:
-            await asyncio.sleep(0)
-        self.running -= 1
+        try:
+            assert self.running <= len(self.listener.connections)
+            if request.path.startswith("/wait"):
+                await self.go.wait()
+            else:
+                await asyncio.sleep(0)
+        finally:
+            # The handler of a lost connection is cancelled.
+            self.running -= 1
         return H1Response(200, self.body)
 
     async def connect(self):
@@ -385,6 +388,19 @@
     run(scenario, max_bytes=100_000_000)
 
 
+def test_a_request_whose_client_has_gone_does_not_count_as_running():
+    async def scenario(server):
+        _, writer = await server.connect()
+        writer.write(b"GET /wait HTTP/1.1\r\n\r\n")
+        await server.wait_paths(1)
+        writer.transport.abort()
+        await server.wait_closed()
+        await asyncio.sleep(0)
+        assert await server.ask(GET % 1) == 200
+
+    run(scenario)
+
+
 def test_nothing_is_left_charged_after_random_clients():
     rng = random.Random(5)
 
