Give searches for gangs in vain a fixed share of the leader's time

What callers see: while an earlier run of one member is being stopped, or reservations begin during the run of its members, a gang of thousands keeps the leader busy in each pass; ten such gangs, ten times as much.

Cause: a gang that passes the count of rooms is searched in each pass, and nothing bounds how often, nor for how many gangs in one pass.

Change: after a search in vain a gang is due again in turn, 4,000 members a second for all gangs together, and a pass ends its searches for gangs after 1,000 members in vain (jobs/gangsearch.py). A gang that was not sought yet, or that has room only now by the count, is sought at once.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -4,6 +4,7 @@
 
 from ..reducer import Effect, Event
 from .feasibility import WorkerShape
+from .gangsearch import GangSearches
 from .job import Job
 from .paircost import PairCosts
 from .permits import Permits
@@ -82,6 +83,8 @@
     is_append_under_way: bool = False
     #: Whether a placement pass is due, after the append in progress if there is one.
     is_placing_due: bool = False
+    #: Gangs for which workers were sought in vain.
+    gang_searches: GangSearches = field(default_factory=GangSearches)
     #: Settings of placement.
     placement_policy: PlacementPolicy = PlacementPolicy()
     #: Job and step key of the reservations of the latest pass, so that each is logged
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -47,6 +47,7 @@
     ]
     effects = []
     if workers:
+        cell.gang_searches.begin_pass(now_s)
         workers_by_service = _group_by_service(workers)
         unplaceable = UnplaceableDemands()
         stale_task_ids = find_tasks_with_stale_runs(cell)
@@ -205,12 +206,18 @@
     room_by_worker = count_member_rooms(
         cell, job, step_key, workers, filler_demand, reservations
     )
+    sought = 0
     for racks in _rack_choices(step, workers, now_s):
         if sum(room_by_worker[worker.worker_id] for worker in racks) < step.count:
             continue
+        if not cell.gang_searches.may_search(job.job_id, step_key, now_s):
+            return []
         chosen = _choose_members(cell, job, keys, step, racks, now_s, reservations)
         if chosen:
             return chosen
+        sought += step.count
+    if sought:
+        cell.gang_searches.note_failure(job.job_id, step_key, sought, now_s)
     return []
 
 
