Let others use the loop while a successor reads the jobs

What callers see: a leader that takes over answers nothing, and sends no heartbeats, while it reads all jobs at once.

Cause: the records of all jobs were decoded and their runs adopted in one step of the event loop, however many there are.

Change: after 1,000 tasks, of one job or of many, others get their turn. Nothing is decided before all jobs have been read.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -14,7 +14,7 @@
 ]
 
 
-def adopt_assigned(cell, job, agent_addresses, lease_end_s_of, now_s):
+def adopt_assigned(cell, job, agent_addresses, lease_end_s_of, now_s, keys=None):
     """Restore the runs that the journal records as assigned to workers.
 
     Workers are placeholders until their agents report.
@@ -28,8 +28,11 @@
     lease_end_s_of : callable
         Returns the time by which the leases of a worker, given by its id, have expired.
     now_s : float
+    keys : iterable of TaskKey, optional
+        Tasks whose runs are restored; all by default.
     """
-    for key, task in job.tasks_by_key.items():
+    for key in job.tasks_by_key if keys is None else keys:
+        task = job.tasks_by_key[key]
         if task.phase != Phase.ASSIGNED:
             continue
         worker = cell.workers_by_id.get(task.worker_id)
--- a/dotterelspread/jobs/takeover.py
+++ b/dotterelspread/jobs/takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from dataclasses import dataclass
+from itertools import islice
 
 from ..decisionlog import log_decision
 from . import clock
@@ -49,6 +50,10 @@
 #: Delay of the first placement, for the first reports of the agents: the time of a
 #: connection and a call to another region.
 PLACEMENT_DELAY_S = 0.15
+#: Number of tasks that are read, in some 20 ms, before others use the loop; a job
+#: counts as some more tasks than it has.
+TASKS_PER_SLICE = 1000
+TASKS_PER_JOB = 10
 #: Upper bound of the random initial sequence number of a term.
 MAX_INITIAL_SEQUENCE = 1 << 30
 
@@ -160,7 +165,7 @@
             waived = read_waived_addresses(snapshot.records_by_key)
             if settings.peer_address in waived:
                 earlier_leaders.note_own_waiver()
-            cell = _read_cell(snapshot, settings, earlier_leaders, earlier_epoch)
+            cell = await _read_cell(snapshot, settings, earlier_leaders, earlier_epoch)
             suspended = read_suspended_workers(snapshot.records_by_key)
             return Term(
                 writer,
@@ -241,7 +246,7 @@
     return StreamSnapshot(snapshot.records_by_key | newer, tail.next_offset)
 
 
-def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
+async def _read_cell(snapshot, settings, earlier_leaders, earlier_epoch):
     now_s = clock.now_s()
     cell = Cell(
         placing_start_s=now_s + PLACEMENT_DELAY_S,
@@ -263,9 +268,7 @@
     cell.earlier_lease_end_s = leases.granted_end_s
     cell.costs = read_costs(snapshot.records_by_key)
     addresses = read_agent_addresses(snapshot.records_by_key)
-    for job in read_jobs(snapshot.records_by_key, now_s):
-        add_job(cell, job, clock.wall_ms())
-        adopt_assigned(cell, job, addresses, leases.end_s, now_s)
+    await _read_jobs(cell, snapshot.records_by_key, addresses, leases, now_s)
     for worker_id in residual_lease_ids.union(addresses):
         _adopt_residual_lease(cell, worker_id, worker_id in residual_lease_ids, now_s)
     for worker in cell.workers_by_id.values():
@@ -275,6 +278,21 @@
     return cell
 
 
+async def _read_jobs(cell, records_by_key, addresses, leases, now_s):
+    """Add the jobs of a snapshot and their runs; others use the loop between slices."""
+    slice_count = 0
+    for job in read_jobs(records_by_key, now_s):
+        add_job(cell, job, clock.wall_ms())
+        slice_count += TASKS_PER_JOB
+        keys = iter(job.tasks_by_key)
+        while part := list(islice(keys, TASKS_PER_SLICE)):
+            adopt_assigned(cell, job, addresses, leases.end_s, now_s, part)
+            slice_count += len(part)
+            if slice_count >= TASKS_PER_SLICE:
+                slice_count = 0
+                await asyncio.sleep(0)
+
+
 def _adopt_residual_lease(cell, worker_id, is_recorded, now_s):
     """Restore what is known of the residual lease of a worker."""
     worker = cell.workers_by_id.get(worker_id)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,13 +6,14 @@
 import msgspec
 import pytest
 
-from dotterelspread.jobs import clock
+from dotterelspread.jobs import clock, takeover
 from dotterelspread.jobs.cell import EarlierTermsEnded
 from dotterelspread.jobs.earlierleaders import (
     CONFIRMED_GRANT_S,
     MAX_UNCONFIRMED_GRANT_S,
 )
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.incarnations import adopt_assigned
 from dotterelspread.jobs.inheritedleases import MIN_WAIT_S
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.journal import KeyedRecord
@@ -36,7 +37,7 @@
 from dotterelspread.jobs.worker import LeaseGrants
 from dotterelspread.processsettings import FleetBounds, FleetRole
 from tests.builders_cell import make_worker
-from tests.builders_fleet import make_job
+from tests.builders_fleet import make_job, make_step
 from tests.builders_processes import make_settings
 from tests.builders_store import VirtualStore
 from tests.virtualloop import run_virtually
@@ -330,3 +331,44 @@
         assert clock.now_s() - began_s < 5.0
 
     run_virtually(run())
+
+
+def records_of_jobs(jobs, tasks):
+    """Return the records of a leader with jobs whose tasks all run on one worker."""
+    records = [leader_record(make_leader())]
+    worker = make_worker(0)
+    for number in range(1, jobs + 1):
+        job = Job.from_spec(make_job(number, (make_step(count=tasks),)), 0.0)
+        for key in list(job.tasks_by_key):
+            job.assign(key, worker, 1)
+        records += job_records(job, is_new=True)
+    return records
+
+
+@pytest.mark.parametrize(("jobs", "tasks"), [(1, 9000), (9, 1000), (900, 1)])
+def test_others_use_the_loop_while_a_successor_reads_many_tasks(
+    jobs, tasks, monkeypatch
+):
+    # Guards against a successor that answers nothing while it reads the state.
+    turns_at_read = []
+    turns = 0
+
+    def take_turn():
+        nonlocal turns
+        turns += 1
+
+    def adopt(*values):
+        turns_at_read.append(turns)
+        asyncio.get_running_loop().call_soon(take_turn)
+        return adopt_assigned(*values)
+
+    async def run():
+        store = VirtualStore(random.Random(1))
+        journal = store.journal("successor")
+        await journal.append(CELL_STREAM, records_of_jobs(jobs, tasks))
+        return (await take_over(journal, make_settings(FleetRole.ENTRY, 9))).cell
+
+    monkeypatch.setattr(takeover, "adopt_assigned", adopt)
+    cell = run_virtually(run())
+    assert len(cell.workers_by_id[WORKER_ID].runs_by_task) == jobs * tasks
+    assert len(set(turns_at_read)) >= 9
