Keep from a worker only what the refusal of a start speaks of

What callers see: a job whose starts are refused, for a permit that is not valid, for want of room or as invalid, keeps the worker from all other jobs for half a second, again and again and on each worker in turn.

Cause: the reason of a refusal did not reach the leader, which took each one as a verdict on the worker.

Change: the agent tells what the refusal speaks of (RefusalScope in peer.thrift, an optional field), and jobs/refusals.py keeps back just that for half a second: all starts if the worker is unhealthy, tasks that need as much for want of room, tasks of the step there for a permit, tasks of the step everywhere for an order that the worker cannot read. Refusals of older agents count as before. The generated code was changed by hand.

The simulated worker refuses a permit by its own reason now, as the platform's does; test_platform_worker expects the reasons apart (it was one answer).

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -67,6 +67,27 @@
     }
 
 
+class RefusalScope(object):
+    WORKER = 1
+    ROOM = 2
+    PERMIT = 3
+    ORDER = 4
+
+    _VALUES_TO_NAMES = {
+        1: "WORKER",
+        2: "ROOM",
+        3: "PERMIT",
+        4: "ORDER",
+    }
+
+    _NAMES_TO_VALUES = {
+        "WORKER": 1,
+        "ROOM": 2,
+        "PERMIT": 3,
+        "ORDER": 4,
+    }
+
+
 class WorkResult(object):
     DONE = 1
     REFUSED = 2
@@ -3410,6 +3431,7 @@
      - result
      - clock_ms
      - detail
+     - refusal
 
     """
 
@@ -3417,13 +3439,15 @@
         'result',
         'clock_ms',
         'detail',
+        'refusal',
     )
 
 
-    def __init__(self, result=None, clock_ms=None, detail=None,):
+    def __init__(self, result=None, clock_ms=None, detail=None, refusal=None,):
         self.result = result
         self.clock_ms = clock_ms
         self.detail = detail
+        self.refusal = refusal
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3449,6 +3473,11 @@
                     self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refusal = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3471,6 +3500,10 @@
             oprot.writeFieldBegin('detail', TType.STRING, 3)
             oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.I32, 4)
+            oprot.writeI32(self.refusal)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4174,6 +4207,7 @@
     (1, TType.I32, 'result', None, None, ),  # 1
     (2, TType.I64, 'clock_ms', None, None, ),  # 2
     (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'refusal', None, None, ),  # 4
 )
 all_structs.append(LeaderNotice)
 LeaderNotice.thrift_spec = (
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -11,6 +11,7 @@
 from .placementpolicy import PlacementPolicy
 from .queues import FleetConfiguration
 from .readytasks import ReadyTasks
+from .refusals import RefusalScope
 from .runtimes import RunTimes
 from .spec import JobSpec, StepSpec
 from .taskrun import TaskRun
@@ -196,6 +197,8 @@
     result: str
     #: Agent's clock at its answer; 0 when there was none.
     clock_ms: int
+    #: What else would be refused, if the order was.
+    refusal: RefusalScope = RefusalScope.WORKER
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -100,6 +100,11 @@
     #: Leader's clock at the latest failure on each worker, since a task last completed;
     #: old ones are removed.
     failed_s_by_worker_id: dict[str, float] = field(default_factory=dict)
+    #: Leader's clock before which starts that were refused are not tried again, by step
+    #: key and worker id; an empty id stands for all workers.
+    refused_until_s_by_start: dict[tuple[tuple[int, int], str], float] = field(
+        default_factory=dict
+    )
     #: Checkpoints with a record of their own in the journal, or in an append under way.
     recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
     #: Whether a task has had a checkpoint that needs a record of its own.
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -8,6 +8,7 @@
 from ..counters import counters
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import OrderReply, OrderResult, TaskTraits
+from .refusals import RefusalScope
 from .workeradapter import StartAnswer, WorkerReplyError, WorkerUnsentError
 
 __all__ = ["OrderHandler"]
@@ -25,8 +26,18 @@
     StartAnswer.RUNNING: OrderResult.CONFIRMED,
     StartAnswer.OUTDATED: OrderResult.CONFIRMED,
     StartAnswer.REFUSED: OrderResult.REFUSED,
+    StartAnswer.NO_ROOM: OrderResult.REFUSED,
+    StartAnswer.NOT_PERMITTED: OrderResult.REFUSED,
+    StartAnswer.INVALID: OrderResult.REFUSED,
     StartAnswer.OTHER_INCARNATION: OrderResult.GONE,
 }
+#: What the answers to refused starts say of other starts.
+_SCOPES_BY_ANSWER = {
+    StartAnswer.REFUSED: RefusalScope.WORKER,
+    StartAnswer.NO_ROOM: RefusalScope.ROOM,
+    StartAnswer.NOT_PERMITTED: RefusalScope.PERMIT,
+    StartAnswer.INVALID: RefusalScope.ORDER,
+}
 
 
 class OrderHandler:
@@ -57,7 +68,7 @@
             order.image,
             order.millicores,
         )
-        result, detail = await self._start(order)
+        result, detail, scope = await self._start(order)
         counters.add("starts", result=OrderResult._VALUES_TO_NAMES[result])
         if result != OrderResult.CONFIRMED:
             log_decision(
@@ -68,20 +79,21 @@
                 result=OrderResult._VALUES_TO_NAMES[result],
                 detail=detail,
             )
-        return self._order_reply(result, detail)
+        return self._order_reply(result, detail, scope)
 
     async def _start(self, order):
+        """Return the `OrderResult`, a detail, and the `RefusalScope` or None."""
         is_uncertain = order.repeat
         is_sent = False
         detail = ""
         for _ in range(MAX_ORDER_ATTEMPTS):
             if not self._is_same_incarnation(order):
-                return OrderResult.GONE, "another incarnation"
+                return OrderResult.GONE, "another incarnation", None
             if not self._agent.is_in_session:
                 detail = SESSION_UNCONFIRMED
                 break
             if self._has_expired(order):
-                return OrderResult.UNKNOWN, ORDER_EXPIRED
+                return OrderResult.UNKNOWN, ORDER_EXPIRED, None
             detail = self._refusal_reason()
             if detail:
                 answer = StartAnswer.REFUSED
@@ -97,11 +109,12 @@
                 continue
             if answer is StartAnswer.EXPIRED:
                 continue
-            if answer is StartAnswer.REFUSED and is_uncertain:
+            scope = _SCOPES_BY_ANSWER.get(answer)
+            if scope is not None and is_uncertain:
                 # An earlier attempt may still reach the worker; rule it out.
-                return await self._stop(order)
-            return _RESULTS_BY_ANSWER[answer], detail
-        return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT, detail
+                return *await self._stop(order), None
+            return _RESULTS_BY_ANSWER[answer], detail, scope
+        return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT, detail, None
 
     def _refusal_reason(self):
         """Return why the worker may not start anything; empty if it may."""
@@ -178,7 +191,7 @@
                 continue
             detail = f"stop {answer.name.lower()}"
             answer = self._interpret(answer, token)
-            if answer not in (None, StartAnswer.REFUSED):
+            if answer is not None and answer not in _SCOPES_BY_ANSWER:
                 return _RESULTS_BY_ANSWER[answer], detail
         return OrderResult.UNKNOWN, detail
 
@@ -189,5 +202,5 @@
             and self._agent.born_ms == order.born_ms
         )
 
-    def _order_reply(self, result, detail):
-        return OrderReply(result, self._agent.clock_ms(), detail)
+    def _order_reply(self, result, detail, scope=None):
+        return OrderReply(result, self._agent.clock_ms(), detail, scope)
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -19,6 +19,7 @@
 from .effectlog import log_effect
 from .lifecycle import is_suitable
 from .permits import AskPermits, PermitsAnswered, PermitServiceError
+from .refusals import RefusalScope
 
 __all__ = ["OrderSender"]
 
@@ -198,7 +199,7 @@
         await self._send(effect, "stop_run", order)
 
     async def _send(self, effect, method, order):
-        result, clock_ms = "unknown", 0
+        result, clock_ms, scope = "unknown", 0, RefusalScope.WORKER
         try:
             reply = await self._leader.pool.call(
                 effect.worker.agent_address, method, order, ORDER_TIMEOUT_S
@@ -218,10 +219,13 @@
                 _RESULT_NAMES.get(reply.result, "unknown"),
                 reply.clock_ms,
             )
+            scope = RefusalScope.from_number(reply.refusal)
         counters.add("orders", method=method, result=result)
-        self._settle(effect, result, clock_ms)
+        if result == "refused":
+            counters.add("refused_starts", scope=scope.name.lower())
+        self._settle(effect, result, clock_ms, scope)
 
-    def _settle(self, effect, result, clock_ms=0):
+    def _settle(self, effect, result, clock_ms=0, scope=RefusalScope.WORKER):
         self._leader.apply(
             OrderSettled(
                 clock.now_s(),
@@ -231,6 +235,7 @@
                 effect.run.run,
                 result,
                 clock_ms,
+                scope,
             )
         )
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -9,6 +9,7 @@
 from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
 from .permits import PermitQuery, ask_permits, permitted_workers
+from .refusals import accepts_step
 from .reservations import make_reservations
 from .staleruns import find_tasks_with_stale_runs, ready_by_step
 from .unplaceable import UnplaceableDemands
@@ -124,9 +125,11 @@
         if not feasible:
             unplaceable.add(service, step)
             continue
-        usable = feasible
+        usable = [w for w in feasible if accepts_step(job, step_key, w, now_s)]
+        is_refused = len(usable) < len(feasible)
+        query = PermitQuery(job, step_key, queue.permit_timing, usable)
         if queue.needs_permits:
-            usable = permitted_workers(cell, job, step_key, feasible, now_s)
+            usable = permitted_workers(cell, job, step_key, usable, now_s)
         if reservations is not None:
             reservations.reset_blocked()
         tried = _bound_keys(step, keys, max_starts - len(effects))
@@ -135,9 +138,9 @@
         if len(starts) == len(tried):
             continue
         if queue.needs_permits:
-            query = PermitQuery(job, step_key, queue.permit_timing, feasible)
             effects.extend(ask_permits(cell, query, now_s))
-        else:
+        elif not is_refused:
+            # Other steps may use the workers that have refused this one.
             _note_waiting(job, service, step, filler_demand, unplaceable, reservations)
     return effects
 
@@ -163,7 +166,9 @@
     return [
         worker
         for worker in workers
-        if (step.is_service or not worker.cools_down(now_s)) and can_host(worker, step)
+        if (step.is_service or not worker.cools_down(now_s))
+        and not worker.has_refused(step.reserved, now_s)
+        and can_host(worker, step)
     ]
 
 
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -8,6 +8,7 @@
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
 from .placing import place, place_now
+from .refusals import note_refusal
 from .reportedeffects import WorkerGivenUp
 from .restartedworkers import forget_removed_workers
 from .silentlosses import keep_silent_loss
@@ -18,8 +19,6 @@
 
 #: Interval at which an order is retried until it takes effect.
 ORDER_RETRY_INTERVAL_S = 0.5
-#: Time for which a worker that refused a start gets no new tasks.
-REFUSAL_BACKOFF_S = 0.5
 #: Time from the start of placement in a term for which adopted runs in an evacuated
 #: data centre are not stopped: by then the reports list what an earlier leader had
 #: started, since lists are refreshed after 0.5 s and reported after 0.7 s.
@@ -43,7 +42,8 @@
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
-        worker.backoff_until_s = event.now_s + REFUSAL_BACKOFF_S
+        job = cell.jobs_by_id.get(run.job_id)
+        note_refusal(job, worker, run, event.refusal, event.now_s)
     elif run.is_unsent and (worker.is_evacuated or run.is_stop_requested):
         # No order has reached the worker, so nothing needs to be stopped there.
         release_run(cell, worker, event.task_id)
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -159,9 +159,12 @@
     alive_ms: int = 0
     #: Sequence number of the last end that was applied.
     last_applied_end: int = 0
-    #: Leader's clock until which the worker gets no new tasks, after a refused start or
-    #: the end of an evacuation.
+    #: Leader's clock until which the worker gets no new tasks, after it refused a
+    #: start for reasons of its own, or after the end of an evacuation.
     backoff_until_s: float = 0.0
+    #: Demands of starts that it refused for want of room, each with the leader's clock
+    #: until which it gets no tasks that need as much.
+    refused_demands: tuple[tuple[Resources, float], ...] = ()
     #: Leader's clock until which the worker gets serving tasks only, and those only if
     #: no other worker fits, after failed or stalled runs.
     cooldown_until_s: float = 0.0
@@ -265,6 +268,13 @@
             and now_s >= self.backoff_until_s
         )
 
+    def has_refused(self, demand, now_s):
+        """Tell whether it has lately refused a start that needs no more room."""
+        return any(
+            now_s < until_s and refused.fits_in(demand)
+            for refused, until_s in self.refused_demands
+        )
+
     def is_cold(self, now_s):
         """Tell whether warm workers are preferred, since it is slow after a start."""
         return now_s < max(self.cold_until_s, self.assumed_cold_until_s)
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -44,8 +44,14 @@
     OUTDATED = enum.auto()
     #: The lease that came with the order has expired.
     EXPIRED = enum.auto()
-    #: The order was not executed.
+    #: The order was not executed, for reasons of the worker.
     REFUSED = enum.auto()
+    #: The worker has no room for the task.
+    NO_ROOM = enum.auto()
+    #: The step may not run on the worker, or its permit has expired.
+    NOT_PERMITTED = enum.auto()
+    #: The worker cannot read the order.
+    INVALID = enum.auto()
     #: Another incarnation of the worker answered.
     OTHER_INCARNATION = enum.auto()
 
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -27,6 +27,8 @@
 HOLD_MARGIN_S = 1.0
 #: Status of a call that reached another incarnation of the worker.
 STATUS_OTHER_INCARNATION = 421
+#: Status of a call that the worker cannot read.
+STATUS_INVALID = 400
 #: Status of a call that the worker refuses for a reason that its body names.
 STATUS_CONFLICT = 409
 
@@ -42,8 +44,8 @@
     "fence": StartAnswer.FENCED,
     "old": StartAnswer.OUTDATED,
     "late": StartAnswer.EXPIRED,
-    "room": StartAnswer.REFUSED,
-    "ticket": StartAnswer.REFUSED,
+    "room": StartAnswer.NO_ROOM,
+    "ticket": StartAnswer.NOT_PERMITTED,
 }
 
 
@@ -186,6 +188,8 @@
         if reply.status == STATUS_CONFLICT:
             known = _ANSWERS_BY_REASON.get(answer.reason, StartAnswer.REFUSED)
             return known, answer.clock_ms
+        if reply.status == STATUS_INVALID:
+            return StartAnswer.INVALID, answer.clock_ms
         return StartAnswer.REFUSED, answer.clock_ms
 
     async def _call(self, client, target, worker_id, body, timeout_s):
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -267,7 +267,7 @@
         if run is not None:
             return StartAnswer.OUTDATED
         if self.fleet.policy is not None and not self.fleet.policy.accepts(self, order):
-            return StartAnswer.REFUSED
+            return StartAnswer.NOT_PERMITTED
         duration_s = self.fleet.duration_of(order.task_id) * self.slowness
         how = RunEnd.COMPLETED
         if self.is_failing or self.fleet.is_poison(order.task_id):
--- a/tests/test_cooldown.py
+++ b/tests/test_cooldown.py
@@ -12,7 +12,7 @@
     may_cool_down,
 )
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.repeating import REFUSAL_BACKOFF_S
+from dotterelspread.jobs.refusals import REFUSAL_BACKOFF_S
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit, workers_of
--- a/tests/test_platform_worker.py
+++ b/tests/test_platform_worker.py
@@ -26,10 +26,16 @@
             (409, {"ClockMs": 7, "Reason": "old"}),
             (409, {"ClockMs": 8, "Reason": "late"}),
             (409, {"ClockMs": 9, "Reason": "room"}),
+            (409, {"ClockMs": 9, "Reason": "ticket"}),
+            (409, {"ClockMs": 9, "Reason": "unheard of"}),
+            (400, {}),
+            (429, {}),
             (503, {}),
             (421, {}),
         ]
-        expected = ["RUNNING", "FENCED", "OUTDATED", "EXPIRED", "REFUSED", "REFUSED"]
+        refusals = ["NO_ROOM", "NOT_PERMITTED", "REFUSED", "INVALID"]
+        refusals += ["REFUSED", "REFUSED"]
+        expected = ["RUNNING", "FENCED", "OUTDATED", "EXPIRED", *refusals]
         for name in [*expected, "OTHER_INCARNATION"]:
             answer, _ = await worker.start("i-1", 4, make_order(), 99)
             assert answer is StartAnswer[name]
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -153,6 +153,18 @@
   NOT_SENT = 6,
 }
 
+// What a worker that refused a start would refuse as well.
+enum RefusalScope {
+  // Any start.
+  WORKER = 1,
+  // Starts of tasks that need as much room.
+  ROOM = 2,
+  // Starts of tasks of the step.
+  PERMIT = 3,
+  // Starts of tasks of the step, and so would other workers.
+  ORDER = 4,
+}
+
 struct RunningRow {
   1: string task_id,
   2: i32 run,
@@ -293,6 +305,8 @@
   // The agent's clock as it replies.
   2: i64 clock_ms,
   3: string detail,
+  // None if the order was not refused, and from agents that do not tell.
+  4: optional RefusalScope refusal,
 }
 
 struct LeaderNotice {
