Fence the worker before the rest of an agent's process is imported

Cause: the worker is open to such calls until the agent has called it under a session of its own, and that call waited for all imports of the process.

--- a/dotterelspread/platform/__main__.py
+++ b/dotterelspread/platform/__main__.py
@@ -8,6 +8,12 @@
 # start anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# The worker is fenced before these imports.
+if sys.argv[1:] == ["agent"]:
+    from .earlyfence import start_fencing
+
+    start_fencing()
+
 from .daemon import main  # noqa: E402
 
 sys.exit(main(sys.argv[1:]))
