--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -8,6 +8,7 @@
 from dotterelspread.gen.peer.ttypes import OrderReply, OrderResult
 from dotterelspread.jobs.cell import CellTick, OrderSettled
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.job import JobState
 from dotterelspread.jobs.orderhandler import OrderHandler
 from dotterelspread.jobs.ordersending import OrderSender
 from dotterelspread.jobs.queues import FleetConfiguration
@@ -163,3 +164,15 @@
         assert (await fleet.state(small.job_id, 0)).state == "COMPLETED"
 
     run_scenario(scenario, agents=3)
+
+
+def test_a_job_whose_starts_were_all_refused_has_not_begun():
+    # Guards against jobs that are missing from the number of those that wait.
+    cell, _ = refuse_start(RefusalScope.WORKER)
+    [job] = cell.jobs_by_id.values()
+    assert job.state is JobState.QUEUED
+    [start] = reduce(CellTick(REFUSAL_BACKOFF_S, 0), cell)
+    assert job.state is JobState.RUNNING
+    identity = (start.worker.worker_id, 1, start.task_id, start.run.run)
+    reduce(OrderSettled(0.6, *identity, "confirmed", 1), cell)
+    assert job.state is JobState.RUNNING
