Start nothing on an incarnation that has not told its kind

Cause: the worker's lists show the new incarnation before its heartbeat does, and the agent reported it with the labels of the earlier one.

Change: until an incarnation has announced itself, the agent refuses starts for it, which says that nothing has run there.

Measured: test_no_task_starts_on_an_incarnation_that_has_not_told_its_kind failed before and passes.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -59,6 +59,8 @@
         self._announcements = AnnouncementFilter()
         #: Start time of the incarnation of `listing` and `ended`.
         self.born_ms = 0
+        #: Whether it has announced itself; its kind is unknown until then.
+        self.is_announced = False
         self.listing = None
         self.listed_ms = 0
         self.ended = EndedRuns()
@@ -130,6 +132,7 @@
         is_changed = self._announcements.adopt(announcement)
         if is_new_incarnation:
             self._begin_incarnation(announcement.born_ms)
+        self.is_announced = True
         self.cold_until_ms = self.clock_ms() + announcement.cold_ms
         if is_changed:
             self._increment_version()
@@ -201,6 +204,7 @@
 
     def _begin_incarnation(self, born_ms):
         self.born_ms = born_ms
+        self.is_announced = False
         self.listing = None
         self.listed_ms = 0
         self.pacer = FillerPacer()
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -118,6 +118,9 @@
 
     def _refusal_reason(self):
         """Return why the worker may not start anything; empty if it may."""
+        if not self._agent.is_announced:
+            # It may be of another kind than the incarnation that announced itself.
+            return "not announced"
         if self._agent.announcement.is_draining:
             return "draining"
         return "evacuated" if self._agent.is_evacuated else ""
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dotterelspread.gen.peer.ttypes import OrderResult
 from dotterelspread.jobs.agentpart import Agent
 from dotterelspread.jobs.departure import (
     LATE_START_RETRY_INTERVAL_S,
@@ -114,6 +115,24 @@
     run_agent(scenario)
 
 
+def test_no_task_starts_on_an_incarnation_that_has_not_told_its_kind():
+    # Guards against starts by the labels of an earlier incarnation under the same id.
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(2)
+        worker.begin_incarnation(2000)
+        await asyncio.sleep(2)
+        agent.confirm_session(agent.session.report())
+        order = make_start(clock_ms() + 2000, born_ms=2000, session=None)
+        reply = await OrderHandler(agent).start_run(order)
+        assert (reply.result, reply.detail) == (OrderResult.REFUSED, "not announced")
+        agent.announce(replace(HEARTBEAT, born_ms=2000))
+        reply = await OrderHandler(agent).start_run(order)
+        assert reply.result == OrderResult.CONFIRMED
+
+    run_agent(scenario)
+
+
 def test_a_successor_whose_clock_was_set_back_is_taken_up_after_the_worker():
     async def scenario(agent, worker):
         agent.announce(HEARTBEAT)
