Follow a room that shrinks with each heartbeat

Cause: a heartbeat that differs from those before it takes effect once the next one says the same. If the room changes with each, none ever does.

Change: the second heartbeat in a row that differs takes effect also if its capacity is another one again. A single one still has no effect.

Measured: test_a_room_that_shrinks_with_each_heartbeat_is_followed failed before and passes.

--- a/dotterelspread/jobs/announcements.py
+++ b/dotterelspread/jobs/announcements.py
@@ -93,7 +93,7 @@
         ):
             return False
         earlier, self._unconfirmed = self._unconfirmed, announcement
-        return earlier is not None and _follows(announcement, earlier)
+        return earlier is not None and _confirms(announcement, earlier)
 
 
 def _log_announced(announcement):
@@ -121,6 +121,14 @@
     return later.sequence > earlier.sequence and _is_near(later, earlier)
 
 
+def _confirms(later, earlier):
+    """Tell whether the second heartbeat of a row that differs may take effect.
+
+    Its capacity may be another one again, as long as it changes.
+    """
+    return _follows(later, replace(earlier, capacity=later.capacity))
+
+
 def _is_near(left, right):
     """Tell whether two heartbeats describe one incarnation at about one time."""
     distance = abs(left.sequence - right.sequence)
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -15,6 +15,7 @@
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.jobs.workerpolling import LISTING_POLL_TIMEOUT_MS
 from dotterelspread.jobs.workersession import WorkerSession
+from dotterelspread.resources import Resources
 from tests.builders_agent import (
     HEARTBEAT,
     AnsweringWorker,
@@ -133,6 +134,35 @@
     run_agent(scenario)
 
 
+def test_a_room_that_shrinks_with_each_heartbeat_is_followed():
+    # Guards against starts on a worker whose room is known as it was long ago.
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(2)
+        for number in range(1, 7):
+            capacity = Resources(8000 - 1000 * number, 16_000, 0)
+            agent.announce(replace(HEARTBEAT, sequence=1 + number, capacity=capacity))
+            known = agent.announcement.capacity.millicores
+            assert known - capacity.millicores <= 1000
+
+    run_agent(scenario)
+
+
+def test_a_single_heartbeat_with_another_room_has_no_effect():
+    # Guards against one message of another writer that takes the worker's room away.
+    async def scenario(agent, worker):
+        agent.announce(HEARTBEAT)
+        await asyncio.sleep(2)
+        for number in range(2, 8, 2):
+            shrunk = replace(HEARTBEAT, sequence=number, capacity=Resources())
+            agent.announce(shrunk)
+            assert agent.announcement.capacity == HEARTBEAT.capacity
+            agent.announce(replace(HEARTBEAT, sequence=number + 1))
+            assert agent.announcement.capacity == HEARTBEAT.capacity
+
+    run_agent(scenario)
+
+
 def test_a_successor_whose_clock_was_set_back_is_taken_up_after_the_worker():
     async def scenario(agent, worker):
         agent.announce(HEARTBEAT)
