Give up a service's task that crashes its workers soon after each start

Cause: for services only crashes within 100 ms of the start counted, and a run that was listed for half a second cleared them.

Change: a crash counts unless the run has been observed for 2 s, and the crashes are cleared by a run that has. The limits stay as they are.

--- a/dotterelspread/jobs/crashes.py
+++ b/dotterelspread/jobs/crashes.py
@@ -29,6 +29,9 @@
 SUSPECT_WINDOW_MS = 100
 #: Observed time after which a run has shown that its start does not crash its worker.
 PROBATION_S = 0.5
+#: Observed time after which a service's run does not count as the cause of a crash. It
+#: lasts for hours, in which many workers may crash.
+SERVICE_TRIAL_S = 2.0
 #: Number of early crashes of a task after which its job fails: if no other suspect of
 #: the last one has as many, and in any case.
 MAX_LEADING_CRASHES = 3
@@ -68,8 +71,7 @@
         if run.recorded_born_ms and run.recorded_born_ms == successor_born_ms:
             continue
         is_early = any(run is suspect for suspect in suspects)
-        if job.step_of(run.key).is_service and not is_early:
-            # It lasts for hours, in which many workers may crash.
+        if job.step_of(run.key).is_service and run.observed_s >= SERVICE_TRIAL_S:
             continue
         lost.append(LostRun(job, run.key, is_early))
     return WorkerLoss(
@@ -171,15 +173,21 @@
 
 
 def clear_suspicion(cell, worker, run):
-    """Clear the task of a run on probation that has lasted for `PROBATION_S`."""
-    if run.observed_s < PROBATION_S:
-        return
-    worker.end_probation(run)
+    """Clear the task of a run that has lasted.
+
+    After `PROBATION_S` its start is no longer suspected; after `SERVICE_TRIAL_S` a task
+    of a service counts none of its crashes.
+    """
     job = cell.jobs_by_id.get(run.job_id)
-    if job is None or not is_current(job, run, worker):
+    if run.is_on_probation and run.observed_s >= PROBATION_S:
+        worker.end_probation(run)
+        if job is not None and is_current(job, run, worker):
+            job.tasks_by_key[run.key].early_crashes = 0
+            cell.dirty_job_ids.add(job.job_id)
+    if job is None or not job.step_of(run.key).is_service:
         return
     task = job.tasks_by_key[run.key]
-    task.early_crashes = 0
-    if job.step_of(run.key).is_service:
+    has_lasted = run.observed_s >= SERVICE_TRIAL_S
+    if task.crashes and has_lasted and is_current(job, run, worker):
         task.crashes = 0
-    cell.dirty_job_ids.add(job.job_id)
+        cell.dirty_job_ids.add(job.job_id)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -177,8 +177,7 @@
         run.is_listed = True
         run.last_answer_ms = max(run.last_answer_ms, report.listed_ms)
         _record_checkpoint(cell, run, row)
-        if run.is_on_probation:
-            clear_suspicion(cell, worker, run)
+        clear_suspicion(cell, worker, run)
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, row.task_id, run.stop_reason))
     if report.is_reachable and _has_all_ends(report):
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -183,11 +183,13 @@
     run_crash_scenario(scenario, agents=5)
 
 
-def test_a_service_task_that_crashes_its_workers_is_given_up():
+@pytest.mark.parametrize("crash_delay_s", [SOON_S, LATE_S])
+def test_a_service_task_that_crashes_its_workers_is_given_up(crash_delay_s):
+    # Guards against a service that crashes one worker after the other without end.
     async def scenario(fleet):
         job = make_job(1, (make_step(count=2, is_service=True),))
         fleet.durations[job.job_id] = 1000.0
-        fleet.crash_delay_by_task_id[CRASHING_TASK] = SOON_S
+        fleet.crash_delay_by_task_id[CRASHING_TASK] = crash_delay_s
         await fleet.submit(job)
         await fleet.settle(60)
         assert fleet.starts_by_task_id[CRASHING_TASK] <= MAX_CRASHING_STARTS
