--- a/tests/enumeration.py
+++ b/tests/enumeration.py
@@ -95,3 +95,16 @@
             extended += [(*prefix, index) for index in range(options)]
         prefixes = extended
     return prefixes
+
+
+def partition_by_first_fault(run_scenario, max_faults):
+    """Return prefixes of all runs, one for each first fault and one for none.
+
+    They are found by a single run, and none has many more runs than another.
+    """
+    choices = Choices([], max_faults)
+    run_scenario(choices)
+    prefixes = [(0,) * len(choices.taken)]
+    for number, (_, options) in enumerate(choices.taken):
+        prefixes += [(*(0,) * number, index) for index in range(1, options)]
+    return prefixes
--- a/tests/test_enumeration.py
+++ b/tests/test_enumeration.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from tests.enumeration import Choices, enumerate_choices, partition_choices
+from tests.enumeration import (
+    Choices,
+    enumerate_choices,
+    partition_by_first_fault,
+    partition_choices,
+)
 
 OPTIONS = ("ordinary", "first", "second")
 
@@ -51,6 +56,25 @@
     assert runs == len(set(executed)) == 33
 
 
+@pytest.mark.parametrize("max_faults", [0, 1, 2, 4])
+def test_the_partitions_by_the_first_fault_cover_all_runs_once(max_faults):
+    executed = []
+
+    def run_scenario(choices):
+        run = [choices.choose("here", OPTIONS) for _ in range(3)]
+        if run[1] == "first":
+            run += [choices.choose("there", OPTIONS) for _ in range(2)]
+        executed.append(tuple(run))
+
+    all_runs = enumerate_choices(run_scenario, max_faults)
+    prefixes = partition_by_first_fault(run_scenario, max_faults)
+    executed.clear()
+    runs = sum(
+        enumerate_choices(run_scenario, max_faults, prefix) for prefix in prefixes
+    )
+    assert runs == len(executed) == len(set(executed)) == all_runs
+
+
 def test_choices_other_than_the_first_option_are_logged():
     choices = Choices([0, 2], 1)
     assert [choices.choose("here", OPTIONS) for _ in range(2)] == ["ordinary", "second"]
