Count a job as not begun while the answers to its starts are awaited

Cause: a job whose starts are on their way counted as begun.

Change: a job has begun once a worker confirms or lists a run of it, or does not say that it refused one.

--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -9,7 +9,6 @@
     "adopt_assigned",
     "is_current",
     "release_run",
-    "release_unstarted_run",
     "remove_worker",
     "replace_incarnation",
 ]
@@ -77,14 +76,6 @@
         requeue(cell, job, run.key, "")
 
 
-def release_unstarted_run(cell, worker, task_id):
-    """Remove a run that is certain not to have started, and requeue its task."""
-    job = cell.jobs_by_id.get(worker.runs_by_task[task_id].job_id)
-    if job is not None:
-        job.unstarted_runs += 1
-    release_run(cell, worker, task_id)
-
-
 def replace_incarnation(cell, earlier, born_ms, now_s):
     """Replace a worker by its new incarnation, and return that.
 
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -89,10 +89,10 @@
     pending_by_step: dict[tuple[int, int], int] = field(default_factory=dict)
     #: Cached `ordering.WorkEstimate`; None after a change of the pending tasks.
     estimate: object = field(default=None, repr=False, compare=False)
-    #: Number of runs that were assigned, and of those that are certain not to have
-    #: started.
-    assigned_runs: int = 0
-    unstarted_runs: int = 0
+    #: Whether any task was ever assigned.
+    has_assigned: bool = False
+    #: Whether any task may have started, as far as the worker of its run has answered.
+    has_begun: bool = False
     #: Leader's clock when the leader first learned of the job.
     first_seen_s: float = 0.0
     #: Leader's clock when a task of the job was last assigned or made progress.
@@ -141,7 +141,7 @@
                 raise ValueError(f"tasks: no task {occurrence}.{step}.{index}")
             self.tasks_by_key[occurrence, step, index] = task
             self.has_long_checkpoints |= not is_inline(task.checkpoint)
-            self.assigned_runs += 1
+            self.has_assigned = self.has_begun = True
             if task.phase != Phase.PENDING:
                 self.pending_by_step[occurrence, step] -= 1
             if task.phase == Phase.COMPLETED:
@@ -169,11 +169,6 @@
         """Whether tasks of the job may still be started."""
         return not (self.is_cancelled or self.has_failed or self.ended_ms)
 
-    @property
-    def has_begun(self):
-        """Whether a task may have started."""
-        return self.assigned_runs > self.unstarted_runs
-
     @property
     def state(self):
         """The `JobState` reported to callers."""
@@ -212,7 +207,7 @@
         task.run = run_number
         task.worker_id = worker.worker_id
         task.born_ms = worker.born_ms
-        self.assigned_runs += 1
+        self.has_assigned = True
 
     def requeue(self, key):
         """Make a task pending again."""
@@ -244,6 +239,7 @@
         """Mark a task as completed; its checkpoint is not needed any more."""
         task = self.tasks_by_key[key]
         task.checkpoint = ""
+        self.has_begun = True
         if task.phase != Phase.COMPLETED:
             self._set_phase(key, task, Phase.COMPLETED)
             self.incomplete_by_step[key[:2]] -= 1
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -3,7 +3,7 @@
 from ..reducer import reduce
 from .cell import AppendDone, CellTick, DropJob, OrderSettled
 from .crashes import has_crashed, remove_crashed_worker
-from .incarnations import release_unstarted_run, remove_worker
+from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
@@ -39,14 +39,16 @@
     run.is_carried_over &= event.result == "unsent"
     run.is_repeat = True
     run.last_order_s = event.now_s
+    job = cell.jobs_by_id.get(run.job_id)
+    if job is not None and event.result not in ("refused", "unsent"):
+        job.has_begun = True
     if event.result == "refused":
-        release_unstarted_run(cell, worker, event.task_id)
+        release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
-        job = cell.jobs_by_id.get(run.job_id)
         note_refusal(job, worker, run, event.refusal, event.now_s)
     elif run.is_unsent and (worker.is_evacuated or run.is_stop_requested):
         # No order has reached the worker, so nothing needs to be stopped there.
-        release_unstarted_run(cell, worker, event.task_id)
+        release_run(cell, worker, event.task_id)
     elif event.result == "confirmed":
         run.is_confirmed = True
         # The first answer counts: retried stops would outrun the listings.
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -157,6 +157,12 @@
         worker.lease_end_s = max(worker.lease_end_s, cell.earlier_lease_end_s)
 
 
+def _note_begun(cell, run):
+    job = cell.jobs_by_id.get(run.job_id)
+    if job is not None:
+        job.has_begun = True
+
+
 def _apply_running(cell, worker, event):
     report = event.report
     effects = []
@@ -171,6 +177,7 @@
             continue
         if not run.is_listed:
             run.mark_listed(row.percent, event.now_s)
+            _note_begun(cell, run)
         elif run.observe(row.percent, row.pace / FULL_PACE_PERCENT, covered_s):
             _record_activity(cell, run, event.now_s)
         run.is_confirmed = True
--- a/dotterelspread/jobs/submitting.py
+++ b/dotterelspread/jobs/submitting.py
@@ -36,7 +36,7 @@
 @reduce.register
 def _(event: Withdrawn, cell):
     job = cell.jobs_by_id.get(event.job_id)
-    if job is None or job.has_begun:
+    if job is None or job.has_assigned:
         return []
     del cell.jobs_by_id[job.job_id]
     cell.dirty_job_ids.discard(job.job_id)
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -172,7 +172,7 @@
     [job] = cell.jobs_by_id.values()
     assert job.state is JobState.QUEUED
     [start] = reduce(CellTick(REFUSAL_BACKOFF_S, 0), cell)
-    assert job.state is JobState.RUNNING
+    assert job.state is JobState.QUEUED
     identity = (start.worker.worker_id, 1, start.task_id, start.run.run)
     reduce(OrderSettled(0.6, *identity, "confirmed", 1), cell)
     assert job.state is JobState.RUNNING
