Bound the starts of a worker that are awaited at a time

What callers see: with one job of 8,000 small tasks, and leaders that are killed now and then, small jobs are refused or do not go on for 40 s.

Cause: tasks were assigned as fast as they fit, and their orders waited for each other at the agents. Thousands timed out after 2.5 s and were repeated twice a second; the leader's appends and polls timed out too, so that its term ended and the next one repeated all orders at once.

Change: a worker with 32 runs whose start is awaited gets no further tasks, but for gangs, which start whole; and of the orders without answer at most as many are repeated at a time.

--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placing.py
@@ -126,7 +126,7 @@
             unplaceable.add(service, step)
             continue
         usable = [w for w in feasible if accepts_step(job, step_key, w, now_s)]
-        is_refused = len(usable) < len(feasible)
+        is_held_back = len(usable) < len(feasible)
         query = PermitQuery(job, step_key, queue.permit_timing, usable)
         if queue.needs_permits:
             usable = permitted_workers(cell, job, step_key, usable, now_s)
@@ -139,8 +139,8 @@
             continue
         if queue.needs_permits:
             effects.extend(ask_permits(cell, query, now_s))
-        elif not is_refused:
-            # Other steps may use the workers that have refused this one.
+        elif not is_held_back and not any(w.awaits_many_starts for w in usable):
+            # Else other steps, or gangs, may yet use these workers.
             _note_waiting(job, service, step, filler_demand, unplaceable, reservations)
     return effects
 
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -14,6 +14,7 @@
 from .silentlosses import keep_silent_loss
 from .stragglers import move_stragglers
 from .taskrun import RunStopReason
+from .worker import MAX_AWAITED_STARTS
 
 __all__ = []
 
@@ -50,7 +51,7 @@
         # No order has reached the worker, so nothing needs to be stopped there.
         release_run(cell, worker, event.task_id)
     elif event.result == "confirmed":
-        run.is_confirmed = True
+        worker.confirm(run)
         # The first answer counts: retried stops would outrun the listings.
         run.last_answer_ms = run.last_answer_ms or event.clock_ms
         if not run.is_stop_requested:
@@ -96,12 +97,15 @@
     if not worker.is_reachable:
         return []
     effects = []
+    in_flight = sum(run.is_order_in_flight for run in worker.runs_by_task.values())
+    retries = max(0, MAX_AWAITED_STARTS - in_flight)
     for task_id, run in worker.runs_by_task.items():
         if run.is_order_in_flight or now_s - run.last_order_s < ORDER_RETRY_INTERVAL_S:
             continue
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, task_id, run.stop_reason))
-        elif not run.is_confirmed:
+        elif not run.is_confirmed and retries:
+            retries -= 1
             effects.extend(_retry_start(cell, worker, run, task_id, now_s))
     return effects
 
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -180,7 +180,7 @@
             _note_begun(cell, run)
         elif run.observe(row.percent, row.pace / FULL_PACE_PERCENT, covered_s):
             _record_activity(cell, run, event.now_s)
-        run.is_confirmed = True
+        worker.confirm(run)
         run.is_listed = True
         run.last_answer_ms = max(run.last_answer_ms, report.listed_ms)
         _record_checkpoint(cell, run, row)
--- a/dotterelspread/jobs/worker.py
+++ b/dotterelspread/jobs/worker.py
@@ -8,6 +8,7 @@
 from .taskrun import TaskRun
 
 __all__ = [
+    "MAX_AWAITED_STARTS",
     "MAX_LISTED_ENDS",
     "AgentReport",
     "EndedRun",
@@ -23,6 +24,10 @@
 #: observed. Over a longer gap the worker, its agent or the leader was silent, which
 #: says nothing about the runs.
 MAX_LISTING_GAP_S = 1.6
+#: Number of runs on a worker whose start is awaited up to which it gets further tasks.
+#: Orders wait for each other at its agent, so that more would delay those of other jobs
+#: and let them time out.
+MAX_AWAITED_STARTS = 32
 
 
 class RunEnd:
@@ -149,6 +154,8 @@
     serving_count: int = 0
     #: Number of runs on the worker that are not the latest run of their task.
     stale_run_count: int = 0
+    #: Number of runs whose start the worker has not confirmed.
+    awaited_starts: int = 0
     #: Number of runs on probation.
     probation_count: int = 0
     #: Highest ratio of tail to target without fillers, by serving image.
@@ -209,6 +216,7 @@
         self.serving_count += run.is_serving
         self.stale_run_count += run.is_stale
         self.probation_count += run.is_on_probation
+        self.awaited_starts += not run.is_confirmed
         self._count_run(run, 1)
         if self._usage is not None:
             self._usage = _add_usage(self._usage, run)
@@ -223,11 +231,22 @@
             self.serving_count -= run.is_serving
             self.stale_run_count -= run.is_stale
             self.probation_count -= run.is_on_probation
+            self.awaited_starts -= not run.is_confirmed
             self._count_run(run, -1)
             self._usage = None
             self.releases = None
         return run
 
+    def confirm(self, run):
+        """Record that the worker has started a run."""
+        self.awaited_starts -= not run.is_confirmed
+        run.is_confirmed = True
+
+    @property
+    def awaits_many_starts(self):
+        """Whether further tasks would wait long for their start."""
+        return self.awaited_starts >= MAX_AWAITED_STARTS
+
     def end_probation(self, run):
         """End the trial of a run that has lasted."""
         self.probation_count -= run.is_on_probation
--- a/dotterelspread/jobs/workerchoice.py
+++ b/dotterelspread/jobs/workerchoice.py
@@ -112,6 +112,8 @@
 def _fits(job, key, step, worker):
     if not can_host(worker, step):
         return False
+    if worker.awaits_many_starts and not step.is_gang:
+        return False
     if step.max_per_worker:
         return worker.count_of_step(job.job_id, key[:2]) < step.max_per_worker
     return True
