Play hopeless jobs beside small ones in the soak

A gang without room, a gang that fails at once, a step and lasting tasks that fail on every worker, a chain of a thousand steps and eight thousand small tasks, beside small jobs, while entries are killed and restarted. No small job may stand still for 3 s while there is room, from 4 s after a fault on.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from absl import app, flags
 
 from .faults import FAULTS, choose_faults
+from .hopelessjobs import soak_hopeless
 from .run import soak
 
 FLAGS = flags.FLAGS
@@ -29,6 +30,9 @@
     sorted({fault.__name__ for fault in FAULTS}),
     "Fault to inject, may be repeated; all faults if it is not given.",
 )
+flags.DEFINE_bool(
+    "hopeless", False, "Play hopeless jobs beside small ones, and kill entries only."
+)
 flags.DEFINE_string("keep", "", "Folder for the logs of failed runs.")
 
 
@@ -44,7 +48,10 @@
             folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
             arguments = (FLAGS.seconds, FLAGS.entries, FLAGS.agents)
             faults = choose_faults(FLAGS.fault)
-            violations, summary = await soak(folder, seed, *arguments, faults)
+            if FLAGS.hopeless:
+                violations, summary = await soak_hopeless(folder, seed, *arguments)
+            else:
+                violations, summary = await soak(folder, seed, *arguments, faults)
             print(
                 f"seed {seed}: {summary}; {violations or 'no violations'}",
                 flush=True,
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -119,6 +119,7 @@
             "DependsOn": step.depends_on,
             "Gang": step.is_gang,
             "Requirements": step.required_label,
+            "LongRunning": step.is_service,
         }
         for step in spec.steps
     ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from soak.callers import Callers
 from soak.evacuationfaults import evacuate
+from soak.hopelessjobs import soak_hopeless
 from soak.run import soak
 from soak.site import PEER_PORT, SoakError, SoakSite
 from soak.workerfaults import restart_and_cut_off
@@ -47,6 +48,13 @@
     assert not broken, (tmp_path / "soak.log").read_text()
 
 
+def test_small_jobs_go_on_beside_hopeless_ones(tmp_path):
+    # Guards against one job, of whatever kind, that takes the workers, the orders or
+    # the leader's time from all others (review/7, review/8).
+    broken, summary = asyncio.run(soak_hopeless(tmp_path, 21, 8, 2, 3))
+    assert not broken, (summary, broken)
+
+
 def test_what_an_earlier_soak_left_running_is_named(tmp_path):
     async def scenario():
         site = SoakSite(tmp_path, 150)
