Take a heartbeat without a start time as one of the listed incarnation

Cause: with the rule that an incarnation must announce itself, a heartbeat that names no start time no longer counted once the lists told it.

Change: it counts if no start time was known before.

--- a/dotterelspread/jobs/agentpart.py
+++ b/dotterelspread/jobs/agentpart.py
@@ -187,7 +187,10 @@
             return
         if self.is_other_incarnation(born_ms):
             # The worker that answers is the current one, whatever its start time.
+            is_announced = self.is_announced and not self.born_ms
             self._begin_incarnation(born_ms)
+            # A heartbeat without a start time may be of this incarnation.
+            self.is_announced = is_announced
         successor = self._announcements.successor
         if successor is not None and self._is_this_incarnation(successor):
             self._adopt(successor)
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -134,6 +134,18 @@
     run_agent(scenario)
 
 
+def test_tasks_start_after_a_heartbeat_without_a_start_time():
+    async def scenario(agent, worker):
+        agent.announce(replace(HEARTBEAT, born_ms=0))
+        await asyncio.sleep(2)
+        agent.confirm_session(agent.session.report())
+        order = make_start(clock_ms() + 2000, born_ms=worker.born_ms, session=None)
+        reply = await OrderHandler(agent).start_run(order)
+        assert reply.result == OrderResult.CONFIRMED
+
+    run_agent(scenario)
+
+
 def test_a_room_that_shrinks_with_each_heartbeat_is_followed():
     # Guards against starts on a worker whose room is known as it was long ago.
     async def scenario(agent, worker):
