Move the modules of placement into a package of their own

Cause: 93 modules stood side by side in dotterelspread/jobs.

Change: moves alone. They import what is below them, the state of a cell, and the handlers of events import them. What that state uses stays in jobs: readytasks, gangsearch, refusals, feasibility, placementpolicy. candidate and eligibility are of the election of leaders.

Measured: the tests of these modules and of the virtual fleet pass.

--- a/bench/passes.py
+++ b/bench/passes.py
@@ -13,8 +13,8 @@
 
 from bench.placing import CAPACITY, make_cell
 from dotterelspread.jobs.job import Job
+from dotterelspread.jobs.placement.placing import place_now
 from dotterelspread.jobs.placementpolicy import PlacementPolicy
-from dotterelspread.jobs.placing import place_now
 from dotterelspread.jobs.queues import FleetConfiguration, Queue
 from dotterelspread.jobs.spec import JobSpec, StepSpec
 from dotterelspread.jobs.submitting import add_job
--- a/bench/waiting.py
+++ b/bench/waiting.py
@@ -12,7 +12,7 @@
 
 from bench.simulatedworker import CAPACITY, SERVING_RATIO
 from bench.waitingload import LARGE, LARGE_KINDS, SERVING, SMALL, Outcome, WaitingLoad
-from dotterelspread.jobs import reservations
+from dotterelspread.jobs.placement import reservations
 from dotterelspread.jobs.placementpolicy import MAX_RESERVED_JOBS, PlacementPolicy
 
 #: Time after the arrivals in which the jobs complete.
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -6,11 +6,11 @@
 from .incarnations import is_current
 from .job import Phase
 from .lifecycle import add_due_steps, end_job, requeue, stop_run
+from .placement.workerfaults import record_completion, record_failure
 from .runtimes import measure_run_s
 from .spec import parse_task_id
 from .taskrun import RunStopReason
 from .worker import RunEnd
-from .workerfaults import record_completion, record_failure
 
 __all__ = ["apply_ends"]
 
--- a/dotterelspread/jobs/evacuation.py
+++ b/dotterelspread/jobs/evacuation.py
@@ -9,7 +9,7 @@
 from ..reducer import reduce
 from . import clock
 from .cell import Evacuated
-from .placing import place
+from .placement.placing import place
 
 __all__ = ["EvacuatedDataCentres", "start_validity_s"]
 
--- a/dotterelspread/jobs/placing.py
+++ b/dotterelspread/jobs/placement/placing.py
@@ -5,11 +5,11 @@
 task.
 """
 
+from ..lifecycle import make_run, start_effect
+from ..permits import PermitQuery, ask_permits, permitted_workers
+from ..refusals import accepts_step
 from .gangroom import count_member_rooms
-from .lifecycle import make_run, start_effect
 from .ordering import order_jobs
-from .permits import PermitQuery, ask_permits, permitted_workers
-from .refusals import accepts_step
 from .reservations import make_reservations
 from .staleruns import find_tasks_with_stale_runs, ready_by_step
 from .unplaceable import UnplaceableDemands
--- a/dotterelspread/jobs/reservations.py
+++ b/dotterelspread/jobs/placement/reservations.py
@@ -17,10 +17,10 @@
 
 from dataclasses import replace
 
-from .cell import StartRun
+from ..cell import StartRun
+from ..reportedeffects import ReservationsMade
 from .gaps import GapKeeper
 from .ordering import placement_class, yield_end_s
-from .reportedeffects import ReservationsMade
 from .reservedroom import (
     Reservation,
     count_leaving_room,
--- a/dotterelspread/jobs/scoring.py
+++ b/dotterelspread/jobs/placement/scoring.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from math import inf
 
-from .pacing import NEGLIGIBLE_INCREASE_RATIO, tail_increase_budget
-from .paircost import interference_factor
+from ..pacing import NEGLIGIBLE_INCREASE_RATIO, tail_increase_budget
+from ..paircost import interference_factor
 
 __all__ = [
     "MIN_FILLER_SPEED_RATIO",
--- a/dotterelspread/jobs/stragglers.py
+++ b/dotterelspread/jobs/placement/stragglers.py
@@ -9,9 +9,9 @@
 
 from collections import Counter
 
-from .lifecycle import stop_run
+from ..lifecycle import stop_run
+from ..taskrun import DONE_PERCENT, RunStopReason
 from .scoring import MIN_FILLER_SPEED_RATIO, FillerDemand, expected_speed
-from .taskrun import DONE_PERCENT, RunStopReason
 from .workerchoice import choose_worker
 from .workerfaults import record_stall
 
--- a/dotterelspread/jobs/timeline.py
+++ b/dotterelspread/jobs/placement/timeline.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from math import ceil
 
-from .taskrun import DONE_PERCENT
-from .worker import MAX_LISTING_GAP_S
+from ..taskrun import DONE_PERCENT
+from ..worker import MAX_LISTING_GAP_S
 
 __all__ = [
     "MIN_PACE_RATIO",
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -7,12 +7,12 @@
 from .leasesuspension import suspend_if_silent
 from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
 from .permits import drop_permit
-from .placing import place, place_now
+from .placement.placing import place, place_now
+from .placement.stragglers import move_stragglers
 from .refusals import note_refusal
 from .reportedeffects import WorkerGivenUp
 from .restartedworkers import forget_removed_workers
 from .silentlosses import keep_silent_loss
-from .stragglers import move_stragglers
 from .taskrun import RunStopReason
 from .worker import MAX_AWAITED_STARTS
 
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -18,7 +18,7 @@
 from .lifecycle import make_run, stop_run
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
-from .placing import place
+from .placement.placing import place
 from .restartedworkers import mark_if_restarted, update_residual_lease
 from .silentlosses import settle_silent_loss
 from .spec import parse_task_id
--- a/dotterelspread/jobs/submitting.py
+++ b/dotterelspread/jobs/submitting.py
@@ -4,7 +4,7 @@
 from .cell import Cancelled, Configured, Submitted, Withdrawn
 from .job import Job
 from .lifecycle import end_job, release_occurrence
-from .placing import place
+from .placement.placing import place
 
 __all__ = ["add_job"]
 
--- a/tests/test_cooldown.py
+++ b/tests/test_cooldown.py
@@ -5,13 +5,13 @@
 import pytest
 
 from dotterelspread.jobs.cell import CellTick, OrderSettled
-from dotterelspread.jobs.cooldown import (
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.placement.cooldown import (
     FAILING_WORKER_COOLDOWN_S,
     is_job_at_fault,
     is_worker_at_fault,
     may_cool_down,
 )
-from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.refusals import REFUSAL_BACKOFF_S
 from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs.forwarding import Verb
-from dotterelspread.jobs.placing import MAX_STARTS_PER_PASS
+from dotterelspread.jobs.placement.placing import MAX_STARTS_PER_PASS
 from dotterelspread.resources import Resources
 from tests.builders_fleet import (
     make_job,
--- a/tests/test_gangroom.py
+++ b/tests/test_gangroom.py
@@ -5,12 +5,12 @@
 import pytest
 from msgspec.structs import replace
 
-from dotterelspread.jobs import placing, workerchoice
 from dotterelspread.jobs.cell import Cancelled, CellTick, StartRun, Submitted
-from dotterelspread.jobs.gangroom import count_member_room
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job
 from dotterelspread.jobs.paircost import CostEstimate
+from dotterelspread.jobs.placement import placing, workerchoice
+from dotterelspread.jobs.placement.gangroom import count_member_room
 from dotterelspread.jobs.placementpolicy import PlacementPolicy
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.resources import Resources
--- a/tests/test_gangsearch.py
+++ b/tests/test_gangsearch.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from dotterelspread.jobs import placing
 from dotterelspread.jobs.cell import AppendDone, CellTick
 from dotterelspread.jobs.gangsearch import (
     MAX_MEMBERS_PER_PASS,
@@ -11,6 +10,7 @@
 )
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.lifecycle import make_run
+from dotterelspread.jobs.placement import placing
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker, submit
 from tests.builders_fleet import make_step
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -2,21 +2,21 @@
 
 import pytest
 
-from dotterelspread.jobs import placing, workerchoice
 from dotterelspread.jobs.cell import AppendDone, Cancelled, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
 from dotterelspread.jobs.lifecycle import make_run
-from dotterelspread.jobs.ordering import order_jobs
 from dotterelspread.jobs.paircost import CostEstimate
-from dotterelspread.jobs.placing import place
+from dotterelspread.jobs.placement import placing, workerchoice
+from dotterelspread.jobs.placement.ordering import order_jobs
+from dotterelspread.jobs.placement.placing import place
+from dotterelspread.jobs.placement.scoring import FillerDemand, expected_speed
+from dotterelspread.jobs.placement.workerchoice import IDLE_JOB_TIMEOUT_S
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.records import costs_record, read_costs
-from dotterelspread.jobs.scoring import FillerDemand, expected_speed
 from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.jobs.worker import RunningTask
-from dotterelspread.jobs.workerchoice import IDLE_JOB_TIMEOUT_S
 from dotterelspread.resources import Resources
 from tests.builders_cell import (
     CAPACITY,
--- a/tests/test_passbounds.py
+++ b/tests/test_passbounds.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from dotterelspread.jobs import ordering
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job
+from dotterelspread.jobs.placement import ordering
 from tests.builders_cell import CAPACITY, make_cell, make_worker, submit
 from tests.builders_fleet import make_step
 
--- a/tests/test_placing_complete.py
+++ b/tests/test_placing_complete.py
@@ -7,8 +7,8 @@
 from dotterelspread.jobs.cell import Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.paircost import CostEstimate
+from dotterelspread.jobs.placement.workerchoice import choose_worker
 from dotterelspread.jobs.queues import Queue
-from dotterelspread.jobs.workerchoice import choose_worker
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker
 from tests.builders_fleet import make_job, make_step
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from dotterelspread.jobs import stragglers
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.stragglers import (
+from dotterelspread.jobs.placement import stragglers
+from dotterelspread.jobs.placement.stragglers import (
     FILLER_STALL_TIMEOUT_S,
     STALL_TIMEOUT_S,
     move_stragglers,
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -5,8 +5,7 @@
 from dotterelspread.jobs.cell import OrderSettled, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.lifecycle import stop_run
-from dotterelspread.jobs.taskrun import RunStopReason
-from dotterelspread.jobs.timeline import (
+from dotterelspread.jobs.placement.timeline import (
     add,
     expected_end,
     fits,
@@ -15,6 +14,7 @@
     releases_of,
     use_of,
 )
+from dotterelspread.jobs.taskrun import RunStopReason
 from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker
--- a/tests/test_unplaceable.py
+++ b/tests/test_unplaceable.py
@@ -1,7 +1,7 @@
 """Demands that are left out of a pass since a smaller one found no worker."""
 
-from dotterelspread.jobs.scoring import FillerDemand
-from dotterelspread.jobs.unplaceable import UnplaceableDemands
+from dotterelspread.jobs.placement.scoring import FillerDemand
+from dotterelspread.jobs.placement.unplaceable import UnplaceableDemands
 from dotterelspread.resources import Resources
 from tests.builders_fleet import make_step
 
--- a/tests/test_workerranking.py
+++ b/tests/test_workerranking.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dotterelspread.jobs.workerranking import WorkerRanking
+from dotterelspread.jobs.placement.workerranking import WorkerRanking
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker, submit
 from tests.builders_fleet import make_step
