Note in a pass which tasks wait for workers that await many starts

Cause: found on reading the bound on awaited starts again. While a flood keeps the workers at their bound, nothing was noted of the steps behind it, so that each of thousands of waiting jobs looked at all workers in each pass.

Change: such a demand is noted as unplaceable for all but gangs, which may start on these workers.

Measured: test_jobs_behind_a_flood_do_not_each_look_at_all_workers failed before and passes.

--- a/dotterelspread/jobs/placement/placing.py
+++ b/dotterelspread/jobs/placement/placing.py
@@ -139,21 +139,30 @@
             continue
         if queue.needs_permits:
             effects.extend(ask_permits(cell, query, now_s))
-        elif not is_held_back and not any(w.awaits_many_starts for w in usable):
-            # Else other steps, or gangs, may yet use these workers.
-            _note_waiting(job, service, step, filler_demand, unplaceable, reservations)
+        elif not is_held_back:
+            # Else other steps may yet use the workers that have refused this one.
+            awaits_starts = any(worker.awaits_many_starts for worker in usable)
+            _note_waiting(
+                *(job, service, step, filler_demand, unplaceable, reservations),
+                awaits_starts,
+            )
     return effects
 
 
-def _note_waiting(job, service, step, filler_demand, unplaceable, reservations):
-    """Record that tasks of a step did not start, for the jobs that follow."""
+def _note_waiting(
+    job, service, step, filler_demand, unplaceable, reservations, awaits_starts
+):
+    """Record that tasks of a step did not start, for the jobs that follow.
+
+    A gang may start on workers that await many starts.
+    """
     if reservations is not None and reservations.is_blocked:
         # Others may be allowed to use the room that is reserved.
         reservations.count_block(job, step)
     elif not step.is_gang and not step.max_per_worker:
         # With a limit per worker, only this step's own tasks may stand in the way;
         # other steps with the same demand may still fit.
-        unplaceable.add(service, step, filler_demand)
+        unplaceable.add(service, step, filler_demand, spares_gangs=awaits_starts)
 
 
 def _bound_keys(step, keys, max_starts):
--- a/dotterelspread/jobs/placement/unplaceable.py
+++ b/dotterelspread/jobs/placement/unplaceable.py
@@ -16,22 +16,29 @@
     def __init__(self):
         self._amounts_by_kind = {}
 
-    def add(self, service, step, need=None):
+    def add(self, service, step, need=None, spares_gangs=False):
         """Record that no worker of a service can take a task of the step.
 
         Without ``need`` no worker has the resources; with it, a `FillerDemand`, none is
         fast enough, nor would one be for a filler of the image with more processors.
+        With ``spares_gangs`` that holds for all tasks but those of gangs.
         """
-        kind = (service, step.is_service, step.required_label, _speed_kind(need))
+        kind = (service, step.is_service, step.required_label)
+        kind = (*kind, _speed_kind(need), spares_gangs)
         amount = step.reserved if need is None else step.demand
         self._amounts_by_kind.setdefault(kind, []).append(amount)
 
     def covers(self, service, step, need):
         """Tell whether a task of the step is certain to find no worker."""
         kind = (service, step.is_service, step.required_label)
-        return self._has_smaller((*kind, None), step.reserved) or (
+        return self._covers(kind, step, need, False) or (
+            not step.is_gang and self._covers(kind, step, need, True)
+        )
+
+    def _covers(self, kind, step, need, spares_gangs):
+        return self._has_smaller((*kind, None, spares_gangs), step.reserved) or (
             need is not None
-            and self._has_smaller((*kind, _speed_kind(need)), step.demand)
+            and self._has_smaller((*kind, _speed_kind(need), spares_gangs), step.demand)
         )
 
     def _has_smaller(self, kind, amount):
--- a/tests/test_awaited_starts.py
+++ b/tests/test_awaited_starts.py
@@ -4,6 +4,7 @@
 
 from dotterelspread.jobs.cell import AppendDone, CellTick
 from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.placement import placing
 from dotterelspread.jobs.worker import MAX_AWAITED_STARTS
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker, submit
@@ -70,3 +71,20 @@
     assert len(own) == MAX_AWAITED_STARTS
     again = reduce(CellTick(10.1, 0), cell)
     assert not [effect for effect in again if effect.worker is worker]
+
+
+def test_jobs_behind_a_flood_do_not_each_look_at_all_workers(monkeypatch):
+    # Guards against passes whose time grows with the jobs that wait behind a flood.
+    cell, _ = make_flooded_cell()
+    for number in range(2, 100):
+        submit(cell, make_step(demand=Resources(100, 100)), number=number)
+    looks = []
+    can_host = placing.can_host
+
+    def note_look(worker, step):
+        looks.append(worker.worker_id)
+        return can_host(worker, step)
+
+    monkeypatch.setattr(placing, "can_host", note_look)
+    assert reduce(CellTick(0.1, 0), cell) == []
+    assert len(looks) <= 3 * WORKERS
