--- a/soak/hopelessjobs.py
+++ b/soak/hopelessjobs.py
@@ -24,6 +24,8 @@
 WATCH_INTERVAL_S = 0.1
 STARTUP_S = 3.0
 SUBMIT_INTERVAL_S = 0.25
+MAX_CANCEL_ATTEMPTS = 10
+CANCEL_RETRY_S = 0.5
 #: Demand of the tasks of large jobs: eight thousand take a few cores.
 TINY = Resources(1, 1)
 SMALL = Resources(100, 100)
@@ -71,9 +73,15 @@
             await asyncio.sleep(SUBMIT_INTERVAL_S)
         await asyncio.gather(*small)
         watching.cancel()
-        for job_id in hopeless_ids:
-            self.jobs_by_id[job_id].is_cancelled = True
-            await self._call("DELETE", job_id)
+        await asyncio.gather(*map(self._cancel, hopeless_ids))
+
+    async def _cancel(self, job_id):
+        """Cancel a job; entries may be down at first."""
+        self.jobs_by_id[job_id].is_cancelled = True
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            if await self._call("DELETE", job_id) in (200, 410):
+                break
+            await asyncio.sleep(CANCEL_RETRY_S)
 
     def _make_spec(self, number):
         if number > len(HOPELESS_JOBS):
