--- a/review/standins3/site.py
+++ b/review/standins3/site.py
@@ -139,6 +139,8 @@
         while not self.is_closing:
             while self.is_dark:
                 await asyncio.sleep(0.02)
+            if self.is_closing:
+                return
             with (self.site.folder / f"{self.name}.log").open("ab") as log:
                 self.process = await asyncio.create_subprocess_exec(
                     *("python3", "-m", "dotterelspread.platform", self.role),
@@ -270,7 +272,7 @@
                     waiting.remove(entry)
 
     async def play(self, scenario):
-        """Run the processes and stand-ins beside ``scenario(site)``; return its value."""
+        """Run all beside ``scenario(site)`` and return its value."""
         self.publish()
         host = f"127.{self.block}.0.1"
         tasks = []
