--- a/review/standins3/site.py
+++ b/review/standins3/site.py
@@ -254,6 +254,18 @@
         self.note(f"{method} {path} answered {status} {text} by {entry.name}")
         return status, json.loads(answer) if answer else {}
 
+    def find_leader(self):
+        """Return the entry whose log tells of the latest term."""
+        latest = None, 0
+        for entry in self.entries:
+            for line in (self.folder / f"{entry.name}.log").read_text().splitlines():
+                event = json.loads(line) if line.startswith("{") else {}
+                if event.get("message") == "term begins":
+                    latest = max(latest, (entry, event["at"]), key=lambda one: one[1])
+        if latest[0] is None:
+            raise CannotRun("no entry leads")
+        return latest[0]
+
     async def _wait_ready(self):
         end_s = time.monotonic() + READY_TIMEOUT_S
         waiting = list(self.entries)
--- a/review/standins3/worker.py
+++ b/review/standins3/worker.py
@@ -49,8 +49,8 @@
         self.state = "ready"
         #: Whether nothing passes between it and any machine; it runs on.
         self.is_cut_off = False
-        #: Called with a start; a status to answer with, without doing anything.
-        self.refuse_start = lambda body: 0
+        #: Called with a start; why the worker rejects it, or an empty text.
+        self.reject_start = lambda body: ""
         self.begin_life()
 
     def begin_life(self):
@@ -150,8 +150,6 @@
         body = request.json()
         self._end_due()
         action = request.target.rpartition("/")[2]
-        if action == "run-start" and (status := self.refuse_start(body)):
-            return encode_json(status, {})
         token = body.get("FencingToken", 0)
         if token < self.fence:
             return self._reply(409, Reason="fence")
@@ -178,6 +176,9 @@
             return self._reply(409, Reason="old")
         if self.until_s <= time.monotonic():
             return self._reply(409, Reason="late")
+        if reason := self.reject_start(body):
+            self.site.note(f"{self.worker_id} rejected {task} run {number}: {reason}")
+            return self._reply(409, Reason=reason)
         how, seconds = body.get("Spec", "done 0.1").split()[:2]
         run = _Run(number, float(seconds), body.get("Checkpoint", ""), how)
         self.running[task] = run
