--- a/review/standins3/web.py
+++ b/review/standins3/web.py
@@ -48,8 +48,10 @@
 
     With None the request stays without an answer, and so does its connection.
     """
+    writers = set()
 
     async def accept(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 first, headers, body = await _read_message(reader)
@@ -69,9 +71,13 @@
             # The script ends.
             return
         finally:
+            writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(accept, host, port, limit=1 << 23)
+    server = await asyncio.start_server(accept, host, port, limit=1 << 23)
+    # Those of a process that crashes end with it.
+    server.writers = writers
+    return server
 
 
 async def call(address, method, path, body=b"", headers=None, timeout_s=4.0):
--- a/review/standins3/worker.py
+++ b/review/standins3/worker.py
@@ -51,6 +51,13 @@
         self.is_cut_off = False
         #: Called with a start; why the worker rejects it, or an empty text.
         self.reject_start = lambda body: ""
+        #: Called with a start; whether it gets no answer, and isn't carried out soon.
+        self.leaves_unanswered = lambda body: False
+        #: Tasks of the starts that got no answer.
+        self.unanswered = []
+        #: Number of lives that have ended.
+        self.lives = 0
+        self.is_up = True
         self.begin_life()
 
     def begin_life(self):
@@ -78,6 +85,24 @@
             asyncio.ensure_future(self._run_clock()),
         ]
 
+    async def crash(self):
+        """End with all that runs, and refuse connections."""
+        self.site.note(f"{self.worker_id} crashes; ran {sorted(self.running)}")
+        self.is_up = False
+        self.lives += 1
+        self.running.clear()
+        self.server.close()
+        for writer in list(self.server.writers):
+            writer.transport.abort()
+
+    async def come_back(self, worker_id):
+        """Start again as another worker."""
+        self.worker_id = worker_id
+        self.begin_life()
+        self.server = await serve(self.host, self.site.worker_port, self.handle)
+        self.is_up = True
+        self.site.note(f"{worker_id} is up")
+
     def heartbeat(self):
         """Return the next heartbeat."""
         self.sequence += 1
@@ -97,10 +122,10 @@
         }
 
     async def _send_heartbeats(self):
-        path = f"/api/Instances.Heartbeat/{self.worker_id}"
         while True:
-            if not self.is_cut_off:
+            if self.is_up and not self.is_cut_off:
                 body = json.dumps(self.heartbeat()).encode()
+                path = f"/api/Instances.Heartbeat/{self.worker_id}"
                 address = f"{self.host}:{self.site.control_port}"
                 with contextlib.suppress(Lost):
                     await call(address, "POST", path, body, timeout_s=1.0)
@@ -150,6 +175,10 @@
         body = request.json()
         self._end_due()
         action = request.target.rpartition("/")[2]
+        if action == "run-start" and self.leaves_unanswered(body):
+            self.unanswered.append(body["Task"])
+            self.site.note(f"{self.worker_id} leaves {body['Task']} unanswered")
+            return None
         token = body.get("FencingToken", 0)
         if token < self.fence:
             return self._reply(409, Reason="fence")
