--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,67 +1,64 @@
-"""An agent that stood still starts tasks on a worker that has shrunk meanwhile."""
+"""Jobs whose starts got no answer are left out of the pending jobs of their queue."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
-from standins3.site import BOUNDS, Site, run_case
-from standins3.worker import HEARTBEAT_S
+from standins3.site import Site, run_case
 
-RACKS = ("r0", "r1", "r1", "r2", "r2", "r3", "r3", "r4")
-SMALL = {"Cpu": 2000, "MemMb": 8000, "Gpu": 0}
-#: The freeze begins after the first heartbeat with the new capacity.
-FREEZE_AFTER_S, FREEZE_S = 1.9, 3.5
-TASKS, CPU = 8, 1000
-#: For how long a room that has shrunk doesn't count: `ContactMs` and one beat.
-NOTICE_S = BOUNDS["ContactMs"] / 1000 + HEARTBEAT_S
+RACKS = ("r0", "r0", "r1", "r1", "r2", "r2")
+CUT_S = 12.0
+JOBS = 6
+#: `visible_ms` and two seconds more, as the rule says.
+COUNTED_AFTER_S = 5.0
 
 
-def make_job():
-    """Return a job of tasks that only the first worker may run."""
-    step = {"Count": TASKS, "Cpu": CPU, "MemMb": 256, "EstimateMs": 2000}
-    return {"Spec": "done 2.0", "Steps": [step | {"Requirements": "r0"}]}
+def make_job(seconds):
+    """Return a job of one task that needs the rack that is cut off."""
+    step = {"Count": 1, "Cpu": 500, "MemMb": 256, "EstimateMs": int(seconds * 1000)}
+    return {"Spec": f"done {seconds}", "Steps": [step | {"Requirements": "r0"}]}
 
 
-async def wait_for_heartbeat(worker):
-    """Return just after the worker has sent a heartbeat."""
-    sequence = worker.sequence
-    while worker.sequence == sequence:
-        await asyncio.sleep(0.005)
+async def submit(site, number):
+    """Submit a job; return its id and when it was accepted, or None if it was not."""
+    job_id = f"{number:016x}"
+    status, _ = await site.request("POST", f"/small/{job_id}", make_job(0.3))
+    return (job_id, site.now_s()) if status == 200 else None
 
 
 async def scenario(site, has_trouble):
     """Return how the rule was broken."""
-    worker, agent = site.workers[0], site.agents[0]
-    await wait_for_heartbeat(worker)
-    worker.capacity = SMALL
-    shrunk_s = site.now_s()
-    site.note(f"{worker.worker_id} shrinks to {SMALL}")
-    await asyncio.sleep(FREEZE_AFTER_S)
-    if has_trouble:
-        agent.signal(signal.SIGSTOP)
-        site.note(f"{agent.name} stands still")
-    thaw_s = site.now_s() + FREEZE_S
-    await asyncio.sleep(0.05)
-    await site.request("POST", f"/small/{0x12:016x}", make_job())
-    await asyncio.sleep(thaw_s - site.now_s())
-    agent.signal(signal.SIGCONT)
-    site.note(f"{agent.name} goes on")
-    await asyncio.sleep(4.0)
+    # Work just before, so that the agents have open connections to their workers.
+    await asyncio.gather(*(submit(site, 100 + n) for n in range(8)))
+    await asyncio.sleep(1.5)
+    cut = [worker for worker in site.workers if worker.rack == "r0"]
+    for worker in cut if has_trouble else ():
+        worker.is_cut_off = True
+    site.note(f"cut off: {[w.worker_id for w in cut if w.is_cut_off]}")
+    cut_end_s = site.now_s() + CUT_S
+    answers = await asyncio.gather(*(submit(site, 200 + n) for n in range(JOBS)))
+    accepted = dict(answer for answer in answers if answer)
     broken = []
-    for started_s, worker_id, task, _ in site.starts:
-        running = {t for s, w, t, _ in site.starts if w == worker_id and s <= started_s}
-        running -= {t for s, w, t, *_ in site.ends if w == worker_id and s < started_s}
-        used = CPU * len(running)
-        if started_s > shrunk_s + NOTICE_S and used > SMALL["Cpu"]:
-            late_s = started_s - shrunk_s
-            text = (
-                f"{started_s:.3f} {task} starts {late_s:.2f} s after the worker shrank"
-            )
-            broken.append(f"{text} and brings it to {used} of {SMALL['Cpu']}")
+    while site.now_s() < cut_end_s - 0.5:
+        await asyncio.sleep(0.5)
+        asked_s = site.now_s()
+        status, answer = await site.request("GET", "/small/")
+        begun = {task.split(".")[0] for _, _, task, _ in site.starts}
+        waiting = [
+            job_id
+            for job_id, accepted_s in accepted.items()
+            if job_id not in begun and asked_s - accepted_s > COUNTED_AFTER_S
+        ]
+        if status == 200 and answer["Pending"] < len(waiting) / 2:
+            text = f"{site.now_s():.3f} Pending {answer['Pending']}"
+            broken.append(f"{text}, though {len(waiting)} jobs have not begun")
+    for worker in cut:
+        worker.is_cut_off = False
+    site.note("the cut has ended")
+    await asyncio.sleep(3.0)
     return broken
 
 
 if __name__ == "__main__":
     folder = Path(__file__).parent
-    sys.exit(run_case(folder, lambda: Site(3, RACKS), scenario, 60))
+    sys.exit(run_case(folder, lambda: Site(2, RACKS), scenario))
--- a/review/standins3/web.py
+++ b/review/standins3/web.py
@@ -15,12 +15,18 @@
 class Request:
     """One request as read from a connection."""
 
-    def __init__(self, method, target, headers, body):
+    def __init__(self, method, target, headers, body, reader):
+        self._reader = reader
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
 
+    @property
+    def is_given_up(self):
+        """Whether the caller has closed the connection."""
+        return self._reader.at_eof() or self._reader.exception() is not None
+
     def json(self):
         """Return the body as JSON; an empty one is an empty object."""
         return json.loads(self.body or b"{}")
@@ -56,7 +62,7 @@
             while True:
                 first, headers, body = await _read_message(reader)
                 method, target, _ = first.split(" ", 2)
-                reply = await handle(Request(method, target, headers, body))
+                reply = await handle(Request(method, target, headers, body, reader))
                 if reply is None:
                     await reader.read()
                     return
--- a/review/standins3/worker.py
+++ b/review/standins3/worker.py
@@ -167,8 +167,11 @@
 
     async def handle(self, request):
         """Answer one call of the agent."""
-        if self.is_cut_off:
-            return None
+        while self.is_cut_off:
+            # What the caller has not given up by then arrives after the cut.
+            if request.is_given_up:
+                return None
+            await asyncio.sleep(TICK_S)
         expected = request.headers.get("x-expect-instance", "")
         if expected not in ("", self.worker_id):
             return encode_json(421, {})
