--- a/review/standins3/site.py
+++ b/review/standins3/site.py
@@ -149,6 +149,8 @@
                     stdout=log,
                     stderr=log,
                 )
+            if self.is_closing:
+                self.process.kill()
             code = await self.process.wait()
             if not self.is_closing:
                 self.site.note(f"{self.name} ended with {code}")
