Log the attempts of a start that got no answer, and those that follow

An agent now logs each attempt of a start without an answer, and each that follows one, with its number, the run and the epoch. Attempts that are answered at once, which nearly all are, add no line.

--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -86,7 +86,7 @@
         is_uncertain = order.repeat
         is_sent = False
         detail = ""
-        for _ in range(MAX_ORDER_ATTEMPTS):
+        for attempt in range(1, MAX_ORDER_ATTEMPTS + 1):
             if not self._is_same_incarnation(order):
                 return OrderResult.GONE, "another incarnation", None
             if not self._agent.is_in_session:
@@ -104,6 +104,7 @@
                     detail = str(error)
                     continue
             is_sent = True
+            _log_attempt(order, attempt, answer, detail)
             if answer is None:
                 is_uncertain = True
                 continue
@@ -207,3 +208,18 @@
 
     def _order_reply(self, result, detail, scope=None):
         return OrderReply(result, self._agent.clock_ms(), detail, scope)
+
+
+def _log_attempt(order, attempt, answer, detail):
+    """Log an attempt that got no answer, or that follows such a one."""
+    if answer is None or attempt > 1:
+        log_decision(
+            "start attempted",
+            task_id=order.task_id,
+            run=order.run,
+            epoch=order.epoch,
+            attempt=attempt,
+            is_repeat=order.repeat,
+            is_answered=answer is not None,
+            detail=detail,
+        )
