Withdraw starts that an end forbids, and let the end wait for them

Cause: an end arrives while an order that it forbids is on its way. The leader sent no stop before the start was settled, up to 2.5 s, the agent went on with its attempts for as long as the order's lease lasted, and the end was acknowledged and shown at once.

A stop now goes out at once, and the agent attempts the start no more; each order names a time, 2.0 s after it was sent, up to which an agent passes it on; and the end is acknowledged, and its job shown as complete, once the start is ruled out or that time is over.

Other tests now say whether an order that they settle was a stop.

--- a/dotterelspread/jobs/agentlink.py
+++ b/dotterelspread/jobs/agentlink.py
@@ -12,6 +12,7 @@
 from .evacuation import start_validity_s
 from .leaseend import lease_end_s, residual_lease_end_s
 from .watchreport import ReportError, check_reply, read_report
+from .withdrawals import START_VALIDITY_S
 from .worker import LeaseGrants
 
 __all__ = ["AgentLink"]
@@ -101,13 +102,14 @@
     def send_limit_ms(self):
         """Return the agent's time up to which it may send a start to its worker.
 
-        Until then it is safe to start what no evacuation known to this leader forbids.
-        It is 0 if that is not known any more, and None if there is no limit.
+        What forbids the start after its order is known to all by then. It is 0 if even
+        now an evacuation may forbid it that this leader does not know.
         """
         evacuate_ms = self._leader.settings.bounds.evacuate_ms
         validity_s = start_validity_s(self._leader.evacuations, evacuate_ms)
         if validity_s is None:
-            return None
+            validity_s = START_VALIDITY_S
+        validity_s = min(validity_s, START_VALIDITY_S)
         if validity_s <= 0:
             return 0
         # The agent's clock shows at least this by now.
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -63,6 +63,8 @@
     ready_by_job: dict[str, ReadyTasks] = field(default_factory=dict)
     #: Occurrences not yet due, sorted: due time in milliseconds, job id and number.
     scheduled_occurrences: list[tuple[int, str, int]] = field(default_factory=list)
+    #: Jobs with withdrawals.
+    withdrawing_job_ids: set[str] = field(default_factory=set)
     #: Jobs whose journal record is out of date.
     dirty_job_ids: set[str] = field(default_factory=set)
     #: Workers added or removed since the last append to the journal.
@@ -199,6 +201,8 @@
     clock_ms: int
     #: What else would be refused, if the order was.
     refusal: RefusalScope = RefusalScope.WORKER
+    #: Whether the order was to stop the run.
+    is_stop: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/effectlog.py
+++ b/dotterelspread/jobs/effectlog.py
@@ -7,6 +7,7 @@
 from . import clock
 from .reportedeffects import (
     ReservationsMade,
+    StartWithdrawn,
     TaskGivenUp,
     WorkerCrashed,
     WorkerGivenUp,
@@ -79,6 +80,18 @@
     )
 
 
+@log_effect.register
+def _(effect: StartWithdrawn, epoch):
+    counters.add("starts_withdrawn")
+    log_decision(
+        "start withdrawn",
+        task_id=effect.task_id,
+        run=effect.run,
+        worker_id=effect.worker_id,
+        epoch=epoch,
+    )
+
+
 @log_effect.register
 def _(effect: ReservationsMade, epoch):
     del epoch
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -10,6 +10,7 @@
 from .runtimes import measure_run_s
 from .spec import parse_task_id
 from .taskrun import RunStopReason
+from .withdrawals import withdraw_start
 from .worker import RunEnd
 
 __all__ = ["apply_ends"]
@@ -24,14 +25,28 @@
             worker.last_applied_end = end.number
             effects.extend(_apply_end(cell, worker, end, event))
     if ended:
-        effects.append(
-            AcknowledgeEnds(
-                worker.agent_address, worker.born_ms, worker.last_applied_end
-            )
-        )
+        number = _acknowledged_number(cell, worker, event)
+        effects.append(AcknowledgeEnds(worker.agent_address, worker.born_ms, number))
     return effects
 
 
+def _acknowledged_number(cell, worker, event):
+    """Return the number before the first end that waits for a withdrawn start."""
+    waiting = [
+        end.number
+        for end in event.report.ended
+        if end.how == RunEnd.COMPLETED and _must_wait(cell, end, event.now_s)
+    ]
+    return min([worker.last_applied_end, *(number - 1 for number in waiting)])
+
+
+def _must_wait(cell, end, now_s):
+    parsed = parse_task_id(end.task_id)
+    job = parsed and cell.jobs_by_id.get(parsed[0])
+    withdrawals = job.withdrawals if job else ()
+    return any(w.key == parsed[1] and not w.is_over(now_s) for w in withdrawals)
+
+
 def _apply_end(cell, worker, end, event):
     run = worker.runs_by_task.get(end.task_id)
     if run is None or run.run != end.run:
@@ -90,7 +105,7 @@
         keys = job.keys_of_step(occurrence, number)
     for member in keys:
         task = job.tasks_by_key[member]
-        effects.extend(_stop_other_run(cell, job, member, task))
+        effects.extend(_stop_other_run(cell, job, member, task, event.now_s))
         job.complete(member)
         cell.clear_ready(job, member)
     cell.dirty_job_ids.add(job.job_id)
@@ -112,12 +127,15 @@
     cell.run_times.learn(job.spec.queue.name, step, run_s)
 
 
-def _stop_other_run(cell, job, key, task):
+def _stop_other_run(cell, job, key, task, now_s):
     """Stop a remaining run of a task that has completed through another run."""
     worker = cell.workers_by_id.get(task.worker_id)
     task_id = job.task_id(key)
     run = worker and worker.runs_by_task.get(task_id)
-    return stop_run(worker, run, task_id, RunStopReason.COMPLETED) if run else []
+    if not run:
+        return []
+    effects = withdraw_start(cell, job, run, worker, now_s)
+    return effects + stop_run(worker, run, task_id, RunStopReason.COMPLETED)
 
 
 def _fail(cell, job, run, worker, end, event):
--- a/dotterelspread/jobs/incarnations.py
+++ b/dotterelspread/jobs/incarnations.py
@@ -3,6 +3,7 @@
 from .job import Phase
 from .lifecycle import end_reason, make_run, requeue
 from .restartedworkers import mark_if_restarted, note_removed_worker
+from .withdrawals import MAX_ORDER_AGE_S
 from .worker import Worker
 
 __all__ = [
@@ -53,6 +54,8 @@
             task.born_ms = worker.born_ms
             cell.dirty_job_ids.add(job.job_id)
         run.is_repeat = True
+        # An agent may have an order of an earlier leader.
+        run.lost_start_until_s = now_s + MAX_ORDER_AGE_S
         run.stop_reason = "" if job.is_open else end_reason(job)
         worker.add(job.task_id(key), run)
 
@@ -93,7 +96,10 @@
         earlier.remove(task_id)
         run.is_confirmed = False
         run.is_listed = False
-        run.is_order_in_flight = False
+        run.is_start_in_flight = False
+        run.is_stop_in_flight = False
+        run.lost_start_until_s = 0.0
+        run.is_stop_confirmed = False
         run.is_repeat = True
         run.is_unsent = False
         run.is_carried_over = True
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -111,6 +111,8 @@
     recorded_checkpoints: dict[TaskKey, str] = field(default_factory=dict)
     #: Whether a task has had a checkpoint that needs a record of its own.
     has_long_checkpoints: bool = False
+    #: `Withdrawal` of each start that ends of the job's tasks wait for.
+    withdrawals: list = field(default_factory=list)
 
     @classmethod
     def from_spec(cls, spec, now_s):
@@ -176,7 +178,7 @@
             return JobState.CANCELLED
         if self.has_failed:
             return JobState.FAILED
-        if self.ended_ms:
+        if self.ended_ms and not self.withdrawals:
             return JobState.COMPLETED
         return JobState.RUNNING if self.has_begun else JobState.QUEUED
 
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -115,8 +115,9 @@
     run.stop_reason = run.stop_reason or reason
     # A stopped run releases its capacity earlier.
     worker.releases = None
-    if run.is_order_in_flight or not worker.is_reachable:
+    if run.is_stop_in_flight or not worker.is_reachable:
         # The next tick retries the order.
         return []
-    run.is_order_in_flight = True
+    # A start may be on its way: the agent does not attempt it again.
+    run.is_stop_in_flight = True
     return [StopRun(worker, run, task_id)]
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -5,6 +5,9 @@
 refused.
 """
 
+from contextlib import contextmanager
+from dataclasses import dataclass
+
 from ..counters import counters
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import OrderReply, OrderResult, TaskTraits
@@ -18,6 +21,8 @@
 
 #: Detail of the reply to an order that was delayed beyond its lease.
 ORDER_EXPIRED = "the order has expired"
+#: Detail of the reply to a start that a stop has overtaken.
+START_WITHDRAWN = "a stop has withdrawn the start"
 #: Detail of the reply to an order that the agent may not pass on yet.
 SESSION_UNCONFIRMED = "the session with the worker is not confirmed"
 
@@ -40,6 +45,22 @@
 }
 
 
+@dataclass(slots=True, eq=False)
+class _Start:
+    """A start in progress, which takes up to `MAX_ORDER_ATTEMPTS`."""
+
+    task_id: str
+    run: int
+    is_withdrawn: bool = False
+    #: Whether an attempt may have reached the worker.
+    is_sent: bool = False
+
+    @property
+    def unconfirmed_result(self):
+        """`OrderResult` if no attempt was answered."""
+        return OrderResult.UNKNOWN if self.is_sent else OrderResult.NOT_SENT
+
+
 class OrderHandler:
     """Handles the orders for one agent.
 
@@ -48,10 +69,12 @@
     agent : Agent
     """
 
-    __slots__ = ("_agent",)
+    __slots__ = ("_agent", "_starts")
 
     def __init__(self, agent):
         self._agent = agent
+        #: Starts in progress.
+        self._starts = []
 
     async def start_run(self, order):
         """Execute an order to start a run; see `OrderResult`."""
@@ -68,7 +91,8 @@
             order.image,
             order.millicores,
         )
-        result, detail, scope = await self._start(order)
+        with self._in_progress(order) as start:
+            result, detail, scope = await self._start(order, start)
         counters.add("starts", result=OrderResult._VALUES_TO_NAMES[result])
         if result != OrderResult.CONFIRMED:
             log_decision(
@@ -81,19 +105,36 @@
             )
         return self._order_reply(result, detail, scope)
 
-    async def _start(self, order):
+    @contextmanager
+    def _in_progress(self, order):
+        """Yield the `_Start` of an order, which a stop withdraws meanwhile."""
+        start = _Start(order.task_id, order.run)
+        self._starts.append(start)
+        try:
+            yield start
+        finally:
+            self._starts.remove(start)
+
+    def _withdraw(self, order):
+        """Make no further attempt of a start that a stop rules out."""
+        for start in self._starts:
+            if (start.task_id, start.run) == (order.task_id, order.run):
+                start.is_withdrawn = True
+                log_decision(
+                    "start withdrawn",
+                    task_id=order.task_id,
+                    run=order.run,
+                    epoch=order.epoch,
+                )
+
+    async def _start(self, order, start):
         """Return the `OrderResult`, a detail, and the `RefusalScope` or None."""
         is_uncertain = order.repeat
-        is_sent = False
         detail = ""
         for attempt in range(1, MAX_ORDER_ATTEMPTS + 1):
-            if not self._is_same_incarnation(order):
-                return OrderResult.GONE, "another incarnation", None
-            if not self._agent.is_in_session:
-                detail = SESSION_UNCONFIRMED
-                break
-            if self._has_expired(order):
-                return OrderResult.UNKNOWN, ORDER_EXPIRED, None
+            obstacle = self._find_obstacle(order, start)
+            if obstacle is not None:
+                return *obstacle, None
             detail = self._refusal_reason()
             if detail:
                 answer = StartAnswer.REFUSED
@@ -103,7 +144,7 @@
                 except WorkerUnsentError as error:
                     detail = str(error)
                     continue
-            is_sent = True
+            start.is_sent = True
             _log_attempt(order, attempt, answer, detail)
             if answer is None:
                 is_uncertain = True
@@ -115,7 +156,23 @@
                 # An earlier attempt may still reach the worker; rule it out.
                 return *await self._stop(order), None
             return _RESULTS_BY_ANSWER[answer], detail, scope
-        return OrderResult.UNKNOWN if is_sent else OrderResult.NOT_SENT, detail, None
+        return start.unconfirmed_result, detail, None
+
+    def _find_obstacle(self, order, start):
+        """Return the result and detail of a start that must not be attempted, or None.
+
+        Looked for before each attempt, since what forbids the start may become known
+        during an earlier one.
+        """
+        if not self._is_same_incarnation(order):
+            return OrderResult.GONE, "another incarnation"
+        if not self._agent.is_in_session:
+            return start.unconfirmed_result, SESSION_UNCONFIRMED
+        if start.is_withdrawn:
+            return start.unconfirmed_result, START_WITHDRAWN
+        if self._has_expired(order):
+            return OrderResult.UNKNOWN, ORDER_EXPIRED
+        return None
 
     def _refusal_reason(self):
         """Return why the worker may not start anything; empty if it may."""
@@ -138,7 +195,7 @@
         now_ms = self._agent.clock_ms()
         is_over = until_ms <= now_ms
         if order.send_until_ms is not None:
-            # Its data centre may have been evacuated since the leader sent the order.
+            # What forbids the start may have become known since the leader ordered it.
             is_over = is_over or order.send_until_ms <= now_ms
         return is_over or self._agent.grant.is_on_other_clock(until_ms)
 
@@ -175,6 +232,7 @@
         if not self._agent.accepts(order.epoch):
             return self._order_reply(OrderResult.FENCED, "epoch")
         self._agent.confirm_session(order.session)
+        self._withdraw(order)
         result, detail = await self._stop(order)
         return self._order_reply(result, detail)
 
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -236,6 +236,7 @@
                 result,
                 clock_ms,
                 scope,
+                is_stop=isinstance(effect, StopRun),
             )
         )
 
--- a/dotterelspread/jobs/placement/placing.py
+++ b/dotterelspread/jobs/placement/placing.py
@@ -274,7 +274,7 @@
     task = job.tasks_by_key[key]
     job.assign(key, worker, number or task.run + 1)
     run = make_run(job, key, task.run)
-    run.is_order_in_flight = True
+    run.is_start_in_flight = True
     run.last_order_s = now_s
     task_id = job.task_id(key)
     worker.add(task_id, run)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -14,6 +14,7 @@
 from .restartedworkers import forget_removed_workers
 from .silentlosses import keep_silent_loss
 from .taskrun import RunStopReason
+from .withdrawals import MAX_ORDER_AGE_S, settle_withdrawals
 from .worker import MAX_AWAITED_STARTS
 
 __all__ = []
@@ -34,7 +35,7 @@
     run = worker.runs_by_task.get(event.task_id)
     if run is None or run.run != event.run:
         return []
-    run.is_order_in_flight = False
+    _note_settled(run, event)
     was_unsent = run.is_unsent or not run.is_repeat
     run.is_unsent = event.result == "unsent" and was_unsent
     run.is_carried_over &= event.result == "unsent"
@@ -57,9 +58,22 @@
         if not run.is_stop_requested:
             run.confirmed_ms = run.confirmed_ms or event.clock_ms
         worker.alive_ms = max(worker.alive_ms, event.clock_ms)
+    settle_withdrawals(cell, event.now_s)
     return place(cell, event.now_s)
 
 
+def _note_settled(run, event):
+    """Record what the outcome of an order says of later starts of the run."""
+    if event.is_stop:
+        run.is_stop_in_flight = False
+        run.is_stop_confirmed |= event.result in ("confirmed", "gone")
+        return
+    run.is_start_in_flight = False
+    if event.result == "unknown" and not event.clock_ms:
+        # The order may have reached the agent, and may still be with it.
+        run.lost_start_until_s = event.now_s + MAX_ORDER_AGE_S
+
+
 @reduce.register
 def _(event: AppendDone, cell):
     return place_now(cell, event.now_s) if cell.is_placing_due else []
@@ -77,6 +91,7 @@
         suspend_if_silent(cell, worker, event.now_s)
         effects.extend(_retry_orders(cell, worker, event.now_s))
     forget_removed_workers(cell, event.now_s)
+    settle_withdrawals(cell, event.now_s)
     effects.extend(move_stragglers(cell, event.now_s))
     _release_scheduled(cell, event.wall_ms)
     effects.extend(_drop_finished(cell, event.wall_ms))
@@ -100,7 +115,11 @@
     in_flight = sum(run.is_order_in_flight for run in worker.runs_by_task.values())
     retries = max(0, MAX_AWAITED_STARTS - in_flight)
     for task_id, run in worker.runs_by_task.items():
-        if run.is_order_in_flight or now_s - run.last_order_s < ORDER_RETRY_INTERVAL_S:
+        # A stop does not wait for the reply to a start.
+        is_waiting = run.is_stop_in_flight or (
+            run.is_start_in_flight and not run.is_stop_requested
+        )
+        if is_waiting or now_s - run.last_order_s < ORDER_RETRY_INTERVAL_S:
             continue
         if run.is_stop_requested:
             effects.extend(stop_run(worker, run, task_id, run.stop_reason))
@@ -117,7 +136,7 @@
     if not is_suitable(cell, job, worker, run):
         # An earlier attempt may have reached the worker, so that a stop comes first.
         return stop_run(worker, run, task_id, RunStopReason.UNSUITABLE)
-    run.is_order_in_flight = True
+    run.is_start_in_flight = True
     return [start_effect(cell, job, worker, run, task_id, now_s)]
 
 
--- a/dotterelspread/jobs/reportedeffects.py
+++ b/dotterelspread/jobs/reportedeffects.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "ReservationsMade",
+    "StartWithdrawn",
     "TaskGivenUp",
     "WorkerCrashed",
     "WorkerGivenUp",
@@ -55,6 +56,15 @@
     crashes: int
 
 
+@dataclass(slots=True, frozen=True)
+class StartWithdrawn(Effect):
+    """Log that the end of a task waits until another run of it cannot start."""
+
+    task_id: str
+    run: int
+    worker_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class ReservationsMade(Effect):
     """Log and count new reservations and the use of reserved room by others."""
--- a/dotterelspread/jobs/taskrun.py
+++ b/dotterelspread/jobs/taskrun.py
@@ -53,8 +53,15 @@
     is_confirmed: bool = False
     #: Whether this incarnation of the worker has listed it as running.
     is_listed: bool = False
-    #: Whether a start or stop order awaits its reply from the worker.
-    is_order_in_flight: bool = False
+    #: Whether an order to start it awaits its reply from the worker.
+    is_start_in_flight: bool = False
+    #: Whether an order to stop it awaits its reply from the worker.
+    is_stop_in_flight: bool = False
+    #: Leader's clock until which an agent may pass on an order to start it that it has
+    #: not answered; 0 if there is none.
+    lost_start_until_s: float = 0.0
+    #: Whether the worker has confirmed a stop, after which it starts the run no more.
+    is_stop_confirmed: bool = False
     #: A `RunStopReason`, or empty while the run is to continue.
     stop_reason: str = ""
     #: Whether an order for the run may have been sent before.
@@ -128,6 +135,16 @@
         """Whether the run is to be stopped."""
         return bool(self.stop_reason)
 
+    @property
+    def is_order_in_flight(self):
+        """Whether a start or stop order awaits its reply from the worker."""
+        return self.is_start_in_flight or self.is_stop_in_flight
+
+    def may_yet_start(self, now_s):
+        """Tell whether an agent may still have the worker start the run."""
+        may_be_sent = self.is_start_in_flight or now_s < self.lost_start_until_s
+        return may_be_sent and not self.is_stop_confirmed
+
     @property
     def is_stale(self):
         """Whether the worker lists it though it is not the latest run of its task."""
--- a/tests/builders_orders.py
+++ b/tests/builders_orders.py
@@ -5,6 +5,7 @@
 
 from dotterelspread.gen.peer.ttypes import WorkResult
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.job import JobState
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from tests.builders_evacuation import evacuate, restore
 from tests.builders_fleet import VirtualFleet, make_job, make_step
@@ -40,6 +41,11 @@
 #: Slows the runs of a worker so much that they outlast every lease.
 OUTLASTING_SLOWNESS = 6.0
 COMPLETION_TIMEOUT_S = 40
+#: With the next attempt, an agent has made as many as it makes for an order.
+UNANSWERED_STARTS = 2
+WATCH_INTERVAL_S = 0.05
+#: Time from the end of a job in which an agent may make its last attempts of a start.
+LATE_ATTEMPTS_S = 2.0
 #: Time in which a job has to be accepted: refusals come at once while both entries are
 #: cut off from the store, one after the other for `LONG_OUTAGE_S` each.
 ACCEPTANCE_TIMEOUT_S = 21.6
@@ -66,6 +72,8 @@
     #: Time after its start at which the next incarnation executes the `hold` call that
     #: the crash of this one leaves without a reply; None if it does not.
     late_hold_delay_s = None
+    #: Number of its next starts that are not executed and get no answer.
+    unanswered_starts = 0
 
     def _execute_unanswered_hold(self):
         execute, self._unanswered_hold = self._unanswered_hold, None
@@ -76,6 +84,21 @@
         else:
             execute()
 
+    async def _check_connected(self):
+        end_s = clock.now_s() + ORDER_TIMEOUT_S
+        while self.is_cut_off:
+            if clock.now_s() > end_s:
+                raise WorkerReplyError("no reply")
+            # A call that its caller has not given up arrives after the cut.
+            await asyncio.sleep(0.01)
+
+    async def start(self, worker_id, token, order, until_ms):
+        if self.unanswered_starts:
+            self.unanswered_starts -= 1
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            raise WorkerReplyError("no answer")
+        return await super().start(worker_id, token, order, until_ms)
+
     async def _execute(self, order, execute):
         outcome = self.fleet.choose_outcome("worker", tuple(CallOutcome))
         await self._receive()
@@ -247,6 +270,26 @@
     worker.begin_incarnation()
 
 
+async def lose_end_until_next_start(fleet):
+    """Cut a busy worker off until its task is ordered elsewhere.
+
+    Its run ends meanwhile, and the first starts of the next run get no answer.
+    """
+    cut_off = fleet.busy_agent.worker
+    others = [agent.worker for agent in fleet.agents if agent.worker is not cut_off]
+    cut_off.is_cut_off = True
+    for other in others:
+        other.unanswered_starts = UNANSWERED_STARTS
+    end_s = clock.now_s() + RESIDUAL_LEASE_OUTAGE_S
+    while clock.now_s() < end_s and _await_starts(others):
+        await asyncio.sleep(0.02)
+    cut_off.is_cut_off = False
+
+
+def _await_starts(workers):
+    return all(worker.unanswered_starts == UNANSWERED_STARTS for worker in workers)
+
+
 async def drain_worker(fleet):
     """Drain a busy worker and replace it by another."""
     worker = fleet.busy_agent.worker
@@ -307,6 +350,7 @@
     restart_and_cut_off_worker_and_kill_leader,
     restart_cut_off_worker,
     crash_worker,
+    lose_end_until_next_start,
     drain_worker,
     partition_leader_from_store,
     silence_store,
@@ -358,11 +402,14 @@
         events = asyncio.ensure_future(_run_events(fleet))
         job = make_job(1, STEPS)
         fleet.durations[job.job_id] = TASK_DURATION_S
+        watching = asyncio.ensure_future(_watch_state(fleet, job.job_id))
         with check_every_event(fleet.checker.add_violation):
             await asyncio.gather(
                 _submit_until_accepted(fleet, job), _advance_until_done(fleet, events)
             )
             await fleet.expect_completed(COMPLETION_TIMEOUT_S)
+            await fleet.settle(LATE_ATTEMPTS_S)
+        watching.cancel()
         assert not fleet.checker.violations, fleet.checker.violations
         assert len(fleet.checker.done) == sum(step.count for step in STEPS)
 
@@ -372,6 +419,15 @@
         raise AssertionError(f"{choices.log}: {error}") from error
 
 
+async def _watch_state(fleet, job_id):
+    """Record when the job is first shown as complete."""
+    while True:
+        leader = fleet.leader.candidate.leader
+        if leader is not None and leader.state_of(job_id) == JobState.COMPLETED:
+            fleet.checker.shown_s_by_job_id.setdefault(job_id, clock.now_s())
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
 async def _advance_until_done(fleet, events):
     while not events.done():
         await fleet.settle(0.1)
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -79,6 +79,8 @@
         self.cold_ms = 0
         #: (time, task id) of each start.
         self.starts = []
+        #: When its agent last called it to start a run, by task id and number.
+        self.start_sent_s_by_run = {}
         #: Checkpoint of the runs of this worker, while they run and if they end early.
         self.checkpoint = ""
         #: Checkpoint that the latest start of each task carried.
@@ -221,6 +223,7 @@
         return self.is_up and worker_id == self.worker_id
 
     async def start(self, worker_id, token, order, until_ms):
+        self.start_sent_s_by_run[order.task_id, order.run] = clock.now_s()
         if self.next_start_delay_s is not None:
             delay_s, self.next_start_delay_s = self.next_start_delay_s, None
             loop = asyncio.get_running_loop()
--- a/tests/fleetchecker.py
+++ b/tests/fleetchecker.py
@@ -8,6 +8,10 @@
 __all__ = ["Checker"]
 
 
+#: Longest time from the acknowledgement of an end to a call that starts its task.
+MAX_START_AFTER_END_S = 1.0
+
+
 class Checker:
     """Checks the invariants on the events of the workers and collects violations."""
 
@@ -17,6 +21,10 @@
         self.worker_ids_by_task_id = {}
         self.done = {}
         self.acknowledged_done = set()
+        #: When an end of each task was first acknowledged, also if it was void.
+        self.noted_s_by_task_id = {}
+        #: When each job was first shown as complete.
+        self.shown_s_by_job_id = {}
         self.ends_by_incarnation = {}
         self.acknowledged_by_incarnation = {}
         self.void_ends_by_incarnation = {}
@@ -44,6 +52,7 @@
         if task_id in self.acknowledged_done:
             self.add_violation(f"{task_id} starts after its end was acknowledged")
         job_id, key = parse_task_id(task_id)
+        self._check_time(worker, job_id, order)
         spec = self.fleet.specs.get(job_id)
         if spec is None or order.program != spec.program:
             self.add_violation(f"{task_id} was not submitted")
@@ -51,6 +60,14 @@
         self._check_dependencies(task_id, spec, key)
         self._check_capacity(worker)
 
+    def _check_time(self, worker, job_id, order):
+        """Check that no agent starts a task long after an end of it was noted."""
+        sent_s = worker.start_sent_s_by_run.get((order.task_id, order.run), 0.0)
+        noted_s = self.noted_s_by_task_id.get(order.task_id, sent_s)
+        ended_s = min(noted_s, self.shown_s_by_job_id.get(job_id, sent_s))
+        if sent_s > ended_s + MAX_START_AFTER_END_S:
+            self.add_violation(f"{order.task_id} is started long after its end")
+
     def _check_dependencies(self, task_id, spec, key):
         for earlier in spec.steps[key[1]].depends_on:
             for index in range(spec.steps[earlier].count):
@@ -110,6 +127,8 @@
         first = self.acknowledged_by_incarnation.get(incarnation, 0)
         for number in range(first, seen):
             task_id, how = ends[number]
+            if how == RunEnd.COMPLETED and self._is_batch(task_id):
+                self.noted_s_by_task_id.setdefault(task_id, clock.now_s())
             is_void = number < self.void_ends_by_incarnation.get(incarnation, 0)
             if how == RunEnd.COMPLETED and not is_void and self._is_batch(task_id):
                 self.acknowledged_done.add(task_id)
--- a/tests/test_effectlog.py
+++ b/tests/test_effectlog.py
@@ -9,6 +9,7 @@
 from dotterelspread.jobs.ordersending import OrderSender
 from dotterelspread.jobs.reportedeffects import (
     ReservationsMade,
+    StartWithdrawn,
     TaskGivenUp,
     WorkerCrashed,
     WorkerGivenUp,
@@ -19,6 +20,7 @@
 
 EFFECTS = [
     ReservationsMade((("j1", (0, 1), 0.4), ("j2", (0, 0), 0.9)), 3),
+    StartWithdrawn("j1.0.0.0", 2, "i-0"),
     TaskGivenUp("j1.0.0.0", "i-0", 3, 4),
     WorkerCrashed("i-0", "agent0:7000", (("j1.0.0.0", 1),), 2),
     WorkerGivenUp(make_worker(0), ("j1.0.0.0",)),
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -71,6 +71,7 @@
             effect.run.run,
             result,
             clock_ms,
+            is_stop=isinstance(effect, StopRun),
         ),
         cell,
     )
--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -18,6 +18,8 @@
 from tests.virtualloop import run_virtually
 
 LEASE_MS = 4000
+#: Time after which an attempt counts as unanswered.
+ATTEMPT_S = 0.7
 
 
 class PausedWorker(WorkerAdapter):
@@ -251,3 +253,65 @@
         assert worker.count == 1
 
     run_virtually(run())
+
+
+class SilentWorker(WorkerAdapter):
+    """Leaves each start without a reply, and carries out stops."""
+
+    def __init__(self):
+        self.starts = 0
+        self.stops = 0
+
+    async def start(self, worker_id, token, order, until_ms):
+        self.starts += 1
+        await asyncio.sleep(ATTEMPT_S)
+        raise WorkerReplyError("no reply")
+
+    async def stop(self, worker_id, token, order):
+        self.stops += 1
+        return StartAnswer.RUNNING, clock_ms()
+
+
+def start_and(change, run=1, valid_s=LEASE_MS / 1000):
+    """Return the worker and the result of a start, with a change in its first attempt.
+
+    ``change(handler, agent)`` is called half-way through the attempt.
+    """
+
+    async def scenario():
+        worker = SilentWorker()
+        agent = make_agent(worker)
+        handler = OrderHandler(agent)
+        order = make_start(
+            clock_ms() + LEASE_MS,
+            run=run,
+            send_until_ms=clock_ms() + int(valid_s * 1000),
+        )
+        starting = asyncio.ensure_future(handler.start_run(order))
+        await asyncio.sleep(ATTEMPT_S / 2)
+        await change(handler, agent)
+        return worker, (await starting).result
+
+    return run_virtually(scenario())
+
+
+async def stop_first_run(handler, agent):
+    reply = await handler.stop_run(make_stop())
+    assert reply.result == OrderResult.CONFIRMED
+
+
+@pytest.mark.parametrize(("run", "attempts"), [(1, 1), (2, 3)])
+def test_a_stop_ends_the_attempts_of_a_start(run, attempts):
+    # Guards against a start after the leader has noted an end that forbids it.
+    worker, result = start_and(stop_first_run, run=run)
+    assert (worker.starts, worker.stops) == (attempts, 1)
+    assert result == OrderResult.UNKNOWN
+
+
+def test_a_start_is_not_attempted_after_the_time_that_its_order_names():
+    # Guards against attempts by an agent that no stop reaches any more.
+    async def do_nothing(handler, agent):
+        """Leave all as it is."""
+
+    worker, _ = start_and(do_nothing, valid_s=1.5 * ATTEMPT_S)
+    assert worker.starts == 2
--- a/tests/test_reports_fuzz.py
+++ b/tests/test_reports_fuzz.py
@@ -88,6 +88,7 @@
                 effect.run.run,
                 result,
                 int(now_s * 1000),
+                is_stop=isinstance(effect, StopRun),
             )
             reduce(event, cell)
 
--- a/tests/test_retried_starts.py
+++ b/tests/test_retried_starts.py
@@ -26,6 +26,7 @@
         start.run.run,
         result,
         clock_ms,
+        is_stop=isinstance(start, StopRun),
     )
     return reduce(event, cell)
 
