Attempt no start for a leader that was replaced during it

What callers would see: a task starts on the order of an earlier leader after its successor has decided otherwise, the class of the incident start-after-its-end.

Cause: an agent compared the epoch of an order with that of the leader it follows once, when the order came. If the first attempt got no answer and a successor polled the agent and confirmed its session meanwhile, the next attempts went out under the successor's session.

The epoch is now compared before each attempt; the earlier leader is told that it was replaced. test_a_start_is_not_attempted_for_a_leader_that_was_replaced failed before: three attempts, the last two for the earlier leader.

--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -164,6 +164,8 @@
         Looked for before each attempt, since what forbids the start may become known
         during an earlier one.
         """
+        if order.epoch < self._agent.epoch:
+            return OrderResult.FENCED, "epoch"
         if not self._is_same_incarnation(order):
             return OrderResult.GONE, "another incarnation"
         if not self._agent.is_in_session:
--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -14,7 +14,7 @@
     WorkerReplyError,
     WorkerUnsentError,
 )
-from tests.builders_agent import HEARTBEAT, clock_ms, make_start
+from tests.builders_agent import HEARTBEAT, clock_ms, make_query, make_start
 from tests.virtualloop import run_virtually
 
 LEASE_MS = 4000
@@ -315,3 +315,17 @@
 
     worker, _ = start_and(do_nothing, valid_s=1.5 * ATTEMPT_S)
     assert worker.starts == 2
+
+
+def test_a_start_is_not_attempted_for_a_leader_that_was_replaced():
+    # Guards against attempts for an order that the successor knows nothing of, once it
+    # has confirmed the session with the worker.
+    async def follow_successor(handler, agent):
+        for _ in range(2):
+            await agent.watch(make_query(agent.session.number, epoch=2))
+            agent.session.report()
+        assert agent.is_in_session
+
+    worker, result = start_and(follow_successor)
+    assert worker.starts == 1
+    assert result == OrderResult.FENCED
