Count a job as begun only when a worker says so

Cause: the fate of an order that nobody knows was taken as a fact. The handler of an order's outcome noted that the job has begun for each result but refused and unsent, so also for a start without an answer, for one whose worker was gone, and for a confirmed stop.

A job has now begun once a worker has confirmed a start that is not being stopped, lists a run, or reports an end of one, also of a run that was given up.

--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -5,7 +5,7 @@
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
 from .job import Phase
-from .lifecycle import add_due_steps, end_job, requeue, stop_run
+from .lifecycle import add_due_steps, end_job, note_begun, requeue, stop_run
 from .placement.workerfaults import record_completion, record_failure
 from .runtimes import measure_run_s
 from .spec import parse_task_id
@@ -23,6 +23,7 @@
     for end in ended:
         if end.number > worker.last_applied_end:
             worker.last_applied_end = end.number
+            note_begun(_job_of(cell, end))
             effects.extend(_apply_end(cell, worker, end, event))
     if ended:
         number = _acknowledged_number(cell, worker, event)
@@ -30,6 +31,13 @@
     return effects
 
 
+def _job_of(cell, end):
+    """Return the job whose task a run of has ended, or None if it is unknown."""
+    parsed = parse_task_id(end.task_id)
+    job = parsed and cell.jobs_by_id.get(parsed[0])
+    return job if job and parsed[1] in job.tasks_by_key else None
+
+
 def _acknowledged_number(cell, worker, event):
     """Return the number before the first end that waits for a withdrawn start."""
     waiting = [
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -91,7 +91,7 @@
     estimate: object = field(default=None, repr=False, compare=False)
     #: Whether any task was ever assigned.
     has_assigned: bool = False
-    #: Whether any task may have started, as far as the worker of its run has answered.
+    #: Whether a worker has shown that any task has begun.
     has_begun: bool = False
     #: Leader's clock when the leader first learned of the job.
     first_seen_s: float = 0.0
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -10,6 +10,7 @@
     "end_reason",
     "is_suitable",
     "make_run",
+    "note_begun",
     "release_occurrence",
     "requeue",
     "start_effect",
@@ -72,6 +73,16 @@
             cell.set_ready(job, key)
 
 
+def note_begun(job):
+    """Record that a task of a job has begun, if the job is known.
+
+    Only what a worker says of a run shows that: its confirmation of a start, a list
+    with the run, or its end. An order without an answer shows nothing.
+    """
+    if job is not None:
+        job.has_begun = True
+
+
 def requeue(cell, job, key, checkpoint):
     """Make a task pending again after its run ended without completing."""
     job.requeue(key)
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -5,7 +5,13 @@
 from .crashes import has_crashed, remove_crashed_worker
 from .incarnations import release_run, remove_worker
 from .leasesuspension import suspend_if_silent
-from .lifecycle import is_suitable, release_occurrence, start_effect, stop_run
+from .lifecycle import (
+    is_suitable,
+    note_begun,
+    release_occurrence,
+    start_effect,
+    stop_run,
+)
 from .permits import drop_permit
 from .placement.placing import place, place_now
 from .placement.stragglers import move_stragglers
@@ -42,8 +48,9 @@
     run.is_repeat = True
     run.last_order_s = event.now_s
     job = cell.jobs_by_id.get(run.job_id)
-    if job is not None and event.result not in ("refused", "unsent"):
-        job.has_begun = True
+    if event.result == "confirmed" and not run.is_stop_requested:
+        # A worker confirms a start that a stop has ruled out as well.
+        note_begun(job)
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -15,7 +15,7 @@
 from .feasibility import WorkerShape
 from .incarnations import release_run, remove_worker, replace_incarnation
 from .leasesuspension import is_silent_and_suspended, resume_grants
-from .lifecycle import make_run, stop_run
+from .lifecycle import make_run, note_begun, stop_run
 from .measurements import apply_measurements
 from .pacing import FULL_PACE_PERCENT
 from .placement.placing import place
@@ -157,12 +157,6 @@
         worker.lease_end_s = max(worker.lease_end_s, cell.earlier_lease_end_s)
 
 
-def _note_begun(cell, run):
-    job = cell.jobs_by_id.get(run.job_id)
-    if job is not None:
-        job.has_begun = True
-
-
 def _apply_running(cell, worker, event):
     report = event.report
     effects = []
@@ -177,7 +171,7 @@
             continue
         if not run.is_listed:
             run.mark_listed(row.percent, event.now_s)
-            _note_begun(cell, run)
+            note_begun(cell.jobs_by_id.get(run.job_id))
         elif run.observe(row.percent, row.pace / FULL_PACE_PERCENT, covered_s):
             _record_activity(cell, run, event.now_s)
         worker.confirm(run)
--- /dev/null
+++ b/tests/test_unknown_fates.py
@@ -0,0 +1,108 @@
+"""Jobs whose orders have an outcome that nobody knows."""
+
+from dataclasses import replace
+
+import pytest
+
+from dotterelspread.jobs.cell import CellTick, OrderSettled, StartRun, StopRun
+from dotterelspread.jobs.handlers import reduce
+from dotterelspread.jobs.incarnations import remove_worker
+from dotterelspread.jobs.job import JobState
+from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
+from dotterelspread.resources import Resources
+from tests.builders_cell import make_cell, make_report, make_worker, submit
+from tests.builders_fleet import make_job, make_step
+
+JOB_ID = make_job(1).job_id
+
+
+def settle(cell, effect, result, now_s=0.1, clock_ms=100):
+    event = OrderSettled(
+        now_s,
+        effect.worker.worker_id,
+        effect.worker.born_ms,
+        effect.task_id,
+        effect.run.run,
+        result,
+        clock_ms,
+        is_stop=isinstance(effect, StopRun),
+    )
+    return reduce(event, cell)
+
+
+def make_started_cell():
+    """Return a cell with a job of one task, its state and the order of its start."""
+    cell = make_cell(make_worker(0))
+    (start,) = submit(cell, make_step())
+    return cell, cell.jobs_by_id[JOB_ID], start
+
+
+def lose_worker(cell, now_s=5.0):
+    """Give the worker up, as it is silent and its lease is over."""
+    remove_worker(cell, cell.workers_by_id["i-0"], now_s)
+
+
+@pytest.mark.parametrize("result", ["unknown", "gone", "refused", "unsent"])
+def test_a_job_whose_start_is_not_confirmed_is_still_pending(result):
+    # Guards against waiting jobs that are missing from the pending ones, and are shown
+    # as running, since a start of theirs got no answer from a worker that was cut off.
+    cell, job, start = make_started_cell()
+    settle(cell, start, result)
+    assert (job.has_begun, job.state) == (False, JobState.QUEUED)
+    if start.task_id in cell.workers_by_id["i-0"].runs_by_task:
+        lose_worker(cell)
+    assert (job.has_begun, job.state) == (False, JobState.QUEUED)
+
+
+def test_a_stop_that_rules_out_a_start_does_not_begin_a_job():
+    cell, job, start = make_started_cell()
+    settle(cell, start, "unknown")
+    cell.workers_by_id["i-0"].set_capacity(Resources())
+    (stop,) = [e for e in reduce(CellTick(1.0, 0), cell) if isinstance(e, StopRun)]
+    settle(cell, stop, "confirmed", 1.1, 1100)
+    assert (job.has_begun, job.state) == (False, JobState.QUEUED)
+
+
+def test_a_start_that_is_confirmed_as_it_is_withdrawn_does_not_begin_a_job():
+    # A worker answers so to a run that it has neither started nor will.
+    cell, job, start = make_started_cell()
+    start.run.stop_reason = "unsuitable"
+    settle(cell, start, "confirmed")
+    assert not job.has_begun
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_job_whose_task_began_on_a_lost_worker_is_not_pending(is_listed):
+    cell, job, start = make_started_cell()
+    if is_listed:
+        row = RunningTask(start.task_id, 1, "", 10, 0)
+        reduce(make_report(0, 0.5, row), cell)
+    else:
+        settle(cell, start, "confirmed")
+    lose_worker(cell)
+    assert (job.has_begun, job.state) == (True, JobState.RUNNING)
+
+
+@pytest.mark.parametrize("run", [1, 2])
+@pytest.mark.parametrize("how", [RunEnd.LEASE_EXPIRED, RunEnd.STOPPED])
+def test_an_end_shows_that_a_job_has_begun(run, how):
+    # The start got no answer, and the worker was cut off until its lease was over.
+    cell, job, start = make_started_cell()
+    settle(cell, start, "unknown")
+    if run == 2:
+        lose_worker(cell)
+    event = make_report(0, 9.0)
+    end = EndedRun(1, start.task_id, 1, how, "")
+    reduce(replace(event, report=replace(event.report, ended=(end,))), cell)
+    assert (job.has_begun, job.state) == (True, JobState.RUNNING)
+
+
+def test_a_run_that_is_listed_late_shows_that_a_job_has_begun():
+    # The worker has carried out a start after the run was given up.
+    cell, job, start = make_started_cell()
+    settle(cell, start, "unknown")
+    lose_worker(cell)
+    effects = reduce(make_report(1, 5.5), cell)
+    assert StartRun in [type(effect) for effect in effects]
+    reduce(make_report(0, 6.0, RunningTask(start.task_id, 1, "", 0, 0)), cell)
+    assert (job.has_begun, job.state) == (True, JobState.RUNNING)
