Let another entry bind an earlier leader that a newcomer has not heard

Cause: an earlier leader that needs the successor's answers grants leases without the store for 2 s; one that does not, for 10 s. A successor that has just started has heard no notice of it and counted 10 s, though another entry, which knew of the successor, had.

Entries now name in their answers the leaders whose notices they have heard. Once one that knows the new term names all earlier leaders, their grants are over 1.5 s later. The next process of that entry knows nothing of it, so a leader counts the answers of another process only once the store has confirmed the leader after the first of them. Optional fields of LeaderNotice and NoticeReply carry this; with a version that lacks them the wait is as before.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -3536,6 +3536,7 @@
      - address
      - confirmed
      - lost_agents
+     - tells_processes_apart
 
     """
 
@@ -3544,14 +3545,16 @@
         'address',
         'confirmed',
         'lost_agents',
+        'tells_processes_apart',
     )
 
 
-    def __init__(self, epoch=None, address=None, confirmed=None, lost_agents=None,):
+    def __init__(self, epoch=None, address=None, confirmed=None, lost_agents=None, tells_processes_apart=None,):
         self.epoch = epoch
         self.address = address
         self.confirmed = confirmed
         self.lost_agents = lost_agents
+        self.tells_processes_apart = tells_processes_apart
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3587,6 +3590,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.tells_processes_apart = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3616,6 +3624,10 @@
                 oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.tells_processes_apart is not None:
+            oprot.writeFieldBegin('tells_processes_apart', TType.BOOL, 5)
+            oprot.writeBool(self.tells_processes_apart)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3646,18 +3658,24 @@
     Attributes:
      - epoch
      - has_ended_terms
+     - heard_addresses
+     - process_number
 
     """
 
     __slots__ = (
         'epoch',
         'has_ended_terms',
+        'heard_addresses',
+        'process_number',
     )
 
 
-    def __init__(self, epoch=None, has_ended_terms=None,):
+    def __init__(self, epoch=None, has_ended_terms=None, heard_addresses=None, process_number=None,):
         self.epoch = epoch
         self.has_ended_terms = has_ended_terms
+        self.heard_addresses = heard_addresses
+        self.process_number = process_number
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3678,6 +3696,21 @@
                     self.has_ended_terms = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.heard_addresses = []
+                    (_etype91, _size92) = iprot.readListBegin()
+                    for _i93 in range(_size92):
+                        _elem94 = iprot.readString()
+                        self.heard_addresses.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.process_number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3696,6 +3729,17 @@
             oprot.writeFieldBegin('has_ended_terms', TType.BOOL, 2)
             oprot.writeBool(self.has_ended_terms)
             oprot.writeFieldEnd()
+        if self.heard_addresses is not None:
+            oprot.writeFieldBegin('heard_addresses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.heard_addresses))
+            for iter95 in self.heard_addresses:
+                oprot.writeString(iter95)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.process_number is not None:
+            oprot.writeFieldBegin('process_number', TType.I64, 4)
+            oprot.writeI64(self.process_number)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4216,12 +4260,15 @@
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
     (3, TType.BOOL, 'confirmed', None, None, ),  # 3
     (4, TType.LIST, 'lost_agents', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.BOOL, 'tells_processes_apart', None, None, ),  # 5
 )
 all_structs.append(NoticeReply)
 NoticeReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'epoch', None, None, ),  # 1
     (2, TType.BOOL, 'has_ended_terms', None, None, ),  # 2
+    (3, TType.LIST, 'heard_addresses', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I64, 'process_number', None, None, ),  # 4
 )
 all_structs.append(WorkRequest)
 WorkRequest.thrift_spec = (
--- a/dotterelspread/jobs/earlierleaders.py
+++ b/dotterelspread/jobs/earlierleaders.py
@@ -29,7 +29,8 @@
         Whether they need the answers of entries to grant leases for longer than
         `CONFIRMED_GRANT_S`.
     are_bound : bool
-        Whether that includes the answers of this entry, the successor.
+        Whether that includes the answers of this entry, the successor, or of another
+        one that knows of it.
     """
 
     __slots__ = ("_are_all_known", "_are_bound", "_need_answers", "addresses")
@@ -73,6 +74,22 @@
         """Value of `LeaderRecord.need_answers` for the successor."""
         return self.have_all_ended or (self._are_all_known and self._need_answers)
 
+    def bind(self, heard_addresses):
+        """Apply which leaders an entry has heard that knows of their successor.
+
+        They need the answers of that entry, which would tell them of the successor.
+
+        Returns
+        -------
+        bool
+            Whether this is the first entry that binds them all.
+        """
+        is_news = self._need_answers and not self._are_bound
+        if not is_news or not self.addresses <= set(heard_addresses):
+            return False
+        self._are_bound = True
+        return True
+
     def note_own_waiver(self):
         """Record that some of them may not need the answers of this entry."""
         self._are_bound = False
--- a/dotterelspread/jobs/entryanswers.py
+++ b/dotterelspread/jobs/entryanswers.py
@@ -1,12 +1,16 @@
 """Answers of the entries that may succeed a leader to its notices.
 
-An entry that has claimed a later term answers with its epoch, which ends the term of
-the earlier leader. A leader that each entry still answers thus has no successor yet.
+An entry that has claimed a later term, or has heard of one, answers with its epoch,
+which ends the term of the earlier leader. A leader that each entry still answers thus
+has no successor that any of them knows.
+
+A process that has begun since knows nothing of that. Its answers count once the store
+has confirmed the leader after the first of them: there was no successor before.
 """
 
 from . import clock
 
-__all__ = ["EntryAnswers"]
+__all__ = ["ANSWER_LIFETIME_S", "EntryAnswers"]
 
 #: Time for which an answer counts, from the sending of its notice: three notices.
 ANSWER_LIFETIME_S = 1.5
@@ -17,12 +21,14 @@
 class EntryAnswers:
     """Latest answers of all entries to the notices of one leader."""
 
-    __slots__ = ("_sent_s_by_address", "_waived_addresses")
+    __slots__ = ("_processes_by_address", "_sent_s_by_address", "_waived_addresses")
 
     def __init__(self):
         #: When the latest notice that was answered was sent, or the entry became known;
         #: on `clock.elapsed_s`.
         self._sent_s_by_address = {}
+        #: Number of the process that answers, and when it answered first.
+        self._processes_by_address = {}
         #: Entries whose answers are not needed.
         self._waived_addresses = frozenset()
 
@@ -30,15 +36,33 @@
         """Begin to need the answers of an entry."""
         self._sent_s_by_address[address] = clock.elapsed_s()
 
-    def observe(self, address, sent_s):
-        """Apply the answer to a notice that was sent at ``sent_s``."""
+    def observe(self, address, sent_s, process_number=None):
+        """Apply the answer to a notice that was sent at ``sent_s``.
+
+        Entries of earlier versions do not tell the number of their process.
+        """
+        known_number, _ = self._processes_by_address.get(address, (None, 0.0))
+        if process_number != known_number:
+            answered_s = clock.elapsed_s()
+            self._processes_by_address[address] = process_number, answered_s
         self._sent_s_by_address[address] = sent_s
         self._waived_addresses -= {address}
 
-    @property
-    def are_complete(self):
-        """Whether each entry whose answers are needed has answered recently."""
-        return not self._silent_addresses(ANSWER_LIFETIME_S) - self._waived_addresses
+    def are_complete(self, confirmed_s):
+        """Tell whether each entry whose answers are needed has answered recently.
+
+        Parameters
+        ----------
+        confirmed_s : float
+            When the store last confirmed the leader, on `clock.elapsed_s`.
+        """
+        unproven = {
+            address
+            for address, (_, answered_s) in self._processes_by_address.items()
+            if answered_s > confirmed_s
+        }
+        silent = self._silent_addresses(ANSWER_LIFETIME_S)
+        return not (silent | unproven) - self._waived_addresses
 
     @property
     def waivable_addresses(self):
--- a/dotterelspread/jobs/leadernotices.py
+++ b/dotterelspread/jobs/leadernotices.py
@@ -1,7 +1,9 @@
 """Leader announcements: the leader periodically notifies each entry."""
 
 import asyncio
+import secrets
 from dataclasses import dataclass, field
+from functools import partial
 
 from ..decisionlog import log_decision
 from ..gen.peer.ttypes import LeaderNotice, NoticeReply
@@ -35,11 +37,18 @@
     lost_agents: tuple[str, ...] = ()
     #: Leaders that have sent notices to this process. They rely on its answers.
     heard_addresses: set[str] = field(default_factory=set)
+    #: Those of them that tell its answers from those of others at its address.
+    bound_addresses: set[str] = field(default_factory=set)
+    #: Tells this process from others at its address.
+    process_number: int = field(default_factory=partial(secrets.randbits, 62))
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def receive(self, notice):
         """Process a notice and reply with the latest known epoch."""
         self.heard_addresses.add(notice.address)
+        self.bound_addresses.discard(notice.address)
+        if notice.tells_processes_apart:
+            self.bound_addresses.add(notice.address)
         if notice.epoch > self.epoch:
             log_decision(
                 "leader known",
@@ -57,7 +66,11 @@
                 self.unconfirmed_since_s = None
             elif self.unconfirmed_since_s is None:
                 self.unconfirmed_since_s = self.last_notice_s
-        return NoticeReply(self.epoch)
+        return NoticeReply(
+            self.epoch,
+            heard_addresses=sorted(self.bound_addresses),
+            process_number=self.process_number,
+        )
 
     def note_epoch(self, epoch):
         """Record that an epoch has a leader, which may be in this process."""
@@ -135,6 +148,7 @@
         leader.settings.peer_address,
         is_confirmed,
         leader.agent_reach.sample_lost(),
+        tells_processes_apart=True,
     )
     sent_s = clock.elapsed_s()
     try:
@@ -146,6 +160,6 @@
         if reply.epoch > leader.epoch:
             leader.depose("an entry knows a later epoch")
             return
-        leader.grant_authority.entry_answers.observe(address, sent_s)
+        leader.grant_authority.observe_reply(address, reply, sent_s)
         if reply.has_ended_terms:
             leader.end_earlier_term(address)
--- a/tests/test_earlierleaders.py
+++ b/tests/test_earlierleaders.py
@@ -249,6 +249,59 @@
     run_scenario(scenario, entries=(1.0, 1.0, 1.0), late_entries=1)
 
 
+def test_a_task_of_an_instance_lost_with_its_leader_is_not_stranded_by_a_newcomer():
+    # Guards against a wait of 10 s by a successor that has just started and has heard
+    # no notice of the leader, though an entry that has tells it so.
+    async def scenario(fleet):
+        await lose_instance(fleet)
+        leader = kill_leader(fleet)
+        fleet.network.powered_off.add(leader.address)
+        (other,) = [e for e in fleet.entries[:2] if e is not leader]
+        fleet.store.mode_by_node[other.address] = "silent"
+        newcomer = fleet.entries[-1]
+        newcomer.start()
+        await fleet.settle(MAX_WAIT_S)
+        assert newcomer.candidate.leader is not None
+        assert worker_that_runs(fleet, TASK_ID) is not None
+
+    run_scenario(scenario, entries=(1.0, 1.0, 1.0), late_entries=1)
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_task_is_not_started_twice_while_a_leader_has_lost_the_entry_that_bound_it(
+    is_restarted,
+):
+    # The next process of that entry answers the leader as if it had no successor.
+    async def scenario(fleet):
+        newcomer = fleet.entries[-1]
+        fleet.durations[SERVING_JOB.job_id] = LONG_S
+        await fleet.submit(SERVING_JOB)
+        await fleet.settle(2)
+        worker = worker_that_runs(fleet, TASK_ID)
+        leader = next(e for e in fleet.entries if e.candidate.leader)
+        (other,) = [e for e in fleet.entries[:2] if e is not leader]
+        await wait_confirmed(fleet)
+        await cut_off_leader(fleet, fleet.agents[worker.number], newcomer)
+        fleet.store.mode_by_node[other.address] = "silent"
+        # A read of the new nodes may be under way.
+        await fleet.settle(2.5)
+        newcomer.start()
+        while newcomer.candidate.leader is None:
+            await asyncio.sleep(0.01)
+        fleet.cut(leader, other)
+        await fleet.settle(0.7)
+        fleet.cut(newcomer, other)
+        if is_restarted:
+            other.kill()
+            other.start()
+        fleet.network.cut_pairs.discard(frozenset({leader.address, other.address}))
+        # The fleet's checker fails on two runs at a time.
+        await fleet.settle(20)
+        assert worker_that_runs(fleet, TASK_ID) not in (None, worker)
+
+    run_scenario(scenario, entries=(1.0, 1.0, 1.0), late_entries=1)
+
+
 async def wait_followed(leader, agent):
     """Wait until an agent follows a leader and its worker has reported to that."""
     while agent.agent.epoch != leader.epoch:
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -316,12 +316,20 @@
   3: bool confirmed,
   // Sample of the agents that the leader does not reach; empty if it reaches most.
   4: list<string> lost_agents,
+  // Whether the leader tells the answers of a process from those of others at its
+  // address.
+  5: optional bool tells_processes_apart,
 }
 
 struct NoticeReply {
   1: i64 epoch,
   // Whether this process grants no leases under an epoch before that of the notice.
   2: bool has_ended_terms,
+  // Leaders that have sent notices to this process, so that they need its answers, and
+  // that tell its answers from those of other processes at its address.
+  3: optional list<string> heard_addresses,
+  // Tells this process from others at its address.
+  4: optional i64 process_number,
 }
 
 enum WorkResult {
