Record whether a job has begun

Cause: the records did not tell whether a task of a job has begun, and a successor took each job that was ever assigned for begun.

A job's record now tells. A job that begins is recorded with the next append, which the confirmation of the term makes within a second, and is no reason for one. The field stands last: versions without it read such records, and their records are taken as before.

--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -65,6 +65,9 @@
     scheduled_occurrences: list[tuple[int, str, int]] = field(default_factory=list)
     #: Jobs with withdrawals.
     withdrawing_job_ids: set[str] = field(default_factory=set)
+    #: Jobs that have begun since the last append, which the next one tells of. That is
+    #: no reason for an append.
+    begun_job_ids: set[str] = field(default_factory=set)
     #: Jobs whose journal record is out of date.
     dirty_job_ids: set[str] = field(default_factory=set)
     #: Workers added or removed since the last append to the journal.
--- a/dotterelspread/jobs/committing.py
+++ b/dotterelspread/jobs/committing.py
@@ -206,6 +206,7 @@
         if batch is None:
             return None
         placed = reduce(AppendDone(clock.now_s()), self.cell)
+        self._add_begun_jobs()
         batch.effects, self._queued_effects = self._queued_effects + placed, []
         batch.states_by_id = {
             job_id: self.cell.jobs_by_id[job_id].state
@@ -217,6 +218,10 @@
         )
         return batch
 
+    def _add_begun_jobs(self):
+        begun, self.cell.begun_job_ids = self.cell.begun_job_ids, set()
+        self.cell.dirty_job_ids |= begun & self.cell.jobs_by_id.keys()
+
     async def _append(self, records):
         self._append_since_s = clock.now_s()
         self.writer.sequence += 1
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -23,7 +23,7 @@
     for end in ended:
         if end.number > worker.last_applied_end:
             worker.last_applied_end = end.number
-            note_begun(_job_of(cell, end))
+            note_begun(cell, _job_of(cell, end))
             effects.extend(_apply_end(cell, worker, end, event))
     if ended:
         number = _acknowledged_number(cell, worker, event)
--- a/dotterelspread/jobs/job.py
+++ b/dotterelspread/jobs/job.py
@@ -72,6 +72,9 @@
     #: Wall-clock time of the job's end in milliseconds since 1970; 0 before it.
     ended_ms: int
     tasks: list[tuple[int, int, int, TaskProgress]]
+    #: Whether a task of the job is known to have begun; None in records of earlier
+    #: versions, which do not tell.
+    has_begun: bool | None = None
 
 
 @dataclass(slots=True)
@@ -138,12 +141,14 @@
         self.has_failed |= record.has_failed
         self.ended_ms = max(self.ended_ms, record.ended_ms)
         self.estimate = None
+        may_have_begun = record.has_begun is None and bool(record.tasks)
+        self.has_begun |= bool(record.has_begun) or may_have_begun
         for occurrence, step, index, task in record.tasks:
             if (occurrence, step, index) not in self.tasks_by_key:
                 raise ValueError(f"tasks: no task {occurrence}.{step}.{index}")
             self.tasks_by_key[occurrence, step, index] = task
             self.has_long_checkpoints |= not is_inline(task.checkpoint)
-            self.has_assigned = self.has_begun = True
+            self.has_assigned = True
             if task.phase != Phase.PENDING:
                 self.pending_by_step[occurrence, step] -= 1
             if task.phase == Phase.COMPLETED:
@@ -159,7 +164,9 @@
             if self.has_long_checkpoints or task.avoided_worker_id:
                 task = _bound_size(task)
             tasks.append((*key, task))
-        return JobRecord(self.is_cancelled, self.has_failed, self.ended_ms, tasks)
+        return JobRecord(
+            self.is_cancelled, self.has_failed, self.ended_ms, tasks, self.has_begun
+        )
 
     @property
     def job_id(self):
--- a/dotterelspread/jobs/lifecycle.py
+++ b/dotterelspread/jobs/lifecycle.py
@@ -73,14 +73,15 @@
             cell.set_ready(job, key)
 
 
-def note_begun(job):
+def note_begun(cell, job):
     """Record that a task of a job has begun, if the job is known.
 
     Only what a worker says of a run shows that: its confirmation of a start, a list
     with the run, or its end. An order without an answer shows nothing.
     """
-    if job is not None:
+    if job is not None and not job.has_begun:
         job.has_begun = True
+        cell.begun_job_ids.add(job.job_id)
 
 
 def requeue(cell, job, key, checkpoint):
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -50,7 +50,7 @@
     job = cell.jobs_by_id.get(run.job_id)
     if event.result == "confirmed" and not run.is_stop_requested:
         # A worker confirms a start that a stop has ruled out as well.
-        note_begun(job)
+        note_begun(cell, job)
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
         drop_permit(cell, run, worker)
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -171,7 +171,7 @@
             continue
         if not run.is_listed:
             run.mark_listed(row.percent, event.now_s)
-            note_begun(cell.jobs_by_id.get(run.job_id))
+            note_begun(cell, cell.jobs_by_id.get(run.job_id))
         elif run.observe(row.percent, row.pace / FULL_PACE_PERCENT, covered_s):
             _record_activity(cell, run, event.now_s)
         worker.confirm(run)
--- a/tests/test_unknown_fates.py
+++ b/tests/test_unknown_fates.py
@@ -2,12 +2,13 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from dotterelspread.jobs.cell import CellTick, OrderSettled, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.incarnations import remove_worker
-from dotterelspread.jobs.job import JobState
+from dotterelspread.jobs.job import Job, JobRecord, JobState, TaskProgress
 from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
@@ -106,3 +107,53 @@
     assert StartRun in [type(effect) for effect in effects]
     reduce(make_report(0, 6.0, RunningTask(start.task_id, 1, "", 0, 0)), cell)
     assert (job.has_begun, job.state) == (True, JobState.RUNNING)
+
+
+class JobRecordBefore(msgspec.Struct, array_like=True):
+    """Record of a job's progress as the version before reads and writes it."""
+
+    is_cancelled: bool
+    has_failed: bool
+    ended_ms: int
+    tasks: list[tuple[int, int, int, TaskProgress]]
+
+
+def succeed(job, record_type=JobRecord):
+    """Return a job as a successor reads it, from a record of a version."""
+    record = msgspec.msgpack.encode(job.to_record(job.tasks_by_key))
+    record = msgspec.msgpack.encode(msgspec.msgpack.decode(record, type=record_type))
+    successor = Job.from_spec(job.spec, 0.0)
+    successor.apply_record(msgspec.msgpack.decode(record, type=JobRecord))
+    return successor
+
+
+@pytest.mark.parametrize("result", ["unknown", "refused"])
+def test_a_job_that_waits_is_still_pending_after_a_hand_over(result):
+    # Guards against a successor that takes each job that was ever assigned for begun.
+    cell, job, start = make_started_cell()
+    settle(cell, start, result)
+    if result == "unknown":
+        lose_worker(cell)
+    assert succeed(job).state == JobState.QUEUED
+
+
+def test_a_job_that_has_begun_is_not_pending_after_a_hand_over():
+    cell, job, start = make_started_cell()
+    settle(cell, start, "confirmed")
+    lose_worker(cell)
+    assert succeed(job).state == JobState.RUNNING
+
+
+@pytest.mark.parametrize("result", ["refused", "confirmed"])
+def test_a_job_in_a_record_of_the_version_before_counts_as_begun(result):
+    cell, job, start = make_started_cell()
+    settle(cell, start, result)
+    assert succeed(job, JobRecordBefore).state == JobState.RUNNING
+
+
+def test_the_next_append_tells_that_a_job_has_begun():
+    cell, _, start = make_started_cell()
+    cell.dirty_job_ids.clear()
+    settle(cell, start, "confirmed")
+    assert not cell.dirty_job_ids
+    assert cell.begun_job_ids == {JOB_ID}
