--- a/bench/simulatedworker.py
+++ b/bench/simulatedworker.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from dotterelspread.jobs.agentreport import AgentReport, EndedRun, RunningTask
 from dotterelspread.jobs.spec import StepSpec
-from dotterelspread.jobs.worker import AgentReport, EndedRun, RunningTask
 from dotterelspread.resources import Resources
 
 __all__ = ["CAPACITY", "SERVING_RATIO", "SimulatedRun", "SimulatedWorker"]
--- a/bench/waitingload.py
+++ b/bench/waitingload.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from bench.simulatedworker import SimulatedRun, SimulatedWorker
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.cell import (
     AgentLost,
     Cell,
@@ -22,7 +23,6 @@
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.queues import FleetConfiguration, Queue
 from dotterelspread.jobs.spec import JobSpec, StepSpec
-from dotterelspread.jobs.worker import RunEnd
 from dotterelspread.resources import Resources
 
 __all__ = ["LARGE", "LARGE_KINDS", "SERVING", "SMALL", "Outcome", "WaitingLoad"]
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..reducer import Effect, Event
+from .agentreport import AgentReport
 from .feasibility import WorkerShape
 from .gangsearch import GangSearches
 from .job import Job
@@ -15,7 +16,7 @@
 from .runtimes import RunTimes
 from .spec import JobSpec, StepSpec
 from .taskrun import TaskRun
-from .worker import AgentReport, Worker
+from .worker import Worker
 from .workerloss import WorkerLoss
 
 __all__ = [
--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -2,6 +2,7 @@
 
 from bisect import insort
 
+from .agentreport import RunEnd
 from .cell import AcknowledgeEnds
 from .incarnations import is_current
 from .job import Phase
@@ -11,7 +12,6 @@
 from .spec import parse_task_id
 from .taskrun import RunStopReason
 from .withdrawals import withdraw_start
-from .worker import RunEnd
 
 __all__ = ["apply_ends"]
 
--- a/dotterelspread/jobs/reporting.py
+++ b/dotterelspread/jobs/reporting.py
@@ -2,6 +2,7 @@
 
 from ..reducer import reduce
 from ..resources import Resources
+from .agentreport import MAX_LISTED_ENDS
 from .cell import AgentLost, Reported
 from .crashes import (
     clear_suspicion,
@@ -23,7 +24,7 @@
 from .silentlosses import settle_silent_loss
 from .spec import parse_task_id
 from .taskrun import RunStopReason, TaskRun
-from .worker import MAX_LISTED_ENDS, Worker
+from .worker import Worker
 
 __all__ = []
 
--- a/dotterelspread/jobs/watchreply.py
+++ b/dotterelspread/jobs/watchreply.py
@@ -1,10 +1,10 @@
 """Builds an agent's reply to the leader's watch query."""
 
 from ..gen.peer.ttypes import EndedRow, RunningRow, WatchReply
+from .agentreport import MAX_LISTED_ENDS
 from .checkpoints import is_inline
 from .pacing import FULL_PACE_PERCENT
 from .replybounds import select_ends
-from .worker import MAX_LISTED_ENDS
 
 __all__ = ["build_watch_reply"]
 
--- a/dotterelspread/jobs/watchreport.py
+++ b/dotterelspread/jobs/watchreport.py
@@ -1,8 +1,8 @@
 """Reads an agent's reply to the leader's watch query as a report on its worker."""
 
 from ..resources import Resources
+from .agentreport import AgentReport, EndedRun, RunningTask
 from .pacing import FULL_PACE_PERCENT
-from .worker import AgentReport, EndedRun, RunningTask
 
 __all__ = ["ReportError", "check_reply", "read_report"]
 
--- a/dotterelspread/jobs/workeradapter.py
+++ b/dotterelspread/jobs/workeradapter.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..resources import Resources
-from .worker import EndedRun, RunningTask
+from .agentreport import EndedRun, RunningTask
 
 __all__ = [
     "Announcement",
--- a/dotterelspread/platform/worker.py
+++ b/dotterelspread/platform/worker.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..h1client import H1Client, H1Error, H1UnsentError
-from ..jobs.worker import EndedRun, RunEnd, RunningTask
+from ..jobs.agentreport import EndedRun, RunEnd, RunningTask
 from ..jobs.workeradapter import (
     Listing,
     StartAnswer,
--- a/tests/builders_cell.py
+++ b/tests/builders_cell.py
@@ -1,9 +1,10 @@
 """Builders of cells with a few workers and jobs, for tests of the leader."""
 
+from dotterelspread.jobs.agentreport import AgentReport
 from dotterelspread.jobs.cell import Cell, Reported, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.queues import FleetConfiguration
-from dotterelspread.jobs.worker import AgentReport, Worker
+from dotterelspread.jobs.worker import Worker
 from dotterelspread.resources import Resources
 from tests.builders_fleet import QUEUE, make_job
 
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.spec import parse_task_id
-from dotterelspread.jobs.worker import RunEnd
 from dotterelspread.jobs.workeradapter import StartAnswer
 from tests.builders_fleet import VirtualFleet
 from tests.builders_worker import VirtualWorker
--- a/tests/builders_load.py
+++ b/tests/builders_load.py
@@ -9,6 +9,12 @@
 from dataclasses import dataclass, field
 
 from dotterelspread.gen.peer.ttypes import TaskTraits
+from dotterelspread.jobs.agentreport import (
+    AgentReport,
+    EndedRun,
+    RunEnd,
+    RunningTask,
+)
 from dotterelspread.jobs.cell import (
     Cancelled,
     CellTick,
@@ -20,7 +26,6 @@
 )
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.pacing import FillerPacer
-from dotterelspread.jobs.worker import AgentReport, EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_worker
 from tests.builders_fleet import make_job, make_step
--- a/tests/builders_standins.py
+++ b/tests/builders_standins.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from dotterelspread.h1server import H1Response, listen_h1
-from dotterelspread.jobs.worker import RunEnd
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.workeradapter import (
     StartAnswer,
     WorkerFencedError,
--- a/tests/builders_worker.py
+++ b/tests/builders_worker.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from dotterelspread.jobs import clock
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.workeradapter import (
     Announcement,
     Listing,
--- a/tests/fleetchecker.py
+++ b/tests/fleetchecker.py
@@ -1,8 +1,8 @@
 """Invariants of the runs on all workers, checked on the events that workers report."""
 
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.spec import parse_task_id
-from dotterelspread.jobs.worker import RunEnd
 from dotterelspread.resources import Resources
 
 __all__ = ["Checker"]
--- a/tests/test_agentpart.py
+++ b/tests/test_agentpart.py
@@ -7,12 +7,12 @@
 
 from dotterelspread.gen.peer.ttypes import OrderResult
 from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.departure import (
     LATE_START_RETRY_INTERVAL_S,
     RETRY_INTERVAL_S,
 )
 from dotterelspread.jobs.orderhandler import OrderHandler
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.jobs.workerpolling import LISTING_POLL_TIMEOUT_MS
 from dotterelspread.jobs.workersession import WorkerSession
 from dotterelspread.resources import Resources
--- a/tests/test_cooldown.py
+++ b/tests/test_cooldown.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.cell import CellTick, OrderSettled
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.placement.cooldown import (
@@ -13,7 +14,6 @@
     may_cool_down,
 )
 from dotterelspread.jobs.refusals import REFUSAL_BACKOFF_S
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit, workers_of
 from tests.builders_fleet import make_job, make_step, run_scenario
--- a/tests/test_endedruns.py
+++ b/tests/test_endedruns.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.endedruns import EndedRuns
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 
 
 def make_ends(*numbers):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -4,12 +4,12 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import OrderSettled, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.incarnations import remove_worker
 from dotterelspread.jobs.job import JobState, Phase
 from dotterelspread.jobs.spec import task_id_of
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
 from tests.cellchecker import find_violations
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -10,6 +10,7 @@
 from dotterelspread.gen.peer.ttypes import OrderResult, StartOrder, WatchQuery
 from dotterelspread.jobs import clock
 from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.cell import (
     CellTick,
     Evacuated,
@@ -28,7 +29,6 @@
 from dotterelspread.jobs.queues import PermitTiming
 from dotterelspread.jobs.repeating import ADOPTED_LISTING_DELAY_S
 from dotterelspread.jobs.submitting import add_job
-from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.jobs.workeradapter import Listing, StartAnswer, WorkerAdapter
 from dotterelspread.platform.configuration import (
     CONFIGURATION_KEY,
--- a/tests/test_jobs_placing.py
+++ b/tests/test_jobs_placing.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.cell import AppendDone, Cancelled, CellTick, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Job, Phase
@@ -16,7 +17,6 @@
 from dotterelspread.jobs.records import costs_record, read_costs
 from dotterelspread.jobs.submitting import add_job
 from dotterelspread.jobs.taskrun import RunStopReason
-from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import (
     CAPACITY,
--- a/tests/test_long_checkpoints.py
+++ b/tests/test_long_checkpoints.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import AcknowledgeEnds, AgentLost, CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.job import Phase
 from dotterelspread.jobs.spec import task_id_of
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_agent import HEARTBEAT, make_query, run_agent
 from tests.builders_cell import make_cell, make_report, make_worker, submit
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -3,9 +3,9 @@
 import math
 
 from dotterelspread.gen.peer.ttypes import TaskTraits
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.pacing import FillerPacer
 from dotterelspread.jobs.paircost import CostEstimate, PairCosts
-from dotterelspread.jobs.worker import RunningTask
 
 TARGET_MS = 24
 #: Relative increase of the baseline tail per filler core, unknown to the pacer.
--- a/tests/test_platform_worker.py
+++ b/tests/test_platform_worker.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dotterelspread.jobs.worker import RunEnd
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.workeradapter import (
     StartAnswer,
     WorkerFencedError,
--- a/tests/test_replybounds.py
+++ b/tests/test_replybounds.py
@@ -10,6 +10,12 @@
     encode_reply,
 )
 from dotterelspread.gen.peer.ttypes import WatchQuery
+from dotterelspread.jobs.agentreport import (
+    MAX_LISTED_ENDS,
+    EndedRun,
+    RunEnd,
+    RunningTask,
+)
 from dotterelspread.jobs.endedruns import EndedRuns
 from dotterelspread.jobs.replybounds import (
     MAX_CHECKPOINT_BYTES,
@@ -18,12 +24,6 @@
     select_ends,
 )
 from dotterelspread.jobs.watchreply import build_watch_reply
-from dotterelspread.jobs.worker import (
-    MAX_LISTED_ENDS,
-    EndedRun,
-    RunEnd,
-    RunningTask,
-)
 from dotterelspread.jobs.workeradapter import Listing
 from tests.test_watchreply import make_agent
 
--- a/tests/test_reports_fuzz.py
+++ b/tests/test_reports_fuzz.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import (
     AgentLost,
     Cancelled,
@@ -19,7 +20,6 @@
 )
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.spec import task_id_of
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -2,9 +2,9 @@
 
 from dataclasses import replace
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import Cancelled, CellTick, OrderSettled, StopRun
 from dotterelspread.jobs.handlers import reduce
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import CAPACITY, make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_step
--- a/tests/test_reservations_placing.py
+++ b/tests/test_reservations_placing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.cell import (
     CellTick,
     OrderSettled,
@@ -18,7 +19,6 @@
 )
 from dotterelspread.jobs.queues import Queue
 from dotterelspread.jobs.reportedeffects import ReservationsMade
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker
 from tests.builders_fleet import QUEUE, make_job, make_step
--- a/tests/test_runtimes.py
+++ b/tests/test_runtimes.py
@@ -7,12 +7,12 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import OrderSettled
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.placementpolicy import PlacementPolicy
 from dotterelspread.jobs.runtimes import MAX_KINDS, RunTimes, measure_run_s
 from dotterelspread.jobs.taskrun import TaskRun
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import QUEUE, make_step
--- a/tests/test_service_restart.py
+++ b/tests/test_service_restart.py
@@ -2,10 +2,10 @@
 
 from dataclasses import replace
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.cell import Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.queues import Queue
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import QUEUE, make_job, make_step, run_scenario
--- a/tests/test_silentlosses.py
+++ b/tests/test_silentlosses.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.cell import CellTick, Reported
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.reportedeffects import WorkerCrashed, WorkerReturned
-from dotterelspread.jobs.worker import RunningTask
 from tests.builders_cell import make_cell, make_report, submit
 from tests.builders_fleet import make_job, make_step
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 import pytest
 
 from dotterelspread.h1client import H1Reply
-from dotterelspread.jobs.worker import RunEnd
+from dotterelspread.jobs.agentreport import RunEnd
 from dotterelspread.jobs.workeradapter import StartAnswer, WorkerReplyError
 from soak.callers import Callers
 from soak.evacuationfaults import evacuate
--- a/tests/test_stragglers.py
+++ b/tests/test_stragglers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.placement import stragglers
@@ -15,7 +16,6 @@
     move_stragglers,
 )
 from dotterelspread.jobs.taskrun import RunStopReason
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_step
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.cell import OrderSettled, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.lifecycle import stop_run
@@ -15,7 +16,6 @@
     use_of,
 )
 from dotterelspread.jobs.taskrun import RunStopReason
-from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker
 from tests.builders_fleet import QUEUE, make_job, make_step
--- a/tests/test_unknown_fates.py
+++ b/tests/test_unknown_fates.py
@@ -5,11 +5,11 @@
 import msgspec
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
 from dotterelspread.jobs.cell import CellTick, OrderSettled, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.incarnations import remove_worker
 from dotterelspread.jobs.job import Job, JobRecord, JobState, TaskProgress
-from dotterelspread.jobs.worker import EndedRun, RunEnd, RunningTask
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
--- a/tests/test_watchreply.py
+++ b/tests/test_watchreply.py
@@ -2,8 +2,8 @@
 
 from dotterelspread.gen.peer.ttypes import RunningRow
 from dotterelspread.jobs.agentpart import Agent
+from dotterelspread.jobs.agentreport import RunningTask
 from dotterelspread.jobs.watchreply import build_watch_reply
-from dotterelspread.jobs.worker import RunningTask
 from dotterelspread.jobs.workeradapter import Announcement, Listing, WorkerAdapter
 from dotterelspread.resources import Resources
 
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.cell import (
     AcknowledgeEnds,
     Cancelled,
@@ -17,7 +18,6 @@
 from dotterelspread.jobs.reportedeffects import StartWithdrawn
 from dotterelspread.jobs.spec import task_id_of
 from dotterelspread.jobs.withdrawals import MAX_ORDER_AGE_S
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step
 
--- a/tests/test_workerfaults.py
+++ b/tests/test_workerfaults.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dotterelspread.jobs import clock
+from dotterelspread.jobs.agentreport import EndedRun, RunEnd
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.placement.cooldown import (
     FAILING_WORKER_COOLDOWN_S,
@@ -12,7 +13,6 @@
     RECENT_FAILURE_S,
 )
 from dotterelspread.jobs.placement.workerfaults import record_completion, record_failure
-from dotterelspread.jobs.worker import EndedRun, RunEnd
 from dotterelspread.resources import Resources
 from tests.builders_cell import make_cell, make_report, make_worker, submit
 from tests.builders_fleet import make_job, make_step, run_scenario
