--- a/dotterelspread/jobs/ends.py
+++ b/dotterelspread/jobs/ends.py
@@ -23,7 +23,8 @@
     for end in ended:
         if end.number > worker.last_applied_end:
             worker.last_applied_end = end.number
-            note_begun(cell, _job_of(cell, end))
+            job, _ = _find_task(cell, end)
+            note_begun(cell, job)
             effects.extend(_apply_end(cell, worker, end, event))
     if ended:
         number = _acknowledged_number(cell, worker, event)
@@ -31,11 +32,13 @@
     return effects
 
 
-def _job_of(cell, end):
-    """Return the job whose task a run of has ended, or None if it is unknown."""
+def _find_task(cell, end):
+    """Return the job and key of the task of an ended run, or twice None."""
     parsed = parse_task_id(end.task_id)
     job = parsed and cell.jobs_by_id.get(parsed[0])
-    return job if job and parsed[1] in job.tasks_by_key else None
+    if not job or parsed[1] not in job.tasks_by_key:
+        return None, None
+    return job, parsed[1]
 
 
 def _acknowledged_number(cell, worker, event):
@@ -49,10 +52,9 @@
 
 
 def _must_wait(cell, end, now_s):
-    parsed = parse_task_id(end.task_id)
-    job = parsed and cell.jobs_by_id.get(parsed[0])
+    job, key = _find_task(cell, end)
     withdrawals = job.withdrawals if job else ()
-    return any(w.key == parsed[1] and not w.is_over(now_s) for w in withdrawals)
+    return any(w.key == key and not w.is_over(now_s) for w in withdrawals)
 
 
 def _apply_end(cell, worker, end, event):
@@ -84,16 +86,15 @@
     A worker may carry out a start late, after the leader has given the run up. Once the
     end is acknowledged, the task must not start again.
     """
-    parsed = parse_task_id(end.task_id)
-    job = parsed and cell.jobs_by_id.get(parsed[0])
-    if not job or not job.is_open or end.how != RunEnd.COMPLETED:
+    job, key = _find_task(cell, end)
+    if job is None or not job.is_open or end.how != RunEnd.COMPLETED:
         return []
-    task = job.tasks_by_key.get(parsed[1])
-    if task is None or task.phase == Phase.COMPLETED or end.run > task.run:
+    task = job.tasks_by_key[key]
+    if task.phase == Phase.COMPLETED or end.run > task.run:
         return []
-    if job.step_of(parsed[1]).is_service:
+    if job.step_of(key).is_service:
         return []
-    return _complete(cell, job, parsed[1], event)
+    return _complete(cell, job, key, event)
 
 
 def _learn_from(cell, job, run, event):
