Tell a start that is ruled out from one that the worker runs

Cause: when a worker refuses a start after an earlier attempt of which nobody knows the fate, its agent has a stop rule that attempt out, and returned the outcome of the stop as that of the start: confirmed. The leader took it for a run that had begun, and noted a time at which it was confirmed.

The reply to a start now tells whether the worker says that it runs. Agents that do not tell count as before.

Evidence: test_the_reply_tells_whether_the_worker_says_that_it_runs and test_a_start_that_the_agent_has_ruled_out_does_not_begin_a_job failed before, for want of the field.

--- a/dotterelspread/gen/peer/ttypes.py
+++ b/dotterelspread/gen/peer/ttypes.py
@@ -3432,6 +3432,7 @@
      - clock_ms
      - detail
      - refusal
+     - has_begun
 
     """
 
@@ -3440,14 +3441,16 @@
         'clock_ms',
         'detail',
         'refusal',
+        'has_begun',
     )
 
 
-    def __init__(self, result=None, clock_ms=None, detail=None, refusal=None,):
+    def __init__(self, result=None, clock_ms=None, detail=None, refusal=None, has_begun=None,):
         self.result = result
         self.clock_ms = clock_ms
         self.detail = detail
         self.refusal = refusal
+        self.has_begun = has_begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3478,6 +3481,11 @@
                     self.refusal = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3504,6 +3512,10 @@
             oprot.writeFieldBegin('refusal', TType.I32, 4)
             oprot.writeI32(self.refusal)
             oprot.writeFieldEnd()
+        if self.has_begun is not None:
+            oprot.writeFieldBegin('has_begun', TType.BOOL, 5)
+            oprot.writeBool(self.has_begun)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4252,6 +4264,7 @@
     (2, TType.I64, 'clock_ms', None, None, ),  # 2
     (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
     (4, TType.I32, 'refusal', None, None, ),  # 4
+    (5, TType.BOOL, 'has_begun', None, None, ),  # 5
 )
 all_structs.append(LeaderNotice)
 LeaderNotice.thrift_spec = (
--- a/dotterelspread/jobs/cell.py
+++ b/dotterelspread/jobs/cell.py
@@ -207,6 +207,8 @@
     refusal: RefusalScope = RefusalScope.WORKER
     #: Whether the order was to stop the run.
     is_stop: bool = False
+    #: Whether the worker has answered to a start that it runs; None if unknown.
+    has_begun: bool | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/dotterelspread/jobs/orderhandler.py
+++ b/dotterelspread/jobs/orderhandler.py
@@ -54,6 +54,8 @@
     is_withdrawn: bool = False
     #: Whether an attempt may have reached the worker.
     is_sent: bool = False
+    #: Whether the worker has answered that it runs.
+    has_begun: bool = False
 
     @property
     def unconfirmed_result(self):
@@ -103,7 +105,7 @@
                 result=OrderResult._VALUES_TO_NAMES[result],
                 detail=detail,
             )
-        return self._order_reply(result, detail, scope)
+        return self._order_reply(result, detail, scope, start.has_begun)
 
     @contextmanager
     def _in_progress(self, order):
@@ -151,6 +153,7 @@
                 continue
             if answer is StartAnswer.EXPIRED:
                 continue
+            start.has_begun = answer is StartAnswer.RUNNING
             scope = _SCOPES_BY_ANSWER.get(answer)
             if scope is not None and is_uncertain:
                 # An earlier attempt may still reach the worker; rule it out.
@@ -266,8 +269,8 @@
             and self._agent.born_ms == order.born_ms
         )
 
-    def _order_reply(self, result, detail, scope=None):
-        return OrderReply(result, self._agent.clock_ms(), detail, scope)
+    def _order_reply(self, result, detail, scope=None, has_begun=None):
+        return OrderReply(result, self._agent.clock_ms(), detail, scope, has_begun)
 
 
 def _log_attempt(order, attempt, answer, detail):
--- a/dotterelspread/jobs/ordersending.py
+++ b/dotterelspread/jobs/ordersending.py
@@ -200,6 +200,7 @@
 
     async def _send(self, effect, method, order):
         result, clock_ms, scope = "unknown", 0, RefusalScope.WORKER
+        has_begun = None
         try:
             reply = await self._leader.pool.call(
                 effect.worker.agent_address, method, order, ORDER_TIMEOUT_S
@@ -220,12 +221,20 @@
                 reply.clock_ms,
             )
             scope = RefusalScope.from_number(reply.refusal)
+            has_begun = reply.has_begun
         counters.add("orders", method=method, result=result)
         if result == "refused":
             counters.add("refused_starts", scope=scope.name.lower())
-        self._settle(effect, result, clock_ms, scope)
+        self._settle(effect, result, clock_ms, scope, has_begun)
 
-    def _settle(self, effect, result, clock_ms=0, scope=RefusalScope.WORKER):
+    def _settle(
+        self,
+        effect,
+        result,
+        clock_ms=0,
+        scope=RefusalScope.WORKER,
+        has_begun=None,
+    ):
         self._leader.apply(
             OrderSettled(
                 clock.now_s(),
@@ -236,7 +245,8 @@
                 result,
                 clock_ms,
                 scope,
-                is_stop=isinstance(effect, StopRun),
+                isinstance(effect, StopRun),
+                has_begun,
             )
         )
 
--- a/dotterelspread/jobs/repeating.py
+++ b/dotterelspread/jobs/repeating.py
@@ -48,8 +48,8 @@
     run.is_repeat = True
     run.last_order_s = event.now_s
     job = cell.jobs_by_id.get(run.job_id)
-    if event.result == "confirmed" and not run.is_stop_requested:
-        # A worker confirms a start that a stop has ruled out as well.
+    has_begun = _shows_begin(run, event)
+    if has_begun:
         note_begun(cell, job)
     if event.result == "refused":
         release_run(cell, worker, event.task_id)
@@ -62,13 +62,25 @@
         worker.confirm(run)
         # The first answer counts: retried stops would outrun the listings.
         run.last_answer_ms = run.last_answer_ms or event.clock_ms
-        if not run.is_stop_requested:
+        if has_begun and not run.is_stop_requested:
             run.confirmed_ms = run.confirmed_ms or event.clock_ms
         worker.alive_ms = max(worker.alive_ms, event.clock_ms)
     settle_withdrawals(cell, event.now_s)
     return place(cell, event.now_s)
 
 
+def _shows_begin(run, event):
+    """Tell whether the outcome of an order shows that the worker has begun the run.
+
+    A start is also confirmed if it is certain that the worker will not begin it.
+    """
+    if event.is_stop or event.result != "confirmed":
+        return False
+    if event.has_begun is None:
+        return not run.is_stop_requested
+    return event.has_begun
+
+
 def _note_settled(run, event):
     """Record what the outcome of an order says of later starts of the run."""
     if event.is_stop:
--- a/tests/test_orderhandler.py
+++ b/tests/test_orderhandler.py
@@ -329,3 +329,35 @@
     worker, result = start_and(follow_successor)
     assert worker.starts == 1
     assert result == OrderResult.FENCED
+
+
+class ForgettingWorker(SilentWorker):
+    """Gives its answer to the second attempt of a start."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self.answer = answer
+
+    async def start(self, worker_id, token, order, until_ms):
+        if self.starts:
+            return self.answer, clock_ms()
+        return await super().start(worker_id, token, order, until_ms)
+
+
+@pytest.mark.parametrize(
+    ("answer", "has_begun"),
+    [
+        (StartAnswer.RUNNING, True),
+        (StartAnswer.NO_ROOM, False),
+        (StartAnswer.OUTDATED, False),
+    ],
+)
+def test_the_reply_tells_whether_the_worker_says_that_it_runs(answer, has_begun):
+    # A start that is refused after an unanswered attempt is ruled out by a stop.
+    async def scenario():
+        handler = OrderHandler(make_agent(ForgettingWorker(answer)))
+        reply = await handler.start_run(make_start(clock_ms() + LEASE_MS))
+        assert reply.result == OrderResult.CONFIRMED
+        assert reply.has_begun == has_begun
+
+    run_virtually(scenario())
--- a/tests/test_unknown_fates.py
+++ b/tests/test_unknown_fates.py
@@ -72,6 +72,18 @@
     assert not job.has_begun
 
 
+def test_a_start_that_the_agent_has_ruled_out_does_not_begin_a_job():
+    # Guards against jobs that are missing from the pending ones, since the worker
+    # refused a repeated start and the stop of the earlier attempt was confirmed.
+    cell, job, start = make_started_cell()
+    event = OrderSettled(
+        0.1, "i-0", 1, start.task_id, 1, "confirmed", 100, has_begun=False
+    )
+    reduce(event, cell)
+    assert (job.has_begun, job.state) == (False, JobState.QUEUED)
+    assert not start.run.confirmed_ms
+
+
 @pytest.mark.parametrize("is_listed", [False, True])
 def test_a_job_whose_task_began_on_a_lost_worker_is_not_pending(is_listed):
     cell, job, start = make_started_cell()
--- a/thrift/peer.thrift
+++ b/thrift/peer.thrift
@@ -307,6 +307,9 @@
   3: string detail,
   // None if the order was not refused, and from agents that do not tell.
   4: optional RefusalScope refusal,
+  // Whether the worker has answered to a start that it runs; none for stops, and from
+  // agents that do not tell.
+  5: optional bool has_begun,
 }
 
 struct LeaderNotice {
