Settle orders in tests by one builder

It stands in builders_cell now and tells starts from stops. No assertion changes; the tests of these modules pass.

--- a/tests/builders_cell.py
+++ b/tests/builders_cell.py
@@ -1,7 +1,7 @@
 """Builders of cells with a few workers and jobs, for tests of the leader."""
 
 from dotterelspread.jobs.agentreport import AgentReport
-from dotterelspread.jobs.cell import Cell, Reported, Submitted
+from dotterelspread.jobs.cell import Cell, OrderSettled, Reported, StopRun, Submitted
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.queues import FleetConfiguration
 from dotterelspread.jobs.worker import Worker
@@ -13,6 +13,7 @@
     "make_cell",
     "make_report",
     "make_worker",
+    "settle_order",
     "submit",
     "workers_of",
 ]
@@ -69,3 +70,19 @@
         ended=(),
     )
     return Reported(now_s, report, now_s + 4.0, 0)
+
+
+def settle_order(cell, effect, result, now_s=0.1, clock_ms=100, **changes):
+    """Settle the order of a `StartRun` or `StopRun`; return the effects."""
+    worker = effect.worker
+    event = OrderSettled(
+        now_s,
+        worker.worker_id,
+        worker.born_ms,
+        effect.task_id,
+        effect.run.run,
+        result,
+        clock_ms,
+        **({"is_stop": isinstance(effect, StopRun)} | changes),
+    )
+    return reduce(event, cell)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -14,7 +14,6 @@
 from dotterelspread.jobs.cell import (
     CellTick,
     Evacuated,
-    OrderSettled,
     StartRun,
     StopRun,
 )
@@ -39,7 +38,14 @@
 from dotterelspread.platform.evacuations import read_evacuated_data_centre
 from dotterelspread.resources import Resources
 from tests.builders_agent import HEARTBEAT
-from tests.builders_cell import make_cell, make_report, make_worker, submit, workers_of
+from tests.builders_cell import (
+    make_cell,
+    make_report,
+    make_worker,
+    settle_order,
+    submit,
+    workers_of,
+)
 from tests.builders_fleet import QUEUE, make_job, make_step
 from tests.builders_store import VirtualStore
 from tests.test_ordersending import FakeLeader, OrderSender
@@ -60,23 +66,6 @@
     return reduce(Evacuated(now_s, frozenset(names)), cell)
 
 
-def settle(cell, effect, result, now_s=0.1, clock_ms=100):
-    worker = effect.worker
-    return reduce(
-        OrderSettled(
-            now_s,
-            worker.worker_id,
-            worker.born_ms,
-            effect.task_id,
-            effect.run.run,
-            result,
-            clock_ms,
-            is_stop=isinstance(effect, StopRun),
-        ),
-        cell,
-    )
-
-
 def orders_of(effects):
     return [
         (type(effect), effect.worker.worker_id)
@@ -120,13 +109,13 @@
     cell = make_pair()
     cell.workers_by_id["i-0"].is_draining = True
     (start,) = submit(cell, make_step())
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     cell.workers_by_id["i-0"].is_draining = False
     evacuate(cell, SOUTH, now_s=0.2)
     (stop,) = reduce(CellTick(1.0, 0), cell)
     assert orders_of([stop]) == [(StopRun, "i-1")]
     # The worker may still run it until a list without it was requested after the stop.
-    assert orders_of(settle(cell, stop, "confirmed", 1.1, 1100)) == []
+    assert orders_of(settle_order(cell, stop, "confirmed", 1.1, 1100)) == []
     event = make_report(1, 1.3)
     event = replace(event, report=replace(event.report, data_centre=SOUTH))
     reduce(event, cell)
@@ -139,18 +128,18 @@
     (start,) = submit(cell, make_step())
     cell.workers_by_id["i-0"].is_draining = False
     evacuate(cell, SOUTH)
-    assert orders_of(settle(cell, start, "unsent")) == [(StartRun, "i-0")]
+    assert orders_of(settle_order(cell, start, "unsent")) == [(StartRun, "i-0")]
 
 
 def test_a_repeated_start_that_is_withheld_is_stopped_first():
     cell = make_pair()
     cell.workers_by_id["i-0"].is_draining = True
     (start,) = submit(cell, make_step())
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     (again,) = reduce(CellTick(1.0, 0), cell)
     cell.workers_by_id["i-0"].is_draining = False
     evacuate(cell, SOUTH, now_s=1.0)
-    assert orders_of(settle(cell, again, "unsent", 1.1)) == []
+    assert orders_of(settle_order(cell, again, "unsent", 1.1)) == []
     assert orders_of(reduce(CellTick(2.0, 0), cell)) == [(StopRun, "i-1")]
 
 
@@ -172,7 +161,7 @@
 def test_a_confirmed_run_is_neither_stopped_nor_moved():
     cell = make_cell(make_worker(0, data_centre=SOUTH))
     (start,) = submit(cell, make_step())
-    settle(cell, start, "confirmed")
+    settle_order(cell, start, "confirmed")
     evacuate(cell, SOUTH)
     for number in range(20):
         assert orders_of(reduce(CellTick(1.0 + 0.1 * number, 0), cell)) == []
--- a/tests/test_reports_fuzz.py
+++ b/tests/test_reports_fuzz.py
@@ -14,14 +14,19 @@
     AgentLost,
     Cancelled,
     CellTick,
-    OrderSettled,
     StartRun,
     StopRun,
 )
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.jobs.spec import task_id_of
 from dotterelspread.resources import Resources
-from tests.builders_cell import make_cell, make_report, make_worker, submit
+from tests.builders_cell import (
+    make_cell,
+    make_report,
+    make_worker,
+    settle_order,
+    submit,
+)
 from tests.builders_fleet import make_job, make_step
 
 WORKERS = 2
@@ -79,18 +84,7 @@
 def settle(cell, effects, result, now_s):
     for effect in effects:
         if isinstance(effect, StartRun | StopRun):
-            worker = effect.worker
-            event = OrderSettled(
-                now_s,
-                worker.worker_id,
-                worker.born_ms,
-                effect.task_id,
-                effect.run.run,
-                result,
-                int(now_s * 1000),
-                is_stop=isinstance(effect, StopRun),
-            )
-            reduce(event, cell)
+            settle_order(cell, effect, result, now_s, int(now_s * 1000))
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -3,31 +3,22 @@
 from dataclasses import replace
 
 from dotterelspread.jobs.agentreport import EndedRun, RunEnd, RunningTask
-from dotterelspread.jobs.cell import Cancelled, CellTick, OrderSettled, StopRun
+from dotterelspread.jobs.cell import Cancelled, CellTick
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.resources import Resources
-from tests.builders_cell import CAPACITY, make_cell, make_report, make_worker, submit
+from tests.builders_cell import (
+    CAPACITY,
+    make_cell,
+    make_report,
+    make_worker,
+    settle_order,
+    submit,
+)
 from tests.builders_fleet import make_step
 
 
-def settle(cell, start, result, now_s, clock_ms):
-    worker = start.worker
-    run = start.run.run
-    event = OrderSettled(
-        now_s,
-        worker.worker_id,
-        worker.born_ms,
-        start.task_id,
-        run,
-        result,
-        clock_ms,
-        is_stop=isinstance(start, StopRun),
-    )
-    return reduce(event, cell)
-
-
 def refuse(cell, start, now_s):
-    return settle(cell, start, "refused", now_s, int(now_s * 1000))
+    return settle_order(cell, start, "refused", now_s, int(now_s * 1000))
 
 
 def test_a_late_run_of_a_task_that_is_placed_again_leaks_no_reservation():
@@ -53,14 +44,14 @@
 def test_a_stopped_run_that_never_ran_is_released_however_late_listings_are():
     cell = make_cell(make_worker(0))
     (start,) = submit(cell, make_step(demand=Resources(8000, 10)))
-    settle(cell, start, "unknown", 0.1, 0)
+    settle_order(cell, start, "unknown", 0.1, 0)
     (stop,) = reduce(Cancelled(0.2, start.run.job_id, 0), cell)
-    settle(cell, stop, "unknown", 0.2, 0)
+    settle_order(cell, stop, "unknown", 0.2, 0)
     # Each listing was requested 0.7 s before it arrives, and stops are retried sooner.
     for tick in range(3, 50):
         now_s = tick / 10
         for stop in reduce(CellTick(now_s, 0), cell):
-            settle(cell, stop, "confirmed", now_s, tick * 100)
+            settle_order(cell, stop, "confirmed", now_s, tick * 100)
         if tick % 7 == 0:
             reduce(replace(make_report(0, now_s - 0.7), now_s=now_s), cell)
     assert cell.workers_by_id["i-0"].available == CAPACITY
--- a/tests/test_retried_starts.py
+++ b/tests/test_retried_starts.py
@@ -2,10 +2,16 @@
 
 from dataclasses import replace
 
-from dotterelspread.jobs.cell import CellTick, OrderSettled, StartRun, StopRun
+from dotterelspread.jobs.cell import CellTick, StartRun, StopRun
 from dotterelspread.jobs.handlers import reduce
 from dotterelspread.resources import Resources
-from tests.builders_cell import make_cell, make_report, make_worker, submit
+from tests.builders_cell import (
+    make_cell,
+    make_report,
+    make_worker,
+    settle_order,
+    submit,
+)
 from tests.builders_fleet import make_step
 
 SMALL = Resources(2000, 16_000)
@@ -16,21 +22,6 @@
     return reduce(replace(event, report=replace(event.report, **changes)), cell)
 
 
-def settle(cell, start, result, now_s=0.1, clock_ms=100):
-    worker = start.worker
-    event = OrderSettled(
-        now_s,
-        worker.worker_id,
-        worker.born_ms,
-        start.task_id,
-        start.run.run,
-        result,
-        clock_ms,
-        is_stop=isinstance(start, StopRun),
-    )
-    return reduce(event, cell)
-
-
 def kinds_of(effects):
     return [
         type(effect) for effect in effects if isinstance(effect, (StartRun, StopRun))
@@ -40,7 +31,7 @@
 def test_a_start_is_not_retried_on_a_smaller_incarnation():
     cell = make_cell(make_worker(0))
     for start in submit(cell, make_step(count=8)):
-        settle(cell, start, "unknown")
+        settle_order(cell, start, "unknown")
     report_change(cell, 1.0, born_ms=1000, capacity=SMALL)
     assert kinds_of(reduce(CellTick(2.0, 0), cell)) == [StopRun] * 8
 
@@ -48,7 +39,7 @@
 def test_a_start_is_not_retried_on_an_incarnation_without_the_label():
     cell = make_cell(make_worker(0))
     (start,) = submit(cell, make_step(required_label="a"))
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     report_change(cell, 1.0, born_ms=1000, labels=frozenset({"b"}))
     assert kinds_of(reduce(CellTick(2.0, 0), cell)) == [StopRun]
 
@@ -56,7 +47,7 @@
 def test_a_start_is_not_retried_on_an_incarnation_of_another_service():
     cell = make_cell(make_worker(0))
     (start,) = submit(cell, make_step())
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     report_change(cell, 1.0, born_ms=1000, service="other")
     assert kinds_of(reduce(CellTick(2.0, 0), cell)) == [StopRun]
 
@@ -64,7 +55,7 @@
 def test_a_start_is_not_retried_on_a_worker_that_has_shrunk():
     cell = make_cell(make_worker(0))
     for start in submit(cell, make_step(count=8)):
-        settle(cell, start, "unknown")
+        settle_order(cell, start, "unknown")
     report_change(cell, 0.2, capacity=SMALL)
     assert kinds_of(reduce(CellTick(1.0, 0), cell)) == [StopRun] * 8
 
@@ -72,7 +63,7 @@
 def test_a_start_is_retried_on_an_incarnation_that_has_room():
     cell = make_cell(make_worker(0))
     (start,) = submit(cell, make_step())
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     report_change(cell, 1.0, born_ms=1000, capacity=SMALL)
     assert kinds_of(reduce(CellTick(2.0, 0), cell)) == [StartRun]
 
@@ -81,10 +72,10 @@
     cell = make_cell(make_worker(0))
     (start,) = submit(cell, make_step(demand=Resources(4000, 10)))
     cell.workers_by_id["i-1"] = make_worker(1)
-    settle(cell, start, "unknown")
+    settle_order(cell, start, "unknown")
     report_change(cell, 0.2, capacity=SMALL)
     (stop,) = reduce(CellTick(1.0, 0), cell)
-    assert settle(cell, stop, "confirmed", 1.1, 1100) == []
+    assert settle_order(cell, stop, "confirmed", 1.1, 1100) == []
     report_change(cell, 1.3, capacity=SMALL)
     (again,) = reduce(CellTick(1.4, 0), cell)
     assert (again.task_id, again.worker.worker_id) == (start.task_id, "i-1")
